Lay out the package: world objects, checked JSON, message codec

The package is split by direction of import: world, messages, wire, decisions, daemons, command line. Envelopes travel as CBOR and are checked by type on the way in.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SECONDS ?= 60
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo fuzz bench format environment
+
+environment: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --require-hashes -r requirements.lock
+	$(PYTHON) -m pip install --quiet --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+test: environment
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m pytest
+
+format: environment
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
--- /dev/null
+++ b/sequoiahook/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/sequoiahook/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and carry out the effects of decisions."""
--- /dev/null
+++ b/sequoiahook/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: typed messages and the time in, typed effects out."""
--- /dev/null
+++ b/sequoiahook/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that instances exchange, one module for each subject."""
--- /dev/null
+++ b/sequoiahook/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats: codecs for links, HTTP fields and trace contexts."""
--- /dev/null
+++ b/sequoiahook/wire/codec.py
@@ -0,0 +1,66 @@
+"""CBOR encoding of envelopes, checked on the way in."""
+
+import cbor2
+from cattrs import Converter
+from cattrs.errors import BaseValidationError
+
+from sequoiahook.errors import CodecError
+from sequoiahook.messages.base import Envelope, message_type
+
+__all__ = ["ENVELOPE_BYTES_MAX", "decode_envelope", "encode_envelope"]
+
+ENVELOPE_BYTES_MAX = 8 * 1024 * 1024
+_HEADER_FIELDS = 6
+
+
+def _strict(value: object, expected: type) -> object:
+    if type(value) is not expected:
+        raise TypeError(f"expected {expected.__name__}, not {type(value).__name__}")
+    return value
+
+
+_converter = Converter(detailed_validation=False)
+for _primitive in (int, str, bool, bytes, float):
+    _converter.register_structure_hook(_primitive, _strict)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encode an envelope.
+
+    Raises:
+        CodecError: If it is larger than ENVELOPE_BYTES_MAX.
+    """
+    body = envelope.body
+    header = [*envelope[:4], type(body).__name__]
+    data = cbor2.dumps([*header, _converter.unstructure(body)])
+    if len(data) > ENVELOPE_BYTES_MAX:
+        raise CodecError(f"an envelope of {len(data)} bytes is too large")
+    return data
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decode an envelope and check the type of each field.
+
+    Raises:
+        CodecError: If the bytes are not an envelope with a known message.
+    """
+    try:
+        fields = cbor2.loads(data)
+    except (cbor2.CBORError, ValueError, RecursionError, MemoryError) as error:
+        raise CodecError(f"not CBOR: {error}") from error
+    if not isinstance(fields, list) or len(fields) != _HEADER_FIELDS:
+        raise CodecError("not an envelope")
+    source, incarnation, sequence, destination, name, body = fields
+    try:
+        cls = message_type(_strict(name, str))
+        return Envelope(
+            _strict(source, str),
+            _strict(incarnation, int),
+            _strict(sequence, int),
+            _strict(destination, str),
+            _converter.structure(body, cls),
+        )
+    except KeyError as error:
+        raise CodecError(f"unknown message {name!r}") from error
+    except (TypeError, ValueError, BaseValidationError) as error:
+        raise CodecError(f"malformed message: {error}") from error
--- /dev/null
+++ b/sequoiahook/world/__init__.py
@@ -0,0 +1,1 @@
+"""The world as objects: regions, data centres, links, targets, organisations."""
--- /dev/null
+++ b/sequoiahook/world/instance.py
@@ -0,0 +1,44 @@
+"""Instances: the processes of the system."""
+
+from typing import NamedTuple
+
+from sequoiahook.options import Section
+
+__all__ = ["Address", "Instance", "read_address"]
+
+PORT_MAX = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Instance(NamedTuple):
+    """One process of the system.
+
+    Attributes:
+        name: Unique name.
+        incarnation: Random number of this run of the process.
+        data_centre: Name of the data centre that it stands in.
+        caller_address: Where callers connect.
+        link_address: Where other instances connect.
+    """
+
+    name: str
+    incarnation: int
+    data_centre: str
+    caller_address: Address
+    link_address: Address
+
+
+def read_address(section: Section) -> Address:
+    """Read a host and a port."""
+    return Address(
+        section.string("host"), section.integer("port", low=0, high=PORT_MAX)
+    )
