Add authenticated links between instances and the settings of an instance

Instances prove to each other that they hold the fleet secret before any message passes. Each frame carries a probe number and an echo, from which the receiver bounds the age of a frame on its own clock alone; no two clocks are compared.

--- /dev/null
+++ b/sequoiahook/daemons/links.py
@@ -0,0 +1,345 @@
+"""Links between instances: authenticated WebSockets that carry CBOR envelopes.
+
+Each link has one task that reads and one that writes; both talk to the rest of the
+process by events and a bounded queue. An envelope that was certainly not written is
+reported as :class:`SendFailed`; one that may have been written is not.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import cbor2
+import logbook
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.decisions.freshness import LinkFreshness
+from sequoiahook.errors import CodecError, LinkError
+from sequoiahook.messages.base import Envelope
+from sequoiahook.wire.codec import (
+    ENVELOPE_BYTES_MAX,
+    decode_envelope,
+    encode_envelope,
+)
+from sequoiahook.wire.handshake import (
+    Challenge,
+    Hello,
+    Proof,
+    Welcome,
+    new_nonce,
+    proof_of,
+    proves,
+)
+from sequoiahook.world.instance import Address
+
+__all__ = ["LinkEvent", "Links", "LinksSettings", "PeerDown", "PeerUp", "SendFailed"]
+
+DIAL_RETRY_MS_MIN = 50
+DIAL_RETRY_MS_MAX = 1_000
+FRAME_BYTES_MAX = ENVELOPE_BYTES_MAX + 1024
+HANDSHAKE_BYTES_MAX = 4096
+HANDSHAKE_TIMEOUT_MS = 2_000
+HANDSHAKES_MAX = 64
+OUTBOX_ENVELOPES_MAX = 4_096
+
+log = logbook.Logger(__name__)
+
+
+class LinksSettings(NamedTuple):
+    """What a set of links needs to know.
+
+    Attributes:
+        name: Name of this instance.
+        incarnation: Incarnation of this instance.
+        fleet_secret: Secret that all instances share.
+        address: Where to accept links; port 0 takes any free one.
+    """
+
+    name: str
+    incarnation: int
+    fleet_secret: str
+    address: Address
+
+
+class PeerUp(NamedTuple):
+    """A link to a peer is usable."""
+
+    name: str
+    incarnation: int
+
+
+class PeerDown(NamedTuple):
+    """The last link to a peer is closed; what was sent may or may not have arrived."""
+
+    name: str
+
+
+class Received(NamedTuple):
+    """An envelope arrived.
+
+    Attributes:
+        peer: Name of the instance at the other end of the link.
+        envelope: The envelope.
+        age_ms: Upper bound of the time since it was first sent.
+    """
+
+    peer: str
+    envelope: Envelope
+    age_ms: int
+
+
+class SendFailed(NamedTuple):
+    """An envelope was certainly not written to any link."""
+
+    peer: str
+    envelope: Envelope
+
+
+LinkEvent = PeerUp | PeerDown | Received | SendFailed
+
+
+class _Link:
+    """One authenticated connection to a peer."""
+
+    def __init__(self, connection: Connection, name: str, incarnation: int, now: int):
+        self.connection = connection
+        self.name = name
+        self.incarnation = incarnation
+        self.freshness = LinkFreshness(now)
+        self.outbox: deque[Envelope] = deque()
+        self.wake = asyncio.Event()
+
+
+class Links:
+    """All links of one instance.
+
+    Args:
+        settings: Who this instance is.
+        clock: Source of the time.
+        emit: Called with each event, from the event loop; it must not block.
+    """
+
+    def __init__(
+        self,
+        settings: LinksSettings,
+        clock: Clock,
+        emit: Callable[[LinkEvent], None],
+    ):
+        self.settings = settings
+        self._clock = clock
+        self._emit = emit
+        self._links_by_peer: dict[str, list[_Link]] = {}
+        self._dialers_by_peer: dict[str, asyncio.Task] = {}
+        self._address_by_peer: dict[str, Address] = {}
+        self._handshakes = asyncio.Semaphore(HANDSHAKES_MAX)
+        self._server: Server | None = None
+
+    async def start(self) -> Address:
+        """Accept links and return the address in use."""
+        self._server = await serve(
+            self._accept,
+            self.settings.address.host,
+            self.settings.address.port,
+            compression=None,
+            max_size=FRAME_BYTES_MAX,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
+            server_header=None,
+        )
+        port = next(iter(self._server.sockets)).getsockname()[1]
+        return Address(self.settings.address.host, port)
+
+    async def stop(self) -> None:
+        """Close every link and stop accepting."""
+        dialers = list(self._dialers_by_peer.values())
+        self._dialers_by_peer.clear()
+        for dialer in dialers:
+            dialer.cancel()
+        await asyncio.gather(*dialers, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def want(self, address_by_peer: dict[str, Address]) -> None:
+        """Keep a link to each of these peers, and to no others that it dialled."""
+        self._address_by_peer = dict(address_by_peer)
+        for name, dialer in list(self._dialers_by_peer.items()):
+            if name not in address_by_peer:
+                dialer.cancel()
+                del self._dialers_by_peer[name]
+        for name in address_by_peer:
+            if name not in self._dialers_by_peer and name != self.settings.name:
+                self._dialers_by_peer[name] = asyncio.create_task(self._dial(name))
+
+    def send(self, peer: str, envelope: Envelope) -> None:
+        """Queue an envelope on the link to a peer.
+
+        Without a link, or with a full queue, it is reported as failed at once.
+        """
+        links = self._links_by_peer.get(peer)
+        if not links or len(links[-1].outbox) >= OUTBOX_ENVELOPES_MAX:
+            self._emit(SendFailed(peer, envelope))
+            return
+        links[-1].outbox.append(envelope)
+        links[-1].wake.set()
+
+    def is_connected(self, peer: str) -> bool:
+        """Return whether there is a link to a peer."""
+        return bool(self._links_by_peer.get(peer))
+
+    async def _dial(self, name: str) -> None:
+        delay_ms = DIAL_RETRY_MS_MIN
+        while True:
+            if not self.is_connected(name) and await self._dial_once(name):
+                delay_ms = DIAL_RETRY_MS_MIN
+            jitter = random.uniform(0.5, 1.0)
+            await asyncio.sleep(jitter * delay_ms / MS_PER_S)
+            delay_ms = min(2 * delay_ms, DIAL_RETRY_MS_MAX)
+
+    async def _dial_once(self, name: str) -> bool:
+        address = self._address_by_peer[name]
+        try:
+            async with connect(
+                f"ws://{address}/",
+                compression=None,
+                max_size=FRAME_BYTES_MAX,
+                ping_interval=None,
+                open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
+                proxy=None,
+                user_agent_header=None,
+            ) as connection:
+                async with asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S):
+                    link = await self._prove_and_check(connection)
+                if link.name != name:
+                    raise LinkError(f"{address} is {link.name}, not {name}")
+                await self._run(link)
+                return True
+        except (OSError, TimeoutError, WebSocketException, LinkError) as error:
+            log.debug("dial failed", extra={"peer": name, "error": str(error)})
+            return False
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        try:
+            async with (
+                self._handshakes,
+                asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S),
+            ):
+                link = await self._challenge(connection)
+        except (TimeoutError, ConnectionClosed, CodecError, LinkError) as error:
+            log.warn("stranger on a link", extra={"error": str(error)})
+            await connection.close(1008)
+            return
+        await self._run(link)
+
+    async def _challenge(self, connection: Connection) -> _Link:
+        hello = await self._receive_body(connection, Hello)
+        nonces = (hello.nonce, new_nonce())
+        await self._send_body(connection, Challenge(nonces[1]))
+        proof = await self._receive_body(connection, Proof)
+        identity = f"{hello.name}/{hello.incarnation}"
+        secret = self.settings.fleet_secret
+        if not proves(proof.digest, secret, "dial", nonces, identity):
+            raise LinkError(f"{connection.remote_address} failed to prove itself")
+        mine = f"{self.settings.name}/{self.settings.incarnation}"
+        digest = proof_of(secret, "accept", nonces, mine)
+        welcome = Welcome(self.settings.name, self.settings.incarnation, digest)
+        await self._send_body(connection, welcome)
+        return _Link(connection, hello.name, hello.incarnation, self._clock.now())
+
+    async def _prove_and_check(self, connection: Connection) -> _Link:
+        mine = f"{self.settings.name}/{self.settings.incarnation}"
+        hello = Hello(self.settings.name, self.settings.incarnation, new_nonce())
+        await self._send_body(connection, hello)
+        challenge = await self._receive_body(connection, Challenge)
+        nonces = (hello.nonce, challenge.nonce)
+        secret = self.settings.fleet_secret
+        await self._send_body(connection, Proof(proof_of(secret, "dial", nonces, mine)))
+        welcome = await self._receive_body(connection, Welcome)
+        identity = f"{welcome.name}/{welcome.incarnation}"
+        if not proves(welcome.digest, secret, "accept", nonces, identity):
+            raise LinkError(f"{connection.remote_address} failed to prove itself")
+        return _Link(connection, welcome.name, welcome.incarnation, self._clock.now())
+
+    async def _send_body(self, connection: Connection, body: tuple) -> None:
+        envelope = Envelope(self.settings.name, self.settings.incarnation, 0, "", body)
+        await connection.send(encode_envelope(envelope))
+
+    async def _receive_body(self, connection: Connection, expected: type) -> tuple:
+        data = await connection.recv(decode=False)
+        if len(data) > HANDSHAKE_BYTES_MAX:
+            raise LinkError("a handshake frame is too large")
+        body = decode_envelope(data).body
+        if not isinstance(body, expected):
+            raise LinkError(f"expected {expected.__name__}")
+        return body
+
+    async def _run(self, link: _Link) -> None:
+        links = self._links_by_peer.setdefault(link.name, [])
+        links.append(link)
+        if len(links) == 1:
+            self._emit(PeerUp(link.name, link.incarnation))
+        writer = asyncio.create_task(self._write(link))
+        try:
+            await self._read(link)
+        except ConnectionClosed:
+            pass
+        finally:
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+            self._drop(link)
+
+    def _drop(self, link: _Link) -> None:
+        links = self._links_by_peer[link.name]
+        links.remove(link)
+        for envelope in link.outbox:
+            self._emit(SendFailed(link.name, envelope))
+        if not links:
+            del self._links_by_peer[link.name]
+            self._emit(PeerDown(link.name))
+
+    async def _write(self, link: _Link) -> None:
+        while True:
+            while not link.outbox:
+                link.wake.clear()
+                await link.wake.wait()
+            envelope = link.outbox.popleft()
+            probe, echo = link.freshness.stamp(self._clock.now())
+            try:
+                data = encode_envelope(envelope)
+            except CodecError as error:
+                log.error("envelope refused", extra={"error": str(error)})
+                self._emit(SendFailed(link.name, envelope))
+                continue
+            await link.connection.send(cbor2.dumps([probe, echo, data]))
+
+    async def _read(self, link: _Link) -> None:
+        async for frame in link.connection:
+            try:
+                probe, echo, data = _open_frame(frame)
+                envelope = decode_envelope(data)
+            except CodecError as error:
+                log.warn(
+                    "malformed frame", extra={"peer": link.name, "error": str(error)}
+                )
+                await link.connection.close(1007)
+                return
+            age_ms = link.freshness.age_ms(probe, echo, self._clock.now())
+            self._emit(Received(link.name, envelope, age_ms + envelope.age_ms))
+
+
+def _open_frame(frame: str | bytes) -> tuple[int, int, bytes]:
+    if isinstance(frame, str):
+        raise CodecError("a text frame")
+    try:
+        probe, echo, data = cbor2.loads(frame)
+    except (cbor2.CBORError, ValueError, TypeError) as error:
+        raise CodecError(f"not a frame: {error}") from error
+    if type(probe) is not int or type(echo) is not int or type(data) is not bytes:
+        raise CodecError("a frame has fields of a wrong type")
+    return probe, echo, data
--- /dev/null
+++ b/sequoiahook/daemons/settings.py
@@ -0,0 +1,141 @@
+"""Settings of one instance, read from a JSON document."""
+
+from typing import Any, NamedTuple
+
+from sequoiahook.options import Section
+from sequoiahook.world.instance import Address, read_address
+
+__all__ = ["InstanceSettings", "PlatformSettings", "Seed", "read_instance_settings"]
+
+SECRET_LENGTH_MAX = 512
+SECRET_LENGTH_MIN = 16
+DIGEST_LENGTH = 64
+MIB = 1024 * 1024
+BODY_BYTES_DEFAULT = 4 * MIB
+BODY_BYTES_MAX = 6 * MIB
+LOOKUP_LIFETIME_MS_DEFAULT = 2_000
+LOOKUP_LIFETIME_MS_MAX = 600_000
+LEASE_MS_DEFAULT = 1_500
+LEASE_MS_MIN = 300
+LEASE_MS_MAX = 30_000
+
+
+class PlatformSettings(NamedTuple):
+    """How to reach the platform's object API.
+
+    Attributes:
+        address: IP number and port.
+        token: Bearer token of this instance.
+    """
+
+    address: Address
+    token: str
+
+
+class Seed(NamedTuple):
+    """An instance to contact first.
+
+    Attributes:
+        name: Name of the instance.
+        data_centre: Its data centre.
+        link_address: Where it accepts links.
+    """
+
+    name: str
+    data_centre: str
+    link_address: Address
+
+
+class InstanceSettings(NamedTuple):
+    """Everything that one instance is told at its start.
+
+    Attributes:
+        name: Unique name of the instance.
+        data_centre: Name of its data centre.
+        caller_address: Where callers connect.
+        link_address: Where other instances connect.
+        operator_address: Where operators connect.
+        platform: The platform's object API.
+        fleet_secret: Secret that all instances share, for links.
+        operator_token_digest: SHA-256 digest of the operators' token, hexadecimal.
+        seeds: Instances to contact first.
+        body_bytes_max: Largest request or response body, in bytes.
+        lookup_lifetime_ms: How long callers may use a look-up answer.
+        lease_ms: Longest lease of a right or a credit.
+    """
+
+    name: str
+    data_centre: str
+    caller_address: Address
+    link_address: Address
+    operator_address: Address
+    platform: PlatformSettings
+    fleet_secret: str
+    operator_token_digest: str
+    seeds: tuple[Seed, ...]
+    body_bytes_max: int
+    lookup_lifetime_ms: int
+    lease_ms: int
+
+
+def read_instance_settings(document: Any) -> InstanceSettings:
+    """Read and check the settings of an instance.
+
+    Raises:
+        CheckError: With every finding and its place.
+    """
+    root = Section(document)
+    settings = InstanceSettings(
+        root.string("name"),
+        root.string("data_centre"),
+        read_address(root.section("caller_address")),
+        read_address(root.section("link_address")),
+        read_address(root.section("operator_address")),
+        _read_platform(root.section("platform")),
+        _read_secret(root),
+        _read_digest(root),
+        root.each("seeds", _read_seed),
+        root.integer(
+            "body_bytes_max", low=0, high=BODY_BYTES_MAX, default=BODY_BYTES_DEFAULT
+        ),
+        root.integer(
+            "lookup_lifetime_ms",
+            low=1,
+            high=LOOKUP_LIFETIME_MS_MAX,
+            default=LOOKUP_LIFETIME_MS_DEFAULT,
+        ),
+        root.integer(
+            "lease_ms", low=LEASE_MS_MIN, high=LEASE_MS_MAX, default=LEASE_MS_DEFAULT
+        ),
+    )
+    root.finish()
+    return settings
+
+
+def _read_platform(section: Section) -> PlatformSettings:
+    return PlatformSettings(
+        read_address(section.section("address")),
+        section.string("token", length_max=SECRET_LENGTH_MAX),
+    )
+
+
+def _read_seed(section: Section) -> Seed:
+    return Seed(
+        section.string("name"),
+        section.string("data_centre"),
+        read_address(section.section("link_address")),
+    )
+
+
+def _read_secret(root: Section) -> str:
+    secret = root.string("fleet_secret", length_max=SECRET_LENGTH_MAX)
+    if secret and len(secret) < SECRET_LENGTH_MIN:
+        root.report("fleet_secret", f"must have {SECRET_LENGTH_MIN} characters or more")
+    return secret
+
+
+def _read_digest(root: Section) -> str:
+    digest = root.string("operator_token_digest")
+    if digest and len(digest) != DIGEST_LENGTH:
+        root.report("operator_token_digest", f"must have {DIGEST_LENGTH} digits")
+    return digest
