--- /dev/null
+++ b/sequoiahook/cli/instances.py
@@ -0,0 +1,83 @@
+"""Commands that run, stop and observe instances."""
+
+from typing import Any
+
+from sequoiahook.cli.exit_codes import ExitCode
+from sequoiahook.cli.operator_client import (
+    call_operator,
+    read_document,
+    read_operator_settings,
+)
+from sequoiahook.cli.output import Result, table
+from sequoiahook.daemons.settings import read_instance_settings
+from sequoiahook.world.configuration import read_configuration
+
+__all__ = ["check", "measures", "serve", "stop"]
+
+KINDS = ("settings", "configuration")
+
+
+def serve(settings: str, *, log_level: str = "INFO") -> Result:
+    """Run one instance until it is told to stop.
+
+    Args:
+        settings: JSON file with the settings of the instance.
+        log_level: Lowest level that is logged.
+    """
+    # Imported here so that the other commands start quickly.
+    from sequoiahook.daemons.process import run_instance
+
+    checked = read_instance_settings(read_document(settings))
+    run_instance(checked, log_level)
+    return Result(ExitCode.OK, {"stopped": checked.name}, f"{checked.name} stopped")
+
+
+def check(file: str, *, kind: str = "settings") -> Result:
+    """Check a file offline and show every finding with its place.
+
+    Exits with 4 if there are findings.
+
+    Args:
+        file: JSON file to check.
+        kind: ``settings`` of an instance or a whole ``configuration``.
+    """
+    document = read_document(file)
+    if kind == "settings":
+        read_instance_settings(document)
+    elif kind == "configuration":
+        read_configuration(0, document)
+    else:
+        text = f"kind must be one of {', '.join(KINDS)}"
+        return Result(ExitCode.USAGE, {"error": text}, text)
+    return Result(ExitCode.OK, {"findings": []}, f"{file}: no findings")
+
+
+def stop(*, operator: str = "operator.json") -> Result:
+    """Stop the first instance of the operator's settings gracefully.
+
+    Args:
+        operator: File with the operator's settings.
+    """
+    settings = read_operator_settings(operator)
+    answer = call_operator(settings, "POST", "/stop", {})
+    return Result(ExitCode.OK, answer.document, f"{answer.document['name']} is leaving")
+
+
+def measures(*, operator: str = "operator.json") -> Result:
+    """Show counters and latency percentiles of an instance.
+
+    Args:
+        operator: File with the operator's settings.
+    """
+    settings = read_operator_settings(operator)
+    document: dict[str, Any] = call_operator(settings, "GET", "/measures").document
+    columns = ("count", "p50_ms", "p99_ms", "p999_ms", "max_ms")
+    latencies = [
+        (name, *(entry[column] for column in columns))
+        for name, entry in document["latencies_by_name"].items()
+    ]
+    parts = [
+        table(("counter", "count"), document["counts_by_name"].items()),
+        table(("latency", *columns), latencies),
+    ]
+    return Result(ExitCode.OK, document, "\n\n".join(parts))
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -11,15 +11,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import cbor2
 import logbook
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from sequoiahook.clock import MS_PER_S, Clock
-from sequoiahook.decisions.freshness import LinkFreshness
+from sequoiahook.clock import MS_PER_S
 from sequoiahook.errors import CodecError, LinkError
 from sequoiahook.messages.base import Envelope
 from sequoiahook.wire.codec import (
@@ -38,11 +36,18 @@
 )
 from sequoiahook.world.instance import Address
 
-__all__ = ["LinkEvent", "Links", "LinksSettings", "PeerDown", "PeerUp", "SendFailed"]
+__all__ = [
+    "LinkEvent",
+    "Links",
+    "LinksSettings",
+    "PeerDown",
+    "PeerUp",
+    "Received",
+    "SendFailed",
+]
 
 DIAL_RETRY_MS_MIN = 50
 DIAL_RETRY_MS_MAX = 1_000
-FRAME_BYTES_MAX = ENVELOPE_BYTES_MAX + 1024
 HANDSHAKE_BYTES_MAX = 4096
 HANDSHAKE_TIMEOUT_MS = 2_000
 HANDSHAKES_MAX = 64
@@ -86,12 +91,10 @@
     Attributes:
         peer: Name of the instance at the other end of the link.
         envelope: The envelope.
-        age_ms: Upper bound of the time since it was first sent.
     """
 
     peer: str
     envelope: Envelope
-    age_ms: int
 
 
 class SendFailed(NamedTuple):
@@ -107,11 +110,10 @@
 class _Link:
     """One authenticated connection to a peer."""
 
-    def __init__(self, connection: Connection, name: str, incarnation: int, now: int):
+    def __init__(self, connection: Connection, name: str, incarnation: int):
         self.connection = connection
         self.name = name
         self.incarnation = incarnation
-        self.freshness = LinkFreshness(now)
         self.outbox: deque[Envelope] = deque()
         self.wake = asyncio.Event()
 
@@ -121,18 +123,11 @@
 
     Args:
         settings: Who this instance is.
-        clock: Source of the time.
         emit: Called with each event, from the event loop; it must not block.
     """
 
-    def __init__(
-        self,
-        settings: LinksSettings,
-        clock: Clock,
-        emit: Callable[[LinkEvent], None],
-    ):
+    def __init__(self, settings: LinksSettings, emit: Callable[[LinkEvent], None]):
         self.settings = settings
-        self._clock = clock
         self._emit = emit
         self._links_by_peer: dict[str, list[_Link]] = {}
         self._dialers_by_peer: dict[str, asyncio.Task] = {}
@@ -147,7 +142,7 @@
             self.settings.address.host,
             self.settings.address.port,
             compression=None,
-            max_size=FRAME_BYTES_MAX,
+            max_size=ENVELOPE_BYTES_MAX,
             ping_interval=None,
             open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
             server_header=None,
@@ -208,7 +203,7 @@
             async with connect(
                 f"ws://{address}/",
                 compression=None,
-                max_size=FRAME_BYTES_MAX,
+                max_size=ENVELOPE_BYTES_MAX,
                 ping_interval=None,
                 open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
                 proxy=None,
@@ -250,7 +245,7 @@
         digest = proof_of(secret, "accept", nonces, mine)
         welcome = Welcome(self.settings.name, self.settings.incarnation, digest)
         await self._send_body(connection, welcome)
-        return _Link(connection, hello.name, hello.incarnation, self._clock.now())
+        return _Link(connection, hello.name, hello.incarnation)
 
     async def _prove_and_check(self, connection: Connection) -> _Link:
         mine = f"{self.settings.name}/{self.settings.incarnation}"
@@ -264,7 +259,7 @@
         identity = f"{welcome.name}/{welcome.incarnation}"
         if not proves(welcome.digest, secret, "accept", nonces, identity):
             raise LinkError(f"{connection.remote_address} failed to prove itself")
-        return _Link(connection, welcome.name, welcome.incarnation, self._clock.now())
+        return _Link(connection, welcome.name, welcome.incarnation)
 
     async def _send_body(self, connection: Connection, body: tuple) -> None:
         envelope = Envelope(self.settings.name, self.settings.incarnation, 0, "", body)
@@ -309,37 +304,28 @@
                 link.wake.clear()
                 await link.wake.wait()
             envelope = link.outbox.popleft()
-            probe, echo = link.freshness.stamp(self._clock.now())
             try:
                 data = encode_envelope(envelope)
             except CodecError as error:
                 log.error("envelope refused", extra={"error": str(error)})
                 self._emit(SendFailed(link.name, envelope))
                 continue
-            await link.connection.send(cbor2.dumps([probe, echo, data]))
+            await link.connection.send(data)
 
     async def _read(self, link: _Link) -> None:
         async for frame in link.connection:
             try:
-                probe, echo, data = _open_frame(frame)
-                envelope = decode_envelope(data)
+                envelope = decode_envelope(_binary(frame))
             except CodecError as error:
                 log.warn(
                     "malformed frame", extra={"peer": link.name, "error": str(error)}
                 )
                 await link.connection.close(1007)
                 return
-            age_ms = link.freshness.age_ms(probe, echo, self._clock.now())
-            self._emit(Received(link.name, envelope, age_ms + envelope.age_ms))
+            self._emit(Received(link.name, envelope))
 
 
-def _open_frame(frame: str | bytes) -> tuple[int, int, bytes]:
+def _binary(frame: str | bytes) -> bytes:
     if isinstance(frame, str):
         raise CodecError("a text frame")
-    try:
-        probe, echo, data = cbor2.loads(frame)
-    except (cbor2.CBORError, ValueError, TypeError) as error:
-        raise CodecError(f"not a frame: {error}") from error
-    if type(probe) is not int or type(echo) is not int or type(data) is not bytes:
-        raise CodecError("a frame has fields of a wrong type")
-    return probe, echo, data
+    return frame
--- a/sequoiahook/messages/base.py
+++ b/sequoiahook/messages/base.py
@@ -39,7 +39,6 @@
         sequence: Number of the envelope, unique within the incarnation.
         destination: Name of the receiving instance.
         body: A registered message.
-        age_ms: Upper bound of its age when it was sent on the present hop.
     """
 
     source: str
@@ -47,4 +46,3 @@
     sequence: int
     destination: str
     body: tuple
-    age_ms: int = 0
--- a/sequoiahook/wire/codec.py
+++ b/sequoiahook/wire/codec.py
@@ -10,7 +10,7 @@
 __all__ = ["ENVELOPE_BYTES_MAX", "decode_envelope", "encode_envelope"]
 
 ENVELOPE_BYTES_MAX = 8 * 1024 * 1024
-_FIELDS = 7
+_FIELDS = 6
 
 
 def _strict(value: object, expected: type) -> object:
@@ -32,7 +32,7 @@
     """
     body = envelope.body
     header = [*envelope[:4], type(body).__name__]
-    data = cbor2.dumps([*header, _converter.unstructure(body), envelope.age_ms])
+    data = cbor2.dumps([*header, _converter.unstructure(body)])
     if len(data) > ENVELOPE_BYTES_MAX:
         raise CodecError(f"an envelope of {len(data)} bytes is too large")
     return data
@@ -50,7 +50,7 @@
         raise CodecError(f"not CBOR: {error}") from error
     if not isinstance(fields, list) or len(fields) != _FIELDS:
         raise CodecError("not an envelope")
-    source, incarnation, sequence, destination, name, body, age_ms = fields
+    source, incarnation, sequence, destination, name, body = fields
     try:
         cls = message_type(_strict(name, str))
         return Envelope(
@@ -59,7 +59,6 @@
             _strict(sequence, int),
             _strict(destination, str),
             _converter.structure(body, cls),
-            _strict(age_ms, int),
         )
     except KeyError as error:
         raise CodecError(f"unknown message {name!r}") from error
