--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,288 @@
+"""Shows the whole path in separate processes; run as ``python -m standins.demo``."""
+
+import http.client
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from sequoiahook.world.organisation import key_digest
+from standins.fleet import Fleet, http_call, wait_for
+
+__all__ = ["main"]
+
+KEY = "demo-key-of-organisation-one"
+SECOND_KEY = "demo-key-to-be-withdrawn"
+IN_FORCE_S = 5
+LOAD_THREADS = 4
+LOAD_S = 3.0
+HTTP_OK = 200
+HTTP_UNAUTHORIZED = 401
+STALE_EXIT = 3
+INSTANCES = {"a-1": "dc-a", "a-2": "dc-a", "b-1": "dc-b", "b-2": "dc-b"}
+
+
+class Demo:
+    """The steps of the demonstration, and how many went as expected."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self.passed = 0
+        self.failed = 0
+
+    def step(self, name: str, action: Callable[[], str]) -> None:
+        """Run one step; it passes if its action raises nothing."""
+        try:
+            figure = action()
+        except (AssertionError, OSError, TimeoutError, http.client.HTTPException) as e:
+            self.failed += 1
+            print(f"FAILED  {name}: {e!r}", flush=True)
+        else:
+            self.passed += 1
+            print(f"passed  {name}: {figure}", flush=True)
+
+    def run(self) -> None:
+        """Run every step."""
+        self.step("start of all processes", self._start)
+        self.step("look-up", self._look_up)
+        self.step("request in the own data centre", lambda: self._request("register"))
+        self.step("request in another data centre", lambda: self._request("archive"))
+        self.step("wrong key", self._wrong_key)
+        self.step("patch", self._patch)
+        self.step("stale patch", self._stale_patch)
+        self.step("key withdrawn from a connected caller", self._withdrawn_key)
+        self.step("graceful stop under load", self._graceful_stop)
+
+    def _start(self) -> str:
+        fleet = self._fleet
+        for name in ("register-a", "register-b", "archive-b"):
+            fleet.start_target(name, 4)
+        for name, data_centre in INSTANCES.items():
+            fleet.start_instance(name, data_centre)
+        outcome = fleet.patch("a-1", 0, configuration(fleet.target_ports_by_name))
+        _expect(outcome.get("outcome") == "accepted", outcome)
+        self._wait_in_force(outcome["number"])
+        for service in ("register", "archive"):
+            wait_for(lambda s=service: self._is_served(s), f"{service} is served")
+        return f"{len(fleet.processes_by_name)} processes"
+
+    def _is_served(self, service: str) -> bool:
+        return all(
+            self._get(name, f"/{service}/ready").status == HTTP_OK for name in INSTANCES
+        )
+
+    def _look_up(self) -> str:
+        port = self._fleet.instances_by_name["a-1"].caller_port
+        answer = http_call(port, "GET", "/sequoiahook/lookup?service=register")
+        _expect(answer.status == HTTP_OK, answer)
+        document = answer.document
+        _expect(len(document["instances"]) > 0, document)
+        count = len(document["instances"])
+        return f"{count} instances for {document['lifetime_ms']} ms"
+
+    def _request(self, service: str) -> str:
+        started = time.monotonic()
+        answer = self._get("a-1", f"/{service}/one")
+        _expect(answer.status == HTTP_OK, answer)
+        target = answer.document["target"]
+        return f"answered by {target} in {_ms_since(started)} ms"
+
+    def _wrong_key(self) -> str:
+        answer = self._get("a-1", "/register/one", "not-a-key")
+        _expect(answer.status == HTTP_UNAUTHORIZED, answer)
+        _expect(answer.document["ran"] == "not run", answer)
+        return f"status {answer.status}, {answer.document['error']}"
+
+    def _patch(self) -> str:
+        changes = {"organisations_by_name": {"one": {"burst": 400}}}
+        path = self._fleet.path / "patch.json"
+        path.write_text(json.dumps(changes))
+        started = time.monotonic()
+        number = self._number()
+        arguments = ("patch", str(path), "--against", str(number))
+        result = self._fleet.command("a-1", *arguments)
+        _expect(result.returncode == 0, result.stderr)
+        self._wait_in_force(number + 1)
+        figure = f"in force on {len(INSTANCES)} instances after {_ms_since(started)} ms"
+        return f"{result.stdout.strip()}, {figure}"
+
+    def _stale_patch(self) -> str:
+        path = self._fleet.path / "patch.json"
+        result = self._fleet.command("b-1", "patch", str(path), "--against", "1")
+        _expect(result.returncode == STALE_EXIT, result)
+        return f"exit code {result.returncode}, {result.stderr.strip()}"
+
+    def _withdrawn_key(self) -> str:
+        port = self._fleet.instances_by_name["b-1"].caller_port
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        _expect(_ask(connection, SECOND_KEY) == HTTP_OK, "refused before")
+        started = time.monotonic()
+        result = self._fleet.command("a-1", "withdraw-key", "one", "second")
+        _expect(result.returncode == 0, result.stderr)
+        wait_for(
+            lambda: _ask(connection, SECOND_KEY) == HTTP_UNAUTHORIZED,
+            "the key is refused",
+            IN_FORCE_S,
+        )
+        connection.close()
+        return f"refused {_ms_since(started)} ms after the command began"
+
+    def _graceful_stop(self) -> str:
+        load = Load(self._fleet, KEY)
+        load.start()
+        time.sleep(LOAD_S / 3)
+        result = self._fleet.command("a-2", "stop")
+        _expect(result.returncode == 0, result.stderr)
+        self._fleet.list_instance("a-2", "leaving")
+        process = self._fleet.processes_by_name["a-2"]
+        code = wait_for(
+            lambda: [process.poll()] if process.poll() is not None else 0,
+            "the instance exits",
+            20,
+        )[0]
+        time.sleep(LOAD_S / 3)
+        load.stop()
+        _expect(code == 0, f"exit code {code}")
+        _expect(not load.failures, load.failures[:3])
+        return f"{load.answered} requests answered, 0 cut, exit code {code}"
+
+    def _get(self, name: str, path: str, key: str = KEY) -> Any:
+        port = self._fleet.instances_by_name[name].caller_port
+        return http_call(port, "GET", path, headers={"authorization": f"Bearer {key}"})
+
+    def _number(self) -> int:
+        return self._fleet.operate("a-1", "GET", "/configuration").document["number"]
+
+    def _wait_in_force(self, number: int) -> None:
+        def in_force() -> bool:
+            return all(
+                self._fleet.operate(name, "GET", "/configuration").document["number"]
+                >= number
+                for name in INSTANCES
+            )
+
+        wait_for(in_force, f"number {number} in force", IN_FORCE_S)
+
+
+class Load:
+    """Callers that look up instances and send requests until they are stopped."""
+
+    def __init__(self, fleet: Fleet, key: str):
+        self.answered = 0
+        self.failures: list[str] = []
+        self._fleet = fleet
+        self._key = key
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(index,))
+            for index in range(LOAD_THREADS)
+        ]
+
+    def start(self) -> None:
+        """Start the callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop the callers and wait for them."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, index: int) -> None:
+        instances: list[dict[str, Any]] = []
+        expires_at = 0.0
+        while not self._stopped.is_set():
+            try:
+                if time.monotonic() >= expires_at:
+                    answer = self._look_up()
+                    instances = answer["instances"]
+                    expires_at = time.monotonic() + answer["lifetime_ms"] / 1000
+                port = instances[index % len(instances)]["port"]
+                self._request(port)
+            except (OSError, http.client.HTTPException) as error:
+                self.failures.append(repr(error))
+            time.sleep(0.02)
+
+    def _look_up(self) -> dict[str, Any]:
+        port = self._fleet.instances_by_name["a-1"].caller_port
+        return http_call(port, "GET", "/sequoiahook/lookup?service=register").document
+
+    def _request(self, port: int) -> None:
+        headers = {"authorization": f"Bearer {self._key}"}
+        answer = http_call(port, "GET", "/register/load", headers=headers)
+        if answer.status == HTTP_OK:
+            self.answered += 1
+        else:
+            self.failures.append(f"status {answer.status}: {answer.body[:200]!r}")
+
+
+def configuration(port_by_target: dict[str, int]) -> dict[str, Any]:
+    """Return the configuration of the demonstration, as a patch against number 0."""
+    targets = {
+        name: {
+            "service": name.split("-")[0],
+            "data_centre": f"dc-{name.split('-')[1]}",
+            "host": "127.0.0.1",
+            "port": port,
+            "slots": 4,
+        }
+        for name, port in port_by_target.items()
+    }
+    keys = {
+        "first": {"digest": key_digest(KEY)},
+        "second": {"digest": key_digest(SECOND_KEY)},
+    }
+    return {
+        "regions_by_name": {
+            "north": {"data_centres": ["dc-a"]},
+            "south": {"data_centres": ["dc-b"]},
+        },
+        "links_by_name": {
+            "north-south": {
+                "regions": ["north", "south"],
+                "bits_per_second": 280_000_000,
+                "one_way_ms": 1,
+            }
+        },
+        "services_by_name": {
+            "register": {"path_prefix": "/register", "deadline_ms": 2000},
+            "archive": {"path_prefix": "/archive", "deadline_ms": 2000},
+        },
+        "targets_by_name": targets,
+        "organisations_by_name": {
+            "one": {"rate_per_s": 2000, "burst": 200, "keys_by_name": keys}
+        },
+    }
+
+
+def _ask(connection: http.client.HTTPConnection, key: str) -> int:
+    headers = {"authorization": f"Bearer {key}"}
+    connection.request("GET", "/register/connected", headers=headers)
+    response = connection.getresponse()
+    response.read()
+    return response.status
+
+
+def _expect(condition: bool, found: Any) -> None:
+    if not condition:
+        raise AssertionError(str(found))
+
+
+def _ms_since(started: float) -> int:
+    return round((time.monotonic() - started) * 1000)
+
+
+def main() -> None:
+    """Run the demonstration; exits with 1 if a step is not as expected."""
+    with Fleet() as fleet:
+        demo = Demo(fleet)
+        demo.run()
+    print(f"demo: {demo.passed} passed, {demo.failed} failed")
+    sys.exit(1 if demo.failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,275 @@
+"""Starts a platform stand-in, targets and instances as separate processes.
+
+Used by the demonstration and by tests with real processes. Every process that it
+starts is ended by it, by process id.
+"""
+
+import contextlib
+import http.client
+import json
+import os
+import secrets
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from sequoiahook.world.organisation import key_digest
+
+__all__ = ["Fleet", "HttpReply", "InstanceProcess", "http_call", "wait_for"]
+
+LOOPBACK = "127.0.0.1"
+READY_TIMEOUT_S = 15
+END_TIMEOUT_S = 10
+POLL_S = 0.02
+
+
+class HttpReply(NamedTuple):
+    """A whole answer to an HTTP request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Values by lower-case name.
+        body: The body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def document(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+def http_call(
+    port: int,
+    method: str,
+    target: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10,
+) -> HttpReply:
+    """Send one request to a port of this machine on a connection of its own.
+
+    Args:
+        port: TCP port.
+        method: HTTP method.
+        target: Path and query.
+        body: Bytes as they are, or anything else as JSON; None for no body.
+        headers: Further headers.
+        timeout_s: Longest wait, in seconds.
+
+    Raises:
+        OSError: If the connection fails.
+        http.client.HTTPException: If the answer is not whole.
+    """
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body)
+    with contextlib.closing(connection):
+        connection.request(method, target, data, headers or {})
+        response = connection.getresponse()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return HttpReply(response.status, fields, response.read())
+
+
+def wait_for(
+    condition: Callable[[], Any], what: str, timeout_s: float = READY_TIMEOUT_S
+) -> Any:
+    """Poll until a condition is true and return its value.
+
+    Raises:
+        TimeoutError: If it is not true in time.
+    """
+    end = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= end:
+            raise TimeoutError(f"not in {timeout_s} s: {what}")
+        time.sleep(POLL_S)
+
+
+class InstanceProcess(NamedTuple):
+    """A running instance.
+
+    Attributes:
+        name: Its name.
+        data_centre: Its data centre.
+        process: The process.
+        caller_port: Where callers connect.
+        link_port: Where other instances connect.
+        operator_port: Where operators connect.
+    """
+
+    name: str
+    data_centre: str
+    process: subprocess.Popen
+    caller_port: int
+    link_port: int
+    operator_port: int
+
+
+class Fleet:
+    """All processes of one system; a context manager that ends what it started."""
+
+    def __init__(self):
+        self.operator_token = secrets.token_hex(16)
+        self.instances_by_name: dict[str, InstanceProcess] = {}
+        self.target_ports_by_name: dict[str, int] = {}
+        self.processes_by_name: dict[str, subprocess.Popen] = {}
+        self.platform_port = 0
+        self._platform_token = secrets.token_hex(16)
+        self._fleet_secret = secrets.token_hex(16)
+        self._folder = tempfile.TemporaryDirectory(prefix="sequoiahook-")
+        self.path = Path(self._folder.name)
+
+    def __enter__(self) -> "Fleet":
+        self.platform_port = self._start(
+            "platform",
+            ["standins.platform", "--token", self._platform_token],
+        )["port"]
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes_by_name.values():
+            self._end(process)
+        self._folder.cleanup()
+
+    def start_target(self, name: str, slots: int, *options: str) -> int:
+        """Start a target stand-in and return its port."""
+        arguments = ["standins.target", "--name", name, "--slots", str(slots)]
+        port = self._start(name, [*arguments, *options])["port"]
+        self.target_ports_by_name[name] = port
+        return port
+
+    def start_instance(
+        self, name: str, data_centre: str, **settings: Any
+    ) -> InstanceProcess:
+        """Start an instance, wait until it listens, and list it at the platform."""
+        path = self.path / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name, data_centre, settings)))
+        ready = self._start(name, ["sequoiahook", "serve", str(path)])
+        instance = InstanceProcess(
+            name,
+            data_centre,
+            self.processes_by_name[name],
+            ready["caller_address"]["port"],
+            ready["link_address"]["port"],
+            ready["operator_address"]["port"],
+        )
+        self.instances_by_name[name] = instance
+        self.list_instance(name, "live")
+        return instance
+
+    def list_instance(self, name: str, state: str) -> None:
+        """Set what the platform's list says of an instance."""
+        instance = self.instances_by_name[name]
+        entry = {
+            "name": name,
+            "state": state,
+            "data_centre": instance.data_centre,
+            "caller_address": _address(instance.caller_port),
+            "link_address": _address(instance.link_port),
+        }
+        self.platform("POST", "/instances", entry)
+
+    def seed(self, name: str) -> dict[str, Any]:
+        """Return the entry of an instance for the seeds of another."""
+        instance = self.instances_by_name[name]
+        return {
+            "name": name,
+            "data_centre": instance.data_centre,
+            "link_address": _address(instance.link_port),
+        }
+
+    def platform(self, method: str, target: str, body: Any = None) -> HttpReply:
+        """Call the platform stand-in."""
+        headers = {"authorization": f"Bearer {self._platform_token}"}
+        return http_call(self.platform_port, method, target, body, headers)
+
+    def operate(
+        self, name: str, method: str, target: str, body: Any = None
+    ) -> HttpReply:
+        """Call the operators' interface of an instance."""
+        headers = {"authorization": f"Bearer {self.operator_token}"}
+        port = self.instances_by_name[name].operator_port
+        return http_call(port, method, target, body, headers)
+
+    def patch(self, name: str, against: int, changes: Any) -> dict[str, Any]:
+        """Apply a patch through an instance and return the outcome."""
+        body = {"id": secrets.token_hex(8), "against": against, "changes": changes}
+        return self.operate(name, "POST", "/patches", body).document
+
+    def command(self, name: str, *arguments: str) -> subprocess.CompletedProcess:
+        """Run a command of the command line against one instance."""
+        port = self.instances_by_name[name].operator_port
+        path = self.path / f"operator-{name}.json"
+        settings = {"addresses": [_address(port)], "token": self.operator_token}
+        path.write_text(json.dumps(settings))
+        return subprocess.run(
+            [sys.executable, "-m", "sequoiahook", *arguments, "--operator", str(path)],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this fleet started."""
+        os.kill(self.processes_by_name[name].pid, number)
+
+    def log(self, name: str) -> str:
+        """Return what a process wrote to standard error."""
+        return (self.path / f"{name}.log").read_text(errors="replace")
+
+    def _settings(
+        self, name: str, data_centre: str, settings: dict[str, Any]
+    ) -> dict[str, Any]:
+        return {
+            "name": name,
+            "data_centre": data_centre,
+            "caller_address": _address(0),
+            "link_address": _address(0),
+            "operator_address": _address(0),
+            "platform": {
+                "address": _address(self.platform_port),
+                "token": self._platform_token,
+            },
+            "fleet_secret": self._fleet_secret,
+            "operator_token_digest": key_digest(self.operator_token),
+            **settings,
+        }
+
+    def _start(self, name: str, arguments: list[str]) -> dict[str, Any]:
+        with (self.path / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        self.processes_by_name[name] = process
+        readable, _, _ = select.select([process.stdout], [], [], READY_TIMEOUT_S)
+        line = process.stdout.readline() if readable else b""
+        if not line:
+            raise RuntimeError(f"{name} did not start: {self.log(name)[-2000:]}")
+        return json.loads(line)
+
+    @staticmethod
+    def _end(process: subprocess.Popen) -> None:
+        if process.poll() is None:
+            process.kill()
+        process.wait(END_TIMEOUT_S)
+        process.stdout.close()
+
+
+def _address(port: int) -> dict[str, Any]:
+    return {"host": LOOPBACK, "port": port}
