--- /dev/null
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -0,0 +1,479 @@
+"""What happens to a request at the instance that its caller is connected to."""
+
+import heapq
+from random import Random
+from typing import NamedTuple
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.exchange.effects import (
+    Answer,
+    Commit,
+    Refusal,
+    Release,
+    Reserve,
+)
+from sequoiahook.decisions.exchange.retry import RetryBudget, RetryBudgetSettings
+from sequoiahook.decisions.exchange.stamps import StampBook
+from sequoiahook.decisions.exchange.states import EntryState, Reason, http_status
+from sequoiahook.messages.requests import (
+    NOT_RUN,
+    RAN,
+    UNKNOWN,
+    Cancel,
+    Fields,
+    HandOver,
+    MessageId,
+    Outcome,
+    OutcomeReceived,
+    ReceiverStamp,
+    StampGrant,
+    StampRequest,
+)
+
+__all__ = ["AdmittedRequest", "EntryExchanges", "EntrySettings"]
+
+MARGIN_SHARE = 5
+"""A margin takes at most this fraction (one fifth) of a short deadline."""
+
+JITTER_SHARE = 5
+"""Advice on when to come back is spread over this fraction (one fifth) of itself."""
+
+_FINAL_REASONS = frozenset(
+    {Reason.CANCELLED, Reason.KEY_WITHDRAWN, Reason.RIGHT_LAPSED, Reason.DEADLINE}
+)
+
+
+class EntrySettings(NamedTuple):
+    """Durations and limits of an entry.
+
+    Attributes:
+        answer_margin_ms: How long before the deadline a caller is answered at the
+            latest, in milliseconds.
+        cancel_margin_ms: How long before that a request is cancelled, so that its true
+            outcome can still arrive, in milliseconds.
+        stamp_use_ms: How long a stamp is used, in milliseconds.
+        stamp_retry_ms: After which time a stamp is asked for again, in milliseconds.
+        stamp_patience_ms: How long a place may take to give a stamp, in milliseconds.
+        reconnect_grace_ms: How long a cut-off request waits for its link, in
+            milliseconds.
+        attempts_max: Most hand-overs of one request.
+        requests_max: Most open requests.
+        budget: Limits of the retries.
+    """
+
+    answer_margin_ms: int = 50
+    cancel_margin_ms: int = 150
+    stamp_use_ms: int = 8_000
+    stamp_retry_ms: int = 100
+    stamp_patience_ms: int = 400
+    reconnect_grace_ms: int = 1_000
+    attempts_max: int = 3
+    requests_max: int = 2_000
+    budget: RetryBudgetSettings = RetryBudgetSettings()
+
+
+class AdmittedRequest(NamedTuple):
+    """A request that may run: its key is checked and its right is reserved.
+
+    Attributes:
+        number: Number given by the caller of ``admit``, unique for ever.
+        reservation: The reserved right.
+        service: Name of the service.
+        organisation: Name of the organisation; empty on a route open to all.
+        key_name: Name of the key; empty on a route open to all.
+        configuration_number: Configuration by which the key was checked.
+        method: HTTP method.
+        target_path: Path and query, without any key.
+        headers: Fields for the target, without any key.
+        body: Whole body.
+        deadline_ms: Time left until the caller's deadline, in milliseconds.
+        idempotent: Whether it may run more than once.
+        traceparent: Trace context of this instance's span.
+        token_lease_ms: How long the reserved right lasts, in milliseconds.
+    """
+
+    number: int
+    reservation: int
+    service: str
+    organisation: str
+    key_name: str
+    configuration_number: int
+    method: str
+    target_path: str
+    headers: Fields
+    body: bytes
+    deadline_ms: int
+    idempotent: bool
+    traceparent: str
+    token_lease_ms: int
+
+
+class _Exchange:
+    """One open request."""
+
+    def __init__(self, request: AdmittedRequest, places: tuple[str, ...], now: int):
+        self.request = request
+        self.places = places
+        self.place_index = 0
+        self.state = EntryState.ASKING
+        self.id: MessageId | None = None
+        self.stamp: ReceiverStamp | None = None
+        self.stamp_received_at = now
+        self.asked_since = now
+        self.attempt = 0
+        self.copies = 0
+        self.reservation: int | None = request.reservation
+        self.right_lapses_at = now + request.token_lease_ms
+        self.may_have_run = False
+        self.is_caller_gone = False
+        self.timeout_at = now
+        self.cancel_at = now
+        self.due_at = now
+
+    @property
+    def place(self) -> str:
+        return self.places[self.place_index % len(self.places)]
+
+
+class EntryExchanges:
+    """All open requests of the callers of one instance.
+
+    Each admitted request ends in at most one ``Answer`` or ``Refusal``, and each of
+    its reservations in exactly one ``Commit`` or ``Release``.
+
+    Args:
+        settings: Durations and limits.
+        instance_name: Name of the instance.
+        incarnation: Incarnation of the instance.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        instance_name: str,
+        incarnation: int,
+        rng: Random,
+    ):
+        self._settings = settings
+        self._name = instance_name
+        self._incarnation = incarnation
+        self._rng = rng
+        self._budget: RetryBudget | None = None
+        self._stamps = StampBook(settings.stamp_use_ms)
+        self._exchanges_by_number: dict[int, _Exchange] = {}
+        self._exchanges_by_id: dict[MessageId, _Exchange] = {}
+        self._due: list[tuple[int, int]] = []
+        self._sequence = 0
+
+    @property
+    def open_count(self) -> int:
+        """Number of requests whose right is neither committed nor released."""
+        return len(self._exchanges_by_number)
+
+    def state(self, number: int) -> EntryState | None:
+        """Return the state of a request; None if it is answered or not known."""
+        exchange = self._exchanges_by_number.get(number)
+        return exchange.state if exchange else None
+
+    def admit(
+        self, request: AdmittedRequest, places: tuple[str, ...], now: int
+    ) -> list:
+        """Take a request on.
+
+        Args:
+            request: The request.
+            places: Names of the instances to hand it to, the best first.
+            now: The time in milliseconds.
+        """
+        if self._budget is None:
+            self._budget = RetryBudget(self._settings.budget, now)
+        self._budget.first_attempt()
+        exchange = _Exchange(request, places, now)
+        self._set_deadline(exchange, now)
+        is_full = len(self._exchanges_by_number) >= self._settings.requests_max
+        self._exchanges_by_number[request.number] = exchange
+        if is_full:
+            return self._refuse(exchange, Reason.OVERLOADED, NOT_RUN)
+        if not places:
+            return self._refuse(exchange, Reason.NO_PLACE, NOT_RUN)
+        return self._hand_over(exchange, now)
+
+    def received(self, source: str, body: tuple, now: int) -> list:
+        """Take a message from another instance, or from this one."""
+        if isinstance(body, Outcome):
+            return self._outcome(source, body, now)
+        if isinstance(body, StampGrant):
+            self._stamps.keep(source, body.stamp, now)
+            return self._go_on(source, now)
+        return []
+
+    def peer_up(self, name: str, now: int) -> list:
+        """Note that the link to an instance stands (again).
+
+        Requests that were handed over before are sent again under the same id.
+        """
+        effects: list = []
+        for exchange in self._at(name, EntryState.CUT_OFF):
+            exchange.state = EntryState.HANDED_OVER
+            self._wake_at(exchange, exchange.cancel_at)
+            effects.append(self._hand_over_message(exchange, now))
+        for exchange in self._at(name, EntryState.CANCELLING):
+            effects.append(self._cancel_message(exchange))
+        if self._at(name, EntryState.ASKING):
+            effects.append(Send(name, StampRequest()))
+        return effects
+
+    def peer_lost(self, name: str, now: int) -> list:
+        """Note that the link to an instance is lost, with anything that was on it."""
+        self._stamps.forget(name)
+        effects: list = []
+        for exchange in self._at(name, EntryState.ASKING):
+            effects += self._next_place(exchange, now)
+        for exchange in self._at(name, EntryState.HANDED_OVER):
+            if exchange.request.idempotent and len(exchange.places) > 1:
+                effects += self._end_attempt(exchange, Reason.LINK_LOST, UNKNOWN, now)
+                continue
+            exchange.state = EntryState.CUT_OFF
+            grace_ends_at = now + self._settings.reconnect_grace_ms
+            self._wake_at(exchange, min(exchange.cancel_at, grace_ends_at))
+        return effects
+
+    def send_failed(self, message_id: MessageId, now: int) -> list:
+        """Note that no byte of one copy of a hand-over left this instance.
+
+        It proves that the request never ran only if there was no other copy.
+        """
+        exchange = self._exchanges_by_id.get(message_id)
+        if exchange is None or exchange.copies > 1:
+            return []
+        return self._end_attempt(exchange, Reason.LINK_LOST, NOT_RUN, now)
+
+    def caller_gone(self, number: int, now: int) -> list:
+        """Note that nobody waits for the answer to a request any more."""
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is None:
+            return []
+        exchange.is_caller_gone = True
+        if exchange.state in (EntryState.ASKING, EntryState.RESERVING):
+            return self._refuse(exchange, Reason.CANCELLED, NOT_RUN)
+        return self._cancel(exchange)
+
+    def reserved(
+        self, number: int, reservation: int, token_lease_ms: int, now: int
+    ) -> list:
+        """Go on with a request for which another right was reserved.
+
+        A right that is no longer needed is released.
+        """
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is None or exchange.state is not EntryState.RESERVING:
+            return [Release(reservation)]
+        exchange.reservation = reservation
+        exchange.right_lapses_at = now + token_lease_ms
+        return self._hand_over(exchange, now)
+
+    def not_reserved(self, number: int, retry_after_ms: int, now: int) -> list:
+        """End a request for which there is no other right."""
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is None or exchange.state is not EntryState.RESERVING:
+            return []
+        return self._refuse(exchange, Reason.LINK_LOST, UNKNOWN, retry_after_ms)
+
+    def tick(self, now: int) -> list:
+        """Do what is due."""
+        effects: list = []
+        while self._due and self._due[0][0] <= now:
+            due_at, number = heapq.heappop(self._due)
+            exchange = self._exchanges_by_number.get(number)
+            if exchange is not None and exchange.due_at == due_at:
+                effects += self._act(exchange, now)
+        return effects
+
+    def next_wake(self, now: int) -> int | None:
+        """Return when ``tick`` is next due; None if nothing is open."""
+        return self._due[0][0] if self._due else None
+
+    def _set_deadline(self, exchange: _Exchange, now: int) -> None:
+        settings = self._settings
+        deadline_ms = exchange.request.deadline_ms
+        shortest_ms = deadline_ms // MARGIN_SHARE
+        answer_margin_ms = min(settings.answer_margin_ms, shortest_ms)
+        cancel_margin_ms = min(settings.cancel_margin_ms, shortest_ms)
+        exchange.timeout_at = now + deadline_ms - answer_margin_ms
+        exchange.cancel_at = exchange.timeout_at - cancel_margin_ms
+
+    def _act(self, exchange: _Exchange, now: int) -> list:
+        if exchange.state is EntryState.CANCELLING:
+            return self._refuse(exchange, Reason.TIMEOUT, UNKNOWN)
+        if exchange.state is EntryState.HANDED_OVER:
+            return self._cancel(exchange)
+        if exchange.state is EntryState.CUT_OFF:
+            return self._refuse(exchange, Reason.LINK_LOST, UNKNOWN)
+        if now >= exchange.cancel_at:
+            return self._refuse(exchange, Reason.TIMEOUT, NOT_RUN)
+        if now - exchange.asked_since >= self._settings.stamp_patience_ms:
+            return self._next_place(exchange, now)
+        return self._ask(exchange, now)
+
+    def _hand_over(self, exchange: _Exchange, now: int) -> list:
+        if now >= exchange.cancel_at:
+            return self._refuse(exchange, Reason.DEADLINE, NOT_RUN)
+        if now >= exchange.right_lapses_at:
+            return self._refuse(exchange, Reason.RIGHT_LAPSED, NOT_RUN)
+        held = self._stamps.get(exchange.place, now)
+        if held is None:
+            exchange.asked_since = now
+            return self._ask(exchange, now)
+        exchange.stamp, exchange.stamp_received_at = held
+        exchange.attempt += 1
+        exchange.state = EntryState.HANDED_OVER
+        self._sequence += 1
+        exchange.id = MessageId(self._name, self._incarnation, self._sequence)
+        exchange.copies = 0
+        self._exchanges_by_id[exchange.id] = exchange
+        self._wake_at(exchange, exchange.cancel_at)
+        return [self._hand_over_message(exchange, now)]
+
+    def _hand_over_message(self, exchange: _Exchange, now: int) -> Send:
+        exchange.copies += 1
+        request = exchange.request
+        body = HandOver(
+            id=exchange.id,
+            service=request.service,
+            organisation=request.organisation,
+            key_name=request.key_name,
+            configuration_number=request.configuration_number,
+            method=request.method,
+            target_path=request.target_path,
+            headers=request.headers,
+            body=request.body,
+            remaining_ms=max(0, exchange.timeout_at - now),
+            idempotent=request.idempotent,
+            traceparent=request.traceparent,
+            attempt=exchange.attempt,
+            token_lease_ms=max(0, exchange.right_lapses_at - now),
+            stamp=exchange.stamp,
+            stamp_age_ms=now - exchange.stamp_received_at,
+        )
+        return Send(exchange.place, body)
+
+    def _ask(self, exchange: _Exchange, now: int) -> list:
+        exchange.state = EntryState.ASKING
+        retry_at = now + self._settings.stamp_retry_ms
+        self._wake_at(exchange, min(exchange.cancel_at, retry_at))
+        return [Send(exchange.place, StampRequest())]
+
+    def _go_on(self, place: str, now: int) -> list:
+        effects: list = []
+        for exchange in self._at(place, EntryState.ASKING):
+            effects += self._hand_over(exchange, now)
+        return effects
+
+    def _next_place(self, exchange: _Exchange, now: int) -> list:
+        exchange.place_index += 1
+        if exchange.place_index >= len(exchange.places):
+            return self._refuse(exchange, Reason.LINK_LOST, NOT_RUN)
+        return self._hand_over(exchange, now)
+
+    def _outcome(self, source: str, outcome: Outcome, now: int) -> list:
+        self._stamps.keep(source, outcome.stamp, now)
+        effects: list = [Send(source, OutcomeReceived(outcome.id))]
+        exchange = self._exchanges_by_id.get(outcome.id)
+        if exchange is None or exchange.place != source:
+            return effects
+        if outcome.ran == RAN:
+            return effects + self._answer(exchange, outcome)
+        return effects + self._end_attempt(
+            exchange, outcome.reason, outcome.ran, now, outcome.retry_after_ms
+        )
+
+    def _answer(self, exchange: _Exchange, outcome: Outcome) -> list:
+        number = exchange.request.number
+        answer = Answer(number, outcome.status, outcome.headers, outcome.body)
+        effects = self._close(exchange, ran=RAN)
+        return effects if exchange.is_caller_gone else [*effects, answer]
+
+    def _end_attempt(
+        self,
+        exchange: _Exchange,
+        reason: str,
+        ran: str,
+        now: int,
+        retry_after_ms: int = 0,
+    ) -> list:
+        """End one hand-over without an answer: try again, or refuse."""
+        may_retry = self._may_retry(exchange, reason, ran, now)
+        if not may_retry:
+            return self._refuse(exchange, reason, ran, retry_after_ms)
+        self._forget_id(exchange)
+        exchange.place_index += 1
+        if ran == NOT_RUN:
+            return self._hand_over(exchange, now)
+        exchange.may_have_run = True
+        exchange.state = EntryState.RESERVING
+        self._wake_at(exchange, exchange.cancel_at)
+        request = exchange.request
+        effects = self._settle(exchange, UNKNOWN)
+        return [*effects, Reserve(request.number, request.organisation)]
+
+    def _may_retry(self, exchange: _Exchange, reason: str, ran: str, now: int) -> bool:
+        if ran != NOT_RUN and not exchange.request.idempotent:
+            return False
+        if exchange.state is EntryState.CANCELLING or reason in _FINAL_REASONS:
+            return False
+        if exchange.attempt >= self._settings.attempts_max:
+            return False
+        return now < exchange.cancel_at and self._budget.take(now)
+
+    def _cancel(self, exchange: _Exchange) -> list:
+        exchange.state = EntryState.CANCELLING
+        self._wake_at(exchange, exchange.timeout_at)
+        return [self._cancel_message(exchange)]
+
+    def _cancel_message(self, exchange: _Exchange) -> Send:
+        stop_running = exchange.is_caller_gone
+        return Send(exchange.place, Cancel(exchange.id, exchange.stamp, stop_running))
+
+    def _refuse(
+        self, exchange: _Exchange, cause: str, ran: str, retry_after_ms: int = 0
+    ) -> list:
+        effects = self._close(exchange, ran)
+        if exchange.is_caller_gone:
+            return effects
+        told = NOT_RUN if ran == NOT_RUN and not exchange.may_have_run else UNKNOWN
+        status = http_status(cause, told == NOT_RUN)
+        number = exchange.request.number
+        retry_after_ms = self._spread(retry_after_ms)
+        return [*effects, Refusal(number, status, cause, told, retry_after_ms)]
+
+    def _spread(self, retry_after_ms: int) -> int:
+        return retry_after_ms + self._rng.randint(0, retry_after_ms // JITTER_SHARE)
+
+    def _close(self, exchange: _Exchange, ran: str) -> list:
+        self._forget_id(exchange)
+        del self._exchanges_by_number[exchange.request.number]
+        return self._settle(exchange, ran)
+
+    def _settle(self, exchange: _Exchange, ran: str) -> list:
+        """Give the reservation back or spend it: the only place that does."""
+        reservation = exchange.reservation
+        exchange.reservation = None
+        if reservation is None:
+            return []
+        return [Release(reservation) if ran == NOT_RUN else Commit(reservation)]
+
+    def _forget_id(self, exchange: _Exchange) -> None:
+        self._exchanges_by_id.pop(exchange.id, None)
+        exchange.id = None
+
+    def _wake_at(self, exchange: _Exchange, due_at: int) -> None:
+        exchange.due_at = due_at
+        heapq.heappush(self._due, (due_at, exchange.request.number))
+
+    def _at(self, place: str, state: EntryState) -> list[_Exchange]:
+        return [
+            exchange
+            for exchange in self._exchanges_by_number.values()
+            if exchange.state is state and exchange.place == place
+        ]
--- /dev/null
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -0,0 +1,418 @@
+"""What happens to a request at the instance that owns a pool of targets."""
+
+import heapq
+from collections import deque
+from random import Random
+from typing import NamedTuple
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.exchange.effects import AbortTarget
+from sequoiahook.decisions.exchange.ledger import Ledger
+from sequoiahook.decisions.exchange.pool_protocol import Pool, PoolEffect, Start
+from sequoiahook.decisions.exchange.retry import (
+    RetryBudget,
+    RetryBudgetSettings,
+    is_safe_to_retry,
+)
+from sequoiahook.decisions.exchange.states import ExecutorState, Reason
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.exchange.work import Work
+from sequoiahook.decisions.keys import KeyName, KeyState, KeyTable
+from sequoiahook.messages.requests import (
+    NOT_RUN,
+    RAN,
+    UNKNOWN,
+    Cancel,
+    HandOver,
+    MessageId,
+    Outcome,
+    OutcomeReceived,
+    ReceiverStamp,
+    StampGrant,
+    StampRequest,
+)
+
+__all__ = ["Executor", "ExecutorSettings"]
+
+
+class ExecutorSettings(NamedTuple):
+    """Durations and limits of an executor.
+
+    Attributes:
+        memory_ms: How long ids are kept; longer than the longest deadline plus the time
+            for which an entry uses a stamp, in milliseconds.
+        outcome_resend_ms: After which time an outcome is first sent again, in
+            milliseconds; the time doubles.
+        pause_limit_ms: A gap in the own loop that makes everything queued be refused,
+            in milliseconds; at most the shortest lease that the pools hold.
+        attempts_max: Most targets that are tried for one hand-over.
+        requests_max: Most open hand-overs.
+        budget: Limits of the retries.
+    """
+
+    memory_ms: int = 75_000
+    outcome_resend_ms: int = 200
+    pause_limit_ms: int = 1_000
+    attempts_max: int = 3
+    requests_max: int = 2_000
+    budget: RetryBudgetSettings = RetryBudgetSettings()
+
+
+class Executor:
+    """All hand-overs that an instance runs on the targets of its pools.
+
+    A hand-over runs at most once on a target unless it is idempotent; ``not run`` is
+    said only if it did not and never will.
+
+    Args:
+        settings: Durations and limits.
+        instance_name: Name of the instance.
+        incarnation: Incarnation of the instance.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: ExecutorSettings,
+        instance_name: str,
+        incarnation: int,
+        rng: Random,
+    ):
+        self._settings = settings
+        self._name = instance_name
+        self._incarnation = incarnation
+        self._rng = rng
+        self._budget: RetryBudget | None = None
+        self._ledger: Ledger[Work] = Ledger(settings.memory_ms)
+        self._pools_by_service: dict[str, Pool] = {}
+        self._retiring: list[Pool] = []
+        self._resends: list[tuple[int, MessageId]] = []
+        self._keys: KeyTable | None = None
+        self._withdrawn: set[KeyName] = set()
+        self._seen_at: int | None = None
+        self._generation = 0
+
+    @property
+    def open_count(self) -> int:
+        """Number of hand-overs without an acknowledged outcome."""
+        return self._ledger.open_count
+
+    def state(self, request_id: MessageId) -> ExecutorState | None:
+        """Return the state of an open hand-over."""
+        work = self._ledger.get(request_id)
+        return work.state if work else None
+
+    def set_pool(self, service: str, pool: Pool) -> None:
+        """Own the pool of a service from now on."""
+        self.drop_pool(service)
+        self._pools_by_service[service] = pool
+
+    def drop_pool(self, service: str) -> None:
+        """Accept no more hand-overs for a service; those that are queued go on."""
+        pool = self._pools_by_service.pop(service, None)
+        if pool is not None:
+            self._retiring.append(pool)
+
+    def received(self, source: str, body: tuple, now: int) -> list:
+        """Take a message from another instance, or from this one."""
+        self._observe(now)
+        if isinstance(body, HandOver):
+            return self._hand_over(source, body, now)
+        if isinstance(body, Cancel):
+            return self._cancel(source, body, now)
+        if isinstance(body, OutcomeReceived):
+            self._acknowledged(body.id)
+        if isinstance(body, StampRequest):
+            return [Send(source, StampGrant(self._stamp(now)))]
+        return []
+
+    def configured(self, keys: KeyTable, now: int) -> list:
+        """Take the keys of a new configuration; refuses what they no longer allow."""
+        self._observe(now)
+        if self._keys is None or keys.number >= self._keys.number:
+            self._keys = keys
+            self._withdrawn.clear()
+        return self._refuse_withdrawn(now)
+
+    def withdraw(self, organisation: str, key_name: str, now: int) -> list:
+        """Refuse everything queued with a key, until the next configuration."""
+        self._observe(now)
+        self._withdrawn.add(KeyName(organisation, key_name))
+        return self._refuse_withdrawn(now)
+
+    def may_write(self, request_id: MessageId, now: int) -> bool:
+        """Decide right before the first byte whether a request is sent.
+
+        After True the request counts as sent. After False the result must be reported
+        as nothing written.
+        """
+        self._observe(now)
+        work = self._ledger.get(request_id)
+        if work is None or work.state is not ExecutorState.CONNECTING:
+            return False
+        work.objection = work.objection or self._objection(work, now)
+        if work.objection:
+            return False
+        work.state = ExecutorState.SENDING
+        return True
+
+    def target_result(
+        self, request_id: MessageId, result: TargetResult, now: int
+    ) -> list:
+        """Take the end of an exchange with a target; once for each ``Write``."""
+        self._observe(now)
+        work = self._ledger.get(request_id)
+        if work is None or not work.is_at_target:
+            return []
+        work.state = ExecutorState.QUEUED
+        freed = work.pool.finish(request_id, result, now)
+        return self._judge(work, result, now) + self._apply(freed, now)
+
+    def sender_gone(self, sender: str, incarnation: int, now: int) -> list:
+        """Drop what an instance that has ended handed over and was not sent yet."""
+        self._observe(now)
+        effects: list = []
+        for work in self._ledger.works():
+            work_id = work.id
+            if (work_id.sender, work_id.incarnation) != (sender, incarnation):
+                continue
+            work.is_sender_gone = True
+            if work.state is ExecutorState.FINISHED:
+                self._ledger.close(work.id, work.ran)
+            else:
+                effects += self._stop(work, stop_running=False, now=now)
+        return effects
+
+    def tick(self, now: int) -> list:
+        """Do what is due: queues, repeats of outcomes, forgetting."""
+        self._observe(now)
+        effects: list = []
+        for pool in self._pools():
+            effects += self._apply(pool.tick(now), now)
+        while self._resends and self._resends[0][0] <= now:
+            resend_at, request_id = heapq.heappop(self._resends)
+            work = self._ledger.get(request_id)
+            if work is not None and work.resend_at == resend_at:
+                effects += self._resend(work, now)
+        self._ledger.forget_old(now)
+        return effects
+
+    def next_wake(self, now: int) -> int | None:
+        """Return when ``tick`` is next due; None if nothing is open."""
+        wakes = [pool.next_wake(now) for pool in self._pools()]
+        if self._resends:
+            wakes.append(self._resends[0][0])
+        if self._ledger.open_count:
+            wakes.append(now + self._settings.pause_limit_ms // 2)
+        return min((wake for wake in wakes if wake is not None), default=None)
+
+    def _observe(self, now: int) -> None:
+        """Look for a gap in the own loop, in which leases may have lapsed."""
+        if self._seen_at is None:
+            self._budget = RetryBudget(self._settings.budget, now)
+        elif now - self._seen_at > self._settings.pause_limit_ms:
+            self._generation += 1
+        self._seen_at = now
+
+    def _stamp(self, now: int) -> ReceiverStamp:
+        return ReceiverStamp(self._incarnation, now)
+
+    def _hand_over(self, source: str, body: HandOver, now: int) -> list:
+        if body.id in self._ledger:
+            return self._repeat_outcome(source, body.id, now)
+        reason = self._why_unknown(body.stamp, now)
+        if reason:
+            return [self._outcome(source, body.id, UNKNOWN, reason, now)]
+        self._budget.first_attempt()
+        work = Work(source, body.id, now)
+        work.hand_over = body
+        work.generation = self._generation
+        sent_at = min(now, body.stamp.clock_ms + body.stamp_age_ms)
+        work.deadline_at = sent_at + body.remaining_ms
+        work.right_lapses_at = sent_at + body.token_lease_ms
+        work.pool = self._pools_by_service.get(body.service)
+        is_full = self._ledger.open_count >= self._settings.requests_max
+        self._ledger.open(body.id, work, now)
+        if is_full:
+            return self._finish(work, NOT_RUN, Reason.OVERLOADED, now)
+        return self._submit(work, now)
+
+    def _why_unknown(self, stamp: ReceiverStamp, now: int) -> str:
+        if stamp.incarnation != self._incarnation:
+            return Reason.OTHER_INCARNATION
+        if self._ledger.is_too_old(stamp.clock_ms, now):
+            return Reason.TOO_OLD
+        return ""
+
+    def _objection(self, work: Work, now: int) -> str:
+        """Return why a request must not be sent now; empty if it may."""
+        if self._is_withdrawn(work.hand_over):
+            return Reason.KEY_WITHDRAWN
+        if work.generation != self._generation:
+            return Reason.PAUSED
+        if now >= work.deadline_at:
+            return Reason.DEADLINE
+        if now >= work.right_lapses_at:
+            return Reason.RIGHT_LAPSED
+        return ""
+
+    def _is_withdrawn(self, body: HandOver) -> bool:
+        if not body.key_name:
+            return False
+        name = KeyName(body.organisation, body.key_name)
+        if name in self._withdrawn:
+            return True
+        if self._keys is None or body.configuration_number > self._keys.number:
+            return False
+        return self._keys.state(name) is not KeyState.VALID
+
+    def _submit(self, work: Work, now: int) -> list:
+        reason = self._objection(work, now)
+        if work.pool is None:
+            reason = reason or Reason.NO_POOL
+        if reason:
+            return self._finish(work, NOT_RUN, reason, now)
+        work.state = ExecutorState.QUEUED
+        work.attempt += 1
+        organisation = work.hand_over.organisation
+        effects = work.pool.submit(work.id, organisation, work.deadline_at, now)
+        return self._apply(effects, now)
+
+    def _apply(self, pool_effects: list[PoolEffect], now: int) -> list:
+        """Carry out what a pool decided, and what follows from that."""
+        effects: list = []
+        pending = deque(pool_effects)
+        while pending:
+            pool_effect = pending.popleft()
+            work = self._ledger.get(pool_effect.request_id)
+            if isinstance(pool_effect, Start):
+                started, freed = self._start(work, pool_effect.target_name, now)
+                effects += started
+                pending.extend(freed)
+                continue
+            reason = pool_effect.reason
+            retry_after_ms = pool_effect.retry_after_ms
+            effects += self._finish(work, NOT_RUN, reason, now, retry_after_ms)
+        return effects
+
+    def _start(self, work: Work, target_name: str, now: int) -> tuple[list, list]:
+        reason = self._objection(work, now)
+        if reason:
+            nothing = TargetResult(Stage.NOTHING_WRITTEN)
+            freed = work.pool.finish(work.id, nothing, now)
+            return self._finish(work, NOT_RUN, reason, now), freed
+        work.state = ExecutorState.CONNECTING
+        work.objection = ""
+        return [work.write(target_name, now)], []
+
+    def _judge(self, work: Work, result: TargetResult, now: int) -> list:
+        """Answer, try another target, or give up, by what a stage proves."""
+        ran = result.stage.ran
+        if ran == RAN:
+            return self._finish_answered(work, result, now)
+        is_safe = is_safe_to_retry(result.stage)
+        if is_safe and not work.objection and self._may_retry(work, now):
+            return self._submit(work, now)
+        reason = work.objection or result.stage.value
+        return self._finish(work, ran, reason, now, result.retry_after_ms)
+
+    def _may_retry(self, work: Work, now: int) -> bool:
+        if work.attempt >= self._settings.attempts_max:
+            return False
+        return self._budget.take(now)
+
+    def _cancel(self, source: str, body: Cancel, now: int) -> list:
+        work = self._ledger.get(body.id)
+        if work is not None and work.state is not ExecutorState.FINISHED:
+            return self._stop(work, body.stop_running, now)
+        if body.id in self._ledger:
+            return self._repeat_outcome(source, body.id, now)
+        reason = self._why_unknown(body.stamp, now)
+        if reason:
+            return [self._outcome(source, body.id, UNKNOWN, reason, now)]
+        work = Work(source, body.id, now)
+        self._ledger.open(body.id, work, now)
+        return self._finish(work, NOT_RUN, Reason.CANCELLED, now)
+
+    def _stop(self, work: Work, stop_running: bool, now: int) -> list:
+        if work.state is ExecutorState.QUEUED:
+            return self._unqueue(work, Reason.CANCELLED, now)
+        if work.state is ExecutorState.CONNECTING:
+            work.objection = work.objection or Reason.CANCELLED
+            return [AbortTarget(work.id)]
+        return [AbortTarget(work.id)] if stop_running else []
+
+    def _unqueue(self, work: Work, reason: str, now: int) -> list:
+        freed = work.pool.cancel(work.id, now)
+        return self._finish(work, NOT_RUN, reason, now) + self._apply(freed, now)
+
+    def _refuse_withdrawn(self, now: int) -> list:
+        effects: list = []
+        for work in self._ledger.works():
+            is_queued = work.state is ExecutorState.QUEUED
+            if is_queued and self._is_withdrawn(work.hand_over):
+                effects += self._unqueue(work, Reason.KEY_WITHDRAWN, now)
+        return effects
+
+    def _finish_answered(self, work: Work, result: TargetResult, now: int) -> list:
+        outcome = self._outcome(work.source, work.id, RAN, "", now).body
+        outcome = outcome._replace(
+            status=result.status, headers=result.headers, body=result.body
+        )
+        return self._close(work, outcome, now)
+
+    def _finish(
+        self, work: Work, ran: str, reason: str, now: int, retry_after_ms: int = 0
+    ) -> list:
+        outcome = self._outcome(work.source, work.id, ran, reason, now).body
+        outcome = outcome._replace(retry_after_ms=retry_after_ms)
+        return self._close(work, outcome, now)
+
+    def _close(self, work: Work, outcome: Outcome, now: int) -> list:
+        work.finish(outcome)
+        if work.is_sender_gone:
+            self._ledger.close(work.id, outcome.ran)
+            return []
+        self._resend_later(work, now)
+        return [Send(work.source, outcome)]
+
+    def _resend(self, work: Work, now: int) -> list:
+        if now >= work.deadline_at:
+            self._ledger.close(work.id, work.ran)
+            return []
+        self._resend_later(work, now)
+        stamp = self._stamp(now)
+        return [Send(work.source, work.outcome._replace(stamp=stamp))]
+
+    def _resend_later(self, work: Work, now: int) -> None:
+        delay_ms = self._settings.outcome_resend_ms << work.resends
+        work.resends += 1
+        work.resend_at = now + delay_ms + self._rng.randint(0, delay_ms // 2)
+        heapq.heappush(self._resends, (work.resend_at, work.id))
+
+    def _repeat_outcome(self, source: str, request_id: MessageId, now: int) -> list:
+        work = self._ledger.get(request_id)
+        if work is None:
+            ran = NOT_RUN if self._ledger.ran(request_id) == NOT_RUN else UNKNOWN
+            return [self._outcome(source, request_id, ran, Reason.TIMEOUT, now)]
+        if work.state is not ExecutorState.FINISHED:
+            return []
+        return [Send(source, work.outcome._replace(stamp=self._stamp(now)))]
+
+    def _acknowledged(self, request_id: MessageId) -> None:
+        work = self._ledger.get(request_id)
+        if work is not None and work.state is ExecutorState.FINISHED:
+            self._ledger.close(request_id, work.ran)
+
+    def _outcome(
+        self, source: str, request_id: MessageId, ran: str, reason: str, now: int
+    ) -> Send:
+        stamp = self._stamp(now)
+        body = Outcome(request_id, ran, 0, (), b"", reason, 0, stamp)
+        return Send(source, body)
+
+    def _pools(self) -> list[Pool]:
+        if self._retiring:
+            used = {id(work.pool) for work in self._ledger.works()}
+            self._retiring = [pool for pool in self._retiring if id(pool) in used]
+        return [*self._pools_by_service.values(), *self._retiring]
--- /dev/null
+++ b/sequoiahook/decisions/exchange/states.py
@@ -0,0 +1,58 @@
+"""Named states of a request at its entry and at its executor, and refusal reasons."""
+
+from enum import Enum
+
+__all__ = ["EntryState", "ExecutorState", "Reason", "http_status"]
+
+
+class EntryState(Enum):
+    """Where a request stands at the instance that the caller is connected to."""
+
+    ASKING = "asking the place for a stamp"
+    RESERVING = "waiting for the right to run again"
+    HANDED_OVER = "handed over"
+    CUT_OFF = "handed over, link lost"
+    CANCELLING = "cancel sent"
+
+
+class ExecutorState(Enum):
+    """Where a hand-over stands at the instance that owns the pool."""
+
+    QUEUED = "queued"
+    CONNECTING = "connecting to a target"
+    SENDING = "sent to a target"
+    FINISHED = "finished"
+
+
+class Reason:
+    """Why a request has no answer, as told to callers."""
+
+    CANCELLED = "cancelled"
+    DEADLINE = "deadline too near"
+    KEY_WITHDRAWN = "key withdrawn"
+    LINK_LOST = "link to the executing instance lost"
+    NO_PLACE = "no place to run"
+    NO_POOL = "service not served here"
+    OTHER_INCARNATION = "meant for an earlier run of the instance"
+    OVERLOADED = "too many requests open"
+    PAUSED = "instance was paused"
+    RIGHT_LAPSED = "right to run lapsed"
+    TIMEOUT = "no outcome in time"
+    TOO_OLD = "older than the memory of repeats"
+
+
+_STATUS_BY_REASON = {
+    Reason.KEY_WITHDRAWN: 401,
+    Reason.LINK_LOST: 502,
+    Reason.OTHER_INCARNATION: 502,
+    Reason.TIMEOUT: 504,
+    Reason.TOO_OLD: 504,
+}
+_STATUS_NOT_RUN = 503
+_STATUS_UNKNOWN = 502
+
+
+def http_status(reason: str, is_proved_not_run: bool) -> int:
+    """Return the HTTP status of a refusal."""
+    default = _STATUS_NOT_RUN if is_proved_not_run else _STATUS_UNKNOWN
+    return _STATUS_BY_REASON.get(reason, default)
