Add membership, look-up and the stages of a planned stop

Cause: instances need to know who is there, who keeps which key, whom to tell callers about, and how to stop without cutting a request. Not proved yet: no tests, no measurements.

--- /dev/null
+++ b/sequoiahook/decisions/lookup/__init__.py
@@ -0,0 +1,7 @@
+"""Which instances callers are to use: the table of client blocks, and the answer."""
+
+from sequoiahook.decisions.lookup.lookup import Lookup, LookupAnswer
+from sequoiahook.decisions.lookup.settings import LookupSettings
+from sequoiahook.decisions.lookup.table import BlockTable, parse_address
+
+__all__ = ["BlockTable", "Lookup", "LookupAnswer", "LookupSettings", "parse_address"]
--- /dev/null
+++ b/sequoiahook/decisions/membership/__init__.py
@@ -0,0 +1,29 @@
+"""Who is there: peers, rosters, the view of a data centre, links and keepers."""
+
+from sequoiahook.decisions.membership.effects import (
+    LinksChanged,
+    Paused,
+    PeerDown,
+    PeerUp,
+    ReadObject,
+    ViewChanged,
+    WriteObject,
+)
+from sequoiahook.decisions.membership.membership import Membership
+from sequoiahook.decisions.membership.settings import (
+    MembershipSettings,
+    read_membership_settings,
+)
+
+__all__ = [
+    "LinksChanged",
+    "Membership",
+    "MembershipSettings",
+    "Paused",
+    "PeerDown",
+    "PeerUp",
+    "ReadObject",
+    "ViewChanged",
+    "WriteObject",
+    "read_membership_settings",
+]
--- /dev/null
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -0,0 +1,174 @@
+"""Who is there in every data centre, merged from direct evidence and from rosters."""
+
+from collections.abc import Iterable
+
+from sequoiahook.decisions.membership.peers import Peer
+from sequoiahook.decisions.membership.rosters import (
+    Members,
+    RosterFollower,
+    RosterReporter,
+    merge,
+)
+from sequoiahook.messages.membership import (
+    LIVE,
+    Member,
+    RosterChange,
+    RosterSnapshot,
+)
+from sequoiahook.world.instance import Instance
+
+__all__ = ["Fleet"]
+
+
+class Fleet:
+    """Members of all data centres.
+
+    Peers in the own data centre report on other data centres, and peers in another
+    data centre report on their own one. A data centre of which nobody reports keeps
+    its last known members and is not reachable.
+
+    Args:
+        me: This instance.
+
+    Attributes:
+        members_by_data_centre: What is known, by data centre and name.
+        for_links: Roster of the own data centre, for peers in other ones.
+        for_mesh: Rosters of other data centres, for peers in the own one.
+    """
+
+    def __init__(self, me: Instance):
+        self.members_by_data_centre: dict[str, dict[str, Member]] = {}
+        self.for_links = RosterReporter()
+        self.for_mesh = RosterReporter()
+        self._me = me
+        self._followers_by_name: dict[str, RosterFollower] = {}
+        self._data_centre_by_name: dict[str, str] = {}
+        self._hints_by_data_centre: dict[str, dict[str, Member]] = {}
+        self._reported: set[str] = set()
+
+    def live(self, data_centre: str) -> dict[str, Instance]:
+        """Return the live instances of a data centre by name, without leaving ones."""
+        members = self.members_by_data_centre.get(data_centre, {})
+        return {
+            name: member.instance
+            for name, member in members.items()
+            if member.state == LIVE
+        }
+
+    def data_centre_of(self, name: str) -> str | None:
+        """Return the data centre of an instance; None if it is not known."""
+        return self._data_centre_by_name.get(name)
+
+    def is_reachable(self, data_centre: str) -> bool:
+        """Return whether anybody in the own data centre has a link to it."""
+        return data_centre == self._me.data_centre or bool(self._reports(data_centre))
+
+    def ends(self, data_centre: str) -> list[str]:
+        """Return the peers of the own data centre that hold a link to another one."""
+        return sorted(
+            name
+            for name, follower in self._followers_by_name.items()
+            if self._is_own(name) and data_centre in follower.members_by_data_centre
+        )
+
+    def hint(self, members: Iterable[Member]) -> set[str]:
+        """Note what seeds or the platform's list say, for want of anything better.
+
+        Returns:
+            The data centres whose members may have changed.
+        """
+        hints: dict[str, dict[str, Member]] = {}
+        for member in members:
+            by_name = hints.setdefault(member.instance.data_centre, {})
+            by_name[member.instance.name] = member
+        hints.pop(self._me.data_centre, None)
+        self._hints_by_data_centre.update(hints)
+        return set(hints)
+
+    def follow(self, instance: Instance) -> None:
+        """Expect rosters from a peer, from scratch."""
+        self._followers_by_name[instance.name] = RosterFollower()
+        self._data_centre_by_name[instance.name] = instance.data_centre
+
+    def unfollow(self, name: str) -> set[str]:
+        """Drop the reports of a peer.
+
+        Returns:
+            The data centres whose members may have changed.
+        """
+        follower = self._followers_by_name.pop(name, None)
+        return set() if follower is None else set(follower.members_by_data_centre)
+
+    def held_version(self, name: str) -> int:
+        """Return the version held of a peer's rosters; 0 for none."""
+        follower = self._followers_by_name.get(name)
+        return 0 if follower is None else follower.version
+
+    def apply_change(self, name: str, change: RosterChange) -> bool:
+        """Apply a change of a peer's rosters; return False if one is missing."""
+        follower = self._followers_by_name.get(name)
+        return follower is not None and follower.apply_change(change)
+
+    def apply_snapshot(self, name: str, snapshot: RosterSnapshot) -> set[str]:
+        """Apply a snapshot of a peer's rosters.
+
+        Returns:
+            The data centres whose members may have changed.
+        """
+        follower = self._followers_by_name.get(name)
+        return set() if follower is None else set(follower.apply_snapshot(snapshot))
+
+    def refresh_own(self, state: str, peers: Iterable[Peer]) -> RosterChange | None:
+        """Work out the own data centre's members from direct evidence.
+
+        Args:
+            state: This instance's state.
+            peers: Peers of the own data centre.
+
+        Returns:
+            The change to send to peers in other data centres.
+        """
+        members = {self._me.name: Member(self._me, state)}
+        for peer in peers:
+            if peer.heard_since is not None:
+                members[peer.instance.name] = Member(peer.instance, peer.state)
+        self._replace(self._me.data_centre, members)
+        return self.for_links.update(self._me.data_centre, members)
+
+    def refresh_other(self, data_centre: str) -> RosterChange | None:
+        """Work out another data centre's members from reports.
+
+        Returns:
+            The change to send to peers in the own data centre.
+        """
+        reports = self._reports(data_centre)
+        if reports:
+            self._reported.add(data_centre)
+            self._replace(data_centre, merge(reports))
+        elif data_centre not in self._reported:
+            self._replace(data_centre, self._hints_by_data_centre.get(data_centre, {}))
+        direct = [
+            follower.members_by_data_centre[data_centre]
+            for name, follower in sorted(self._followers_by_name.items())
+            if not self._is_own(name) and data_centre in follower.members_by_data_centre
+        ]
+        return self.for_mesh.update(data_centre, merge(direct) if direct else None)
+
+    def _replace(self, data_centre: str, members: dict[str, Member]) -> None:
+        before = self.members_by_data_centre.get(data_centre, {})
+        for name in before:
+            if name not in members and name not in self._followers_by_name:
+                self._data_centre_by_name.pop(name, None)
+        self.members_by_data_centre[data_centre] = members
+        for name in members:
+            self._data_centre_by_name[name] = data_centre
+
+    def _is_own(self, name: str) -> bool:
+        return self._data_centre_by_name[name] == self._me.data_centre
+
+    def _reports(self, data_centre: str) -> list[Members]:
+        return [
+            follower.members_by_data_centre[data_centre]
+            for _, follower in sorted(self._followers_by_name.items())
+            if data_centre in follower.members_by_data_centre
+        ]
--- /dev/null
+++ b/sequoiahook/decisions/membership/linking.py
@@ -0,0 +1,60 @@
+"""Whom this instance holds links to, and where a message goes next."""
+
+from sequoiahook.decisions.membership.fleet import Fleet
+from sequoiahook.decisions.membership.links import far_ends, near_ends, pair_key
+from sequoiahook.decisions.membership.settings import MembershipSettings
+from sequoiahook.world.instance import Instance
+
+__all__ = ["Linking"]
+
+
+class Linking:
+    """Links to other data centres, chosen from the live lists.
+
+    Args:
+        settings: Settings of membership.
+        me: This instance.
+        fleet: Who is there.
+
+    Attributes:
+        wanted_by_data_centre: Instances to hold a link to, by their data centre.
+    """
+
+    def __init__(self, settings: MembershipSettings, me: Instance, fleet: Fleet):
+        self.wanted_by_data_centre: dict[str, frozenset[str]] = {}
+        self._settings = settings
+        self._me = me
+        self._fleet = fleet
+        self._retry_at_by_name: dict[str, int] = {}
+
+    @property
+    def wanted(self) -> frozenset[str]:
+        """All instances of other data centres to hold a link to."""
+        return frozenset().union(*self.wanted_by_data_centre.values())
+
+    def avoid(self, name: str, now: int) -> None:
+        """Pass over an instance that is silent on its link for some time."""
+        self._retry_at_by_name[name] = now + self._settings.link_retry_ms
+
+    def expire(self, now: int) -> set[str]:
+        """Return data centres with an instance that may be tried again."""
+        due = [name for name, at in self._retry_at_by_name.items() if at <= now]
+        for name in due:
+            del self._retry_at_by_name[name]
+        found = {self._fleet.data_centre_of(name) for name in due}
+        return {data_centre for data_centre in found if data_centre is not None}
+
+    def refresh(self, data_centre: str, now: int) -> None:
+        """Choose again whom to link to in one data centre."""
+        key = pair_key(self._me.data_centre, data_centre)
+        own = self._fleet.live(self._me.data_centre)
+        ends = near_ends(key, own, self._settings.links_per_pair)
+        slots = [slot for slot, name in enumerate(ends) if name == self._me.name]
+        names: set[str] = set()
+        if slots:
+            candidates = self._fleet.live(data_centre)
+            names = far_ends(key, candidates, slots, self._retry_at, now)
+        self.wanted_by_data_centre[data_centre] = frozenset(names)
+
+    def _retry_at(self, name: str) -> int:
+        return self._retry_at_by_name.get(name, 0)
--- /dev/null
+++ b/sequoiahook/decisions/membership/peers.py
@@ -0,0 +1,181 @@
+"""Peers that this instance exchanges heartbeats with, and how long each is silent."""
+
+import random
+from collections import deque
+from collections.abc import Iterable
+
+from sequoiahook.messages.membership import LIVE, STATES, Heartbeat
+from sequoiahook.world.instance import Instance
+
+__all__ = ["Peer", "PeerTable", "later_state"]
+
+RETIRED_MAX = 8
+ROUNDS_MAX = 256
+PROBE_START_BITS = 31
+
+
+def later_state(first: str, second: str) -> str:
+    """Return the state that an incarnation reaches later."""
+    return max(first, second, key=STATES.index)
+
+
+class Peer:
+    """What is known of one instance by its own messages.
+
+    Attributes:
+        instance: The instance, with the incarnation that is followed.
+        state: Its latest state; it never goes back within an incarnation.
+        heard_at: When its last new heartbeat arrived, or when it became known.
+        heard_since: When it was first heard after a silence; None if it is suspected.
+        probe: Highest probe number received from it.
+        echo: Highest own probe number that it has echoed.
+        view: Number of the view that it holds.
+    """
+
+    __slots__ = (
+        "echo",
+        "heard_at",
+        "heard_since",
+        "instance",
+        "probe",
+        "retired",
+        "state",
+        "view",
+    )
+
+    def __init__(self, instance: Instance, now: int):
+        self.instance = instance
+        self.retired: deque[tuple[int, int]] = deque(maxlen=RETIRED_MAX)
+        self._start(now)
+
+    def _start(self, now: int) -> None:
+        self.state = LIVE
+        self.heard_at = now
+        self.heard_since: int | None = None
+        self.probe = 0
+        self.echo = 0
+        self.view = 0
+
+    def replace(self, instance: Instance, now: int, own_probe: int) -> None:
+        """Follow another incarnation; the old one counts as replaced from here on."""
+        if self.instance.incarnation != 0:
+            self.retired.append((self.instance.incarnation, own_probe))
+        self.instance = instance
+        self._start(now)
+
+    def is_replaced(self, incarnation: int, echo: int) -> bool:
+        """Return whether a message of the incarnation is a late one.
+
+        An incarnation that echoes a probe sent after it was replaced is running.
+        """
+        for retired, own_probe in self.retired:
+            if retired == incarnation:
+                return echo <= own_probe
+        return False
+
+
+class PeerTable:
+    """Heartbeats in and out.
+
+    Probe numbers start at random, so that an echo of an earlier incarnation's probe
+    is not taken for one of this incarnation's.
+
+    Args:
+        suspect_ms: Silence after which a peer is suspected.
+        rng: Source of the first probe number.
+    """
+
+    def __init__(self, suspect_ms: int, rng: random.Random):
+        self.peers_by_name: dict[str, Peer] = {}
+        self.probe = rng.getrandbits(PROBE_START_BITS) + 1
+        self._probe_start = self.probe
+        self._suspect_ms = suspect_ms
+        self._sent_at_by_probe: dict[int, int] = {}
+
+    def learn(self, instance: Instance, now: int) -> Peer:
+        """Note an instance from hearsay; what is heard directly is kept.
+
+        Returns:
+            The peer, whose incarnation may differ from the one of the hearsay.
+        """
+        peer = self.peers_by_name.get(instance.name)
+        if peer is None:
+            peer = self.peers_by_name[instance.name] = Peer(instance, now)
+        elif self._yields_to(peer, instance):
+            peer.replace(instance, now, self.probe)
+        return peer
+
+    def _yields_to(self, peer: Peer, instance: Instance) -> bool:
+        known = peer.instance.incarnation
+        if instance.incarnation in (0, known):
+            return False
+        if known == 0:
+            return True
+        is_heard = peer.heard_since is not None
+        return not is_heard and not peer.is_replaced(instance.incarnation, 0)
+
+    def start_round(self, now: int) -> int:
+        """Return the number of a new round of heartbeats."""
+        self.probe += 1
+        self._sent_at_by_probe[self.probe] = now
+        self._sent_at_by_probe.pop(self.probe - ROUNDS_MAX, None)
+        return self.probe
+
+    def receive(self, peer: Peer, incarnation: int, beat: Heartbeat, now: int) -> bool:
+        """Take in a heartbeat.
+
+        Returns:
+            Whether it was new; a repeated, late or stale one is dropped.
+        """
+        echo = beat.echo if self._probe_start < beat.echo <= self.probe else 0
+        if incarnation != peer.instance.incarnation:
+            if peer.is_replaced(incarnation, echo):
+                return False
+            instance = peer.instance._replace(incarnation=incarnation)
+            peer.replace(instance, now, self.probe)
+        if beat.probe <= peer.probe:
+            return False
+        peer.probe = beat.probe
+        peer.echo = max(peer.echo, echo)
+        peer.view = max(peer.view, beat.view)
+        peer.state = later_state(peer.state, beat.state)
+        peer.heard_at = now
+        if peer.heard_since is None:
+            peer.heard_since = now
+        return True
+
+    def silence_ms(self, name: str, now: int) -> int | None:
+        """Return for how long nothing new arrived from a peer; None if not known."""
+        peer = self.peers_by_name.get(name)
+        return None if peer is None else now - peer.heard_at
+
+    def age_ms(self, name: str, now: int) -> int | None:
+        """Return an upper bound of the age of a peer's last heartbeat.
+
+        None if it has echoed no probe of the last rounds.
+        """
+        peer = self.peers_by_name.get(name)
+        if peer is None or peer.echo not in self._sent_at_by_probe:
+            return None
+        return now - self._sent_at_by_probe[peer.echo]
+
+    def suspects(self, now: int) -> list[Peer]:
+        """Mark peers that have become silent, and return them."""
+        found = [
+            peer
+            for peer in self.peers_by_name.values()
+            if peer.heard_since is not None and now - peer.heard_at > self._suspect_ms
+        ]
+        for peer in found:
+            peer.heard_since = None
+        return found
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Drop peers."""
+        for name in names:
+            self.peers_by_name.pop(name, None)
+
+    def restart_silences(self, now: int) -> None:
+        """Count each silence from now, after this process itself did not run."""
+        for peer in self.peers_by_name.values():
+            peer.heard_at = now
--- /dev/null
+++ b/sequoiahook/decisions/membership/views.py
@@ -0,0 +1,150 @@
+"""The view of one data centre: held, passed on, and changed through the platform."""
+
+import json
+import random
+from collections.abc import Collection
+
+from sequoiahook.decisions.membership.effects import ReadObject, WriteObject
+from sequoiahook.decisions.membership.settings import MembershipSettings
+from sequoiahook.errors import CheckError
+from sequoiahook.options import Section, parse_json
+from sequoiahook.world.view import DataCentreView
+
+__all__ = ["ViewReplica", "decode_view", "encode_view", "view_object"]
+
+NUMBER_MAX = 2**53
+CALL_TIMEOUT_MS = 10_000
+
+
+def view_object(data_centre: str) -> str:
+    """Return the name of the platform object that holds a view."""
+    return f"view-{data_centre}"
+
+
+def encode_view(view: DataCentreView) -> bytes:
+    """Return the value of the platform object."""
+    document = {"number": view.number, "instances": view.instances}
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_view(data_centre: str, value: bytes) -> DataCentreView:
+    """Read the value of the platform object.
+
+    Raises:
+        CheckError: If it is malformed.
+    """
+    root = Section(parse_json(value))
+    number = root.integer("number", low=0, high=NUMBER_MAX)
+    instances = root.strings("instances")
+    root.finish()
+    return DataCentreView(data_centre, number, tuple(sorted(set(instances))))
+
+
+class ViewReplica:
+    """The highest view that this instance has seen, and its part in changing it.
+
+    Every change reads the object, and writes it on the condition of the version that
+    was read. After any failed call it reads again, so a lost answer does no harm.
+
+    Attributes:
+        view: The view in force; number 0 and empty until one is known.
+    """
+
+    def __init__(
+        self, settings: MembershipSettings, data_centre: str, rng: random.Random
+    ):
+        self.view = DataCentreView(data_centre, 0, ())
+        self._settings = settings
+        self._rng = rng
+        self._object = view_object(data_centre)
+        self._is_read = False
+        self._call_at: int | None = None
+        self._next_call_at = 0
+
+    def adopt(self, view: DataCentreView) -> bool:
+        """Take a view if its number is higher; return whether it was."""
+        if view.data_centre != self.view.data_centre:
+            return False
+        if view.number <= self.view.number:
+            return False
+        self.view = view
+        return True
+
+    def tick(self, is_proposer: bool, wanted: Collection[str], now: int) -> list:
+        """Return a read if one is due.
+
+        Args:
+            is_proposer: Whether this instance is the one to change the view.
+            wanted: Names that the view is to have.
+            now: The time in milliseconds.
+        """
+        if self._call_at is not None and now - self._call_at >= CALL_TIMEOUT_MS:
+            self._call_at = None
+        if self._call_at is not None or now < self._next_call_at:
+            return []
+        is_due = is_proposer and (
+            set(wanted) != set(self.view.instances)
+            or now - self._next_call_at >= self._settings.view_read_ms
+        )
+        if self._is_read and not is_due:
+            return []
+        self._call_at = now
+        return [ReadObject(self._object)]
+
+    def object_read(
+        self,
+        version: int,
+        value: bytes | None,
+        wanted: Collection[str] | None,
+        now: int,
+    ) -> list:
+        """Take in an answer of the platform, and write if a change is wanted.
+
+        Args:
+            version: Version of the object; 0 if it does not exist.
+            value: Its value; None if it does not exist.
+            wanted: Names that the view is to have; None if another one proposes.
+            now: The time in milliseconds.
+        """
+        self._is_read = True
+        self._finish_call(0, now)
+        found = self._decode(value)
+        self.adopt(found)
+        if wanted is None or set(wanted) == set(found.instances):
+            return []
+        number = max(self.view.number, found.number) + 1
+        names = tuple(sorted(set(wanted)))
+        proposed = DataCentreView(found.data_centre, number, names)
+        self._call_at = now
+        return [WriteObject(self._object, encode_view(proposed), version)]
+
+    def object_written(self, now: int) -> None:
+        """Note that a write took effect; it is read back before it counts.
+
+        The answer may belong to an earlier write than the last one.
+        """
+        self._finish_call(0, now)
+        self._is_read = False
+
+    def object_conflict(self, now: int) -> None:
+        """Note that the last write was made for an old version."""
+        self._finish_call(self._settings.heartbeat_ms, now)
+        self._is_read = False
+
+    def object_unavailable(self, now: int) -> None:
+        """Note that a call failed; it may have taken effect."""
+        self._finish_call(self._settings.platform_retry_ms, now)
+        self._is_read = False
+
+    def _finish_call(self, wait_ms: int, now: int) -> None:
+        self._call_at = None
+        self._next_call_at = now + wait_ms + self._rng.randint(0, wait_ms)
+
+    def _decode(self, value: bytes | None) -> DataCentreView:
+        data_centre = self.view.data_centre
+        if value is None:
+            return DataCentreView(data_centre, 0, ())
+        try:
+            return decode_view(data_centre, value)
+        except CheckError:
+            return DataCentreView(data_centre, 0, ())
