Add pools of targets and the choice of a data centre

Cause: requests need an owner that counts slots, queues fairly and refuses at once, and entry instances need to choose a data centre without overloading it. Conclusion: usable for integration, to be proved and measured next.

--- /dev/null
+++ b/sequoiahook/decisions/placement/lender.py
@@ -0,0 +1,130 @@
+"""Credit on the side of the pool's owner: what it lent, and what came back."""
+
+from typing import NamedTuple
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.placement.credit import Credit, GrantKey
+from sequoiahook.decisions.placement.settings import PlacementSettings
+from sequoiahook.messages.pools import CreditAsk, CreditGrant
+
+__all__ = ["CreditLender"]
+
+
+class _Grant(NamedTuple):
+    """Units lent and not yet redeemed, counted until a time."""
+
+    count: int
+    units: set[int]
+    until: int
+
+
+class CreditLender:
+    """Lends credit for one pool, and redeems each unit at most once.
+
+    Units are counted before the grant is sent, and until they are redeemed or can no
+    longer be. So all units in the world are at most the ones counted here.
+
+    Args:
+        settings: Settings of credit.
+        service: Name of the service.
+        data_centre: Data centre of the pool.
+        instance: Name of the owner.
+        incarnation: Incarnation of the owner; a successor knows none of its grants.
+    """
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        service: str,
+        data_centre: str,
+        instance: str,
+        incarnation: int,
+    ):
+        self._settings = settings
+        self._service = service
+        self._data_centre = data_centre
+        self._instance = instance
+        self._incarnation = incarnation
+        self._grants_by_key: dict[GrantKey, _Grant] = {}
+
+    def ask(
+        self, message: CreditAsk, free_slots: int, capacity: int, now: int
+    ) -> list[Send]:
+        """Answer an ask out of the slots that local demand leaves free.
+
+        Args:
+            message: The ask.
+            free_slots: Free slots of the pool, less its queue.
+            capacity: Slots of the pool that may be used.
+            now: The time.
+        """
+        self.tick(now)
+        if (message.service, message.data_centre) != (self._service, self._data_centre):
+            return []
+        key = GrantKey(message.borrower, message.incarnation, message.ask_id)
+        grant = self._grants_by_key.get(key)
+        if grant is None:
+            count = self._grant_count(message.wanted, free_slots, capacity)
+            grant = self._lend(key, count, now)
+        return [Send(message.borrower, self._message(key, grant.count))]
+
+    def redeem(self, credit: Credit, now: int) -> bool:
+        """Take one unit back with the request that it came with.
+
+        Returns:
+            Whether the request may be taken in; False for a unit that is not known,
+            has lapsed or was redeemed before, and the request has not run.
+        """
+        self.tick(now)
+        if (credit.lender, credit.lender_incarnation) != (
+            self._instance,
+            self._incarnation,
+        ):
+            return False
+        grant = self._grants_by_key.get(credit.grant)
+        if grant is None or credit.unit not in grant.units:
+            return False
+        grant.units.remove(credit.unit)
+        return True
+
+    def lent(self, now: int) -> int:
+        """Return how many units may still arrive."""
+        self.tick(now)
+        return sum(len(grant.units) for grant in self._grants_by_key.values())
+
+    def tick(self, now: int) -> None:
+        """Forget the grants whose time has passed."""
+        lapsed = [k for k, grant in self._grants_by_key.items() if grant.until <= now]
+        for key in lapsed:
+            del self._grants_by_key[key]
+
+    def next_wake(self) -> int | None:
+        """Return when :meth:`tick` has something to do; None if never."""
+        return min((g.until for g in self._grants_by_key.values()), default=None)
+
+    def _grant_count(self, wanted: int, free_slots: int, capacity: int) -> int:
+        lent = sum(len(grant.units) for grant in self._grants_by_key.values())
+        reserve = -(-capacity * self._settings.credit_reserve_percent // 100)
+        lendable = free_slots - reserve - lent
+        if lendable <= 0 or wanted <= 0:
+            return 0
+        return min(wanted, self._settings.credit_ask_max, max(1, lendable // 2))
+
+    def _lend(self, key: GrantKey, count: int, now: int) -> _Grant:
+        settings = self._settings
+        until = now + settings.credit_lease_ms + settings.credit_margin_ms
+        grant = _Grant(count, set(range(count)), until)
+        self._grants_by_key[key] = grant
+        return grant
+
+    def _message(self, key: GrantKey, count: int) -> CreditGrant:
+        return CreditGrant(
+            self._service,
+            self._data_centre,
+            self._instance,
+            self._incarnation,
+            key.incarnation,
+            key.ask_id,
+            count,
+            self._settings.credit_lease_ms,
+        )
--- /dev/null
+++ b/sequoiahook/decisions/placement/placement.py
@@ -0,0 +1,192 @@
+"""The choice of data centres for a request, in order of preference."""
+
+import random
+from typing import NamedTuple, Protocol
+
+from sequoiahook.decisions.placement.holder import CreditHolder, PoolKey
+from sequoiahook.decisions.placement.settings import PlacementSettings
+from sequoiahook.decisions.placement.summaries import Summaries
+from sequoiahook.messages.pools import PoolSummary
+from sequoiahook.world.configuration import Configuration
+
+__all__ = ["LinkRoom", "Place", "Placement"]
+
+PERCENT = 100
+
+
+class Place(NamedTuple):
+    """A data centre that a request may go to.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        shift_name: The planned shift whose cap must be reserved first; None if the
+            request does not move by a plan.
+        needs_credit: Whether a unit of credit must be spent first.
+    """
+
+    data_centre: str
+    shift_name: str | None
+    needs_credit: bool
+
+
+class LinkRoom(Protocol):
+    """Tells whether the link between two data centres has bytes left."""
+
+    def has_room(self, source: str, destination: str, now: int) -> bool:
+        """Return whether a request may be sent from one to the other."""
+
+
+class Placement:
+    """Chooses data centres for the requests that arrive at one instance.
+
+    The choice is a preference only: credit, caps and the pool's owner decide whether a
+    request may go there.
+
+    Args:
+        settings: Settings of the choice.
+        data_centre: Data centre of this instance.
+        rng: Source of randomness, for the phase of shares.
+        links: Link budgets; None if links have no limit.
+    """
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        data_centre: str,
+        rng: random.Random,
+        links: LinkRoom | None = None,
+    ):
+        self._settings = settings
+        self._data_centre = data_centre
+        self._rng = rng
+        self._links = links
+        self._configuration: Configuration | None = None
+        self._delay_by_data_centre: dict[str, int] = {}
+        self._summaries = Summaries(settings)
+        self._phase_by_shift: dict[str, int] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the configuration in force."""
+        self._configuration = configuration
+        self._delay_by_data_centre = _delays(
+            configuration, self._data_centre, self._settings.inside_region_ms
+        )
+        self._phase_by_shift = {
+            name: self._phase_by_shift.get(name, self._rng.randrange(PERCENT))
+            for name in configuration.shifts_by_name
+        }
+
+    def summarised(self, message: PoolSummary, now: int) -> None:
+        """Take the summary of a pool."""
+        self._summaries.add(message, now)
+
+    def owner_by_pool(self, now: int) -> dict[PoolKey, str]:
+        """Return the owner of each pool, as the summaries tell."""
+        return self._summaries.owner_by_pool(now)
+
+    def choose(
+        self,
+        service_name: str,
+        deadline_left_ms: int,
+        holder: CreditHolder,
+        now: int,
+    ) -> list[Place]:
+        """Return where a request may go, best first.
+
+        The own data centre is always among them, since its owner refuses at once what
+        it cannot run. Places that need credit are named only while there is some;
+        where more would help it is noted with the holder.
+
+        Args:
+            service_name: Name of the service.
+            deadline_left_ms: How long the caller still waits.
+            holder: Credit of this instance.
+            now: The time.
+        """
+        own = Place(self._data_centre, None, False)
+        own_ms = self._cost_ms(service_name, self._data_centre, now)
+        places = self._spill(service_name, own_ms, deadline_left_ms, holder, now)
+        ordered = [place for cost_ms, place in places if cost_ms < own_ms]
+        planned = self._planned(service_name, holder, now)
+        return [*planned, *ordered, own]
+
+    def _planned(
+        self, service_name: str, holder: CreditHolder, now: int
+    ) -> list[Place]:
+        places = []
+        for shift in self._configuration.shifts_by_name.values():
+            if (shift.service, shift.source) != (service_name, self._data_centre):
+                continue
+            phase = self._phase_by_shift[shift.name] + shift.share_percent
+            self._phase_by_shift[shift.name] = phase % PERCENT
+            if phase < PERCENT or shift.destination == self._data_centre:
+                continue
+            if self._may_send(service_name, shift.destination, holder, now):
+                places.append(Place(shift.destination, shift.name, True))
+        return places
+
+    def _spill(
+        self,
+        service_name: str,
+        own_ms: float,
+        deadline_left_ms: int,
+        holder: CreditHolder,
+        now: int,
+    ) -> list[tuple[float, Place]]:
+        places = []
+        for data_centre in self._delay_by_data_centre:
+            if data_centre == self._data_centre:
+                continue
+            cost_ms = self._cost_ms(service_name, data_centre, now)
+            service_ms = self._summaries.service_time_ms(
+                PoolKey(service_name, data_centre), now
+            )
+            gain_ms = own_ms - cost_ms
+            if gain_ms < self._settings.spill_gain_ms:
+                continue
+            if cost_ms + service_ms >= deadline_left_ms:
+                continue
+            if self._may_send(service_name, data_centre, holder, now):
+                places.append((cost_ms, Place(data_centre, None, True)))
+        return sorted(places)
+
+    def _may_send(
+        self, service_name: str, data_centre: str, holder: CreditHolder, now: int
+    ) -> bool:
+        pool = PoolKey(service_name, data_centre)
+        if self._links is not None and not self._links.has_room(
+            self._data_centre, data_centre, now
+        ):
+            return False
+        holder.want(pool)
+        return holder.count(pool, now) > 0
+
+    def _cost_ms(self, service_name: str, data_centre: str, now: int) -> float:
+        wait_ms = self._summaries.wait_ms(PoolKey(service_name, data_centre), now)
+        if wait_ms is None:
+            wait_ms = 0 if data_centre == self._data_centre else float("inf")
+        return wait_ms + 2 * self._delay_by_data_centre[data_centre]
+
+
+def _delays(
+    configuration: Configuration, own: str, inside_region_ms: int
+) -> dict[str, int]:
+    own_region = configuration.region_of(own)
+    delay_by_data_centre = {}
+    for data_centre in configuration.data_centres_by_name.values():
+        if data_centre.name == own:
+            delay_by_data_centre[own] = 0
+        elif data_centre.region == own_region:
+            delay_by_data_centre[data_centre.name] = inside_region_ms
+        else:
+            delay = _link_delay(configuration, own_region, data_centre.region)
+            if delay is not None:
+                delay_by_data_centre[data_centre.name] = delay
+    return delay_by_data_centre
+
+
+def _link_delay(configuration: Configuration, one: str, other: str) -> int | None:
+    for link in configuration.links_by_name.values():
+        if set(link.regions) == {one, other}:
+            return link.one_way_ms
+    return None
--- /dev/null
+++ b/sequoiahook/decisions/pool/pool.py
@@ -0,0 +1,287 @@
+"""The pool's owner: counts slots, queues fairly, chooses targets, refuses at once.
+
+Every request for the pool's targets passes through the one owner, so its own count of
+running requests is the truth about slots; reports of the targets can only lower it.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Hashable, Iterable, Mapping, Sequence
+
+from sequoiahook.decisions.pool.effects import (
+    PoolEffect,
+    Refuse,
+    RefuseReason,
+    Start,
+    TargetReport,
+)
+from sequoiahook.decisions.pool.estimate import DurationEstimate
+from sequoiahook.decisions.pool.fair_queue import FairQueue, QueuedRequest
+from sequoiahook.decisions.pool.runs import Run, Runs
+from sequoiahook.decisions.pool.settings import PoolSettings
+from sequoiahook.decisions.pool.target_set import TargetSet
+from sequoiahook.world.target import Target
+
+__all__ = ["Pool"]
+
+
+class Pool:
+    """Decides where and when each request of one service runs in one data centre.
+
+    Every method that may free a slot or bring work returns the effects to carry out,
+    in order.
+
+    Args:
+        settings: Settings of the pool.
+        service_name: Name of the service.
+        rng: Source of randomness for ties.
+    """
+
+    def __init__(self, settings: PoolSettings, service_name: str, rng: random.Random):
+        self.service_name = service_name
+        self._settings = settings
+        self._queue = FairQueue()
+        self._runs = Runs(settings)
+        self._targets = TargetSet(settings, rng)
+        self._duration = DurationEstimate(settings.service_time_ms)
+        self._duration_by_organisation: dict[str, DurationEstimate] = {}
+        self._blocked_until: int | None = None
+
+    def configure(
+        self, targets: Sequence[Target], warm_up_ms: int, now: int
+    ) -> list[PoolEffect]:
+        """Take the targets of the configuration in force.
+
+        The first call is taken to name warm targets; those that a later call adds
+        warm up. A target that is no longer named gets nothing new, and what it runs
+        still counts.
+
+        Args:
+            targets: All targets of the pool; those of other services are ignored.
+            warm_up_ms: Time over which an added target is brought to its slots.
+            now: The time.
+        """
+        own = [target for target in targets if target.service == self.service_name]
+        self._targets.configure(own, warm_up_ms, now)
+        return self._advance(now)
+
+    def set_shares(self, share_by_organisation: Mapping[str, float]) -> None:
+        """Set how slot time is divided when it is short, such as contract rates."""
+        self._queue.set_shares(dict(share_by_organisation))
+
+    def set_leaving(self, target_names: Iterable[str], now: int) -> list[PoolEffect]:
+        """Take the platform's list of leaving targets, which may lag."""
+        self._targets.set_leaving(set(target_names))
+        return self._advance(now)
+
+    def target_says_leaving(self, target_name: str, now: int) -> list[PoolEffect]:
+        """Take a target's own word that it leaves, which beats the list."""
+        self._targets.says_leaving(target_name, now)
+        return self._advance(now)
+
+    def target_says_serving(self, target_name: str, now: int) -> list[PoolEffect]:
+        """Take a target's word that it serves; ignored soon after the opposite."""
+        self._targets.says_serving(target_name, now)
+        return self._advance(now)
+
+    def report_load(
+        self, target_name: str, load_percent: int, now: int
+    ) -> list[PoolEffect]:
+        """Take a target's report of its load; it can only lower what it gets."""
+        self._targets.report_load(target_name, load_percent, now)
+        return self._advance(now)
+
+    def take_over(
+        self,
+        now: int,
+        previous_may_run_until_ms: int,
+        running_by_target: Mapping[str, int] | None = None,
+    ) -> list[PoolEffect]:
+        """Begin after another owner, whose work may still run at the targets.
+
+        Args:
+            now: The time.
+            previous_may_run_until_ms: When the last of that work has ended at the
+                latest, on this clock.
+            running_by_target: How much runs at each target, as handed over; None if
+                it is not known, and then nothing starts before that time.
+        """
+        if running_by_target is None:
+            known = self._blocked_until or now
+            self._blocked_until = max(known, previous_may_run_until_ms)
+        else:
+            for name, count in running_by_target.items():
+                address = self._targets.address_of(name)
+                self._runs.inherit(address, count, previous_may_run_until_ms)
+        return self._advance(now)
+
+    def running_by_target(self) -> dict[str, int]:
+        """Return how much runs at each target, to hand over to the next owner."""
+        return dict(Counter(run.target_name for run in self._runs))
+
+    def submit(
+        self, request_id: Hashable, organisation: str, deadline_at: int, now: int
+    ) -> list[PoolEffect]:
+        """Take a request: it is started, queued, or refused at once.
+
+        An id that is queued or running is ignored.
+
+        Args:
+            request_id: Any hashable value, unique among queued and running requests.
+            organisation: Whose slot time it takes.
+            deadline_at: When its caller stops waiting.
+            now: The time.
+        """
+        effects = self._advance(now)
+        if request_id in self._queue or request_id in self._runs:
+            return effects
+        refusal = self._refusal(request_id, organisation, deadline_at, now)
+        if refusal is not None:
+            return [*effects, refusal]
+        cost_ms = self._cost_ms(organisation)
+        start_by = self._start_by(deadline_at, cost_ms)
+        self._queue.push(
+            QueuedRequest(request_id, organisation, deadline_at, start_by, cost_ms)
+        )
+        return effects + self._advance(now)
+
+    def finish(
+        self, request_id: Hashable, result: TargetReport, now: int
+    ) -> list[PoolEffect]:
+        """Return a started request's slot and learn from its result."""
+        run = self._runs.end(request_id)
+        if run is not None:
+            self._learn(run, result, now)
+        return self._advance(now)
+
+    def cancel(self, request_id: Hashable, now: int) -> list[PoolEffect]:
+        """Drop a request whose caller has left.
+
+        A queued one is forgotten. A started one keeps its slot until its end is
+        reported, since the target may still run it.
+        """
+        self._queue.remove(request_id)
+        return self._advance(now)
+
+    def tick(self, now: int) -> list[PoolEffect]:
+        """Do what is due."""
+        return self._advance(now)
+
+    def next_wake(self, now: int) -> int | None:
+        """Return when :meth:`tick` has something to do; None if never."""
+        wakes = [self._queue.next_expiry(), self._runs.next_expiry()]
+        if len(self._queue):
+            wakes.append(self._targets.next_change(now))
+            wakes.append(self._blocked_until)
+        return min((wake for wake in wakes if wake is not None), default=None)
+
+    def queue_length(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def free_slots(self, now: int) -> int:
+        """Return how many requests could start at once."""
+        if self._is_blocked(now):
+            return 0
+        return self._targets.free_slots(self._runs, now)
+
+    def capacity(self, now: int) -> int:
+        """Return how many requests the open targets may run together."""
+        return self._targets.capacity(now)
+
+    def service_time_ms(self) -> float:
+        """Return the estimate of how long a request runs."""
+        return self._duration.mean_ms
+
+    def wait_ms(self, organisation: str, now: int) -> int | None:
+        """Return how long a new request would wait; None if no target is open."""
+        opens_at = self._opens_at(now)
+        if opens_at is None:
+            return None
+        if not len(self._queue) and self.free_slots(now):
+            return 0
+        capacity = max(1, self._targets.capacity(max(now, opens_at)))
+        work_ms = self._queue.work_ahead_ms(organisation) + self._duration.mean_ms
+        return opens_at - now + int(work_ms / capacity)
+
+    def _opens_at(self, now: int) -> int | None:
+        if self._targets.capacity(now):
+            opens_at = now
+        else:
+            opens_at = self._targets.next_change(now)
+            if opens_at is None:
+                return None
+        return max(opens_at, self._blocked_until) if self._is_blocked(now) else opens_at
+
+    def _refusal(
+        self, request_id: Hashable, organisation: str, deadline_at: int, now: int
+    ) -> Refuse | None:
+        settings = self._settings
+        wait_ms = self.wait_ms(organisation, now)
+        if wait_ms is None:
+            return self._refuse(request_id, RefuseReason.NO_TARGET, 0)
+        start_by = self._start_by(deadline_at, self._cost_ms(organisation))
+        late_ms = now + wait_ms - start_by
+        if late_ms >= 0 and (wait_ms > 0 or now >= start_by):
+            return self._refuse(request_id, RefuseReason.DEADLINE, late_ms)
+        is_full = len(self._queue) >= settings.queue_length_max
+        length = self._queue.length_of(organisation)
+        if is_full or length >= settings.organisation_queue_length_max:
+            return self._refuse(request_id, RefuseReason.QUEUE_FULL, wait_ms)
+        return None
+
+    def _refuse(self, request_id: Hashable, reason: str, wait_ms: int) -> Refuse:
+        wait_ms = max(wait_ms, self._settings.retry_after_min_ms)
+        return Refuse(request_id, reason, wait_ms)
+
+    def _start_by(self, deadline_at: int, cost_ms: float) -> int:
+        return deadline_at - max(self._settings.refuse_margin_ms, int(cost_ms))
+
+    def _cost_ms(self, organisation: str) -> float:
+        duration = self._duration_by_organisation.get(organisation, self._duration)
+        return duration.mean_ms
+
+    def _learn(self, run: Run, result: TargetReport, now: int) -> None:
+        duration_ms = max(0, result.duration_ms)
+        self._queue.charge(run.organisation, duration_ms - run.cost_ms)
+        self._targets.learn(run.target_name, result, now)
+        if not result.is_success:
+            return
+        self._duration.add(duration_ms)
+        own = self._duration_by_organisation.get(run.organisation)
+        if own is None:
+            own = DurationEstimate(self._duration.mean_ms)
+            self._duration_by_organisation[run.organisation] = own
+        own.add(duration_ms)
+
+    def _is_blocked(self, now: int) -> bool:
+        return self._blocked_until is not None and now < self._blocked_until
+
+    def _advance(self, now: int) -> list[PoolEffect]:
+        self._runs.expire(now)
+        effects = [
+            self._refuse(request.request_id, RefuseReason.DEADLINE, 0)
+            for request in self._queue.pop_expired(now)
+        ]
+        if self._opens_at(now) is None:
+            return effects + self._refuse_all()
+        if self._is_blocked(now):
+            return effects
+        self._blocked_until = None
+        while len(self._queue):
+            target_name = self._targets.choose(self._runs, now)
+            if target_name is None:
+                break
+            effects.append(self._start(self._queue.pop(), target_name))
+        return effects
+
+    def _refuse_all(self) -> list[PoolEffect]:
+        return [
+            self._refuse(request.request_id, RefuseReason.NO_TARGET, 0)
+            for request in self._queue.pop_all()
+        ]
+
+    def _start(self, request: QueuedRequest, target_name: str) -> Start:
+        address = self._targets.address_of(target_name)
+        self._runs.begin(request, target_name, address)
+        return Start(request.request_id, target_name)
