--- /dev/null
+++ b/sequoiahook/daemons/http_client.py
@@ -0,0 +1,216 @@
+"""A small HTTP/1.1 client on asyncio and h11 with kept-alive connections."""
+
+import asyncio
+from typing import NamedTuple
+
+import h11
+
+from sequoiahook.errors import SequoiahookError
+
+__all__ = [
+    "HttpAnswerLostError",
+    "HttpClient",
+    "HttpClientSettings",
+    "HttpNotSentError",
+    "HttpResponse",
+]
+
+READ_BYTES = 65_536
+MS_PER_S = 1000
+
+
+class HttpNotSentError(SequoiahookError):
+    """No byte of the request was sent."""
+
+
+class HttpAnswerLostError(SequoiahookError):
+    """The request was sent, at least in part, and no whole answer came."""
+
+
+class HttpClientSettings(NamedTuple):
+    """Settings of a client.
+
+    Attributes:
+        host: IP number of the server.
+        port: TCP port of the server.
+        connections_max: Most connections at a time; further requests wait.
+        connect_timeout_ms: Longest wait for a connection, free slot included.
+        body_bytes_max: Largest body that is accepted.
+    """
+
+    host: str
+    port: int
+    connections_max: int = 8
+    connect_timeout_ms: int = 1000
+    body_bytes_max: int = 4_000_000
+
+
+class HttpResponse(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Header values by lower-case name.
+        body: The body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpClient:
+    """Sends requests to one server.
+
+    A connection goes back to the pool only after a whole exchange; one with an
+    abandoned exchange is closed, so that no answer reaches another request.
+    """
+
+    def __init__(self, settings: HttpClientSettings):
+        self._settings = settings
+        self._idle: list[_Connection] = []
+        self._slots = asyncio.Semaphore(settings.connections_max)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        *,
+        timeout_ms: int,
+        fresh: bool = False,
+    ) -> HttpResponse:
+        """Send a request and read the whole answer.
+
+        Args:
+            method: The HTTP method.
+            target: Path and query.
+            headers: Headers besides host and content-length.
+            body: The body.
+            timeout_ms: Longest wait for the answer once connected.
+            fresh: Whether to open a new connection, since the loss of a kept one
+                would leave open whether the request ran.
+
+        Raises:
+            HttpNotSentError: If nothing was sent.
+            HttpAnswerLostError: If the answer did not come whole and in time.
+        """
+        connection = await self._connection(fresh)
+        is_reusable = False
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                response = await connection.exchange(
+                    self._head(method, target, headers, body), body
+                )
+            is_reusable = connection.start_next()
+            return response
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            raise HttpAnswerLostError(f"no whole answer: {error!r}") from error
+        finally:
+            self._release(connection, is_reusable)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _connection(self, fresh: bool) -> "_Connection":
+        settings = self._settings
+        try:
+            async with asyncio.timeout(settings.connect_timeout_ms / MS_PER_S):
+                await self._slots.acquire()
+                try:
+                    return self._take_idle(fresh) or await self._open()
+                except BaseException:
+                    self._slots.release()
+                    raise
+        except (OSError, TimeoutError) as error:
+            place = f"{settings.host}:{settings.port}"
+            raise HttpNotSentError(f"no connection to {place}: {error!r}") from error
+
+    def _take_idle(self, fresh: bool) -> "_Connection | None":
+        if fresh:
+            return None
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_closed():
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self) -> "_Connection":
+        settings = self._settings
+        reader, writer = await asyncio.open_connection(settings.host, settings.port)
+        return _Connection(reader, writer, settings.body_bytes_max)
+
+    def _release(self, connection: "_Connection", is_reusable: bool) -> None:
+        if is_reusable and len(self._idle) < self._settings.connections_max:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        self._slots.release()
+
+    def _head(self, method, target, headers, body) -> h11.Request:
+        fields = [("host", f"{self._settings.host}:{self._settings.port}")]
+        fields.extend(headers.items())
+        if body:
+            fields.append(("content-length", str(len(body))))
+        return h11.Request(method=method, target=target, headers=fields)
+
+
+class _Connection:
+    def __init__(self, reader, writer, body_bytes_max: int):
+        self._reader = reader
+        self._writer = writer
+        self._body_bytes_max = body_bytes_max
+        self._state = h11.Connection(h11.CLIENT)
+
+    def is_closed(self) -> bool:
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    def close(self) -> None:
+        self._writer.close()
+
+    def start_next(self) -> bool:
+        try:
+            self._state.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def exchange(self, head: h11.Request, body: bytes) -> HttpResponse:
+        data = self._state.send(head)
+        if body:
+            data += self._state.send(h11.Data(data=body))
+        self._writer.write(data + self._state.send(h11.EndOfMessage()))
+        await self._writer.drain()
+        return await self._read_response()
+
+    async def _read_response(self) -> HttpResponse:
+        head = None
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._body_bytes_max:
+                    raise h11.RemoteProtocolError("the body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return _response(head, bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the answer")
+
+    async def _next_event(self):
+        while True:
+            event = self._state.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._state.receive_data(await self._reader.read(READ_BYTES))
+
+
+def _response(head: h11.Response, body: bytes) -> HttpResponse:
+    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+    return HttpResponse(head.status_code, headers, body)
--- /dev/null
+++ b/sequoiahook/daemons/platform_client.py
@@ -0,0 +1,271 @@
+"""The client of the platform's object API and list of instances."""
+
+import json
+from typing import Any, NamedTuple
+from urllib.parse import quote, urlencode
+
+from sequoiahook.daemons.http_client import (
+    HttpAnswerLostError,
+    HttpClient,
+    HttpClientSettings,
+    HttpNotSentError,
+    HttpResponse,
+)
+from sequoiahook.errors import (
+    CheckError,
+    Finding,
+    PlatformAnswerLostError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from sequoiahook.options import Section, parse_json
+from sequoiahook.world.instance import Address, read_address
+
+__all__ = [
+    "InstanceEntry",
+    "InstanceList",
+    "ObjectVersion",
+    "PlatformClient",
+    "PlatformSettings",
+    "read_platform_settings",
+]
+
+VERSION_MAX = 2**53
+PORT_MAX = 65535
+TIMEOUT_MS_MAX = 60_000
+CONNECTIONS_MAX = 64
+ANSWER_BYTES_MAX = 4_000_000
+INSTANCE_STATES = ("live", "leaving")
+
+
+class PlatformSettings(NamedTuple):
+    """Settings of the client.
+
+    Attributes:
+        host: IP number of the platform's service.
+        port: Its TCP port.
+        instance: Name of the calling instance.
+        token: Bearer token; empty for none.
+        timeout_ms: Longest wait for an answer, beyond the time a watch waits.
+        connections_max: Most connections at a time.
+    """
+
+    host: str
+    port: int
+    instance: str
+    token: str = ""
+    timeout_ms: int = 1000
+    connections_max: int = 8
+
+
+def read_platform_settings(section: Section, instance: str) -> PlatformSettings:
+    """Read the client's settings."""
+    return PlatformSettings(
+        section.string("host"),
+        section.integer("port", low=1, high=PORT_MAX),
+        instance,
+        section.string("token", default=""),
+        section.integer("timeout_ms", low=1, high=TIMEOUT_MS_MAX, default=1000),
+        section.integer("connections_max", low=1, high=CONNECTIONS_MAX, default=8),
+    )
+
+
+class ObjectVersion(NamedTuple):
+    """An object as it was read.
+
+    Attributes:
+        version: Version of the object, 1 or more.
+        value: Its JSON value.
+    """
+
+    version: int
+    value: Any
+
+
+class InstanceEntry(NamedTuple):
+    """What the platform's list says about an instance.
+
+    Attributes:
+        name: Unique name.
+        state: ``live`` or ``leaving``.
+        data_centre: Name of its data centre.
+        caller_address: Where callers connect.
+        link_address: Where other instances connect.
+    """
+
+    name: str
+    state: str
+    data_centre: str
+    caller_address: Address
+    link_address: Address
+
+
+class InstanceList(NamedTuple):
+    """The platform's lagging list of instances.
+
+    Attributes:
+        version: Grows with each change of the list.
+        instances: The entries, sorted by name.
+    """
+
+    version: int
+    instances: tuple[InstanceEntry, ...]
+
+
+class PlatformClient:
+    """Calls the platform.
+
+    Every method raises PlatformUnavailableError if the call certainly had no effect,
+    and CheckError, with the place, if the answer is malformed.
+    """
+
+    def __init__(self, settings: PlatformSettings):
+        self._settings = settings
+        self._http = HttpClient(
+            HttpClientSettings(
+                settings.host,
+                settings.port,
+                settings.connections_max,
+                settings.timeout_ms,
+                ANSWER_BYTES_MAX,
+            )
+        )
+        self._headers = {"instance": settings.instance}
+        if settings.token:
+            self._headers["authorization"] = f"Bearer {settings.token}"
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._http.close()
+
+    async def get(self, name: str) -> ObjectVersion | None:
+        """Read an object; None if it does not exist."""
+        response = await self._read(_target(name))
+        if response.status == 404:
+            return None
+        return _object(name, response)
+
+    async def watch(self, name: str, after: int, wait_ms: int) -> ObjectVersion | None:
+        """Wait for an object to pass a version; None if it did not in time.
+
+        Args:
+            name: Name of the object.
+            after: The version to pass; 0 also waits for an object to come.
+            wait_ms: How long the platform waits, in milliseconds.
+        """
+        query = {"after": after, "wait_ms": wait_ms}
+        response = await self._read(f"{_target(name)}?{urlencode(query)}", wait_ms)
+        if response.status in (304, 404):
+            return None
+        return _object(name, response)
+
+    async def put(self, name: str, value: Any, if_version: int) -> int:
+        """Write an object if it is at a version.
+
+        Args:
+            name: Name of the object.
+            value: Any JSON value.
+            if_version: The version it must have; 0 means that it must not exist.
+
+        Returns:
+            The new version.
+
+        Raises:
+            VersionConflictError: If it is at another version.
+            PlatformAnswerLostError: If the write may have taken effect.
+        """
+        headers = {**self._headers, "if-version": str(if_version)}
+        body = json.dumps(value, separators=(",", ":")).encode()
+        try:
+            response = await self._http.request(
+                "PUT",
+                _target(name),
+                headers,
+                body,
+                timeout_ms=self._settings.timeout_ms,
+                fresh=True,
+            )
+        except HttpNotSentError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        except HttpAnswerLostError as error:
+            raise PlatformAnswerLostError(str(error)) from error
+        return _written_version(name, response)
+
+    async def instances(self, after: int | None = None, wait_ms: int = 0):
+        """Read the list of instances, at once or when it passes a version.
+
+        Returns:
+            An InstanceList; None if it did not pass the version in time.
+        """
+        target = "/instances"
+        if after is not None:
+            target = f"/instances?{urlencode({'after': after, 'wait_ms': wait_ms})}"
+        response = await self._read(target, wait_ms)
+        if response.status == 304:
+            return None
+        return _instance_list(response)
+
+    async def _read(self, target: str, wait_ms: int = 0) -> HttpResponse:
+        timeout_ms = self._settings.timeout_ms + wait_ms
+        try:
+            response = await self._http.request(
+                "GET", target, self._headers, timeout_ms=timeout_ms
+            )
+        except (HttpNotSentError, HttpAnswerLostError) as error:
+            raise PlatformUnavailableError(str(error)) from error
+        if response.status not in (200, 304, 404):
+            raise PlatformUnavailableError(f"status {response.status}")
+        return response
+
+
+def _target(name: str) -> str:
+    return f"/objects/{quote(name, safe='')}"
+
+
+def _object(name: str, response: HttpResponse) -> ObjectVersion:
+    document = parse_json(response.body)
+    section = Section(document, name)
+    version = section.integer("version", low=1, high=VERSION_MAX)
+    if not section.has("value"):
+        section.report("value", "is required")
+    if section.findings:
+        raise CheckError(section.findings)
+    return ObjectVersion(version, document["value"])
+
+
+def _written_version(name: str, response: HttpResponse) -> int:
+    if response.status == 413:
+        raise CheckError([Finding(name, "is larger than the platform accepts")])
+    if response.status in (401, 403, 503):
+        raise PlatformUnavailableError(f"status {response.status}")
+    if response.status not in (200, 412):
+        raise PlatformAnswerLostError(f"status {response.status}")
+    try:
+        section = Section(parse_json(response.body), name)
+        version = section.integer("version", low=0, high=VERSION_MAX)
+        if section.findings:
+            raise CheckError(section.findings)
+    except CheckError as error:
+        raise PlatformAnswerLostError(f"malformed answer: {error}") from error
+    if response.status == 412:
+        raise VersionConflictError(name, version)
+    return version
+
+
+def _instance_list(response: HttpResponse) -> InstanceList:
+    section = Section(parse_json(response.body), "instances")
+    version = section.integer("version", low=0, high=VERSION_MAX)
+    entries = section.each("instances", _instance_entry)
+    if section.findings:
+        raise CheckError(section.findings)
+    return InstanceList(version, tuple(sorted(entries)))
+
+
+def _instance_entry(section: Section) -> InstanceEntry:
+    return InstanceEntry(
+        section.string("name"),
+        section.choice("state", INSTANCE_STATES),
+        section.string("data_centre"),
+        read_address(section.section("caller_address")),
+        read_address(section.section("link_address")),
+    )
--- /dev/null
+++ b/sequoiahook/decisions/call_book.py
@@ -0,0 +1,50 @@
+"""Numbers platform calls, and keeps which are waiting and which are under way."""
+
+import itertools
+from collections.abc import Iterator
+
+from sequoiahook.decisions.platform_calls import PlatformCall
+
+__all__ = ["CallBook"]
+
+
+class CallBook:
+    """The platform calls of one part.
+
+    Args:
+        at_once: Most calls under way at a time; further ones wait.
+        ids: Source of call ids, shared by the books of one part.
+    """
+
+    def __init__(self, at_once: int, ids: Iterator[int] | None = None):
+        self._at_once = at_once
+        self._ids = itertools.count(1) if ids is None else ids
+        self._waiting: list[PlatformCall] = []
+        self._under_way_by_id: dict[int, PlatformCall] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is waiting or under way."""
+        return not self._waiting and not self._under_way_by_id
+
+    def add(self, kind: type, *fields) -> int:
+        """Add a call of a kind, with its fields after the id; return its id."""
+        call = kind(next(self._ids), *fields)
+        self._waiting.append(call)
+        return call.call_id
+
+    def due(self) -> list[PlatformCall]:
+        """Return the calls to make now; they are under way from here on."""
+        count = self._at_once - len(self._under_way_by_id)
+        calls, self._waiting = self._waiting[:count], self._waiting[count:]
+        self._under_way_by_id.update((call.call_id, call) for call in calls)
+        return calls
+
+    def take(self, call_id: int) -> PlatformCall | None:
+        """Remove a call that was answered; None if it was abandoned."""
+        return self._under_way_by_id.pop(call_id, None)
+
+    def abandon(self) -> None:
+        """Forget all calls; their answers are not taken."""
+        self._waiting.clear()
+        self._under_way_by_id.clear()
--- /dev/null
+++ b/sequoiahook/decisions/configuration/fetching.py
@@ -0,0 +1,101 @@
+"""Gathers the pieces of the newest root from instances and the platform."""
+
+from collections.abc import Iterator
+
+from sequoiahook.decisions.call_book import CallBook
+from sequoiahook.decisions.configuration.root import Root
+from sequoiahook.decisions.configuration.store import piece_object_name
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.platform_calls import PlatformCall, ReadObject
+from sequoiahook.messages.configuration import PieceRequest
+
+__all__ = ["PLATFORM", "PieceFetcher"]
+
+PLATFORM = ""
+CALLS_AT_ONCE = 8
+DIGESTS_AT_ONCE = 64
+
+
+class PieceFetcher:
+    """Asks one source after the other until no piece is missing.
+
+    Args:
+        timeout_ms: When to turn to the next source.
+        ids: Source of call ids.
+
+    Attributes:
+        root: The root that is sought; None if nothing is.
+    """
+
+    def __init__(self, timeout_ms: int, ids: Iterator[int]):
+        self._timeout_ms = timeout_ms
+        self._calls = CallBook(CALLS_AT_ONCE, ids)
+        self.root: Root | None = None
+        self._sources: list[str] = []
+        self._ask_again_at: int | None = None
+
+    @property
+    def source(self) -> str:
+        """The source that is asked now, or was asked last."""
+        return self._sources[0]
+
+    def offer(self, root: Root, source: str) -> None:
+        """Take that a source, an instance or PLATFORM, has a root's pieces."""
+        if self.root is None or root.number > self.root.number:
+            self.stop()
+            self.root = root
+        if root.number == self.root.number and source not in self._sources:
+            self._sources.append(source)
+
+    def stop(self) -> None:
+        """Seek nothing."""
+        self.root = None
+        self._sources = []
+        self._ask_again_at = None
+        self._calls.abandon()
+
+    def rest(self) -> None:
+        """Ask nothing more for now, since no piece is missing."""
+        self._ask_again_at = None
+
+    def next_wake(self) -> int | None:
+        """Return when to ask again; None if nothing is sought."""
+        return self._ask_again_at
+
+    def take(self, call_id: int) -> PlatformCall | None:
+        """Remove a platform call of this part that was answered."""
+        return self._calls.take(call_id)
+
+    def ask(self, missing: list[str], now: int, *, is_progress: bool = False) -> list:
+        """Ask for missing pieces, unless a question is still open.
+
+        Args:
+            missing: Digests that are missing now.
+            now: The time in milliseconds.
+            is_progress: Whether pieces have just come, so that the same source is
+                asked for further ones at once.
+        """
+        if not self._calls.is_idle and (is_progress or not self._is_due(now)):
+            return self._calls.due()
+        if not is_progress:
+            if not self._is_due(now):
+                return []
+            self._turn()
+        self._ask_again_at = now + self._timeout_ms
+        return self._ask(self._sources[0], missing[:DIGESTS_AT_ONCE])
+
+    def _is_due(self, now: int) -> bool:
+        return self._ask_again_at is None or now >= self._ask_again_at
+
+    def _turn(self) -> None:
+        """Turn to the next source, after the first time."""
+        self._calls.abandon()
+        if self._ask_again_at is not None:
+            self._sources.append(self._sources.pop(0))
+
+    def _ask(self, source: str, digests: list[str]) -> list:
+        if source != PLATFORM:
+            return [Send(source, PieceRequest(tuple(digests)))]
+        for digest in digests:
+            self._calls.add(ReadObject, piece_object_name(digest))
+        return self._calls.due()
--- /dev/null
+++ b/sequoiahook/decisions/configuration/patch.py
@@ -0,0 +1,89 @@
+"""Patches against a numbered configuration, and what became of them."""
+
+from typing import Any, NamedTuple
+
+from sequoiahook.errors import CheckError, Finding
+from sequoiahook.options import Section
+
+__all__ = [
+    "Accepted",
+    "Invalid",
+    "Outcome",
+    "OutcomeUnknown",
+    "Patch",
+    "Stale",
+    "read_patch",
+]
+
+NUMBER_MAX = 2**53
+
+
+class Patch(NamedTuple):
+    """A change that an operator asks for.
+
+    Attributes:
+        id: Unique id; a repeat with the same id is never applied twice.
+        against: The number of the configuration that it was made for.
+        changes: JSON merge patch (RFC 7396) of the document; None to ask only what
+            became of the patch.
+    """
+
+    id: str
+    against: int
+    changes: dict[str, Any] | None
+
+
+class Accepted(NamedTuple):
+    """The patch made the configuration of this number."""
+
+    number: int
+
+
+class Stale(NamedTuple):
+    """The patch is not applied and never will be; the current number is given."""
+
+    current: int
+
+
+class Invalid(NamedTuple):
+    """The patch is not applied; every finding is given with its place."""
+
+    findings: tuple[Finding, ...]
+
+
+class OutcomeUnknown(NamedTuple):
+    """The patch may be applied or not, now or later; ask again with the id.
+
+    Attributes:
+        patch_id: The id to ask with.
+        findings: What was found malformed in the platform, if that is the cause.
+    """
+
+    patch_id: str
+    findings: tuple[Finding, ...] = ()
+
+
+Outcome = Accepted | Stale | Invalid | OutcomeUnknown
+
+
+def read_patch(document: Any) -> Patch:
+    """Check the JSON document of a patch.
+
+    Raises:
+        CheckError: With every finding and its place.
+    """
+    section = Section(document)
+    patch = Patch(
+        section.string("id"),
+        section.integer("against", low=0, high=NUMBER_MAX),
+        _changes(section, document),
+    )
+    if section.findings:
+        raise CheckError(section.findings)
+    return patch
+
+
+def _changes(section: Section, document: Any) -> dict[str, Any]:
+    section.section("changes")
+    changes = document.get("changes") if isinstance(document, dict) else None
+    return changes if isinstance(changes, dict) else {}
--- /dev/null
+++ b/sequoiahook/decisions/configuration/patching.py
@@ -0,0 +1,354 @@
+"""Writes one patch to the platform: exactly one outcome, applied at most once.
+
+The root object alone decides. A conditional update of it, against the version at
+which it was read, makes the next number; the root names the id of the patch of each
+number (old ones move to history objects), so that a read tells whether a patch was
+applied. What makes every outcome true:
+
+* A number is given to one patch for ever. Once a root with a higher number than the
+  patch was made for has been seen, the patch was either given the next number or
+  never will be, even if that read was late.
+* After a lost answer the root is read back, and a repeated write has the same
+  condition as the lost one, so that at most one of the two takes effect.
+* A root with a lower number than the patch was made for may be a late read. It is
+  believed only after a write that must fail has told the current version.
+* The id is claimed, by an object that is written once, before the root is written:
+  the same id never stands for two patches.
+"""
+
+import random
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from sequoiahook.decisions.call_book import CallBook
+from sequoiahook.decisions.configuration.merge import merge
+from sequoiahook.decisions.configuration.patch import (
+    Accepted,
+    Invalid,
+    Outcome,
+    OutcomeUnknown,
+    Patch,
+    Stale,
+)
+from sequoiahook.decisions.configuration.patch_objects import (
+    claim_name,
+    claim_of,
+    next_root,
+    objects_before_root,
+    read_claim,
+)
+from sequoiahook.decisions.configuration.root import (
+    EMPTY_ROOT,
+    ROOT_NAME,
+    Root,
+    history_name,
+    read_history,
+    read_root,
+    root_value,
+)
+from sequoiahook.decisions.configuration.store import (
+    SplitDocument,
+    assemble,
+    canonical,
+    digest_of,
+    missing_pieces,
+    piece_object_name,
+    split,
+)
+from sequoiahook.decisions.platform_calls import (
+    CallAnswer,
+    CallAnswerLost,
+    CallMalformed,
+    CallUnavailable,
+    ObjectRead,
+    ObjectWritten,
+    PlatformCall,
+    ReadObject,
+    WriteConflict,
+    WriteObject,
+)
+from sequoiahook.errors import CheckError, Finding
+from sequoiahook.world.configuration import read_configuration
+
+__all__ = ["PatchSettings", "PatchWriter", "Report"]
+
+CALLS_AT_ONCE = 8
+
+
+class PatchSettings(NamedTuple):
+    """Settings of a patch writer.
+
+    Attributes:
+        deadline_ms: When the outcome is reported as unknown at the latest.
+        retry_ms: Wait before a failed call is made again; doubles with each failure.
+        retry_max_ms: Longest wait before a failed call is made again.
+    """
+
+    deadline_ms: int = 8000
+    retry_ms: int = 50
+    retry_max_ms: int = 1000
+
+
+class Report(NamedTuple):
+    """Tell the operator the outcome; returned exactly once by each writer.
+
+    Attributes:
+        patch_id: Id of the patch.
+        outcome: What became of it.
+    """
+
+    patch_id: str
+    outcome: Outcome
+
+
+class PatchWriter:
+    """Applies one patch, or asks what became of one.
+
+    Hand the answer of each platform call to :meth:`answer`; call :meth:`tick` when
+    :meth:`next_wake` says so. Each of them returns platform calls or the report.
+
+    Args:
+        settings: Times.
+        patch: The patch; with ``changes`` of None the writer only asks what became
+            of the id, and writes nothing.
+        known_pieces: Pieces by digest that need not be read; not changed.
+        rng: Source of the spread of retries.
+    """
+
+    def __init__(
+        self,
+        settings: PatchSettings,
+        patch: Patch,
+        known_pieces: Mapping[str, bytes],
+        rng: random.Random,
+    ):
+        self._settings = settings
+        self._patch = patch
+        self._rng = rng
+        self._calls = CallBook(CALLS_AT_ONCE)
+        self._deadline = 0
+        self._retry_at: int | None = None
+        self._failures = 0
+        self._version_floor = 0
+        self._faults: tuple[Finding, ...] = ()
+        self._new: SplitDocument | None = None
+        self._stored_names: set[str] = set()
+        self._is_query = patch.changes is None
+        self.outcome: Outcome | None = None
+        self.root: Root = EMPTY_ROOT
+        self.version = 0
+        self.pieces_by_digest = dict(known_pieces)
+
+    def start(self, now: int) -> list[PlatformCall | Report]:
+        """Begin; call once."""
+        self._deadline = now + self._settings.deadline_ms
+        return self._restart()
+
+    def next_wake(self, now: int) -> int | None:
+        """Return when to call tick; None once the outcome is reported."""
+        if self.outcome is not None:
+            return None
+        if self._retry_at is None:
+            return self._deadline
+        return min(self._deadline, self._retry_at)
+
+    def tick(self, now: int) -> list[PlatformCall | Report]:
+        """Do what is due."""
+        if self.outcome is not None:
+            return []
+        if now >= self._deadline:
+            return self._report(OutcomeUnknown(self._patch.id, self._faults))
+        if self._retry_at is not None and now >= self._retry_at:
+            self._retry_at = None
+            return self._restart()
+        return []
+
+    def answer(self, answer: CallAnswer, now: int) -> list[PlatformCall | Report]:
+        """Take the answer of a call; answers to abandoned calls are ignored."""
+        call = self._calls.take(answer.call_id)
+        if call is None or self.outcome is not None:
+            return []
+        if isinstance(answer, CallUnavailable | CallAnswerLost):
+            return self._retry_later(now)
+        if isinstance(answer, CallMalformed):
+            return self._fault(answer.findings, now)
+        try:
+            return self._proceed(call, answer, now)
+        except CheckError as error:
+            return self._fault(error.findings, now)
+
+    def _restart(self) -> list[PlatformCall]:
+        if self._is_query:
+            return self._call(ReadObject, claim_name(self._patch.id))
+        return self._call(ReadObject, ROOT_NAME)
+
+    def _retry_later(self, now: int) -> list:
+        """Give up on the calls under way and begin again after a while."""
+        self._calls.abandon()
+        settings = self._settings
+        longest = min(settings.retry_max_ms, settings.retry_ms << self._failures)
+        self._failures = min(self._failures + 1, 16)
+        self._retry_at = now + self._rng.randint(longest // 2, longest)
+        return []
+
+    def _fault(self, findings: tuple[Finding, ...], now: int) -> list:
+        """What is stored is malformed; it may be mended before the deadline."""
+        self._faults = findings
+        return self._retry_later(now)
+
+    def _proceed(self, call: PlatformCall, answer: CallAnswer, now: int) -> list:
+        if isinstance(call, ReadObject):
+            return self._on_read(call.name, answer, now)
+        if call.name == ROOT_NAME:
+            return self._on_root_answer(answer)
+        if isinstance(answer, WriteConflict) and call.name == claim_name(
+            self._patch.id
+        ):
+            return self._call(ReadObject, call.name)
+        self._stored_names.add(call.name)
+        return self._next_step()
+
+    def _on_read(self, name: str, answer: ObjectRead, now: int) -> list:
+        if name == ROOT_NAME:
+            return self._on_root(answer, now)
+        if name == claim_name(self._patch.id):
+            return self._on_claim(name, answer, now)
+        if name == history_name(self._patch.against + 1):
+            return self._on_history(name, answer, now)
+        return self._on_piece(name, answer, now)
+
+    def _on_root(self, answer: ObjectRead, now: int) -> list:
+        if answer.version < self._version_floor:
+            return self._retry_later(now)
+        self._version_floor = answer.version
+        self.version = answer.version
+        self.root = read_root(answer.value)
+        self._new = None
+        if self.root.number > self._patch.against:
+            return self._on_later_root()
+        if self._is_query:
+            return self._report(OutcomeUnknown(self._patch.id))
+        if self.root.number < self._patch.against:
+            return self._probe()
+        return self._next_step()
+
+    def _on_later_root(self) -> list:
+        """Tell what became of a patch whose next number is taken."""
+        number = self._patch.against + 1
+        for patch in self.root.recent_patches:
+            if patch.number == number:
+                return self._decide(patch.id)
+        return self._call(ReadObject, history_name(number))
+
+    def _on_history(self, name: str, answer: ObjectRead, now: int) -> list:
+        number = self._patch.against + 1
+        for patch in read_history(answer.value) if answer.version else ():
+            if patch.number == number:
+                return self._decide(patch.id)
+        return self._fault((Finding(name, f"lacks number {number}"),), now)
+
+    def _decide(self, patch_id: str) -> list:
+        if patch_id != self._patch.id:
+            return self._report(Stale(self.root.number))
+        claim = claim_name(self._patch.id)
+        if claim not in self._stored_names:
+            return self._call(ReadObject, claim)
+        return self._report(Accepted(self._patch.against + 1))
+
+    def _on_claim(self, name: str, answer: ObjectRead, now: int) -> list:
+        if self._is_query and not answer.version:
+            return self._report(OutcomeUnknown(self._patch.id))
+        if not answer.version:
+            return self._retry_later(now)
+        claim = read_claim(name, answer.value)
+        self._stored_names.add(name)
+        if self._is_query:
+            self._patch = self._patch._replace(against=claim.against)
+            return self._call(ReadObject, ROOT_NAME)
+        if claim != claim_of(self._patch):
+            problem = f"stands for another patch, against {claim.against}"
+            return self._report(Invalid((Finding("$.id", problem),)))
+        if self.root.number > self._patch.against:
+            return self._report(Accepted(self._patch.against + 1))
+        return self._next_step()
+
+    def _probe(self) -> list:
+        """Learn the current version by a write that cannot take effect."""
+        if not self.version:
+            return self._report(Stale(0))
+        return self._call(WriteObject, ROOT_NAME, root_value(self.root), 0)
+
+    def _on_root_answer(self, answer: CallAnswer) -> list:
+        if self.root.number < self._patch.against:
+            return self._on_probe_answer(answer)
+        if isinstance(answer, ObjectWritten):
+            self.root = self._next_root()
+            self.version = answer.version
+            return self._report(Accepted(self.root.number))
+        self._version_floor = max(self._version_floor, answer.current)
+        return self._restart()
+
+    def _on_probe_answer(self, answer: CallAnswer) -> list:
+        if isinstance(answer, ObjectWritten) or answer.current == self.version:
+            return self._report(Stale(self.root.number))
+        self._version_floor = max(self._version_floor, answer.current)
+        return self._restart()
+
+    def _next_step(self) -> list:
+        if not self._calls.is_idle:
+            return self._calls.due()
+        missing = missing_pieces(self.root.pieces_by_name, self.pieces_by_digest)
+        if missing:
+            for digest in missing:
+                self._calls.add(ReadObject, piece_object_name(digest))
+            return self._calls.due()
+        return self._write()
+
+    def _on_piece(self, name: str, answer: ObjectRead, now: int) -> list:
+        if not answer.version:
+            return self._fault((Finding(name, "is missing"),), now)
+        piece = canonical(answer.value)
+        digest = digest_of(piece)
+        if piece_object_name(digest) != name:
+            return self._fault((Finding(name, "does not match its digest"),), now)
+        self.pieces_by_digest[digest] = piece
+        return self._next_step()
+
+    def _write(self) -> list:
+        if self._new is None:
+            document = assemble(self.root.pieces_by_name, self.pieces_by_digest)
+            try:
+                self._new = self._changed(document)
+            except CheckError as error:
+                return self._report(Invalid(error.findings))
+        for item in objects_before_root(self.root, self._patch, self._new):
+            if item.name not in self._stored_names:
+                self._calls.add(WriteObject, item.name, item.value, 0)
+        if self._calls.is_idle:
+            value = root_value(self._next_root())
+            self._calls.add(WriteObject, ROOT_NAME, value, self.version)
+        return self._calls.due()
+
+    def _changed(self, document: dict) -> SplitDocument:
+        """Apply the changes and check the result."""
+        try:
+            changed = merge(document, self._patch.changes)
+            read_configuration(self._patch.against + 1, changed)
+            new = split(changed)
+        except RecursionError as error:
+            raise CheckError([Finding("$", "is nested too deeply")]) from error
+        claim_of(self._patch)
+        self.pieces_by_digest.update(new.pieces_by_digest)
+        return new
+
+    def _next_root(self) -> Root:
+        return next_root(self.root, self._patch, self._new.pieces_by_name)
+
+    def _call(self, kind: type, *fields) -> list[PlatformCall]:
+        self._calls.add(kind, *fields)
+        return self._calls.due()
+
+    def _report(self, outcome: Outcome) -> list[Report]:
+        self.outcome = outcome
+        self._calls.abandon()
+        return [Report(self._patch.id, outcome)]
--- /dev/null
+++ b/sequoiahook/decisions/configuration/root.py
@@ -0,0 +1,115 @@
+"""The root object: the number, the recent patches and the pieces of the document."""
+
+import re
+from typing import Any, NamedTuple
+
+from sequoiahook.options import Section
+
+__all__ = [
+    "EMPTY_ROOT",
+    "HISTORY_CHUNK",
+    "ROOT_NAME",
+    "AcceptedPatch",
+    "Root",
+    "history_name",
+    "read_history",
+    "read_root",
+    "root_value",
+]
+
+ROOT_NAME = "configuration"
+HISTORY_PREFIX = "configuration-patches-"
+HISTORY_CHUNK = 32
+"""Patches in one history object; the root holds fewer than two chunks."""
+NUMBER_MAX = 2**53
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+class AcceptedPatch(NamedTuple):
+    """A patch that was accepted.
+
+    Attributes:
+        id: The patch's own id.
+        number: The configuration number that it made.
+    """
+
+    id: str
+    number: int
+
+
+class Root(NamedTuple):
+    """The root of one configuration.
+
+    Attributes:
+        number: Number of the configuration; 0 before the first patch.
+        recent_patches: The last accepted patches, oldest first.
+        pieces_by_name: Digest of the top piece of each section of the document.
+    """
+
+    number: int
+    recent_patches: tuple[AcceptedPatch, ...]
+    pieces_by_name: dict[str, str]
+
+
+EMPTY_ROOT = Root(0, (), {})
+
+
+def history_name(number: int) -> str:
+    """Return the object that holds the accepted patch of a number once it is old."""
+    return f"{HISTORY_PREFIX}{(number - 1) // HISTORY_CHUNK}"
+
+
+def root_value(root: Root) -> dict[str, Any]:
+    """Return the root as a JSON value."""
+    return {
+        "number": root.number,
+        "recent_patches": [patch._asdict() for patch in root.recent_patches],
+        "pieces_by_name": dict(root.pieces_by_name),
+    }
+
+
+def read_root(value: Any) -> Root:
+    """Check the JSON value of a root; None reads as the empty root.
+
+    Raises:
+        CheckError: With every finding and its place.
+    """
+    if value is None:
+        return EMPTY_ROOT
+    section = Section(value, ROOT_NAME)
+    root = Root(
+        section.integer("number", low=0, high=NUMBER_MAX),
+        section.each("recent_patches", _read_patch),
+        _read_pieces(section, value),
+    )
+    section.finish()
+    return root
+
+
+def read_history(value: Any) -> tuple[AcceptedPatch, ...]:
+    """Check the JSON value of a history object.
+
+    Raises:
+        CheckError: With every finding and its place.
+    """
+    section = Section(value, HISTORY_PREFIX)
+    patches = section.each("patches", _read_patch)
+    section.finish()
+    return patches
+
+
+def _read_patch(section: Section) -> AcceptedPatch:
+    return AcceptedPatch(
+        section.string("id"), section.integer("number", low=1, high=NUMBER_MAX)
+    )
+
+
+def _read_pieces(section: Section, value: Any) -> dict[str, str]:
+    pieces = section.section("pieces_by_name")
+    declared = value.get("pieces_by_name") if isinstance(value, dict) else None
+    digests = {}
+    for name in declared if isinstance(declared, dict) else ():
+        digests[name] = pieces.string(name)
+        if digests[name] and not _DIGEST.fullmatch(digests[name]):
+            pieces.report(name, "must be a SHA-256 digest")
+    return digests
