--- /dev/null
+++ b/tests/test_caller_http.py
@@ -0,0 +1,189 @@
+import asyncio
+import json
+
+import pytest
+
+from sequoiahook.daemons.caller_http import (
+    CallerAnswer,
+    CallerServer,
+    CallerServerSettings,
+    refusal_answer,
+)
+
+FAST = CallerServerSettings(
+    header_bytes_max=1000,
+    body_bytes_max=1000,
+    header_timeout_ms=100,
+    body_timeout_ms=100,
+    idle_timeout_ms=100,
+    connections_max=2,
+)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def echo(request):
+    fields = ((b"x-path", request.target_path),)
+    return CallerAnswer(200, fields, request.body)
+
+
+def serve(use, handler=echo, settings=FAST):
+    async def run():
+        server = CallerServer(settings, handler)
+        await server.start()
+        try:
+            return await asyncio.wait_for(use(server), 10)
+        finally:
+            await server.close_gracefully()
+
+    return asyncio.run(run())
+
+
+async def exchange(server, *parts):
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    for part in parts:
+        writer.write(part)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 2000 + b"\r\n\r\n", 431),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + b"y" * 2000,
+            413,
+        ),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf", 408),
+        (b"GET / HTTP/1.1\r\nHo", 408),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+    ],
+)
+def test_request_that_is_not_handled_says_not_run(sent, status):
+    async def use(server):
+        return await exchange(server, sent)
+
+    async def never(request):
+        raise AssertionError("handled")
+
+    head, _, body = serve(use, never).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d" % status)
+    assert json.loads(body)["ran"] == "not run"
+    assert b"content-length" in head
+
+
+def test_pipelined_requests_are_answered_one_by_one_in_order():
+    running = []
+
+    async def slow(request):
+        running.append(request.target_path)
+        assert len(running) == 1
+        await asyncio.sleep(0.01)
+        running.clear()
+        return await echo(request)
+
+    async def use(server):
+        second = GET.replace(b"/a", b"/b")
+        return await exchange(server, GET + second)
+
+    answers = serve(use, slow)
+    assert answers.index(b"x-path: /a") < answers.index(b"x-path: /b")
+
+
+def test_caller_that_disconnects_cancels_its_request():
+    async def use(server):
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await started.wait()
+        writer.close()
+        await cancelled.wait()
+
+    started = asyncio.Event()
+    cancelled = asyncio.Event()
+
+    async def wait(request):
+        started.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    serve(use, wait)
+
+
+def test_graceful_close_answers_what_runs_and_closes_what_is_idle():
+    async def use(server):
+        idle_reader, _ = await asyncio.open_connection("127.0.0.1", server.port)
+        busy_reader, busy = await asyncio.open_connection("127.0.0.1", server.port)
+        busy.write(GET)
+        await started.wait()
+        closing = asyncio.ensure_future(server.close_gracefully())
+        assert await idle_reader.read() == b""
+        assert not closing.done()
+        finish.set()
+        answer = await busy_reader.read()
+        assert b"x-path: /a" in answer
+        assert b"connection: close" in answer.lower()
+        await closing
+
+    started = asyncio.Event()
+    finish = asyncio.Event()
+
+    async def wait(request):
+        started.set()
+        await finish.wait()
+        return await echo(request)
+
+    serve(use, wait)
+
+
+def test_connection_is_closed_on_request_by_id():
+    ids = []
+
+    async def note(request):
+        ids.append(request.connection_id)
+        return await echo(request)
+
+    async def use(server):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await reader.readuntil(b"/a\r\n")
+        server.close_connection(ids[0])
+        await reader.read()
+        assert server.connection_count <= 1
+
+    serve(use, note)
+
+
+def test_connections_over_the_limit_are_refused():
+    async def use(server):
+        opened = [
+            await asyncio.open_connection("127.0.0.1", server.port) for _ in range(2)
+        ]
+        while server.connection_count < len(opened):
+            await asyncio.sleep(0)
+        return await exchange(server)
+
+    assert serve(use).startswith(b"HTTP/1.1 503")
+
+
+def test_failing_handler_is_answered_as_unknown():
+    async def fail(request):
+        raise RuntimeError("secret")
+
+    async def use(server):
+        return await exchange(server, GET)
+
+    answer = serve(use, fail)
+    assert answer.startswith(b"HTTP/1.1 500")
+    assert b'"ran": "unknown"' in answer
+    assert b"secret" not in answer
+
+
+@pytest.mark.parametrize(("retry_after_ms", "seconds"), [(1, b"1"), (1001, b"2")])
+def test_retry_after_is_rounded_up(retry_after_ms, seconds):
+    answer = refusal_answer(429, "rate", "not run", retry_after_ms)
+    assert dict(answer.headers)[b"retry-after"] == seconds
