--- /dev/null
+++ b/tests/test_rights.py
@@ -0,0 +1,123 @@
+import random
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.rights import (
+    Committed,
+    Lapsed,
+    Refused,
+    Reserved,
+    Rights,
+    RightsSettings,
+)
+from sequoiahook.world.contract import Contract
+from sequoiahook.world.view import DataCentreView
+
+SETTINGS = RightsSettings()
+STARTED_MS = SETTINGS.takeover_ms + 200
+
+
+class Cluster:
+    """Three instances of one data centre, one clock, 1 ms between them."""
+
+    def __init__(self, contract):
+        self.names = ("a0", "a1", "a2")
+        self.now = 0
+        self.pool = []
+        self.outcomes = []
+        self.rights_by_name = {
+            name: Rights(SETTINGS, name, "a", random.Random(name))
+            for name in self.names
+        }
+        view = DataCentreView("a", 1, self.names)
+        for name, rights in self.rights_by_name.items():
+            self.do(name, rights.configure(1, {"c": contract}, ["a"], 0))
+            self.do(name, rights.set_view(view, 0))
+
+    def do(self, name, effects):
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.pool.append((self.now + 1, name, effect))
+            else:
+                self.outcomes.append((self.now, name, effect))
+
+    def run(self, until_ms):
+        while self.now < until_ms:
+            self.now += 1
+            due = [entry for entry in self.pool if entry[0] <= self.now]
+            self.pool = [entry for entry in self.pool if entry[0] > self.now]
+            for _, source, (destination, body) in due:
+                rights = self.rights_by_name[destination]
+                self.do(destination, rights.handle(source, body, self.now))
+            for name, rights in self.rights_by_name.items():
+                if rights.next_wake(self.now - 1) <= self.now:
+                    self.do(name, rights.tick(self.now))
+
+    def call(self, name, method, *arguments):
+        rights = self.rights_by_name[name]
+        self.do(name, getattr(rights, method)(*arguments, self.now))
+
+    def keeper(self):
+        return next(n for n in self.names if self.rights_by_name[n].is_keeper("c"))
+
+    def others(self):
+        return [name for name in self.names if name != self.keeper()]
+
+    def kinds(self):
+        return [type(effect) for _, _, effect in self.outcomes]
+
+
+def test_a_burst_of_one_serves_every_instance_in_turn():
+    cluster = Cluster(Contract(2, 1))
+    cluster.run(STARTED_MS + 500)
+    for number in range(9):
+        name = cluster.names[number % 3]
+        cluster.call(name, "reserve", f"r{number}", "c", 50)
+        cluster.run(cluster.now + 10)
+        cluster.call(name, "commit", f"r{number}")
+        cluster.run(cluster.now + 500)
+    assert cluster.kinds() == [Reserved, Committed] * 9
+
+
+def test_a_request_that_cannot_be_served_in_time_is_refused_at_once():
+    cluster = Cluster(Contract(2, 1))
+    cluster.run(STARTED_MS + 500)
+    other = cluster.others()[0]
+    cluster.call(other, "reserve", "first", "c", 100)
+    cluster.run(cluster.now + 5)
+    cluster.call(other, "commit", "first")
+    cluster.run(cluster.now + 5)
+    asked_ms = cluster.now
+    cluster.call(other, "reserve", "second", "c", 100)
+    cluster.run(cluster.now + 50)
+    refused_ms, _, refusal = cluster.outcomes[-1]
+    assert isinstance(refusal, Refused)
+    assert refused_ms - asked_ms <= 4
+    assert 400 <= refusal.retry_after_ms <= 500
+
+
+def test_release_gives_the_token_back_and_a_lapsed_reservation_does_not():
+    cluster = Cluster(Contract(1, 1))
+    cluster.run(STARTED_MS + 1000)
+    keeper = cluster.keeper()
+    cluster.call(keeper, "reserve", "first", "c", 0)
+    cluster.call(keeper, "release", "first")
+    cluster.call(keeper, "reserve", "second", "c", 0)
+    assert cluster.kinds() == [Reserved, Reserved]
+    cluster.run(cluster.now + SETTINGS.reservation_lease_ms)
+    cluster.call(keeper, "reserve", "third", "c", 0)
+    cluster.call(keeper, "commit", "second")
+    assert cluster.kinds()[2:] == [Refused, Lapsed]
+
+
+def test_a_paused_keeper_and_a_paused_borrower_may_not_commit():
+    cluster = Cluster(Contract(100, 10))
+    cluster.run(STARTED_MS + 1000)
+    keeper, other = cluster.keeper(), cluster.others()[0]
+    for name in (keeper, other):
+        cluster.call(name, "reserve", f"of {name}", "c", 50)
+    cluster.run(cluster.now + 10)
+    cluster.now += SETTINGS.local_lease_ms + 1
+    for name in (keeper, other):
+        assert not cluster.rights_by_name[name].may_commit(f"of {name}", cluster.now)
+        cluster.call(name, "commit", f"of {name}")
+    assert cluster.kinds() == [Reserved, Reserved, Lapsed, Lapsed]
