Run the whole path: one core of all decisions, and a thin daemon around it

Cause: the parts decide each on their own; something has to pass the effects of one to the part that they concern, and it must not be the daemon, whose decisions fuzzing does not see. Change: an I/O-free core composes all parts of an instance; the daemon owns sockets and carries out effects. Faults found on the way: (1) the tick never came, since its due time was worked out anew at each look; (2) envelopes for another data centre went to instances that were once linked and no longer are; (3) the pool and the executor had two types named Start; (4) a service without targets in the own data centre was never sent elsewhere. Each is mended.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m pytest
 
+demo: environment
+	$(PYTHON) -m standins.demo
+
 format: environment
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- /dev/null
+++ b/sequoiahook/daemons/instance.py
@@ -0,0 +1,424 @@
+"""The daemon of one instance: sockets and tasks around the decisions."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import secrets
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs
+
+import logbook
+
+from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.daemons.caller_http import (
+    CallerAnswer,
+    CallerRequest,
+    CallerServer,
+    CallerServerSettings,
+    refusal_answer,
+)
+from sequoiahook.daemons.core_settings import core_settings
+from sequoiahook.daemons.links import (
+    LinkEvent,
+    Links,
+    LinksSettings,
+    PeerDown,
+    PeerUp,
+    Received,
+    SendFailed,
+)
+from sequoiahook.daemons.operator_http import OperatorHandler
+from sequoiahook.daemons.platform_calls import carry_out
+from sequoiahook.daemons.platform_client import (
+    InstanceEntry,
+    PlatformClient,
+    PlatformSettings as PlatformClientSettings,
+)
+from sequoiahook.daemons.settings import InstanceSettings
+from sequoiahook.daemons.target_http import (
+    TargetClient,
+    TargetClientSettings,
+    TargetRequest,
+)
+from sequoiahook.decisions.exchange.effects import AbortTarget, Answer, Refusal, Write
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.instance import InstanceCore
+from sequoiahook.decisions.instance.effects import (
+    Arrival,
+    CallPlatform,
+    CloseConnection,
+    Dial,
+    EmitSpan,
+    Note,
+    OperatorReply,
+    Transmit,
+)
+from sequoiahook.decisions.stopping import (
+    CloseIdleConnections,
+    Exit,
+    ReportOverdue,
+)
+from sequoiahook.errors import CheckError, PlatformError
+from sequoiahook.measures import Measures
+from sequoiahook.messages.membership import Member
+from sequoiahook.messages.requests import NOT_RUN, MessageId
+from sequoiahook.wire.fields import target_fields
+from sequoiahook.world.instance import Address, Instance
+
+__all__ = ["InstanceDaemon"]
+
+INCARNATION_BITS = 53
+LIST_IDLE_MS = 1_000
+LIST_WAIT_MS = 20_000
+LIST_CONNECTIONS = 8
+LOOKUP_PATH = b"/sequoiahook/lookup"
+OPERATOR_BODY_BYTES_MAX = 16 * 1024 * 1024
+
+log = logbook.Logger(__name__)
+
+
+class InstanceDaemon:
+    """Runs one instance until it is told to stop.
+
+    Args:
+        settings: Settings of the instance.
+        clock: Source of the time.
+    """
+
+    def __init__(self, settings: InstanceSettings, clock: Clock):
+        self.settings = settings
+        self._clock = clock
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._core: InstanceCore | None = None
+        self._numbers = itertools.count(1)
+        self._callers = CallerServer(
+            CallerServerSettings(
+                *settings.caller_address, body_bytes_max=settings.body_bytes_max
+            ),
+            self._handle_caller,
+        )
+        self._operators = CallerServer(
+            CallerServerSettings(
+                *settings.operator_address, body_bytes_max=OPERATOR_BODY_BYTES_MAX
+            ),
+            OperatorHandler(settings.operator_token_digest, self),
+        )
+        self._links = Links(
+            LinksSettings(
+                settings.name,
+                self._incarnation,
+                settings.fleet_secret,
+                settings.link_address,
+            ),
+            self._on_link_event,
+        )
+        self._targets = TargetClient(
+            TargetClientSettings(answer_bytes_max=settings.body_bytes_max)
+        )
+        self._platform = PlatformClient(
+            PlatformClientSettings(
+                *settings.platform.address,
+                settings.name,
+                settings.platform.token,
+                connections_max=LIST_CONNECTIONS,
+            )
+        )
+        self._answers_by_number: dict[int, asyncio.Future] = {}
+        self._replies_by_ticket: dict[int, asyncio.Future] = {}
+        self._exchanges_by_id: dict[MessageId, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._wake = asyncio.Event()
+        self._exited: asyncio.Future[int] | None = None
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            AbortTarget: self._abort_target,
+            Answer: self._answer,
+            CallPlatform: lambda e: self._spawn(self._call_platform(e)),
+            CloseConnection: lambda e: self._callers.close_connection(e.connection_id),
+            CloseIdleConnections: lambda e: self._spawn(self._close_callers()),
+            Dial: lambda e: self._links.want(e.address_by_peer),
+            EmitSpan: lambda e: log.info("span", extra=e.span._asdict()),
+            Exit: lambda e: self._exited.set_result(e.code),
+            Note: lambda e: log.info(e.event, extra=e.fields),
+            OperatorReply: self._reply,
+            Refusal: self._refuse,
+            ReportOverdue: lambda e: log.warn("overdue", extra=e._asdict()),
+            Transmit: lambda e: self._links.send(e.peer, e.envelope),
+            Write: self._write,
+        }
+
+    async def run(self) -> int:
+        """Serve until a graceful stop is complete.
+
+        Returns:
+            The exit code.
+
+        Raises:
+            OSError: If an address cannot be had.
+        """
+        self._exited = asyncio.get_running_loop().create_future()
+        await self._start()
+        ticking = asyncio.create_task(self._tick())
+        listing = asyncio.create_task(self._follow_list())
+        try:
+            return await self._exited
+        finally:
+            for task in (ticking, listing, *self._tasks):
+                task.cancel()
+            await asyncio.gather(ticking, listing, *self._tasks, return_exceptions=True)
+            await self._operators.close_gracefully()
+            await self._links.stop()
+            self._targets.close()
+            self._platform.close()
+
+    def stop(self) -> dict[str, Any]:
+        """Start a graceful stop; a second call shortens its waits."""
+        self._feed(lambda now: self._core.stop(now))
+        return {"name": self.settings.name}
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the number and the document in force."""
+        return self._core.configuration_document
+
+    def measures(self) -> Measures:
+        """Return counters and latencies."""
+        return self._core.measures
+
+    async def patch(self, document: Any) -> dict[str, Any]:
+        """Apply a patch and return its outcome."""
+        return await self._ask(
+            lambda ticket, now: self._core.operator_patch(ticket, document, now)
+        )
+
+    async def outcome(self, patch_id: str) -> dict[str, Any]:
+        """Return what became of a patch."""
+        return await self._ask(
+            lambda ticket, now: self._core.operator_outcome(ticket, patch_id, now)
+        )
+
+    async def status(self) -> dict[str, Any]:
+        """Return which number each instance has in force."""
+        return await self._ask(self._core_status)
+
+    def addresses(self) -> dict[str, Any]:
+        """Return the addresses in use, once the instance runs."""
+        return {
+            "name": self.settings.name,
+            "caller_address": self._core.me.caller_address._asdict(),
+            "link_address": self._core.me.link_address._asdict(),
+            "operator_address": Address(
+                self.settings.operator_address.host, self._operators.port
+            )._asdict(),
+        }
+
+    async def _start(self) -> None:
+        settings = self.settings
+        link_address = await self._links.start()
+        await self._callers.start()
+        await self._operators.start()
+        me = Instance(
+            settings.name,
+            self._incarnation,
+            settings.data_centre,
+            Address(settings.caller_address.host, self._callers.port),
+            link_address,
+        )
+        now = self._clock.now()
+        self._core = InstanceCore(
+            core_settings(settings), me, Random(secrets.randbits(64)), now
+        )
+        self._feed(lambda now: self._core.tick(now))
+        print(json.dumps(self.addresses()), flush=True)
+
+    def _feed(self, decide: Callable[[int], list]) -> None:
+        """Give the core an input and carry out the effects."""
+        for effect in decide(self._clock.now()):
+            self._carriers[type(effect)](effect)
+        self._wake.set()
+
+    async def _tick(self) -> None:
+        due_at = self._clock.now()
+        while True:
+            now = self._clock.now()
+            if now >= due_at:
+                self._feed(lambda now: self._core.tick(now))
+                due_at = self._core.next_wake(self._clock.now())
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(1, due_at - now) / MS_PER_S):
+                    await self._wake.wait()
+            due_at = min(due_at, self._core.next_wake(self._clock.now()))
+
+    async def _follow_list(self) -> None:
+        version: int | None = None
+        while True:
+            if not self._core.wants_platform_list(self._clock.now()):
+                version = None
+                await asyncio.sleep(LIST_IDLE_MS / MS_PER_S)
+                continue
+            try:
+                found = await self._platform.instances(version, LIST_WAIT_MS)
+            except (PlatformError, CheckError) as error:
+                log.warn("list of instances", extra={"error": str(error)})
+                await asyncio.sleep(LIST_IDLE_MS / MS_PER_S)
+                continue
+            if found is not None:
+                version = found.version
+                members = [_member(entry) for entry in found.instances]
+                self._feed(
+                    lambda now, members=members: self._core.platform_list(members, now)
+                )
+
+    def _on_link_event(self, event: LinkEvent) -> None:
+        core = self._core
+        if isinstance(event, Received):
+            self._feed(lambda now: core.receive(event.peer, event.envelope, now))
+        elif isinstance(event, PeerUp):
+            self._feed(lambda now: core.peer_up(event.name, now))
+        elif isinstance(event, PeerDown):
+            self._feed(lambda now: core.peer_down(event.name, now))
+        elif isinstance(event, SendFailed):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(
+                self._feed, lambda now: core.send_failed(event.envelope, now)
+            )
+
+    async def _handle_caller(self, request: CallerRequest) -> CallerAnswer:
+        path, _, query = request.target_path.partition(b"?")
+        if path == LOOKUP_PATH:
+            return self._look_up(request.peer_host, query.decode("latin-1"))
+        number = next(self._numbers)
+        arrival = Arrival(number, *request)
+        answered = asyncio.get_running_loop().create_future()
+        self._answers_by_number[number] = answered
+        try:
+            self._feed(lambda now: self._core.arrive(arrival, now))
+            return await answered
+        except asyncio.CancelledError:
+            self._feed(lambda now: self._core.caller_gone(number, now))
+            raise
+        finally:
+            del self._answers_by_number[number]
+
+    def _look_up(self, host: str, query: str) -> CallerAnswer:
+        fields = parse_qs(query)
+        service = fields.get("service", [""])[0]
+        organisation = fields.get("organisation", [""])[0]
+        try:
+            answer = self._core.look_up(host, organisation, service, self._clock.now())
+        except ValueError as error:
+            return refusal_answer(400, str(error), NOT_RUN)
+        document = {
+            "instances": [address._asdict() for address in answer.instances],
+            "lifetime_ms": answer.lifetime_ms,
+        }
+        headers = ((b"content-type", b"application/json"),)
+        return CallerAnswer(200, headers, json.dumps(document).encode())
+
+    def _answer(self, effect: Answer) -> None:
+        self._resolve(
+            self._answers_by_number.get(effect.number),
+            CallerAnswer(effect.status, effect.headers, effect.body),
+        )
+
+    def _refuse(self, effect: Refusal) -> None:
+        self._resolve(
+            self._answers_by_number.get(effect.number),
+            refusal_answer(
+                effect.status, effect.cause, effect.ran, effect.retry_after_ms
+            ),
+        )
+
+    def _reply(self, effect: OperatorReply) -> None:
+        self._resolve(self._replies_by_ticket.get(effect.ticket), effect.document)
+
+    @staticmethod
+    def _resolve(future: asyncio.Future | None, value: Any) -> None:
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    async def _ask(self, decide: Callable[[int, int], list]) -> dict[str, Any]:
+        ticket = next(self._numbers)
+        replied = asyncio.get_running_loop().create_future()
+        self._replies_by_ticket[ticket] = replied
+        try:
+            self._feed(lambda now: decide(ticket, now))
+            return await replied
+        finally:
+            del self._replies_by_ticket[ticket]
+
+    def _core_status(self, ticket: int, now: int) -> list:
+        return self._core.operator_status(ticket, now)
+
+    async def _call_platform(self, effect: CallPlatform) -> None:
+        answer = await carry_out(self._platform, effect.call)
+        self._feed(lambda now: self._core.platform_answer(effect.ticket, answer, now))
+
+    async def _close_callers(self) -> None:
+        await self._callers.close_gracefully()
+        self._feed(lambda now: self._core.connections_closed(now))
+
+    def _write(self, effect: Write) -> None:
+        task = self._spawn(self._exchange(effect))
+        self._exchanges_by_id[effect.request_id] = task
+
+    def _abort_target(self, effect: AbortTarget) -> None:
+        task = self._exchanges_by_id.get(effect.request_id)
+        if task is not None:
+            task.cancel()
+
+    async def _exchange(self, effect: Write) -> None:
+        was_written = False
+
+        def may_write() -> bool:
+            nonlocal was_written
+            now = self._clock.now()
+            was_written = self._core.may_write(effect.request_id, now)
+            return was_written
+
+        try:
+            result = await self._targets.exchange(
+                self._target_request(effect), may_write
+            )
+        except asyncio.CancelledError:
+            stage = Stage.WRITTEN_NO_ANSWER if was_written else Stage.NOTHING_WRITTEN
+            result = TargetResult(stage)
+        self._exchanges_by_id.pop(effect.request_id, None)
+        self._feed(lambda now: self._core.target_result(effect.request_id, result, now))
+
+    def _target_request(self, effect: Write) -> TargetRequest:
+        target = self._core.configuration.targets_by_name[effect.target_name]
+        return TargetRequest(
+            Address(target.host, target.port),
+            effect.method,
+            effect.target_path,
+            target_fields(
+                effect.headers,
+                effect.organisation,
+                effect.remaining_ms,
+                effect.traceparent,
+            ),
+            effect.body,
+            effect.remaining_ms,
+            effect.may_reuse,
+        )
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("task failed", exc_info=task.exception())
+
+
+def _member(entry: InstanceEntry) -> Member:
+    instance = Instance(
+        entry.name, 0, entry.data_centre, entry.caller_address, entry.link_address
+    )
+    return Member(instance, entry.state)
--- a/sequoiahook/decisions/exchange/pool_protocol.py
+++ b/sequoiahook/decisions/exchange/pool_protocol.py
@@ -1,42 +1,14 @@
 """What an executor asks of a pool of targets, and what the pool answers."""
 
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from sequoiahook.decisions.exchange.target_result import TargetResult
+from sequoiahook.decisions.pool.effects import PoolEffect, Refuse, Start
 from sequoiahook.messages.requests import MessageId
 
 __all__ = ["Pool", "PoolEffect", "Refuse", "Start"]
 
 
-class Start(NamedTuple):
-    """Run a request now; its slot is taken until ``finish`` is called.
-
-    Attributes:
-        request_id: Id of the request.
-        target_name: Name of the target that runs it.
-    """
-
-    request_id: MessageId
-    target_name: str
-
-
-class Refuse(NamedTuple):
-    """Refuse a request that holds no slot; the pool has forgotten it.
-
-    Attributes:
-        request_id: Id of the request.
-        reason: Why.
-        retry_after_ms: When to come back, in milliseconds.
-    """
-
-    request_id: MessageId
-    reason: str
-    retry_after_ms: int
-
-
-PoolEffect = Start | Refuse
-
-
 class Pool(Protocol):
     """The targets of one service in one data centre, with their queue and slots.
 
--- /dev/null
+++ b/sequoiahook/decisions/instance/pools.py
@@ -0,0 +1,257 @@
+"""The pools that an instance owns, and what it tells others of them."""
+
+import random
+from collections.abc import Iterable
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.exchange.executor import Executor
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.membership.membership import Membership
+from sequoiahook.decisions.placement.lender import CreditLender
+from sequoiahook.decisions.placement.settings import PlacementSettings
+from sequoiahook.decisions.pool.effects import PoolEffect, TargetReport
+from sequoiahook.decisions.pool.pool import Pool
+from sequoiahook.decisions.pool.settings import PoolSettings
+from sequoiahook.messages.pools import CreditAsk, PoolSummary
+from sequoiahook.messages.requests import MessageId
+from sequoiahook.world.configuration import Configuration
+from sequoiahook.world.instance import Instance
+from sequoiahook.world.target import Target
+
+__all__ = ["OwnedPool", "PoolOwner", "pool_key"]
+
+SUMMARY_INTERVAL_MS = 500
+CLOSED_WAIT_MS = -1
+SERVER_ERROR_STATUS = 500
+_FAULTS = frozenset(
+    {
+        Stage.ANSWER_TRUNCATED,
+        Stage.CONNECT_REFUSED,
+        Stage.CONNECT_TIMEOUT,
+        Stage.PARTLY_WRITTEN,
+        Stage.WRITTEN_NO_ANSWER,
+    }
+)
+
+
+def pool_key(service: str) -> str:
+    """Return the key by which the owner of a service's pool is found."""
+    return f"pool/{service}"
+
+
+class OwnedPool:
+    """A pool as the executor uses it: results of exchanges become reports.
+
+    Args:
+        pool: The pool.
+        lender: Lends credit for the pool.
+    """
+
+    def __init__(self, pool: Pool, lender: CreditLender):
+        self.pool = pool
+        self.lender = lender
+        self._pending: list[PoolEffect] = []
+
+    def configure(self, targets: list[Target], warm_up_ms: int, now: int) -> None:
+        """Take the targets; what follows from that is returned by the next tick."""
+        self._pending += self.pool.configure(targets, warm_up_ms, now)
+
+    def submit(
+        self, request_id: MessageId, organisation: str, deadline_at: int, now: int
+    ) -> list[PoolEffect]:
+        """Queue a request."""
+        return self.pool.submit(request_id, organisation, deadline_at, now)
+
+    def finish(
+        self, request_id: MessageId, result: TargetResult, now: int
+    ) -> list[PoolEffect]:
+        """Give the slot of a started request back."""
+        return self.pool.finish(request_id, report_of(result), now)
+
+    def cancel(self, request_id: MessageId, now: int) -> list[PoolEffect]:
+        """Forget a queued request."""
+        return self.pool.cancel(request_id, now)
+
+    def tick(self, now: int) -> list[PoolEffect]:
+        """Do what is due."""
+        self.lender.tick(now)
+        pending = self._pending
+        self._pending = []
+        return pending + self.pool.tick(now)
+
+    def next_wake(self, now: int) -> int | None:
+        """Return when ``tick`` is next due; None if never."""
+        return now if self._pending else self.pool.next_wake(now)
+
+
+def report_of(result: TargetResult) -> TargetReport:
+    """Return what the end of an exchange says about its target."""
+    is_answered = result.stage is Stage.ANSWERED
+    is_server_error = is_answered and result.status >= SERVER_ERROR_STATUS
+    return TargetReport(
+        is_success=is_answered and not is_server_error,
+        is_target_fault=is_server_error or result.stage in _FAULTS,
+        duration_ms=result.duration_ms,
+        is_leaving=result.stage is Stage.SHED and result.says_close,
+    )
+
+
+class PoolOwner:
+    """Takes on the pools that fall to this instance, and drops those that do not.
+
+    Args:
+        pool_settings: Settings of each pool.
+        placement_settings: Settings of credit.
+        me: This instance.
+        executor: Runs requests on the pools.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        pool_settings: PoolSettings,
+        placement_settings: PlacementSettings,
+        me: Instance,
+        executor: Executor,
+        rng: random.Random,
+    ):
+        self._pool_settings = pool_settings
+        self._placement_settings = placement_settings
+        self._me = me
+        self._executor = executor
+        self._rng = rng
+        self._owned_by_service: dict[str, OwnedPool] = {}
+        self._targets_by_service: dict[str, list[Target]] = {}
+        self._configuration: Configuration | None = None
+        self._summary_at = 0
+        self._sequence = 0
+
+    @property
+    def services(self) -> list[str]:
+        """Services that have targets in the data centre, in order of name."""
+        return sorted(self._targets_by_service)
+
+    @property
+    def owned_by_service(self) -> dict[str, OwnedPool]:
+        """The pools that this instance owns."""
+        return self._owned_by_service
+
+    def configure(self, configuration: Configuration, now: int) -> None:
+        """Take the configuration in force."""
+        self._configuration = configuration
+        targets_by_service: dict[str, list[Target]] = {}
+        for target in configuration.targets_by_name.values():
+            if target.data_centre == self._me.data_centre:
+                targets_by_service.setdefault(target.service, []).append(target)
+        self._targets_by_service = targets_by_service
+        for service, owned in self._owned_by_service.items():
+            self._configure_pool(service, owned, now)
+
+    def target(self, name: str) -> Target | None:
+        """Return a target of the configuration in force."""
+        if self._configuration is None:
+            return None
+        return self._configuration.targets_by_name.get(name)
+
+    def refresh(self, membership: Membership, now: int) -> None:
+        """Take on and drop pools as the keepers change."""
+        for service in list(self._owned_by_service):
+            is_served = service in self._targets_by_service
+            if not is_served or not membership.may_act(pool_key(service), now):
+                self._executor.drop_pool(service)
+                del self._owned_by_service[service]
+        for service in self._targets_by_service:
+            if service in self._owned_by_service:
+                continue
+            if membership.may_act(pool_key(service), now):
+                self._take_on(service, now)
+
+    def asked(self, message: CreditAsk, now: int) -> list[Send]:
+        """Answer an ask for credit; one for a pool that is not owned is dropped."""
+        owned = self._owned_by_service.get(message.service)
+        if owned is None:
+            return []
+        free_slots = owned.pool.free_slots(now) - owned.pool.queue_length()
+        return owned.lender.ask(message, free_slots, owned.pool.capacity(now), now)
+
+    def summaries(self, now: int) -> list[PoolSummary]:
+        """Return the summaries that are due."""
+        if now < self._summary_at:
+            return []
+        self._summary_at = now + SUMMARY_INTERVAL_MS
+        return [
+            self._summary(service, owned.pool, now)
+            for service, owned in self._owned_by_service.items()
+        ]
+
+    def next_wake(self) -> int | None:
+        """Return when summaries are due; None if no pool is owned."""
+        return self._summary_at if self._owned_by_service else None
+
+    def _take_on(self, service: str, now: int) -> None:
+        pool = Pool(self._pool_settings, service, self._rng)
+        lender = CreditLender(
+            self._placement_settings,
+            service,
+            self._me.data_centre,
+            self._me.name,
+            self._me.incarnation,
+        )
+        owned = OwnedPool(pool, lender)
+        self._owned_by_service[service] = owned
+        self._configure_pool(service, owned, now)
+        longest_ms = self._configuration.services_by_name[service].deadline_ms
+        pool.take_over(now, now + longest_ms)
+        self._executor.set_pool(service, owned)
+
+    def _configure_pool(self, service: str, owned: OwnedPool, now: int) -> None:
+        configuration = self._configuration
+        settings = configuration.services_by_name.get(service)
+        warm_up_ms = 0 if settings is None else settings.warm_up_ms
+        owned.configure(self._targets_by_service.get(service, []), warm_up_ms, now)
+        owned.pool.set_shares(
+            {
+                organisation.name: float(organisation.contract.rate_per_s)
+                for organisation in configuration.organisations_by_name.values()
+            }
+        )
+
+    def _summary(self, service: str, pool: Pool, now: int) -> PoolSummary:
+        self._sequence += 1
+        wait_ms = pool.wait_ms("", now)
+        return PoolSummary(
+            service,
+            self._me.data_centre,
+            self._me.name,
+            self._me.incarnation,
+            self._sequence,
+            0,
+            pool.free_slots(now),
+            pool.capacity(now),
+            CLOSED_WAIT_MS if wait_ms is None else wait_ms,
+            len(self._targets_by_service.get(service, ())),
+            int(pool.service_time_ms()),
+        )
+
+
+def spread_targets(
+    summary: PoolSummary, source: str, me: Instance, peers: Iterable[Instance]
+) -> list[str]:
+    """Return whom to pass a summary on to, so that all hear of it once.
+
+    A summary of the own data centre goes to its other instances if it was made here,
+    and over the links to other data centres; one that came over such a link goes to
+    the own data centre.
+    """
+    is_own = summary.data_centre == me.data_centre
+    is_from_inside = source == me.name or any(
+        peer.name == source and peer.data_centre == me.data_centre for peer in peers
+    )
+    names = []
+    for peer in peers:
+        is_mate = peer.data_centre == me.data_centre
+        is_for_mate = is_mate and (source == me.name or not is_from_inside)
+        is_for_link = not is_mate and is_own
+        if is_for_mate or is_for_link:
+            names.append(peer.name)
+    return names
--- /dev/null
+++ b/sequoiahook/decisions/instance/settings.py
@@ -0,0 +1,49 @@
+"""Settings of all parts of one instance."""
+
+from typing import NamedTuple
+
+from sequoiahook.decisions.configuration.patching import PatchSettings
+from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
+from sequoiahook.decisions.exchange.entry import EntrySettings
+from sequoiahook.decisions.exchange.executor import ExecutorSettings
+from sequoiahook.decisions.lookup.settings import LookupSettings
+from sequoiahook.decisions.membership.settings import MembershipSettings
+from sequoiahook.decisions.placement.settings import PlacementSettings
+from sequoiahook.decisions.pool.settings import PoolSettings
+from sequoiahook.decisions.rights.settings import RightsSettings
+from sequoiahook.decisions.stopping import StoppingSettings
+
+__all__ = ["CoreSettings", "SteeringSettings"]
+
+
+class SteeringSettings(NamedTuple):
+    """Settings of the admission of callers' requests.
+
+    Attributes:
+        reserve_wait_ms: Longest wait for a right, in milliseconds.
+        credit_wait_ms: Longest wait for credit where no other place can run the
+            request, in milliseconds.
+        retry_after_ms: Advice when nothing better is known, in milliseconds.
+        reservation_lease_ms: How long a reserved right lasts, in milliseconds.
+    """
+
+    reserve_wait_ms: int = 250
+    credit_wait_ms: int = 400
+    retry_after_ms: int = 1_000
+    reservation_lease_ms: int = 30_000
+
+
+class CoreSettings(NamedTuple):
+    """Settings of each part."""
+
+    membership: MembershipSettings = MembershipSettings()
+    rollout: RolloutSettings = RolloutSettings()
+    patching: PatchSettings = PatchSettings()
+    rights: RightsSettings = RightsSettings()
+    entry: EntrySettings = EntrySettings()
+    executor: ExecutorSettings = ExecutorSettings()
+    pool: PoolSettings = PoolSettings()
+    placement: PlacementSettings = PlacementSettings()
+    lookup: LookupSettings = LookupSettings()
+    stopping: StoppingSettings = StoppingSettings()
+    steering: SteeringSettings = SteeringSettings()
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -251,9 +251,9 @@
         Returns:
             The name of the next instance; None if there is no way now.
         """
-        data_centre = self._fleet.data_centre_of(destination)
-        if destination in self._peers.peers_by_name:
+        if destination in self.links_wanted(0):
             return destination
+        data_centre = self._fleet.data_centre_of(destination)
         if data_centre is None or data_centre == self._me.data_centre:
             return None
         direct = self._linked_peers(data_centre)
@@ -316,7 +316,9 @@
         return [
             name
             for name, peer in self._peers.peers_by_name.items()
-            if peer.instance.data_centre == data_centre and peer.heard_since is not None
+            if peer.instance.data_centre == data_centre
+            and peer.heard_since is not None
+            and name in self._linking.wanted
         ]
 
     def _is_from_followed(self, envelope: Envelope) -> bool:
--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -12,6 +12,7 @@
 __all__ = ["LinkRoom", "Place", "Placement"]
 
 PERCENT = 100
+INFINITE = float("inf")
 
 
 class Place(NamedTuple):
@@ -63,6 +64,7 @@
         self._configuration: Configuration | None = None
         self._delay_by_data_centre: dict[str, int] = {}
         self._summaries = Summaries(settings)
+        self._own_services: set[str] = set()
         self._phase_by_shift: dict[str, int] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -71,6 +73,11 @@
         self._delay_by_data_centre = _delays(
             configuration, self._data_centre, self._settings.inside_region_ms
         )
+        self._own_services = {
+            target.service
+            for target in configuration.targets_by_name.values()
+            if target.data_centre == self._data_centre
+        }
         self._phase_by_shift = {
             name: self._phase_by_shift.get(name, self._rng.randrange(PERCENT))
             for name in configuration.shifts_by_name
@@ -161,10 +168,14 @@
         holder.want(pool)
         return holder.count(pool, now) > 0
 
+    def _is_own_served(self, service_name: str, data_centre: str) -> bool:
+        """Return whether it is the own data centre and has targets of a service."""
+        return data_centre == self._data_centre and service_name in self._own_services
+
     def _cost_ms(self, service_name: str, data_centre: str, now: int) -> float:
         wait_ms = self._summaries.wait_ms(PoolKey(service_name, data_centre), now)
         if wait_ms is None:
-            wait_ms = 0 if data_centre == self._data_centre else float("inf")
+            wait_ms = 0 if self._is_own_served(service_name, data_centre) else INFINITE
         return wait_ms + 2 * self._delay_by_data_centre[data_centre]
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,6 +16,7 @@
 KEY = "demo-key-of-organisation-one"
 SECOND_KEY = "demo-key-to-be-withdrawn"
 IN_FORCE_S = 5
+SERVED_S = 25
 LOAD_THREADS = 4
 LOAD_S = 3.0
 HTTP_OK = 200
@@ -65,7 +66,7 @@
         _expect(outcome.get("outcome") == "accepted", outcome)
         self._wait_in_force(outcome["number"])
         for service in ("register", "archive"):
-            wait_for(lambda s=service: self._is_served(s), f"{service} is served")
+            wait_for(lambda s=service: self._is_served(s), f"{service} served", 25)
         return f"{len(fleet.processes_by_name)} processes"
 
     def _is_served(self, service: str) -> bool:
@@ -259,10 +260,15 @@
 
 
 def _ask(connection: http.client.HTTPConnection, key: str) -> int:
+    """Return the status of a request; 0 if the connection was closed instead."""
     headers = {"authorization": f"Bearer {key}"}
-    connection.request("GET", "/register/connected", headers=headers)
-    response = connection.getresponse()
-    response.read()
+    try:
+        connection.request("GET", "/register/connected", headers=headers)
+        response = connection.getresponse()
+        response.read()
+    except http.client.RemoteDisconnected:
+        connection.close()
+        return 0
     return response.status
 
 
