--- a/sequoiahook/decisions/pool/effects.py
+++ b/sequoiahook/decisions/pool/effects.py
@@ -12,6 +12,7 @@
     DEADLINE = "deadline"
     QUEUE_FULL = "queue-full"
     NO_TARGET = "no-target"
+    MOVED = "moved"
 
 
 class Start(NamedTuple):
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from collections import Counter
 from collections.abc import Hashable, Iterable, Mapping, Sequence
 
 from sequoiahook.decisions.pool.effects import (
@@ -20,6 +19,8 @@
 from sequoiahook.decisions.pool.runs import Run, Runs
 from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.target_set import TargetSet
+from sequoiahook.messages.pools import HandedRun, PoolHandover
+from sequoiahook.world.instance import Address
 from sequoiahook.world.target import Target
 
 __all__ = ["Pool"]
@@ -45,7 +46,10 @@
         self._targets = TargetSet(settings, rng)
         self._duration = DurationEstimate(settings.service_time_ms)
         self._duration_by_organisation: dict[str, DurationEstimate] = {}
-        self._blocked_until: int | None = None
+        self._blocked_until = 0
+        self._view_number = 0
+        self._handover_sequence = 0
+        self._is_stopped = False
 
     def configure(
         self, targets: Sequence[Target], warm_up_ms: int, now: int
@@ -92,32 +96,62 @@
         return self._advance(now)
 
     def take_over(
-        self,
-        now: int,
-        previous_may_run_until_ms: int,
-        running_by_target: Mapping[str, int] | None = None,
+        self, now: int, previous_may_run_until_ms: int, view_number: int = 0
     ) -> list[PoolEffect]:
         """Begin after another owner, whose work may still run at the targets.
 
+        Nothing starts before that work has ended, unless the previous owner hands over
+        what it runs.
+
         Args:
             now: The time.
             previous_may_run_until_ms: When the last of that work has ended at the
                 latest, on this clock.
-            running_by_target: How much runs at each target, as handed over; None if
-                it is not known, and then nothing starts before that time.
+            view_number: The view by which this instance owns the pool.
         """
-        if running_by_target is None:
-            known = self._blocked_until or now
-            self._blocked_until = max(known, previous_may_run_until_ms)
-        else:
-            for name, count in running_by_target.items():
-                address = self._targets.address_of(name)
-                self._runs.inherit(address, count, previous_may_run_until_ms)
+        self._blocked_until = max(self._blocked_until, previous_may_run_until_ms)
+        self._view_number = view_number
+        return self._advance(now)
+
+    def handed_over(self, message: PoolHandover, now: int) -> list[PoolEffect]:
+        """Take the previous owner's account of what it still runs."""
+        if message.view_number != self._view_number:
+            return []
+        if message.sequence <= self._handover_sequence:
+            return []
+        self._handover_sequence = message.sequence
+        self._blocked_until = now + message.blocked_ms
+        self._runs.set_inherited(
+            [(Address(run.host, run.port), now + run.left_ms) for run in message.runs]
+        )
         return self._advance(now)
 
-    def running_by_target(self) -> dict[str, int]:
-        """Return how much runs at each target, to hand over to the next owner."""
-        return dict(Counter(run.target_name for run in self._runs))
+    def stop(self, now: int) -> list[PoolEffect]:
+        """Start nothing more, for good: another instance becomes the owner."""
+        self._is_stopped = True
+        return self._advance(now) + self._refuse_all(RefuseReason.MOVED)
+
+    def handover(
+        self, data_centre: str, view_number: int, sequence: int, now: int
+    ) -> PoolHandover:
+        """Return what the next owner must know; call :meth:`stop` before.
+
+        Args:
+            data_centre: Data centre of the pool.
+            view_number: The view by which the next owner owns it.
+            sequence: Higher than of the one before for this view.
+            now: The time.
+        """
+        runs = [HandedRun(*run.address, max(0, run.until - now)) for run in self._runs]
+        blocked_ms = max(0, self._blocked_until - now)
+        return PoolHandover(
+            self.service_name,
+            data_centre,
+            view_number,
+            sequence,
+            blocked_ms,
+            tuple(runs),
+        )
 
     def submit(
         self, request_id: Hashable, organisation: str, deadline_at: int, now: int
@@ -172,7 +206,7 @@
         wakes = [self._queue.next_expiry(), self._runs.next_expiry()]
         if len(self._queue):
             wakes.append(self._targets.next_change(now))
-            wakes.append(self._blocked_until)
+            wakes.append(self._blocked_until if self._is_blocked(now) else None)
         return min((wake for wake in wakes if wake is not None), default=None)
 
     def queue_length(self) -> int:
@@ -217,6 +251,8 @@
         self, request_id: Hashable, organisation: str, deadline_at: int, now: int
     ) -> Refuse | None:
         settings = self._settings
+        if self._is_stopped:
+            return self._refuse(request_id, RefuseReason.MOVED, 0)
         wait_ms = self.wait_ms(organisation, now)
         if wait_ms is None:
             return self._refuse(request_id, RefuseReason.NO_TARGET, 0)
@@ -244,7 +280,7 @@
     def _learn(self, run: Run, result: TargetReport, now: int) -> None:
         duration_ms = max(0, result.duration_ms)
         self._queue.charge(run.organisation, duration_ms - run.cost_ms)
-        self._targets.learn(run.target_name, result, now)
+        self._targets.learn(run.target_name, run.address, result, now)
         if not result.is_success:
             return
         self._duration.add(duration_ms)
@@ -255,7 +291,7 @@
         own.add(duration_ms)
 
     def _is_blocked(self, now: int) -> bool:
-        return self._blocked_until is not None and now < self._blocked_until
+        return now < self._blocked_until
 
     def _advance(self, now: int) -> list[PoolEffect]:
         self._runs.expire(now)
@@ -264,10 +300,9 @@
             for request in self._queue.pop_expired(now)
         ]
         if self._opens_at(now) is None:
-            return effects + self._refuse_all()
-        if self._is_blocked(now):
+            return effects + self._refuse_all(RefuseReason.NO_TARGET)
+        if self._is_blocked(now) or self._is_stopped:
             return effects
-        self._blocked_until = None
         while len(self._queue):
             target_name = self._targets.choose(self._runs, now)
             if target_name is None:
@@ -275,9 +310,9 @@
             effects.append(self._start(self._queue.pop(), target_name))
         return effects
 
-    def _refuse_all(self) -> list[PoolEffect]:
+    def _refuse_all(self, reason: str) -> list[PoolEffect]:
         return [
-            self._refuse(request.request_id, RefuseReason.NO_TARGET, 0)
+            self._refuse(request.request_id, reason, 0)
             for request in self._queue.pop_all()
         ]
 
--- a/sequoiahook/decisions/pool/runs.py
+++ b/sequoiahook/decisions/pool/runs.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Hashable, Iterator
+from collections.abc import Hashable, Iterator, Sequence
 from typing import NamedTuple
 
 from sequoiahook.decisions.pool.fair_queue import QueuedRequest
@@ -22,6 +22,7 @@
         address: Address of the target; slots are counted by it, since a target may be
             renamed or named twice.
         cost_ms: Slot time that the organisation was charged.
+        until: When the slot comes back at the latest.
     """
 
     request_id: Hashable
@@ -29,6 +30,11 @@
     target_name: str
     address: Address
     cost_ms: float
+    until: int
+
+
+class _InheritedId(NamedTuple):
+    number: int
 
 
 class Runs:
@@ -47,6 +53,7 @@
         self._count_by_address: Counter[Address] = Counter()
         self._expiry: list[tuple[int, int, Run]] = []
         self._sequence = 0
+        self._inherited_ids: list[_InheritedId] = []
 
     def __contains__(self, request_id: Hashable) -> bool:
         return request_id in self._runs_by_id
@@ -69,17 +76,24 @@
             target_name,
             address,
             request.cost_ms,
+            request.deadline_at + self._settings.overrun_ms,
         )
-        self._add(run, request.deadline_at + self._settings.overrun_ms)
-
-    def inherit(self, address: Address | None, count: int, until: int) -> None:
-        """Count work of a previous owner until a time."""
-        if address is None:
-            return
-        for _ in range(count):
+        self._add(run)
+
+    def set_inherited(self, until_by_run: Sequence[tuple[Address, int]]) -> None:
+        """Count work of a previous owner, in place of what was counted of it before.
+
+        Args:
+            until_by_run: The address of each run, and when it has ended at the latest.
+        """
+        for run_id in self._inherited_ids:
+            self.end(run_id)
+        self._inherited_ids = []
+        for address, until in until_by_run:
             self._sequence += 1
-            run_id = ("inherited", self._sequence)
-            self._add(Run(run_id, "", "", address, 0.0), until)
+            run_id = _InheritedId(self._sequence)
+            self._inherited_ids.append(run_id)
+            self._add(Run(run_id, "", "", address, 0.0, until))
 
     def end(self, request_id: Hashable) -> Run | None:
         """Return a request's slot; None if it holds none."""
@@ -107,8 +121,8 @@
             heapq.heappop(self._expiry)
         return None
 
-    def _add(self, run: Run, until: int) -> None:
+    def _add(self, run: Run) -> None:
         self._runs_by_id[run.request_id] = run
         self._count_by_address[run.address] += 1
         self._sequence += 1
-        heapq.heappush(self._expiry, (until, self._sequence, run))
+        heapq.heappush(self._expiry, (run.until, self._sequence, run))
--- a/sequoiahook/decisions/pool/target_set.py
+++ b/sequoiahook/decisions/pool/target_set.py
@@ -1,7 +1,7 @@
 """The targets of a pool, and the choice among them."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Hashable, Iterable, Sequence
 
 from sequoiahook.decisions.pool.effects import TargetReport
 from sequoiahook.decisions.pool.runs import Runs
@@ -14,7 +14,7 @@
 
 
 class TargetSet:
-    """Targets by name, one for each address.
+    """Targets, one for each address; other names of the address are aliases.
 
     Args:
         settings: The pool's settings.
@@ -25,24 +25,29 @@
         self._settings = settings
         self._rng = rng
         self._targets_by_name: dict[str, TargetSlots] = {}
+        self._address_by_name: dict[str, Address] = {}
         self._listed_leaving: set[str] = set()
+        self._said_leaving_at_by_name: dict[str, int] = {}
         self._is_configured = False
 
     def configure(self, targets: Sequence[Target], warm_up_ms: int, now: int) -> None:
         """Take all targets; a name or an address that comes twice counts once."""
+        by_name = _merged_by(targets, lambda target: target.name)
+        by_address = _merged_by(by_name.values(), _address)
         old_by_name = self._targets_by_name
         self._targets_by_name = {}
-        for target in _merged(targets):
+        for target in by_address.values():
             old = old_by_name.get(target.name)
             if old is not None and _address(old.target) == _address(target):
                 old.set_target(target, warm_up_ms)
                 self._targets_by_name[target.name] = old
                 continue
             warm_from = now if self._is_configured else None
-            slots = TargetSlots(self._settings, target, warm_from, warm_up_ms)
-            slots.is_listed_leaving = target.name in self._listed_leaving
-            self._targets_by_name[target.name] = slots
+            self._targets_by_name[target.name] = TargetSlots(
+                self._settings, target, warm_from, warm_up_ms
+            )
         self._is_configured = self._is_configured or bool(targets)
+        self._set_addresses({n: _address(target) for n, target in by_name.items()})
 
     def set_leaving(self, target_names: set[str]) -> None:
         """Take the list of leaving targets.
@@ -50,26 +55,24 @@
         A target that was listed and is so no more has come back, which also ends its
         own word.
         """
+        for name in self._listed_leaving - target_names:
+            self._said_leaving_at_by_name.pop(name, None)
         self._listed_leaving = target_names
-        for name, slots in self._targets_by_name.items():
-            is_listed = name in target_names
-            if slots.is_listed_leaving and not is_listed:
-                slots.said_leaving_at = None
-            slots.is_listed_leaving = is_listed
+        self._mark_leaving()
 
     def says_leaving(self, target_name: str, now: int) -> None:
         """Take a target's own word that it leaves."""
-        slots = self._targets_by_name.get(target_name)
-        if slots is not None:
-            slots.said_leaving_at = now
+        if target_name in self._address_by_name:
+            self._said_leaving_at_by_name[target_name] = now
+            self._mark_leaving()
 
     def says_serving(self, target_name: str, now: int) -> None:
         """Take a target's own word that it serves."""
-        slots = self._targets_by_name.get(target_name)
-        if slots is None or slots.said_leaving_at is None:
+        said_at = self._said_leaving_at_by_name.get(target_name)
+        if said_at is None or now - said_at < self._settings.leaving_word_ms:
             return
-        if now - slots.said_leaving_at >= self._settings.leaving_word_ms:
-            slots.said_leaving_at = None
+        del self._said_leaving_at_by_name[target_name]
+        self._mark_leaving()
 
     def report_load(self, target_name: str, load_percent: int, now: int) -> None:
         """Take a target's report of its load."""
@@ -77,13 +80,17 @@
         if slots is not None:
             slots.set_load(load_percent, now)
 
-    def learn(self, target_name: str, result: TargetReport, now: int) -> None:
-        """Take the result of a run."""
+    def learn(
+        self, target_name: str, address: Address, result: TargetReport, now: int
+    ) -> None:
+        """Take the result of a run; one of an address that was left says nothing."""
+        if self._address_by_name.get(target_name) != address:
+            return
+        if result.is_leaving:
+            self.says_leaving(target_name, now)
         slots = self._targets_by_name.get(target_name)
         if slots is None:
             return
-        if result.is_leaving:
-            slots.said_leaving_at = now
         if result.is_success:
             slots.health.succeeded()
             slots.duration.add(result.duration_ms)
@@ -92,8 +99,7 @@
 
     def address_of(self, target_name: str) -> Address | None:
         """Return a target's address; None if it is not known."""
-        slots = self._targets_by_name.get(target_name)
-        return _address(slots.target) if slots is not None else None
+        return self._address_by_name.get(target_name)
 
     def choose(self, runs: Runs, now: int) -> str | None:
         """Return the target that is used least; None if none has a free slot."""
@@ -127,6 +133,19 @@
         """Return how many targets take new work."""
         return sum(not slots.is_closed for slots in self._targets_by_name.values())
 
+    def _set_addresses(self, address_by_name: dict[str, Address]) -> None:
+        for name in [*self._said_leaving_at_by_name]:
+            if address_by_name.get(name) != self._address_by_name.get(name):
+                del self._said_leaving_at_by_name[name]
+        self._address_by_name = address_by_name
+        self._mark_leaving()
+
+    def _mark_leaving(self) -> None:
+        names = self._listed_leaving | self._said_leaving_at_by_name.keys()
+        leaving = {self._address_by_name.get(name) for name in names}
+        for slots in self._targets_by_name.values():
+            slots.is_leaving = _address(slots.target) in leaving
+
     def next_change(self, now: int) -> int | None:
         """Return when time alone opens a slot next; None if it never does."""
         changes = [slots.next_change(now) for slots in self._targets_by_name.values()]
@@ -137,16 +156,14 @@
     return Address(target.host, target.port)
 
 
-def _merged(targets: Sequence[Target]) -> list[Target]:
-    by_name: dict[str, Target] = {}
-    for target in targets:
-        other = by_name.get(target.name)
-        by_name[target.name] = _stricter(target, other) if other else target
-    by_address: dict[Address, Target] = {}
-    for _, target in sorted(by_name.items()):
-        other = by_address.get(_address(target))
-        by_address[_address(target)] = _stricter(other, target) if other else target
-    return list(by_address.values())
+def _merged_by(
+    targets: Iterable[Target], key: Callable[[Target], Hashable]
+) -> dict[Hashable, Target]:
+    merged: dict[Hashable, Target] = {}
+    for target in sorted(targets):
+        other = merged.setdefault(key(target), target)
+        merged[key(target)] = _stricter(other, target)
+    return merged
 
 
 def _stricter(target: Target, other: Target) -> Target:
--- a/sequoiahook/decisions/pool/target_slots.py
+++ b/sequoiahook/decisions/pool/target_slots.py
@@ -31,17 +31,14 @@
         self.duration = DurationEstimate(settings.service_time_ms)
         self._warm_from = warm_from
         self._warm_up_ms = warm_up_ms
-        self.is_listed_leaving = False
-        self.said_leaving_at: int | None = None
+        self.is_leaving = False
         self._load_percent = 0
         self._load_until: int | None = None
 
     @property
     def is_closed(self) -> bool:
         """Whether the target gets nothing new at all."""
-        if self.target.state != "active" or self.is_listed_leaving:
-            return True
-        return self.said_leaving_at is not None
+        return self.is_leaving or self.target.state != "active"
 
     def set_target(self, target: Target, warm_up_ms: int) -> None:
         """Take the target's new description."""
--- a/sequoiahook/messages/pools.py
+++ b/sequoiahook/messages/pools.py
@@ -4,7 +4,7 @@
 
 from sequoiahook.messages.base import message
 
-__all__ = ["CreditAsk", "CreditGrant", "PoolSummary"]
+__all__ = ["CreditAsk", "CreditGrant", "HandedRun", "PoolHandover", "PoolSummary"]
 
 
 @message
@@ -96,3 +96,43 @@
     ask_id: int
     count: int
     lease_ms: int
+
+
+class HandedRun(NamedTuple):
+    """Work of a previous owner that still holds a slot.
+
+    Attributes:
+        host: IP number of the target.
+        port: Port of the target.
+        left_ms: How long it may still run.
+    """
+
+    host: str
+    port: int
+    left_ms: int
+
+
+@message
+class PoolHandover(NamedTuple):
+    """A pool's owner has stopped, and tells its successor what still runs.
+
+    It is sent again as runs end. Lost: the successor counts on with the one before, or
+    waits until everything has ended by its deadline. Repeated or out of order: a
+    sequence that is not higher is ignored. Delayed: it names more than still runs. One
+    of another view is ignored.
+
+    Attributes:
+        service: Name of the service.
+        data_centre: Data centre of the pool.
+        view_number: The view by which the successor owns the pool.
+        sequence: Grows with each one for this view.
+        blocked_ms: How long unknown work of an earlier owner may still run.
+        runs: What runs for the sender.
+    """
+
+    service: str
+    data_centre: str
+    view_number: int
+    sequence: int
+    blocked_ms: int
+    runs: tuple[HandedRun, ...]
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,8 +9,8 @@
     return Target(name, "register", "dc1", "127.0.0.1", port, slots, state)
 
 
-def pool(*targets, settings=PoolSettings(), warm_up_ms=0):
-    subject = Pool(settings, "register", random.Random(1))
+def pool(*targets, warm_up_ms=0):
+    subject = Pool(PoolSettings(), "register", random.Random(1))
     subject.configure(targets, warm_up_ms, 0)
     return subject
 
