--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -30,10 +30,10 @@
 
 
 class LinkRoom(Protocol):
-    """Tells whether the link between two data centres has bytes left."""
+    """Tells whether the link to a data centre has bytes left."""
 
-    def has_room(self, source: str, destination: str, now: int) -> bool:
-        """Return whether a request may be sent from one to the other."""
+    def has_room(self, destination: str, now: int) -> bool:
+        """Return whether a request may be sent to a data centre."""
 
 
 class Placement:
@@ -154,9 +154,7 @@
         self, service_name: str, data_centre: str, holder: CreditHolder, now: int
     ) -> bool:
         pool = PoolKey(service_name, data_centre)
-        if self._links is not None and not self._links.has_room(
-            self._data_centre, data_centre, now
-        ):
+        if self._links is not None and not self._links.has_room(data_centre, now):
             return False
         holder.want(pool)
         return holder.count(pool, now) > 0
