--- /dev/null
+++ b/sequoiahook/decisions/membership/agreement.py
@@ -0,0 +1,196 @@
+"""The view in force on this instance, its proposer, and the keepers under it."""
+
+import random
+from collections.abc import Callable, Collection
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.membership.effects import ViewChanged
+from sequoiahook.decisions.membership.keepers import Tenure, keeper_order
+from sequoiahook.decisions.membership.peers import Peer
+from sequoiahook.decisions.membership.presence import Presence
+from sequoiahook.decisions.membership.settings import MembershipSettings
+from sequoiahook.decisions.membership.views import ViewReplica, view_object
+from sequoiahook.decisions.rendezvous import winner
+from sequoiahook.messages.base import Envelope
+from sequoiahook.messages.membership import LEFT, LIVE, ViewAnswer, ViewRequest
+from sequoiahook.world.instance import Instance
+from sequoiahook.world.view import DataCentreView
+
+__all__ = ["Agreement"]
+
+
+class Agreement:
+    """Which instances share the keys of the data centre, and who acts for a key.
+
+    Args:
+        settings: Settings of membership.
+        me: This instance.
+        presence: The peers.
+        rng: Source of jitter.
+        now: Start of the process.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        me: Instance,
+        presence: Presence,
+        rng: random.Random,
+        now: int,
+    ):
+        self.object_name = view_object(me.data_centre)
+        self._settings = settings
+        self._me = me
+        self._presence = presence
+        self._started_at = now
+        self._views = ViewReplica(settings, me.data_centre, rng)
+        self._tenure = Tenure(me.name, settings.takeover_ms, now)
+        self._tenure.start_term(presence.peers.probe, now)
+        self._unknown_since_by_name: dict[str, int] = {}
+
+    @property
+    def view(self) -> DataCentreView:
+        """The view in force; number 0 until one is known."""
+        return self._views.view
+
+    def start_term(self, now: int) -> None:
+        """Hold nothing from here on, because this process did not run."""
+        self._unknown_since_by_name = dict.fromkeys(self._unknown_since_by_name, now)
+        self._tenure.start_term(self._presence.peers.probe, now)
+
+    def compare(self, peer: Peer, now: int) -> list:
+        """Take in what a peer's heartbeat shows; ask for its view if it is newer."""
+        name = peer.instance.name
+        self._tenure.confirm(name, peer.view, peer.echo, now)
+        if peer.view > self.view.number:
+            return [Send(name, ViewRequest(self.view.number))]
+        return []
+
+    def requested(self, envelope: Envelope, now: int) -> list:
+        """Answer a request for the view."""
+        if self.view.number <= envelope.body.held:
+            return []
+        return [Send(envelope.source, ViewAnswer(self.view))]
+
+    def answered(self, envelope: Envelope, now: int) -> list:
+        """Take in a peer's view."""
+        return self._change(lambda: self._views.adopt(envelope.body.view), now)
+
+    def tick(self, live: Collection[str], now: int) -> list:
+        """Return calls of the platform that are due.
+
+        Args:
+            live: Names of the live instances of the own data centre.
+            now: The time in milliseconds.
+        """
+        is_proposer = self._is_proposer(live, now)
+        wanted = self._wanted(now) if is_proposer else ()
+        return self._views.tick(is_proposer, wanted, now)
+
+    def object_read(
+        self, version: int, value: bytes | None, live: Collection[str], now: int
+    ) -> list:
+        """Take in the platform's object, and change it if that is called for."""
+        wanted = self._wanted(now) if self._is_proposer(live, now) else None
+        calls: list = []
+
+        def read() -> None:
+            calls.extend(self._views.object_read(version, value, wanted, now))
+
+        return self._change(read, now) + calls
+
+    def object_written(self, now: int) -> None:
+        """Take in that a conditional update took effect."""
+        self._views.object_written(now)
+
+    def object_conflict(self, now: int) -> None:
+        """Take in that a conditional update named an old version."""
+        self._views.object_conflict(now)
+
+    def object_unavailable(self, now: int) -> None:
+        """Take in that a call failed, or that its answer was lost."""
+        self._views.object_unavailable(now)
+
+    def handed_over(self, name: str, now: int) -> None:
+        """Note that a member handed over all that falls to this instance."""
+        self._tenure.handed_over(name, now)
+
+    def acting_keeper(self, key: str, now: int) -> str | None:
+        """Return the first in a key's order that counts; None if nobody does."""
+        for name in keeper_order(key, self.view.instances):
+            if not self._is_absent(name, now):
+                return name
+        return None
+
+    def may_act(self, key: str, now: int) -> bool:
+        """Return whether this instance may act as the keeper of a key."""
+        if self._presence.state == LEFT:
+            return False
+        return self._tenure.may_act(key, lambda name: self._is_absent(name, now), now)
+
+    def _change(self, act: Callable[[], object], now: int) -> list:
+        before = self.view
+        absent = [name for name in before.instances if self._is_absent(name, now)]
+        act()
+        view = self.view
+        if view == before:
+            return []
+        self._note_unknown(now)
+        self._tenure.change_view(view, absent)
+        return [
+            ViewChanged(view),
+            *(
+                Send(peer.instance.name, ViewAnswer(view))
+                for peer in self._presence.own_peers()
+                if peer.view < view.number
+            ),
+        ]
+
+    def _note_unknown(self, now: int) -> None:
+        before = self._unknown_since_by_name
+        self._unknown_since_by_name = {
+            name: before.get(name, now)
+            for name in self.view.instances
+            if self._presence.peer(name) is None
+        }
+
+    def _silence_ms(self, name: str, now: int) -> int:
+        peer = self._presence.peer(name)
+        if peer is not None:
+            return now - peer.heard_at
+        return now - self._unknown_since_by_name.setdefault(name, now)
+
+    def _is_absent(self, name: str, now: int) -> bool:
+        if name == self._me.name:
+            return self._presence.state == LEFT
+        peer = self._presence.peer(name)
+        if peer is not None and peer.state == LEFT:
+            return True
+        return self._silence_ms(name, now) >= self._settings.takeover_ms
+
+    def _is_proposer(self, live: Collection[str], now: int) -> bool:
+        if not self._has_joined(self._started_at, now):
+            return False
+        return winner(self.object_name, live) == self._me.name
+
+    def _wanted(self, now: int) -> set[str]:
+        names = {name for name in self.view.instances if self._is_kept(name, now)}
+        if self._presence.state != LEFT:
+            names.add(self._me.name)
+        names.update(
+            peer.instance.name
+            for peer in self._presence.own_peers()
+            if peer.state == LIVE and self._has_joined(peer.heard_since, now)
+        )
+        return names
+
+    def _is_kept(self, name: str, now: int) -> bool:
+        if name == self._me.name:
+            return self._presence.state != LEFT
+        peer = self._presence.peer(name)
+        if peer is not None and peer.state == LEFT:
+            return False
+        return self._silence_ms(name, now) < self._settings.remove_after_ms
+
+    def _has_joined(self, since: int | None, now: int) -> bool:
+        return since is not None and now - since >= self._settings.join_after_ms
--- a/sequoiahook/decisions/membership/fleet.py
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -59,6 +59,11 @@
         """Return the data centre of an instance; None if it is not known."""
         return self._data_centre_by_name.get(name)
 
+    def instance(self, name: str) -> Instance | None:
+        """Return an instance; None if it is not known."""
+        members = self.members_by_data_centre.get(self.data_centre_of(name), {})
+        return members[name].instance if name in members else None
+
     def is_reachable(self, data_centre: str) -> bool:
         """Return whether anybody in the own data centre has a link to it."""
         return data_centre == self._me.data_centre or bool(self._reports(data_centre))
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -3,21 +3,12 @@
 import random
 from collections.abc import Iterable
 
-from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.membership.effects import (
-    LinksChanged,
-    Paused,
-    PeerDown,
-    PeerUp,
-    ViewChanged,
-)
-from sequoiahook.decisions.membership.fleet import Fleet
-from sequoiahook.decisions.membership.keepers import Tenure, keeper_order
-from sequoiahook.decisions.membership.linking import Linking
-from sequoiahook.decisions.membership.peers import Peer, PeerTable, later_state
+from sequoiahook.decisions.membership.agreement import Agreement
+from sequoiahook.decisions.membership.effects import Paused
+from sequoiahook.decisions.membership.keepers import keeper_order
+from sequoiahook.decisions.membership.presence import Presence
 from sequoiahook.decisions.membership.settings import MembershipSettings
-from sequoiahook.decisions.membership.views import ViewReplica, view_object
-from sequoiahook.decisions.rendezvous import winner
+from sequoiahook.decisions.membership.tracker import Tracker
 from sequoiahook.messages.base import Envelope
 from sequoiahook.messages.membership import (
     LEAVING,
@@ -43,6 +34,10 @@
 class Membership:
     """Who is there, as one instance knows it.
 
+    Each method that takes the time and returns a list returns effects: Send,
+    ReadObject, WriteObject, ViewChanged, PeerUp, PeerDown, LinksChanged and Paused.
+    A message reaches only instances that either end holds a link to.
+
     Args:
         settings: Settings of membership.
         me: This instance.
@@ -59,44 +54,34 @@
     ):
         self._settings = settings
         self._me = me
-        self._state = LIVE
-        self._peers = PeerTable(settings.suspect_ms, rng)
-        self._fleet = Fleet(me)
-        self._linking = Linking(settings, me, self._fleet)
-        self._views = ViewReplica(settings, me.data_centre, rng)
-        self._tenure = Tenure(me.name, settings.takeover_ms, now)
-        self._tenure.start_term(self._peers.probe, now)
-        self._started_at = now
+        self._presence = Presence(settings, me, rng)
+        self._tracker = Tracker(settings, me, self._presence)
+        self._agreement = Agreement(settings, me, self._presence, rng, now)
         self._last_now = now
         self._round_at = now
-        self._view_at = now
-        self._links: frozenset[str] = frozenset()
-        self._stale_data_centres: set[str] = {me.data_centre}
-        self._up_by_name: dict[str, int] = {}
         self._platform_names: frozenset[str] = frozenset()
         self._handlers = {
             Announce: self._on_announce,
             Heartbeat: self._on_heartbeat,
             Introduction: self._on_introduction,
             Leaving: self._on_leaving,
-            RosterChange: self._on_roster_change,
-            RosterRequest: self._on_roster_request,
-            RosterSnapshot: self._on_roster_snapshot,
-            ViewAnswer: self._on_view_answer,
-            ViewRequest: self._on_view_request,
+            RosterChange: self._tracker.changed,
+            RosterRequest: self._tracker.requested,
+            RosterSnapshot: self._tracker.received,
+            ViewAnswer: self._agreement.answered,
+            ViewRequest: self._agreement.requested,
         }
-        seeds = [Member(seed, LIVE) for seed in settings.seeds]
-        self._learn_all(seeds, now)
+        self._learn_all([Member(seed, LIVE) for seed in settings.seeds], now)
 
     @property
     def view(self) -> DataCentreView:
         """The view in force; number 0 until one is known."""
-        return self._views.view
+        return self._agreement.view
 
     @property
     def state(self) -> str:
         """This instance's state."""
-        return self._state
+        return self._presence.state
 
     def receive(self, envelope: Envelope, now: int) -> list:
         """Take in a message of a peer.
@@ -109,13 +94,13 @@
             Effects.
         """
         effects = self._advance(now)
-        if envelope.source == self._me.name:
-            return effects
         handler = self._handlers.get(type(envelope.body))
-        if handler is None or not self._is_from_followed(envelope):
+        if handler is None or envelope.source == self._me.name:
+            return effects
+        if not self._presence.accepts(envelope):
             return effects
         effects += handler(envelope, now)
-        return effects + self._refresh(now)
+        return effects + self._tracker.refresh(now)
 
     def tick(self, now: int) -> list:
         """Do what is due; to be called at least once in each heartbeat.
@@ -124,14 +109,11 @@
             Effects.
         """
         effects = self._advance(now)
-        for peer in self._peers.suspects(now):
-            self._stale_data_centres |= self._drop_reports(peer)
-        self._watch_links(now)
-        effects += self._refresh(now)
+        self._tracker.watch(now)
+        effects += self._tracker.refresh(now)
         if now >= self._round_at:
             effects += self._start_round(now)
-        is_proposer = self._is_proposer(now)
-        return effects + self._views.tick(is_proposer, self._wanted_view(now), now)
+        return effects
 
     def next_wake(self, now: int) -> int:
         """Return when tick is to be called next."""
@@ -146,7 +128,7 @@
         entries = tuple(entries)
         self._platform_names = frozenset(entry.instance.name for entry in entries)
         self._learn_all(entries, now)
-        return effects + self._refresh(now)
+        return effects + self._tracker.refresh(now)
 
     def leave(self, now: int) -> list:
         """Start to leave: no new callers, still a keeper."""
@@ -161,63 +143,57 @@
 
     def handed_over(self, name: str, now: int) -> None:
         """Note that a member handed over all that falls to this instance."""
-        self._tenure.handed_over(name, now)
+        self._agreement.handed_over(name, now)
 
     def object_read(
         self, name: str, version: int, value: bytes | None, now: int
     ) -> list:
         """Take in a platform object; version 0 and no value if there is none."""
         effects = self._advance(now)
-        if name != view_object(self._me.data_centre):
-            return effects
-        before = self._before_view(now)
-        wanted = self._wanted_view(now) if self._is_proposer(now) else None
-        effects += self._views.object_read(version, value, wanted, now)
-        return effects + self._after_view(before, now)
+        if name == self._agreement.object_name:
+            live = self.live(self._me.data_centre)
+            effects += self._agreement.object_read(version, value, live, now)
+        return effects
 
     def object_written(self, name: str, now: int) -> list:
         """Take in that a conditional update took effect."""
         effects = self._advance(now)
-        if name == view_object(self._me.data_centre):
-            self._views.object_written(now)
+        if name == self._agreement.object_name:
+            self._agreement.object_written(now)
         return effects
 
     def object_conflict(self, name: str, current: int, now: int) -> list:
         """Take in that a conditional update named an old version."""
         effects = self._advance(now)
-        if name == view_object(self._me.data_centre):
-            self._views.object_conflict(now)
+        if name == self._agreement.object_name:
+            self._agreement.object_conflict(now)
         return effects
 
     def object_unavailable(self, name: str, now: int) -> list:
         """Take in that a call failed, or that its answer was lost."""
         effects = self._advance(now)
-        if name == view_object(self._me.data_centre):
-            self._views.object_unavailable(now)
+        if name == self._agreement.object_name:
+            self._agreement.object_unavailable(now)
         return effects
 
     def data_centres(self) -> list[str]:
         """Return the names of all data centres that are known."""
-        return sorted(self._fleet.members_by_data_centre)
+        return sorted(self._tracker.fleet.members_by_data_centre)
 
     def live(self, data_centre: str) -> dict[str, Instance]:
         """Return the live instances of a data centre by name, without leaving ones."""
-        return self._fleet.live(data_centre)
+        return self._tracker.fleet.live(data_centre)
 
     def instance(self, name: str) -> Instance | None:
         """Return an instance that is known, live or not."""
         if name == self._me.name:
             return self._me
-        data_centre = self._fleet.data_centre_of(name)
-        members = self._fleet.members_by_data_centre.get(data_centre, {})
-        if name in members:
-            return members[name].instance
-        peer = self._peers.peers_by_name.get(name)
-        return None if peer is None else peer.instance
+        peer = self._presence.peer(name)
+        return self._tracker.fleet.instance(name) if peer is None else peer.instance
 
     def is_reachable(self, data_centre: str) -> bool:
         """Return whether somebody in this data centre has a link to another one."""
-        return self._fleet.is_reachable(data_centre)
+        return self._tracker.fleet.is_reachable(data_centre)
 
     def silence_ms(self, name: str, now: int) -> int | None:
         """Return for how long nothing new came from an instance itself.
@@ -226,23 +202,22 @@
         """
         if name == self._me.name:
             return 0
-        return self._peers.silence_ms(name, now)
+        return self._presence.peers.silence_ms(name, now)
 
     def age_ms(self, name: str, now: int) -> int | None:
         """Return an upper bound of the age of an instance's last heartbeat."""
-        return 0 if name == self._me.name else self._peers.age_ms(name, now)
+        return 0 if name == self._me.name else self._presence.peers.age_ms(name, now)
 
     def links_wanted(self, now: int) -> frozenset[str]:
         """Return the names of the instances to hold a link to."""
-        own = {peer.instance.name for peer in self._own_peers()}
-        return self._linking.wanted | own
+        return self._tracker.links_wanted()
 
     def next_hop(self, destination: str, arrived_from: str | None = None) -> str | None:
         """Return whom to send a message for an instance to.
 
         A message takes at most three hops: to the own data centre's end of a link,
-        over the link, to the destination. One that came from the own data centre
-        never goes back into it, so it cannot run in a circle.
+        over the link, to the destination. One that was passed on is never sent to
+        another end of the own data centre, so it cannot run in a circle.
 
         Args:
             destination: Name of the instance that the message is for.
@@ -251,17 +226,7 @@
         Returns:
             The name of the next instance; None if there is no way now.
         """
-        data_centre = self._fleet.data_centre_of(destination)
-        if destination in self._peers.peers_by_name:
-            return destination
-        if data_centre is None or data_centre == self._me.data_centre:
-            return None
-        direct = self._linked_peers(data_centre)
-        if direct:
-            return winner(destination, direct)
-        if arrived_from is not None:
-            return None
-        return winner(destination, self._fleet.ends(data_centre))
+        return self._tracker.next_hop(destination, arrived_from)
 
     def keepers(self, key: str) -> list[str]:
         """Return the members of the view in the order in which they keep a key."""
@@ -269,16 +234,11 @@
 
     def acting_keeper(self, key: str, now: int) -> str | None:
         """Return whom to ask about a key; None without a view or a keeper."""
-        for name in keeper_order(key, self.view.instances):
-            if not self._is_absent(name, now):
-                return name
-        return None
+        return self._agreement.acting_keeper(key, now)
 
     def may_act(self, key: str, now: int) -> bool:
         """Return whether this instance may act as the keeper of a key right now."""
-        if self._state == LEFT or self._is_paused(now):
-            return False
-        return self._tenure.may_act(key, lambda name: self._is_absent(name, now), now)
+        return not self._is_paused(now) and self._agreement.may_act(key, now)
 
     def _is_paused(self, now: int) -> bool:
         return now - self._last_now >= self._settings.lease_longest_ms
@@ -289,323 +249,75 @@
         self._last_now = now
         if not is_paused:
             return []
-        self._peers.restart_silences(now)
-        self._view_at = now
-        self._tenure.start_term(self._peers.probe, now)
+        self._presence.peers.restart_silences(now)
+        self._agreement.start_term(now)
         return [Paused(gap_ms)]
 
-    def _is_absent(self, name: str, now: int) -> bool:
-        if name == self._me.name:
-            return self._state == LEFT
-        peer = self._peers.peers_by_name.get(name)
-        if peer is None:
-            return now - self._view_at >= self._settings.takeover_ms
-        if peer.state == LEFT:
-            return True
-        return now - peer.heard_at >= self._settings.takeover_ms
-
-    def _own_peers(self) -> list[Peer]:
-        own = self._me.data_centre
-        return [
-            peer
-            for peer in self._peers.peers_by_name.values()
-            if peer.instance.data_centre == own
-        ]
-
-    def _linked_peers(self, data_centre: str) -> list[str]:
-        return [
-            name
-            for name, peer in self._peers.peers_by_name.items()
-            if peer.instance.data_centre == data_centre and peer.heard_since is not None
-        ]
-
-    def _is_from_followed(self, envelope: Envelope) -> bool:
-        if isinstance(envelope.body, Heartbeat | Announce):
-            return True
-        peer = self._peers.peers_by_name.get(envelope.source)
-        return peer is not None and peer.instance.incarnation == envelope.incarnation
-
     def _on_heartbeat(self, envelope: Envelope, now: int) -> list:
-        peer = self._peers.peers_by_name.get(envelope.source)
+        peer = self._presence.peer(envelope.source)
         if peer is None:
-            return [self._ask_announce(envelope.source)]
+            return [self._presence.ask_announce(envelope.source)]
         beat = envelope.body
-        before = (peer.instance, peer.heard_since is not None, peer.state)
-        if not self._peers.receive(peer, envelope.incarnation, beat, now):
+        instance, since, state = peer.instance, peer.heard_since, peer.state
+        if not self._presence.peers.receive(peer, envelope.incarnation, beat, now):
             return []
-        effects = []
-        if peer.instance != before[0]:
-            effects.append(self._ask_announce(envelope.source))
-        if peer.instance != before[0] or not before[1]:
-            self._stale_data_centres |= self._drop_reports(peer)
-            self._fleet.follow(peer.instance)
-        if (peer.instance, True, peer.state) != before:
-            self._stale_data_centres.add(peer.instance.data_centre)
-        if beat.roster > self._fleet.held_version(envelope.source):
-            held = self._fleet.held_version(envelope.source)
-            effects.append(Send(envelope.source, RosterRequest(held)))
-        if peer.instance.data_centre == self._me.data_centre:
-            effects += self._compare_views(peer, now)
+        effects: list = []
+        is_other = peer.instance != instance
+        if is_other:
+            effects.append(self._presence.ask_announce(envelope.source))
+        if is_other or since is None or peer.state != state:
+            self._tracker.heard(peer, is_other or since is None)
+        effects += self._tracker.compare(envelope.source, beat.roster)
+        if self._presence.is_own(peer):
+            effects += self._agreement.compare(peer, now)
         return effects
 
-    def _compare_views(self, peer: Peer, now: int) -> list:
-        name = peer.instance.name
-        self._tenure.confirm(name, peer.view, peer.echo, now)
-        if peer.view > self.view.number:
-            return [Send(name, ViewRequest(self.view.number))]
-        return []
-
-    def _ask_announce(self, name: str) -> Send:
-        return Send(name, Announce(Member(self._me, self._state), True))
-
     def _on_announce(self, envelope: Envelope, now: int) -> list:
-        member, wants_answer = envelope.body
-        instance = member.instance
-        if instance.name == self._me.name:
-            return []
-        is_direct = instance.name == envelope.source
-        is_own = instance.data_centre == self._me.data_centre
-        is_new = self._learn(instance, is_direct, now)
-        effects: list = []
-        if is_direct and wants_answer:
-            answer = Announce(Member(self._me, self._state), False)
-            effects.append(Send(instance.name, answer))
-            effects.append(self._introduce(instance))
-        if is_new and is_own:
-            passed_on = Announce(member, False)
-            effects += [
-                Send(peer.instance.name, passed_on)
-                for peer in self._own_peers()
-                if peer.instance.name not in (instance.name, envelope.source)
-            ]
+        data_centre = envelope.body.member.instance.data_centre
+        known = self._tracker.fleet.members_by_data_centre.get(data_centre, {})
+        effects = self._presence.announced(envelope, known.values(), now)
+        self._tracker.mark([data_centre])
         return effects
 
-    def _introduce(self, asker: Instance) -> Send:
-        members = self._fleet.members_by_data_centre.get(asker.data_centre, {})
-        return Send(asker.name, Introduction(tuple(members.values())))
-
-    def _learn(self, instance: Instance, is_direct: bool, now: int) -> bool:
-        known = self._peers.peers_by_name.get(instance.name)
-        before = None if known is None else known.instance
-        peer = self._peers.learn(instance, now)
-        if is_direct and peer.instance.incarnation == instance.incarnation:
-            peer.instance = instance
-        if peer.instance == before:
-            return False
-        self._stale_data_centres.add(instance.data_centre)
-        return True
-
     def _on_introduction(self, envelope: Envelope, now: int) -> list:
-        for member in envelope.body.members:
-            instance = member.instance
-            is_own = instance.data_centre == self._me.data_centre
-            if is_own and instance.name != self._me.name:
-                self._learn(instance, False, now)
+        self._presence.introduced(envelope.body.members, now)
         return []
 
     def _on_leaving(self, envelope: Envelope, now: int) -> list:
-        peer = self._peers.peers_by_name[envelope.source]
-        peer.state = later_state(peer.state, envelope.body.state)
-        self._stale_data_centres.add(peer.instance.data_centre)
+        peer = self._presence.peer(envelope.source)
+        peer.note_state(envelope.body.state)
+        self._tracker.mark([peer.instance.data_centre])
         return []
 
-    def _on_roster_change(self, envelope: Envelope, now: int) -> list:
-        change = envelope.body
-        if self._fleet.apply_change(envelope.source, change):
-            self._stale_data_centres.add(change.data_centre)
-            return []
-        held = self._fleet.held_version(envelope.source)
-        return [Send(envelope.source, RosterRequest(held))]
-
-    def _on_roster_request(self, envelope: Envelope, now: int) -> list:
-        return [Send(envelope.source, self._reporter(envelope.source).snapshot())]
-
-    def _on_roster_snapshot(self, envelope: Envelope, now: int) -> list:
-        stale = self._fleet.apply_snapshot(envelope.source, envelope.body)
-        self._stale_data_centres |= stale
-        return []
-
-    def _on_view_request(self, envelope: Envelope, now: int) -> list:
-        if self.view.number <= envelope.body.held:
-            return []
-        return [Send(envelope.source, ViewAnswer(self.view))]
-
-    def _on_view_answer(self, envelope: Envelope, now: int) -> list:
-        before = self._before_view(now)
-        self._views.adopt(envelope.body.view)
-        return self._after_view(before, now)
-
-    def _reporter(self, name: str):
-        peer = self._peers.peers_by_name[name]
-        is_own = peer.instance.data_centre == self._me.data_centre
-        return self._fleet.for_mesh if is_own else self._fleet.for_links
-
-    def _before_view(self, now: int) -> tuple[int, list[str]]:
-        view = self.view
-        absent = [name for name in view.instances if self._is_absent(name, now)]
-        return view.number, absent
-
-    def _after_view(self, before: tuple[int, list[str]], now: int) -> list:
-        number, absent = before
-        if self.view.number == number:
-            return []
-        self._view_at = now
-        self._tenure.change_view(self.view, absent)
-        effects: list = [ViewChanged(self.view)]
-        for peer in self._own_peers():
-            effects.append(Send(peer.instance.name, ViewAnswer(self.view)))
-        return effects
-
-    def _drop_reports(self, peer: Peer) -> set[str]:
-        stale = self._fleet.unfollow(peer.instance.name)
-        return stale | {peer.instance.data_centre}
-
-    def _watch_links(self, now: int) -> None:
-        for name in self._linking.wanted:
-            peer = self._peers.peers_by_name.get(name)
-            if peer is not None and now - peer.heard_at > self._settings.suspect_ms:
-                self._linking.avoid(name, now)
-                self._peers.forget([name])
-                self._stale_data_centres |= self._drop_reports(peer)
-        self._stale_data_centres |= self._linking.expire(now)
-        self._forget_silent(now)
-
-    def _forget_silent(self, now: int) -> None:
-        keep = self._platform_names.union(self.view.instances, self._linking.wanted)
-        keep |= {seed.name for seed in self._settings.seeds}
-        gone = [
-            name
-            for name, peer in self._peers.peers_by_name.items()
-            if name not in keep and now - peer.heard_at > self._settings.forget_after_ms
-        ]
-        self._peers.forget(gone)
-
-    def _refresh(self, now: int) -> list:
-        stale = self._stale_data_centres
-        if not stale:
-            return []
-        self._stale_data_centres = set()
-        effects: list = []
-        own = self._me.data_centre
-        if own in stale:
-            change = self._fleet.refresh_own(self._state, self._own_peers())
-            effects += self._broadcast(change, is_own=False)
-        for data_centre in sorted(stale - {own}):
-            change = self._fleet.refresh_other(data_centre)
-            effects += self._broadcast(change, is_own=True)
-        pairs = self.data_centres() if own in stale else sorted(stale)
-        for data_centre in pairs:
-            if data_centre != own:
-                self._linking.refresh(data_centre, now)
-                self._follow_links(data_centre, now)
-        effects += self._report_peers()
-        return effects + self._report_links(now)
-
-    def _follow_links(self, data_centre: str, now: int) -> None:
-        members = self._fleet.members_by_data_centre.get(data_centre, {})
-        for name in self._linking.wanted_by_data_centre[data_centre]:
-            self._peers.learn(members[name].instance, now)
-
-    def _broadcast(self, change: RosterChange | None, is_own: bool) -> list:
-        if change is None:
-            return []
-        own = self._me.data_centre
-        return [
-            Send(name, change)
-            for name, peer in self._peers.peers_by_name.items()
-            if (peer.instance.data_centre == own) == is_own
-            and peer.heard_since is not None
-        ]
-
-    def _report_peers(self) -> list:
-        up_by_name = {
-            name: member.instance.incarnation
-            for members in self._fleet.members_by_data_centre.values()
-            for name, member in members.items()
-            if name != self._me.name and member.state != LEFT
-        }
-        before = self._up_by_name
-        self._up_by_name = up_by_name
-        effects: list = [
-            PeerDown(name, incarnation)
-            for name, incarnation in before.items()
-            if up_by_name.get(name) != incarnation
-        ]
-        effects += [
-            PeerUp(name, incarnation)
-            for name, incarnation in up_by_name.items()
-            if before.get(name) != incarnation
-        ]
-        return effects
-
-    def _report_links(self, now: int) -> list:
-        links = self.links_wanted(now)
-        if links == self._links:
-            return []
-        self._links = links
-        return [LinksChanged(links)]
-
     def _start_round(self, now: int) -> list:
         self._round_at = now + self._settings.heartbeat_ms
-        probe = self._peers.start_round(now)
-        effects: list = [
-            Send(name, self._beat(peer, probe))
-            for name, peer in self._peers.peers_by_name.items()
-        ]
-        if not any(peer.heard_since is not None for peer in self._own_peers()):
+        wanted = self._tracker.linking.wanted
+        self._presence.forget_silent(self._own_candidates(), wanted, now)
+        effects = self._presence.start_round(
+            self.view.number, self._tracker.version_for, now
+        )
+        if self._presence.is_alone():
             effects += [
-                self._ask_announce(seed.name)
+                self._presence.ask_announce(seed.name)
                 for seed in self._settings.seeds
                 if seed.name != self._me.name
             ]
-        return effects
+        live = self.live(self._me.data_centre)
+        return effects + self._agreement.tick(live, now)
 
-    def _beat(self, peer: Peer, probe: int) -> Heartbeat:
-        reporter = self._reporter(peer.instance.name)
-        return Heartbeat(
-            probe, peer.probe, self.view.number, self._state, reporter.version
-        )
+    def _own_candidates(self) -> frozenset[str]:
+        seeds = (seed.name for seed in self._settings.seeds)
+        return self._platform_names.union(self.view.instances, seeds)
 
     def _change_state(self, state: str, now: int) -> list:
         effects = self._advance(now)
-        self._state = later_state(self._state, state)
-        self._stale_data_centres.add(self._me.data_centre)
-        effects += [
-            Send(name, Leaving(self._state)) for name in self._peers.peers_by_name
-        ]
-        return effects + self._refresh(now)
-
-    def _is_proposer(self, now: int) -> bool:
-        if not self._has_joined(self._started_at, now):
-            return False
-        live = self._fleet.live(self._me.data_centre)
-        key = view_object(self._me.data_centre)
-        return winner(key, live) == self._me.name
-
-    def _wanted_view(self, now: int) -> set[str]:
-        settings = self._settings
-        members = set(self.view.instances)
-        names = {self._me.name} if self._state != LEFT else set()
-        for peer in self._own_peers():
-            name = peer.instance.name
-            silence_ms = now - peer.heard_at
-            if peer.state == LEFT:
-                continue
-            is_kept = name in members and silence_ms < settings.remove_after_ms
-            is_new = peer.state == LIVE and self._has_joined(peer.heard_since, now)
-            if is_kept or is_new:
-                names.add(name)
-        known = self._peers.peers_by_name
-        if now - self._view_at < settings.remove_after_ms:
-            names.update(members.difference(known, {self._me.name}))
-        return names
-
-    def _has_joined(self, since: int | None, now: int) -> bool:
-        return since is not None and now - since >= self._settings.join_after_ms
+        effects += self._presence.change_state(state)
+        self._tracker.mark([self._me.data_centre])
+        return effects + self._tracker.refresh(now)
 
     def _learn_all(self, entries: Iterable[Member], now: int) -> None:
         entries = [entry for entry in entries if entry.instance.name != self._me.name]
-        self._stale_data_centres |= self._fleet.hint(entries)
-        for entry in entries:
-            if entry.instance.data_centre == self._me.data_centre:
-                self._learn(entry.instance, False, now)
+        self._tracker.mark(self._tracker.fleet.hint(entries))
+        for instance, _ in entries:
+            if instance.data_centre == self._me.data_centre:
+                self._presence.learn(instance, False, now)
--- a/sequoiahook/decisions/membership/peers.py
+++ b/sequoiahook/decisions/membership/peers.py
@@ -56,6 +56,11 @@
         self.echo = 0
         self.view = 0
 
+    def note_state(self, state: str) -> None:
+        """Note a state; an earlier one than the known one has no effect."""
+        if state in STATES:
+            self.state = later_state(self.state, state)
+
     def replace(self, instance: Instance, now: int, own_probe: int) -> None:
         """Follow another incarnation; the old one counts as replaced from here on."""
         if self.instance.incarnation != 0:
@@ -138,7 +143,7 @@
         peer.probe = beat.probe
         peer.echo = max(peer.echo, echo)
         peer.view = max(peer.view, beat.view)
-        peer.state = later_state(peer.state, beat.state)
+        peer.note_state(beat.state)
         peer.heard_at = now
         if peer.heard_since is None:
             peer.heard_since = now
--- /dev/null
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -0,0 +1,189 @@
+"""Keeping the picture of the fleet and the links up to date."""
+
+from collections.abc import Iterable
+
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.membership.effects import LinksChanged, PeerDown, PeerUp
+from sequoiahook.decisions.membership.fleet import Fleet
+from sequoiahook.decisions.membership.linking import Linking
+from sequoiahook.decisions.membership.peers import Peer
+from sequoiahook.decisions.membership.presence import Presence
+from sequoiahook.decisions.membership.settings import MembershipSettings
+from sequoiahook.decisions.rendezvous import winner
+from sequoiahook.messages.base import Envelope
+from sequoiahook.messages.membership import LEFT, RosterChange, RosterRequest
+from sequoiahook.world.instance import Instance
+
+__all__ = ["Tracker"]
+
+
+class Tracker:
+    """What follows from presence and rosters: live lists, links and routes.
+
+    Args:
+        settings: Settings of membership.
+        me: This instance.
+        presence: The peers.
+
+    Attributes:
+        fleet: Who is there in every data centre.
+        linking: Links to other data centres.
+    """
+
+    def __init__(self, settings: MembershipSettings, me: Instance, presence: Presence):
+        self.fleet = Fleet(me)
+        self.linking = Linking(settings, me, self.fleet)
+        self._settings = settings
+        self._me = me
+        self._presence = presence
+        self._stale: set[str] = {me.data_centre}
+        self._links: frozenset[str] = frozenset()
+        self._up_by_name: dict[str, int] = {}
+
+    def mark(self, data_centres: Iterable[str]) -> None:
+        """Note that the members of data centres may have changed."""
+        self._stale.update(data_centres)
+
+    def heard(self, peer: Peer, is_restarted: bool) -> None:
+        """Note that a peer's state changed.
+
+        Args:
+            peer: The peer.
+            is_restarted: Whether it is heard anew or is another incarnation.
+        """
+        if is_restarted:
+            self.drop(peer)
+            self.fleet.follow(peer.instance)
+        self.mark([peer.instance.data_centre])
+
+    def drop(self, peer: Peer) -> None:
+        """Stop to use what a peer reported."""
+        self.mark(self.fleet.unfollow(peer.instance.name))
+        self.mark([peer.instance.data_centre])
+
+    def version_for(self, peer: Peer) -> int:
+        """Return the version of the rosters that are kept for a peer."""
+        return self._reporter(peer).version
+
+    def compare(self, name: str, version: int) -> list:
+        """Return a request if a peer has newer rosters than those held."""
+        held = self.fleet.held_version(name)
+        return [Send(name, RosterRequest(held))] if version > held else []
+
+    def changed(self, envelope: Envelope, now: int) -> list:
+        """Take in a change of a peer's rosters."""
+        if self.fleet.apply_change(envelope.source, envelope.body):
+            self.mark([envelope.body.data_centre])
+            return []
+        held = self.fleet.held_version(envelope.source)
+        return [Send(envelope.source, RosterRequest(held))]
+
+    def requested(self, envelope: Envelope, now: int) -> list:
+        """Answer a request for rosters."""
+        peer = self._presence.peer(envelope.source)
+        return [Send(envelope.source, self._reporter(peer).snapshot())]
+
+    def received(self, envelope: Envelope, now: int) -> list:
+        """Take in all rosters of a peer."""
+        self.mark(self.fleet.apply_snapshot(envelope.source, envelope.body))
+        return []
+
+    def watch(self, now: int) -> None:
+        """Turn away from peers that have become silent."""
+        for peer in self._presence.peers.suspects(now):
+            self.drop(peer)
+        for name in self.linking.wanted:
+            peer = self._presence.peer(name)
+            if peer is not None and now - peer.heard_at > self._settings.suspect_ms:
+                self.linking.avoid(name, now)
+                self._presence.peers.forget([name])
+                self.drop(peer)
+        self.mark(self.linking.expire(now))
+
+    def refresh(self, now: int) -> list:
+        """Work out again what may have changed.
+
+        Returns:
+            Changes for the peers, and effects for the embedder.
+        """
+        stale, self._stale = self._stale, set()
+        own = self._me.data_centre
+        effects: list = []
+        if own in stale:
+            peers = self._presence.own_peers()
+            change = self.fleet.refresh_own(self._presence.state, peers)
+            effects += self._broadcast(change, is_own=False)
+        for data_centre in sorted(stale - {own}):
+            change = self.fleet.refresh_other(data_centre)
+            effects += self._broadcast(change, is_own=True)
+        others = self.fleet.members_by_data_centre if own in stale else stale
+        for data_centre in sorted(set(others) - {own}):
+            self._link(data_centre, now)
+        if stale:
+            effects += self._report_peers()
+        return effects + self._report_links()
+
+    def links_wanted(self) -> frozenset[str]:
+        """Return the names of all instances to hold a link to."""
+        own = {peer.instance.name for peer in self._presence.own_peers()}
+        return self.linking.wanted | own | self._seeds_wanted()
+
+    def next_hop(self, destination: str, arrived_from: str | None) -> str | None:
+        """Return whom to send a message for an instance to; None for no way."""
+        data_centre = self.fleet.data_centre_of(destination)
+        peer = self._presence.peer(destination)
+        if peer is not None and (self._presence.is_own(peer) or peer.heard_since):
+            return destination
+        if data_centre is None or data_centre == self._me.data_centre:
+            return None
+        direct = self._presence.linked_peers(data_centre)
+        if direct:
+            return winner(destination, direct)
+        if arrived_from is not None:
+            return None
+        return winner(destination, self.fleet.ends(data_centre))
+
+    def _seeds_wanted(self) -> frozenset[str]:
+        if not self._presence.is_alone():
+            return frozenset()
+        names = frozenset(seed.name for seed in self._settings.seeds)
+        return names - {self._me.name}
+
+    def _reporter(self, peer: Peer):
+        is_own = self._presence.is_own(peer)
+        return self.fleet.for_mesh if is_own else self.fleet.for_links
+
+    def _link(self, data_centre: str, now: int) -> None:
+        self.linking.refresh(data_centre, now)
+        members = self.fleet.members_by_data_centre.get(data_centre, {})
+        for name in self.linking.wanted_by_data_centre[data_centre]:
+            self._presence.learn(members[name].instance, False, now)
+
+    def _broadcast(self, change: RosterChange | None, is_own: bool) -> list:
+        if change is None:
+            return []
+        return [
+            Send(name, change)
+            for name, peer in self._presence.peers.peers_by_name.items()
+            if self._presence.is_own(peer) == is_own and peer.heard_since is not None
+        ]
+
+    def _report_peers(self) -> list:
+        up_by_name = {
+            name: member.instance.incarnation
+            for members in self.fleet.members_by_data_centre.values()
+            for name, member in members.items()
+            if name != self._me.name and member.state != LEFT
+        }
+        before, self._up_by_name = self._up_by_name, up_by_name
+        down = set(before.items()) - set(up_by_name.items())
+        up = set(up_by_name.items()) - set(before.items())
+        effects: list = [PeerDown(*item) for item in sorted(down)]
+        return effects + [PeerUp(*item) for item in sorted(up)]
+
+    def _report_links(self) -> list:
+        links = self.links_wanted()
+        if links == self._links:
+            return []
+        self._links = links
+        return [LinksChanged(links)]
