Prove membership by a stateful machine; keep departures, repeat lost announcements

Cause: the machine found two faults. A stale report of another link end listed a leaving instance again after its own word had arrived; and a restarted instance whose announcement was lost kept the addresses of its earlier run for ever. Change: the state of a leaving incarnation is kept apart from reports and never goes back; an announcement is asked for with each heartbeat until it has arrived. Conclusion: proved so far for views, keepers, leaving and recovery in 3 data centres.

--- a/sequoiahook/decisions/membership/fleet.py
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from sequoiahook.decisions.membership.departures import Departures
 from sequoiahook.decisions.membership.peers import Peer
 from sequoiahook.decisions.membership.rosters import (
     Members,
@@ -45,6 +46,7 @@
         self._data_centre_by_name: dict[str, str] = {}
         self._hints_by_data_centre: dict[str, dict[str, Member]] = {}
         self._reported: set[str] = set()
+        self._departures = Departures()
 
     def live(self, data_centre: str) -> dict[str, Instance]:
         """Return the live instances of a data centre by name, without leaving ones."""
@@ -123,6 +125,10 @@
         follower = self._followers_by_name.get(name)
         return set() if follower is None else set(follower.apply_snapshot(snapshot))
 
+    def note_state(self, peer: Peer) -> None:
+        """Note the state of a peer by its own word."""
+        self._departures.correct(Member(peer.instance, peer.state))
+
     def refresh_own(self, state: str, peers: Iterable[Peer]) -> RosterChange | None:
         """Work out the own data centre's members from direct evidence.
 
@@ -137,6 +143,7 @@
         for peer in peers:
             if peer.heard_since is not None:
                 members[peer.instance.name] = Member(peer.instance, peer.state)
+        members = self._corrected(members)
         self._replace(self._me.data_centre, members)
         return self.for_links.update(self._me.data_centre, members)
 
@@ -149,9 +156,12 @@
         reports = self._reports(data_centre)
         if reports:
             self._reported.add(data_centre)
-            self._replace(data_centre, merge(reports))
+            self._replace(data_centre, self._corrected(merge(reports)))
         elif data_centre not in self._reported:
             self._replace(data_centre, self._hints_by_data_centre.get(data_centre, {}))
+        else:
+            members = self.members_by_data_centre[data_centre]
+            self._replace(data_centre, self._corrected(members))
         direct = [
             follower.members_by_data_centre[data_centre]
             for name, follower in sorted(self._followers_by_name.items())
@@ -168,6 +178,11 @@
         for name in members:
             self._data_centre_by_name[name] = data_centre
 
+    def _corrected(self, members: Members) -> dict[str, Member]:
+        return {
+            name: self._departures.correct(member) for name, member in members.items()
+        }
+
     def _is_own(self, name: str) -> bool:
         return self._data_centre_by_name[name] == self._me.data_centre
 
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -263,7 +263,7 @@
             return []
         effects: list = []
         is_other = peer.instance != instance
-        if is_other:
+        if not peer.is_announced:
             effects.append(self._presence.ask_announce(envelope.source))
         if is_other or since is None or peer.state != state:
             self._tracker.heard(peer, is_other or since is None)
@@ -286,7 +286,7 @@
     def _on_leaving(self, envelope: Envelope, now: int) -> list:
         peer = self._presence.peer(envelope.source)
         peer.note_state(envelope.body.state)
-        self._tracker.mark([peer.instance.data_centre])
+        self._tracker.heard(peer, False)
         return []
 
     def _start_round(self, now: int) -> list:
--- a/sequoiahook/decisions/membership/peers.py
+++ b/sequoiahook/decisions/membership/peers.py
@@ -27,6 +27,7 @@
         state: Its latest state; it never goes back within an incarnation.
         heard_at: When its last new heartbeat arrived, or when it became known.
         heard_since: When it was first heard after a silence; None if it is suspected.
+        is_announced: Whether the addresses belong to the followed incarnation.
         probe: Highest probe number received from it.
         echo: Highest own probe number that it has echoed.
         view: Number of the view that it holds.
@@ -37,6 +38,7 @@
         "heard_at",
         "heard_since",
         "instance",
+        "is_announced",
         "probe",
         "retired",
         "state",
@@ -50,6 +52,7 @@
 
     def _start(self, now: int) -> None:
         self.state = LIVE
+        self.is_announced = True
         self.heard_at = now
         self.heard_since: int | None = None
         self.probe = 0
@@ -138,6 +141,7 @@
                 return False
             instance = peer.instance._replace(incarnation=incarnation)
             peer.replace(instance, now, self.probe)
+            peer.is_announced = False
         if beat.probe <= peer.probe:
             return False
         peer.probe = beat.probe
--- a/sequoiahook/decisions/membership/presence.py
+++ b/sequoiahook/decisions/membership/presence.py
@@ -76,6 +76,7 @@
         peer = self.peers.learn(instance, now)
         if is_direct and peer.instance.incarnation == instance.incarnation:
             peer.instance = instance
+            peer.is_announced = True
         return peer.instance != before
 
     def accepts(self, envelope: Envelope) -> bool:
--- a/sequoiahook/decisions/membership/tracker.py
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -54,6 +54,7 @@
         if is_restarted:
             self.drop(peer)
             self.fleet.follow(peer.instance)
+        self.fleet.note_state(peer)
         self.mark([peer.instance.data_centre])
 
     def drop(self, peer: Peer) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,199 @@
+import json
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sequoiahook.messages.membership import LEAVING, LEFT, LIVE
+from tests.membership_network import STEP_MS, Network
+
+SIZES = {"a": 3, "b": 2, "c": 2}
+KEYS = ("rate-one", "rate-two", "slots-three", "shift-four", "link-five")
+HEAL_MS = 45_000
+LEASE_MS = 3000
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Instances under faults; an oracle that only looks from outside."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.network = Network(SIZES, seed)
+        self.started = 0
+        self.last_acted: dict = {}
+        self.views: dict = {}
+        self.run(8000)
+
+    def run(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.network.step()
+            self.check_all()
+
+    def names(self):
+        return sorted(self.network.nodes_by_name)
+
+    def pick(self, number):
+        names = self.names()
+        return names[number % len(names)]
+
+    @rule(duration_ms=st.integers(500, 3000))
+    def advance(self, duration_ms):
+        self.run(duration_ms)
+
+    @precondition(lambda self: len(self.network.nodes_by_name) > 3)
+    @rule(number=st.integers(0, 99))
+    def crash(self, number):
+        self.network.crash(self.pick(number))
+
+    @rule(number=st.integers(0, 99))
+    def restart(self, number):
+        name = self.pick(number)
+        data_centre = self.network.nodes_by_name[name].instance.data_centre
+        self.network.crash(name)
+        self.network.start(name, data_centre)
+
+    @precondition(lambda self: len(self.network.nodes_by_name) < 9)
+    @rule(data_centre=st.sampled_from(sorted(SIZES)))
+    def add(self, data_centre):
+        self.started += 1
+        self.network.start(f"{data_centre}-new{self.started}", data_centre)
+
+    @rule(number=st.integers(0, 99), duration_ms=st.integers(500, 12_000))
+    def pause(self, number, duration_ms):
+        self.network.pause(self.pick(number), duration_ms)
+
+    @rule(number=st.integers(0, 99))
+    def leave(self, number):
+        name = self.pick(number)
+        if self.network.nodes_by_name[name] in self.network.running():
+            self.network.leave(name)
+
+    @rule(number=st.integers(0, 99))
+    def finish_leaving(self, number):
+        name = self.pick(number)
+        node = self.network.nodes_by_name[name]
+        if node in self.network.running() and node.state == LEAVING:
+            self.network.leave_views(name)
+            for acted in self.last_acted.values():
+                acted.pop((name, node.instance.incarnation), None)
+
+    @rule(is_up=st.booleans(), is_stale=st.booleans(), lost=st.integers(0, 2))
+    def change_platform(self, is_up, is_stale, lost):
+        self.network.is_platform_up = is_up
+        self.network.is_platform_stale = is_stale
+        self.network.lost_answers = lost
+
+    @rule(pair=st.sampled_from(["ab", "ac", "bc"]), is_cut=st.booleans())
+    def partition(self, pair, is_cut):
+        if is_cut:
+            self.network.partitions.add(frozenset(pair))
+        else:
+            self.network.partitions.discard(frozenset(pair))
+
+    def heal(self):
+        network = self.network
+        network.partitions.clear()
+        network.is_platform_up = True
+        network.is_platform_stale = False
+        network.is_lossy = False
+        for node in network.nodes_by_name.values():
+            node.paused_until = min(node.paused_until, network.now)
+        self.run(HEAL_MS)
+        network.is_lossy = True
+
+    @rule()
+    def heal_and_compare(self):
+        self.heal()
+        for node in self.network.nodes_by_name.values():
+            self.check_healed(node)
+        for pair in ("ab", "ac", "bc"):
+            self.check_connected(*pair)
+
+    def check_healed(self, node):
+        for data_centre in SIZES:
+            expected = {
+                other.instance.name: other.instance
+                for other in self.network.in_data_centre(data_centre)
+                if other.state == LIVE
+            }
+            if data_centre == node.instance.data_centre or self.has_candidate(
+                data_centre
+            ):
+                listed = node.membership.live(data_centre)
+                assert listed == expected, (node.instance.name, set(expected))
+        peers = self.network.in_data_centre(node.instance.data_centre)
+        live = {peer.instance.name for peer in peers if peer.state == LIVE}
+        staying = {peer.instance.name for peer in peers if peer.state != LEFT}
+        if live:
+            members = set(node.membership.view.instances)
+            assert live <= members <= staying, (node.instance.name, members)
+            for key in KEYS:
+                acting = [n for n in peers if self.network.may_act(n, key)]
+                assert len(acting) == 1, (key, members)
+
+    def has_candidate(self, data_centre):
+        nodes = self.network.in_data_centre(data_centre)
+        return any(node.state == LIVE for node in nodes)
+
+    def check_connected(self, first, second):
+        if not self.has_candidate(first) or not self.has_candidate(second):
+            return
+        links = [
+            (one.instance.name, two.instance.name)
+            for one in self.network.in_data_centre(first)
+            for two in self.network.in_data_centre(second)
+            if self.network.has_link(one.instance.name, two.instance.name)
+        ]
+        assert links, (first, second)
+        for node in self.network.in_data_centre(first):
+            assert node.membership.is_reachable(second)
+
+    @invariant()
+    def check_all(self):
+        if not hasattr(self, "network"):
+            return
+        for node in self.network.nodes_by_name.values():
+            self.check_view(node)
+            self.check_leaving(node)
+        for data_centre in SIZES:
+            for key in KEYS:
+                self.check_keeper(data_centre, key)
+
+    def check_view(self, node):
+        view = node.membership.view
+        assert view.number >= node.highest_view
+        node.highest_view = view.number
+        known = self.views.setdefault((view.data_centre, view.number), view.instances)
+        assert known == view.instances
+        if view.number:
+            written = self.network.objects[f"view-{view.data_centre}"]
+            assert list(view.instances) in [json.loads(v)["instances"] for v in written]
+
+    def check_leaving(self, node):
+        for name, incarnation in node.left_callers:
+            for data_centre in SIZES:
+                listed = node.membership.live(data_centre).get(name)
+                assert listed is None or listed.incarnation != incarnation
+
+    def check_keeper(self, data_centre, key):
+        now = self.network.now
+        acted = self.last_acted.setdefault((data_centre, key), {})
+        acting = [
+            (node.instance.name, node.instance.incarnation)
+            for node in self.network.in_data_centre(data_centre)
+            if self.network.may_act(node, key)
+        ]
+        assert len(acting) <= 1, (key, acting)
+        for run in acting:
+            for other, at in acted.items():
+                assert other == run or now - at >= LEASE_MS, (key, run, other, now - at)
+            acted[run] = now
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = settings(max_examples=40, stateful_step_count=30)
