--- a/sequoiahook/decisions/membership/peers.py
+++ b/sequoiahook/decisions/membership/peers.py
@@ -27,6 +27,7 @@
         state: Its latest state; it never goes back within an incarnation.
         heard_at: When its last new heartbeat arrived, or when it became known.
         heard_since: When it was first heard after a silence; None if it is suspected.
+        is_announced: Whether the addresses belong to the followed incarnation.
         probe: Highest probe number received from it.
         echo: Highest own probe number that it has echoed.
         view: Number of the view that it holds.
@@ -37,6 +38,7 @@
         "heard_at",
         "heard_since",
         "instance",
+        "is_announced",
         "probe",
         "retired",
         "state",
@@ -50,12 +52,18 @@
 
     def _start(self, now: int) -> None:
         self.state = LIVE
+        self.is_announced = True
         self.heard_at = now
         self.heard_since: int | None = None
         self.probe = 0
         self.echo = 0
         self.view = 0
 
+    def note_state(self, state: str) -> None:
+        """Note a state; an earlier one than the known one has no effect."""
+        if state in STATES:
+            self.state = later_state(self.state, state)
+
     def replace(self, instance: Instance, now: int, own_probe: int) -> None:
         """Follow another incarnation; the old one counts as replaced from here on."""
         if self.instance.incarnation != 0:
@@ -133,12 +141,13 @@
                 return False
             instance = peer.instance._replace(incarnation=incarnation)
             peer.replace(instance, now, self.probe)
+            peer.is_announced = False
         if beat.probe <= peer.probe:
             return False
         peer.probe = beat.probe
         peer.echo = max(peer.echo, echo)
         peer.view = max(peer.view, beat.view)
-        peer.state = later_state(peer.state, beat.state)
+        peer.note_state(beat.state)
         peer.heard_at = now
         if peer.heard_since is None:
             peer.heard_since = now
