--- a/sequoiahook/decisions/configuration/patching.py
+++ b/sequoiahook/decisions/configuration/patching.py
@@ -47,6 +47,7 @@
     root_value,
 )
 from sequoiahook.decisions.configuration.store import (
+    LEAF_BYTES_MAX,
     SplitDocument,
     assemble,
     canonical,
@@ -82,11 +83,13 @@
         deadline_ms: When the outcome is reported as unknown at the latest.
         retry_ms: Wait before a failed call is made again; doubles with each failure.
         retry_max_ms: Longest wait before a failed call is made again.
+        leaf_bytes_max: Above this size a piece with several entries is divided.
     """
 
     deadline_ms: int = 8000
     retry_ms: int = 50
     retry_max_ms: int = 1000
+    leaf_bytes_max: int = LEAF_BYTES_MAX
 
 
 class Report(NamedTuple):
@@ -334,7 +337,7 @@
         try:
             changed = merge(document, self._patch.changes)
             read_configuration(self._patch.against + 1, changed)
-            new = split(changed)
+            new = split(changed, self._settings.leaf_bytes_max)
         except RecursionError as error:
             raise CheckError([Finding("$", "is nested too deeply")]) from error
         claim_of(self._patch)
--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -220,7 +220,7 @@
         names = set(self._contacts)
         if is_watcher:
             names.update(self._peers)
-        elif not self.number and self._peers:
+        elif self._peers:
             names.add(self._rng.choice(self._peers))
         message = self._comparison(now, wants_reply or not self.number)
         return [Send(name, message) for name in sorted(names)]
--- a/sequoiahook/decisions/configuration/store.py
+++ b/sequoiahook/decisions/configuration/store.py
@@ -75,9 +75,15 @@
     return PIECE_PREFIX + digest
 
 
-def split(document: Mapping[str, Any]) -> SplitDocument:
+def split(
+    document: Mapping[str, Any], leaf_bytes_max: int = LEAF_BYTES_MAX
+) -> SplitDocument:
     """Divide a document into pieces.
 
+    Args:
+        document: The document.
+        leaf_bytes_max: Above this size a piece with several entries is divided.
+
     Raises:
         CheckError: If an entry is too large for one piece, or has no JSON form.
     """
@@ -86,7 +92,7 @@
     findings: list[Finding] = []
     for name, section in document.items():
         try:
-            names[name] = _split_section(section, pieces)
+            names[name] = _split_section(section, leaf_bytes_max, pieces)
         except (ValueError, RecursionError) as error:
             findings.append(Finding(f"$.{name}", str(error)))
     if findings:
@@ -129,25 +135,27 @@
     return json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
 
 
-def _split_section(section: Any, pieces: dict[str, bytes]) -> str:
+def _split_section(section: Any, leaf_bytes_max: int, pieces: dict[str, bytes]) -> str:
     if not isinstance(section, dict):
         return _add(canonical({"value": section}), pieces)
     entries = [
         _Entry(digest_of(name.encode("utf-8", "surrogatepass")), name, _encode(value))
         for name, value in section.items()
     ]
-    return _split_entries(entries, 0, pieces)
+    return _split_entries(entries, 0, leaf_bytes_max, pieces)
 
 
-def _split_entries(entries: list[_Entry], depth: int, pieces: dict[str, bytes]) -> str:
+def _split_entries(
+    entries: list[_Entry], depth: int, leaf_bytes_max: int, pieces: dict[str, bytes]
+) -> str:
     size = sum(len(entry.name) + len(entry.encoded) for entry in entries)
-    if size <= LEAF_BYTES_MAX or len(entries) == 1 or depth == DEPTH_MAX:
+    if size <= leaf_bytes_max or len(entries) == 1 or depth == DEPTH_MAX:
         return _add(_leaf(entries), pieces)
     by_digit: dict[str, list[_Entry]] = {}
     for entry in entries:
         by_digit.setdefault(entry.name_digest[depth], []).append(entry)
     children = {
-        digit: _split_entries(by_digit[digit], depth + 1, pieces)
+        digit: _split_entries(by_digit[digit], depth + 1, leaf_bytes_max, pieces)
         for digit in sorted(by_digit)
     }
     return _add(canonical({"children": children}), pieces)
