--- a/sequoiahook/decisions/lookup/lookup.py
+++ b/sequoiahook/decisions/lookup/lookup.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
+from zlib import crc32
 
 from sequoiahook.decisions.lookup.load import AnswerLoad
 from sequoiahook.decisions.lookup.settings import LookupSettings
@@ -42,6 +43,7 @@
         self._preferences: Sequence[tuple[str, ...]] = ()
         self._data_centres_by_service: dict[str, frozenset[str]] = {}
         self._address_by_name_by_data_centre: dict[str, dict[str, Address]] = {}
+        self._far_by_data_centre: dict[str, tuple[Address, ...]] = {}
         self._load_by_data_centre: dict[str, AnswerLoad] = {}
         self._order_by_key: dict[tuple[str, str], tuple[str, ...]] = {}
 
@@ -72,6 +74,7 @@
         if self._address_by_name_by_data_centre.get(data_centre) == addresses:
             return
         self._address_by_name_by_data_centre[data_centre] = addresses
+        self._far_by_data_centre[data_centre] = tuple(addresses.values())
         self._order_by_key.clear()
 
     def answer(
@@ -92,8 +95,7 @@
         instances: list[Address] = []
         far_left = settings.data_centres_far
         for data_centre in self._data_centres(client_address, service):
-            addresses = self._address_by_name_by_data_centre.get(data_centre)
-            if not addresses:
+            if not self._address_by_name_by_data_centre.get(data_centre):
                 continue
             if not instances:
                 instances += self._near(data_centre, organisation, now)
@@ -101,8 +103,7 @@
             if far_left == 0:
                 break
             far_left -= 1
-            name = self._order(data_centre, organisation)[0]
-            instances.append(addresses[name])
+            instances.append(self._far(data_centre, organisation))
         if not instances:
             return LookupAnswer((), settings.lifetime_empty_ms)
         jitter_ms = int(self._rng.random() * settings.lifetime_jitter_ms)
@@ -131,6 +132,10 @@
         count = min(self._settings.instances_near, len(names))
         return [addresses[names[(first + i) % len(names)]] for i in range(count)]
 
+    def _far(self, data_centre: str, organisation: str) -> Address:
+        addresses = self._far_by_data_centre[data_centre]
+        return addresses[crc32(organisation.encode()) % len(addresses)]
+
     def _order(self, data_centre: str, organisation: str) -> tuple[str, ...]:
         key = (data_centre, organisation)
         names = self._order_by_key.get(key)
--- a/sequoiahook/decisions/lookup/table.py
+++ b/sequoiahook/decisions/lookup/table.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable
-from ipaddress import AddressValueError, IPv4Address, IPv6Address, ip_address
+from socket import AF_INET, AF_INET6, inet_pton
 
 from sequoiahook.decisions.lookup.pieces import (
     IPV4_BITS,
@@ -13,9 +13,8 @@
 
 __all__ = ["BlockTable", "parse_address"]
 
-_IPV6_LOWER_BITS = 128 - IPV6_BITS
-_IPV4_PARTS = 4
-_BYTE_MAX = 255
+_IPV6_UPPER_BYTES = 8
+_IPV4_MAPPED = bytes(10) + b"\xff\xff"
 
 
 def parse_address(text: str) -> tuple[int, int]:
@@ -27,12 +26,16 @@
         ValueError: If the text is not an IP number.
     """
     try:
-        return IPV4_BITS, int(IPv4Address(text))
-    except AddressValueError:
-        address = ip_address(text)
-    if isinstance(address, IPv6Address) and address.ipv4_mapped is not None:
-        return IPV4_BITS, int(address.ipv4_mapped)
-    return IPV6_BITS, int(address) >> _IPV6_LOWER_BITS
+        return IPV4_BITS, int.from_bytes(inet_pton(AF_INET, text))
+    except OSError:
+        pass
+    try:
+        address = inet_pton(AF_INET6, text)
+    except OSError:
+        raise ValueError(f"{text!r} is not an IP number") from None
+    if address.startswith(_IPV4_MAPPED):
+        return IPV4_BITS, int.from_bytes(address[len(_IPV4_MAPPED) :])
+    return IPV6_BITS, int.from_bytes(address[:_IPV6_UPPER_BYTES])
 
 
 class BlockTable:
--- a/sequoiahook/decisions/membership/fleet.py
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -57,6 +57,11 @@
             if member.state == LIVE
         }
 
+    def link_candidates(self, data_centre: str) -> list[str]:
+        """Return who may hold links: live instances, else leaving ones."""
+        names = list(self.live(data_centre))
+        return names or list(self.members_by_data_centre.get(data_centre, {}))
+
     def data_centre_of(self, name: str) -> str | None:
         """Return the data centre of an instance; None if it is not known."""
         return self._data_centre_by_name.get(name)
--- a/sequoiahook/decisions/membership/linking.py
+++ b/sequoiahook/decisions/membership/linking.py
@@ -47,12 +47,12 @@
     def refresh(self, data_centre: str, now: int) -> None:
         """Choose again whom to link to in one data centre."""
         key = pair_key(self._me.data_centre, data_centre)
-        own = self._fleet.live(self._me.data_centre)
+        own = self._fleet.link_candidates(self._me.data_centre)
         ends = near_ends(key, own, self._settings.links_per_pair)
         slots = [slot for slot, name in enumerate(ends) if name == self._me.name]
         names: set[str] = set()
         if slots:
-            candidates = self._fleet.live(data_centre)
+            candidates = self._fleet.link_candidates(data_centre)
             names = far_ends(key, candidates, slots, self._retry_at, now)
         self.wanted_by_data_centre[data_centre] = frozenset(names)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -121,9 +121,7 @@
                 for other in self.network.in_data_centre(data_centre)
                 if other.state == LIVE
             }
-            if data_centre == node.instance.data_centre or self.has_candidate(
-                data_centre
-            ):
+            if self.network.in_data_centre(data_centre):
                 listed = node.membership.live(data_centre)
                 assert listed == expected, (node.instance.name, set(expected))
         peers = self.network.in_data_centre(node.instance.data_centre)
@@ -136,21 +134,17 @@
                 acting = [n for n in peers if self.network.may_act(n, key)]
                 assert len(acting) == 1, (key, members)
 
-    def has_candidate(self, data_centre):
-        nodes = self.network.in_data_centre(data_centre)
-        return any(node.state == LIVE for node in nodes)
-
     def check_connected(self, first, second):
-        if not self.has_candidate(first) or not self.has_candidate(second):
+        ones = self.network.in_data_centre(first)
+        twos = self.network.in_data_centre(second)
+        if not ones or not twos:
             return
-        links = [
-            (one.instance.name, two.instance.name)
-            for one in self.network.in_data_centre(first)
-            for two in self.network.in_data_centre(second)
-            if self.network.has_link(one.instance.name, two.instance.name)
-        ]
-        assert links, (first, second)
-        for node in self.network.in_data_centre(first):
+        assert any(
+            self.network.has_link(one.instance.name, two.instance.name)
+            for one in ones
+            for two in twos
+        ), (first, second)
+        for node in ones:
             assert node.membership.is_reachable(second)
 
     @invariant()
