--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 SECONDS ?= 60
+export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
 .PHONY: test demo fuzz bench format environment
