--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -37,6 +37,14 @@
 ROOT = "configuration"
 IN_FORCE_MS = 5000
 PLATFORM_MS = 5
+FAULTS = (
+    "lose_answers",
+    "lose_writes",
+    "delay_writes",
+    "stale_reads",
+    "corrupt_reads",
+    "silent_watches",
+)
 
 
 class Change(NamedTuple):
@@ -89,28 +97,16 @@
         self.waiting = []
         self.outage = False
         self.slow_ms = 0
-        self.counts = dict.fromkeys(
-            (
-                "lose_answers",
-                "lose_writes",
-                "delay_writes",
-                "stale_reads",
-                "corrupt_reads",
-                "silent_watches",
-            ),
-            0,
-        )
+        self.percent_by_fault = dict.fromkeys(FAULTS, 0)
         self.calls_by_kind = {ReadObject: 0, Watch: 0, WriteObject: 0}
 
     def heal(self):
         self.outage = False
         self.slow_ms = 0
-        self.counts = dict.fromkeys(self.counts, 0)
+        self.percent_by_fault = dict.fromkeys(FAULTS, 0)
 
     def take(self, fault):
-        left = self.counts[fault]
-        self.counts[fault] = max(0, left - 1)
-        return left > 0
+        return self.world.rng.randrange(100) < self.percent_by_fault[fault]
 
     def current(self, name):
         return self.versions_by_name.get(name, [None])[-1]
@@ -263,6 +259,7 @@
         self.name = node.name
         self.data_centre = node.data_centre
         self.outcome = None
+        self.started = world.now
         self.teaches = world.rng.random() < 0.5
         self.writer = PatchWriter(
             world.patch_settings, patch, node.holder.pieces_by_digest, node.rng
@@ -315,8 +312,8 @@
         self.outcomes = Counter()
         self.cut = set()
         self.partitions = set()
-        self.drops = 0
-        self.repeats = 0
+        self.drop_percent = 0
+        self.repeat_percent = 0
         self.messages = 0
         self.message_bytes = 0
         self.measure = None
@@ -381,18 +378,14 @@
         if self.measure is not None:
             self.measure(source, target, effect.body)
         places = frozenset((source.data_centre, target.data_centre))
-        if places in self.partitions or self.take("drops"):
+        if places in self.partitions or self.rng.randrange(100) < self.drop_percent:
             return
         base_ms = 1 if len(places) == 1 else 35
-        for _ in range(2 if self.take("repeats") else 1):
+        is_repeated = self.rng.randrange(100) < self.repeat_percent
+        for _ in range(2 if is_repeated else 1):
             delay_ms = base_ms + self.rng.randint(0, base_ms)
             self.later(delay_ms, target.run, "receive", source.name, effect.body)
 
-    def take(self, fault):
-        left = getattr(self, fault)
-        setattr(self, fault, max(0, left - 1))
-        return left > 0
-
     def submit(self, node, patch, change):
         self.first_patch_by_id.setdefault(patch.id, patch)
         operator = Operator(self, node, patch, change)
@@ -440,7 +433,7 @@
     def heal(self):
         self.platform.heal()
         self.partitions.clear()
-        self.drops = self.repeats = 0
+        self.drop_percent = self.repeat_percent = 0
 
     def settle(self):
         """End all faults but the cuts; all instances must have the newest number."""
--- /dev/null
+++ b/tests/test_patching.py
@@ -0,0 +1,141 @@
+import random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from sequoiahook.decisions.configuration import Accepted, OutcomeUnknown, Patch, Stale
+from tests.configuration_fakes import FAULTS, Change, World
+
+DEADLINE_MS = 8000
+desk_index = st.integers(0, 2)
+
+
+class Desk:
+    """An instance that only takes patches."""
+
+    def __init__(self, name):
+        self.name = name
+        self.data_centre = "d"
+        self.is_alive = True
+        self.rng = random.Random(name)
+        self.pieces_by_digest = {}
+
+    @property
+    def holder(self):
+        return self
+
+    def run(self, method, root, pieces):
+        self.pieces_by_digest = dict(pieces)
+
+
+class PatchingMachine(RuleBasedStateMachine):
+    """Operators at three instances; each desk may know old pieces or none."""
+
+    @initialize(
+        seed=st.integers(0, 1000),
+        first=st.sampled_from((0, 30, 61)),
+        faults=st.sets(st.sampled_from(FAULTS), max_size=3),
+    )
+    def start(self, seed, first, faults):
+        self.world = World({}, seed)
+        self.desks = [Desk("a"), Desk("b"), Desk("c")]
+        self.submitted = []
+        self.many(0, first)
+        for fault in faults:
+            self.world.platform.percent_by_fault[fault] = 30
+
+    def submit(self, desk, change, against):
+        patch = change.patch(f"p{len(self.submitted)}", against)
+        self.submitted.append((patch, change))
+        return self.world.submit(self.desks[desk], patch, change)
+
+    def many(self, desk, count):
+        for serial in range(count):
+            operator = self.submit(desk, rate(serial % 9, serial + 1), serial)
+            self.world.advance(60)
+            assert operator.outcome == Accepted(serial + 1)
+
+    @rule(desk=desk_index, serial=st.integers(0, 30), offset=st.integers(-2, 2))
+    def patch(self, desk, serial, offset):
+        against = max(0, self.world.oracle.number + (offset if offset != 2 else 0))
+        self.submit(desk, rate(serial, 1 + serial), against)
+
+    @rule(desk=desk_index)
+    def patch_invalid(self, desk):
+        change = Change("organisations_by_name", "wrong", {"rate_per_s": 0})
+        self.submit(desk, change, self.world.oracle.number)
+
+    @rule(
+        desk=desk_index,
+        back=st.integers(0, 70),
+        kind=st.sampled_from(("same", "same", "query", "rebase")),
+    )
+    def repeat(self, desk, back, kind):
+        if not self.submitted:
+            return
+        patch, change = self.submitted[-1 - back % len(self.submitted)]
+        if kind == "query":
+            patch = Patch(patch.id, 0, None)
+        elif kind == "rebase":
+            patch = patch._replace(against=self.world.oracle.number)
+        self.world.submit(self.desks[desk], patch, change)
+
+    @rule(ms=st.sampled_from((1, 5, 11, 40, 400, 2000)))
+    def advance(self, ms):
+        self.world.advance(ms)
+
+    @rule(fault=st.sampled_from(FAULTS), percent=st.sampled_from((0, 20, 50, 100)))
+    def fault(self, fault, percent):
+        self.world.platform.percent_by_fault[fault] = percent
+
+    @rule(outage=st.booleans(), slow_ms=st.sampled_from((0, 0, 50, 300)))
+    def state(self, outage, slow_ms):
+        self.world.platform.outage = outage
+        self.world.platform.slow_ms = slow_ms
+
+    @rule(desk=desk_index)
+    def quiet_patch_is_accepted(self, desk):
+        self.world.heal()
+        self.world.advance(DEADLINE_MS + 2000)
+        number = self.world.oracle.number
+        operator = self.submit(desk, rate(1, 5), number)
+        self.world.advance(500)
+        assert operator.outcome == Accepted(number + 1)
+
+    @invariant()
+    def each_outcome_comes_in_time(self):
+        if hasattr(self, "world"):
+            for operator in self.world.operators:
+                age_ms = self.world.now - operator.started
+                assert operator.is_done or age_ms <= DEADLINE_MS
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.world.heal()
+        self.world.advance(DEADLINE_MS + 2000)
+        self.world.check_refused()
+        self.check_answers_when_quiet()
+
+    def check_answers_when_quiet(self):
+        """Each id gets the one true answer now, whatever was told before."""
+        world = self.world
+        for patch, change in self.submitted:
+            again = world.submit(self.desks[0], patch, change)
+            world.advance(200)
+            query = world.submit(self.desks[1], Patch(patch.id, 0, None), change)
+            world.advance(200)
+            if world.oracle.has_applied(patch):
+                assert again.outcome == query.outcome == Accepted(patch.against + 1)
+            elif patch.against < world.oracle.number:
+                assert again.outcome == Stale(world.oracle.number)
+                assert isinstance(query.outcome, Stale | OutcomeUnknown | Accepted)
+
+
+def rate(serial, value):
+    change = {"rate_per_s": value, "burst": 1, "keys_by_name": {}}
+    return Change("organisations_by_name", f"org{serial}", change)
+
+
+PatchingMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
+TestPatching = PatchingMachine.TestCase
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,7 +2,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from sequoiahook.decisions.configuration import Accepted, Patch
-from tests.configuration_fakes import IN_FORCE_MS, Change, World
+from tests.configuration_fakes import FAULTS, IN_FORCE_MS, Change, World
 
 DATA_CENTRES = ("east", "north", "west")
 SIZES = {"east": 3, "north": 3, "west": 2}
@@ -19,14 +19,22 @@
 
 
 class RolloutMachine(RuleBasedStateMachine):
-    @initialize(seed=st.integers(0, 1000))
-    def start(self, seed):
+    @initialize(
+        seed=st.integers(0, 1000), faults=st.sets(st.sampled_from(FAULTS), max_size=2)
+    )
+    def start(self, seed, faults):
+        self.faults = faults
         self.world = World(SIZES, seed)
         self.count = 0
         self.submitted = []
         self.submit(self.world.living()[0], REGION, 0)
         self.world.advance(1500)
         self.world.check_all_hold(1)
+        self.begin_faults()
+
+    def begin_faults(self):
+        for fault in self.faults:
+            self.world.platform.percent_by_fault[fault] = 30
 
     def submit(self, node, change, against):
         self.count += 1
@@ -80,24 +88,15 @@
         self.world.advance(ms)
 
     @rule(
-        fault=st.sampled_from(
-            (
-                "lose_answers",
-                "lose_writes",
-                "delay_writes",
-                "stale_reads",
-                "corrupt_reads",
-                "silent_watches",
-            )
-        ),
-        count=st.integers(1, 4),
+        fault=st.sampled_from(FAULTS),
+        percent=st.sampled_from((0, 30, 60, 100)),
         which=index,
         serial=st.integers(0, 9),
         ms=st.sampled_from((0, 30, 400)),
     )
-    def patch_under_fault(self, fault, count, which, serial, ms):
-        self.world.platform.counts[fault] = count
-        self.patch_newest(which, serial, count)
+    def patch_under_fault(self, fault, percent, which, serial, ms):
+        self.world.platform.percent_by_fault[fault] = percent
+        self.patch_newest(which, serial, 1 + percent)
         self.world.advance(ms)
 
     @rule(is_silent=st.booleans())
@@ -117,10 +116,10 @@
     def partition(self, pairs):
         self.world.partitions = pairs
 
-    @rule(drops=st.integers(0, 5), repeats=st.integers(0, 5))
-    def message_faults(self, drops, repeats):
-        self.world.drops = drops
-        self.world.repeats = repeats
+    @rule(drop=st.sampled_from((0, 20, 70)), repeat=st.sampled_from((0, 50)))
+    def message_faults(self, drop, repeat):
+        self.world.drop_percent = drop
+        self.world.repeat_percent = repeat
 
     @rule(which=index, lag_ms=view_lag)
     def replace(self, which, lag_ms):
@@ -135,11 +134,12 @@
     @rule()
     def settle(self):
         self.world.settle()
+        self.begin_faults()
 
     @rule(
         which=index,
         data_centre=place,
-        loses=st.sets(st.sampled_from(("watchers", "watches", "pushes"))),
+        loses=st.sets(st.sampled_from(("watchers", "watches", "messages", "peers"))),
     )
     def accepted_is_in_force_in_time(self, which, data_centre, loses):
         world = self.world
@@ -152,12 +152,16 @@
         while operator.outcome is None:
             world.advance(1)
         assert operator.outcome == Accepted(world.oracle.number)
-        if "pushes" in loses:
-            world.drops = 9
+        if "messages" in loses:
+            world.drop_percent = 20
+        if "peers" in loses and not world.cut:
+            others = set(DATA_CENTRES) - {data_centre}
+            world.partitions = {frozenset((data_centre, other)) for other in others}
         if "watchers" in loses:
             self.replace_watchers(data_centre, None)
         world.advance(world.accepted_at[world.oracle.number] + IN_FORCE_MS - world.now)
         world.check_all_hold(world.oracle.number)
+        self.begin_faults()
 
     @invariant()
     def each_holds_an_accepted_document(self):
@@ -171,5 +175,5 @@
             self.world.check_refused()
 
 
-RolloutMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
+RolloutMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=30)
 TestRollout = RolloutMachine.TestCase
