--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -182,11 +182,19 @@
         versions.append(json.dumps(call.value))
         if call.name == ROOT:
             self.world.on_root_written(caller)
+        self.wake_watches(call.name)
+        return ObjectWritten(call.call_id, version + 1)
+
+    def force(self, name, value):
+        """Write an object past the system, as a stranger might."""
+        self.versions_by_name[name].append(json.dumps(value))
+        self.wake_watches(name)
+
+    def wake_watches(self, name):
         for watch, answer in list(self.waiting):
-            if watch.name == call.name and version + 1 > watch.after:
+            if watch.name == name and self.version(name) > watch.after:
                 self.waiting.remove((watch, answer))
                 self.world.later(PLATFORM_MS, answer, self.read(watch))
-        return ObjectWritten(call.call_id, version + 1)
 
 
 class Node:
@@ -202,6 +210,7 @@
         )
         self.is_alive = True
         self.highest = 0
+        self.applied = []
         self.rejects = []
         self.wake_at = None
 
@@ -220,6 +229,7 @@
         elif isinstance(effect, Apply):
             assert effect.number > self.highest, "an instance's number fell"
             self.highest = effect.number
+            self.applied.append(effect.number)
             expected = self.world.oracle.documents[effect.number]
             assert effect.document == expected
             self.world.on_apply(self)
--- /dev/null
+++ b/tests/test_rollout_cases.py
@@ -0,0 +1,170 @@
+import json
+import random
+
+import pytest
+
+from sequoiahook.decisions.configuration import (
+    Accepted,
+    Apply,
+    ConfigurationHolder,
+    OutcomeUnknown,
+    Reject,
+    RolloutSettings,
+)
+from sequoiahook.decisions.configuration.store import digest_of
+from sequoiahook.decisions.effects import Send
+from sequoiahook.messages.configuration import (
+    ConfigurationCompare,
+    ConfigurationPieces,
+    ConfigurationPush,
+    PieceRequest,
+)
+from tests.configuration_fakes import ROOT, Change, World
+
+REGION = Change("regions_by_name", "r", {"data_centres": ["east", "west"]})
+IN_DATA_CENTRE = frozenset(("east",))
+
+
+def start(sizes, seed=0):
+    world = World(sizes, seed)
+    submit(world, REGION)
+    world.settle()
+    return world
+
+
+def submit(world, change):
+    number = world.oracle.number
+    patch = change.patch(f"p{number}", number)
+    return world.submit(world.living()[0], patch, change)
+
+
+def organisation(rate):
+    value = {"rate_per_s": rate, "burst": 1, "keys_by_name": {}}
+    return Change("organisations_by_name", "o", value)
+
+
+def test_in_force_at_once_without_faults():
+    world = start({"east": 6, "west": 6})
+    submit(world, organisation(1))
+    world.advance(300)
+    world.check_all_hold(2)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_boot_in_outage_takes_highest_of_the_answers(seed):
+    world = start({"east": 4}, seed)
+    world.partitions = {IN_DATA_CENTRE}
+    submit(world, organisation(1))
+    world.advance(500)
+    assert {node.highest for node in world.living()} == {1, 2}
+    world.platform.outage = True
+    world.partitions = set()
+    new = world.add("east")
+    world.show_view_to(new)
+    world.advance(3000)
+    assert new.applied == [2]
+
+
+def test_data_centre_without_platform_learns_from_peers():
+    world = start({"east": 3, "west": 3})
+    world.cut = {"west"}
+    submit(world, organisation(1))
+    world.advance(2500)
+    world.check_all_hold(2)
+
+
+def test_pieces_come_from_another_instance_when_the_first_is_silent():
+    piece = b'{"entries":{"r":{"data_centres":["east"]}}}'
+    digest = digest_of(piece)
+    root = {"number": 4, "pieces_by_name": {"regions_by_name": digest}}
+    holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
+    effects = holder.configure_view({"east": ["a", "b", "c"]}, 0)
+    push = ConfigurationPush(4, json.dumps(root | {"recent_patches": []}).encode(), ())
+    assert Send("a", PieceRequest((digest,))) in holder.receive("a", push, 10)
+    effects = holder.receive("b", ConfigurationCompare(4, False, False), 20)
+    wrong = ConfigurationPieces(((digest, piece + b" "),))
+    effects = holder.receive("a", wrong, 30)
+    assert effects[0].findings[0].place == f"piece-{digest}"
+    effects = []
+    for now in range(40, 2000, 10):
+        if holder.next_wake(now) <= now:
+            effects += holder.tick(now)
+    asked = [e.destination for e in effects if isinstance(e.body, PieceRequest)]
+    assert asked[:3] == ["b", "a", "b"]
+    late = ConfigurationPieces(((digest, piece),))
+    applied = [e for e in holder.receive("b", late, 2010) if isinstance(e, Apply)]
+    assert applied[0].number == 4
+    assert holder.document == {"regions_by_name": {"r": {"data_centres": ["east"]}}}
+
+
+def test_malformed_root_is_reported_and_the_last_good_stays():
+    world = start({"east": 3})
+    good = json.loads(world.platform.current(ROOT))
+    world.platform.force(ROOT, {"number": "two"})
+    operator = submit(world, organisation(1))
+    world.advance(9000)
+    rejects = [reject for node in world.living() for reject in node.rejects]
+    places = {finding.place for reject in rejects for finding in reject.findings}
+    assert "configuration.number" in places
+    world.check_all_hold(1)
+    assert isinstance(operator.outcome, OutcomeUnknown)
+    assert operator.outcome.findings[0].place == "configuration.number"
+    world.platform.force(ROOT, good)
+    operator = submit(world, organisation(1))
+    world.settle()
+    assert operator.outcome == Accepted(2)
+
+
+def test_unusable_document_is_reported_and_the_next_one_is_taken():
+    world = start({"east": 3, "west": 2})
+    root = json.loads(world.platform.current(ROOT))
+    document = dict(world.oracle.documents[1])
+    for number, entry in ((2, {"rate_per_s": "many"}), (3, organisation(1).value)):
+        piece = json.dumps({"entries": {"o": entry}}, sort_keys=True)
+        piece = piece.replace(" ", "")
+        digest = digest_of(piece.encode())
+        names = root["pieces_by_name"] | {"organisations_by_name": digest}
+        world.platform.versions_by_name[f"piece-{digest}"] = [None, piece]
+        world.oracle.patch_ids.append(f"forced {number}")
+        document = document | {"organisations_by_name": {"o": entry}}
+        world.oracle.documents.append(document)
+        world.platform.force(ROOT, root | {"number": number, "pieces_by_name": names})
+        world.advance(5000)
+        world.check_all_hold(1 if number == 2 else 3)
+    watchers = [node for node in world.living() if node.rejects]
+    places = {finding.place for finding in watchers[0].rejects[0].findings}
+    assert "$.organisations_by_name.o.rate_per_s" in places
+    assert watchers[0].rejects[0] == Reject(2, watchers[0].rejects[0].findings)
+
+
+def status(world, data_centre):
+    value = json.loads(world.platform.current(f"status-{data_centre}"))
+    return value["numbers_by_instance"]
+
+
+def test_status_is_one_object_for_each_data_centre():
+    world = start({"east": 5, "west": 3})
+    submit(world, organisation(1))
+    world.advance(5000)
+    for data_centre in ("east", "west"):
+        expected = {node.name: 2 for node in world.living(data_centre)}
+        assert status(world, data_centre) == expected
+    for node in world.living("east")[:3]:
+        world.replace(node)
+    world.advance(30_000)
+    assert status(world, "east") == {node.name: 2 for node in world.living("east")}
+    names = [name for name in world.platform.versions_by_name if "status" in name]
+    assert sorted(names) == ["status-east", "status-west"]
+
+
+def test_platform_calls_do_not_grow_with_the_instances():
+    calls = []
+    for size in (2, 12, 24):
+        world = start({"east": size, "west": size})
+        before = sum(world.platform.calls_by_kind.values())
+        for rate in range(1, 4):
+            submit(world, organisation(rate))
+            world.advance(5000)
+        calls.append(sum(world.platform.calls_by_kind.values()) - before)
+        world.check_all_hold(4)
+    assert max(calls) <= 1.2 * min(calls)
