--- a/tests/test_patching.py
+++ b/tests/test_patching.py
@@ -116,6 +116,7 @@
         self.world.advance(DEADLINE_MS + 2000)
         self.world.check_refused()
         self.check_answers_when_quiet()
+        self.check_all_is_stored()
 
     def check_answers_when_quiet(self):
         """Each id gets the one true answer now, whatever was told before."""
@@ -131,11 +132,35 @@
                 assert again.outcome == Stale(world.oracle.number)
                 assert isinstance(query.outcome, Stale | OutcomeUnknown | Accepted)
 
+    def check_all_is_stored(self):
+        """An operator whose instance knows no piece can go on from the platform."""
+        self.desks[0].pieces_by_digest = {}
+        number = self.world.oracle.number
+        operator = self.submit(0, rate(1, 7), number)
+        self.world.advance(500)
+        assert operator.outcome == Accepted(number + 1)
+
 
 def rate(serial, value):
     change = {"rate_per_s": value, "burst": 1, "keys_by_name": {}}
     return Change("organisations_by_name", f"org{serial}", change)
 
 
+def test_late_reads_do_not_make_a_writer_hurry():
+    world = World({}, 1)
+    desk = Desk("a")
+    for number in range(5):
+        world.submit(desk, rate(number, 1).patch(f"p{number}", number), rate(number, 1))
+        world.advance(100)
+    world.platform.percent_by_fault["stale_reads"] = 100
+    before = sum(world.platform.calls_by_kind.values())
+    operator = world.submit(desk, rate(9, 1).patch("late", 2), rate(9, 1))
+    other = world.submit(desk, rate(9, 1).patch("other", 5), rate(9, 1))
+    world.advance(DEADLINE_MS)
+    assert operator.is_done
+    assert other.is_done
+    assert sum(world.platform.calls_by_kind.values()) - before < 150
+
+
 PatchingMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
 TestPatching = PatchingMachine.TestCase
--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -45,9 +45,11 @@
 
 def test_in_force_at_once_without_faults():
     world = start({"east": 6, "west": 6})
-    submit(world, organisation(1))
-    world.advance(300)
-    world.check_all_hold(2)
+    for rate in range(1, 9):
+        submit(world, organisation(rate))
+        world.advance(100)
+        world.check_all_hold(1 + rate)
+        world.advance(237)
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -65,6 +67,45 @@
     assert new.applied == [2]
 
 
+def push_of(number, entry):
+    piece = json.dumps({"entries": {"o": entry}}, separators=(",", ":")).encode()
+    names = {"organisations_by_name": digest_of(piece)}
+    root = {"number": number, "pieces_by_name": names, "recent_patches": []}
+    encoded = json.dumps(root).encode()
+    return ConfigurationPush(number, encoded, ((digest_of(piece), piece),))
+
+
+def test_boot_waits_for_the_answers_before_it_takes_one():
+    settings = RolloutSettings()
+    holder = ConfigurationHolder(settings, "c", "east", random.Random(1))
+    holder.configure_view({"east": ["a", "b", "c"]}, 0)
+    entry = {"burst": 1, "keys_by_name": {}, "rate_per_s": 1}
+    early = holder.receive("a", push_of(3, entry), 10)
+    assert not any(isinstance(effect, Apply) for effect in early)
+    both = holder.receive("b", push_of(5, entry), 20)
+    assert [effect.number for effect in both if isinstance(effect, Apply)] == [5]
+    assert holder.receive("a", push_of(4, entry), 30) == []
+    alone = ConfigurationHolder(settings, "c", "east", random.Random(1))
+    alone.configure_view({"east": ["a", "b", "c"]}, 0)
+    alone.receive("a", push_of(3, entry), 10)
+    late = alone.tick(settings.boot_wait_ms)
+    assert [effect.number for effect in late if isinstance(effect, Apply)] == [3]
+
+
+def test_unusable_push_is_reported_once():
+    holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
+    holder.configure_view({"east": ["a", "c"]}, 0)
+    push = push_of(3, {"rate_per_s": 0})
+    rejects = [
+        effect
+        for now in (10, 20, 30)
+        for effect in holder.receive("a", push, now)
+        if isinstance(effect, Reject)
+    ]
+    assert [reject.number for reject in rejects] == [3]
+    assert holder.number == 0
+
+
 def test_data_centre_without_platform_learns_from_peers():
     world = start({"east": 3, "west": 3})
     world.cut = {"west"}
