Believe a missing root only after a write that must fail

Ruled out: to retry the read only (each read may be late). Change: the probe names a version that is never reached, so that it fails whatever the object is. A root whose pieces cannot be had for four turns is dropped, so that a lower number that can be had comes into force.

--- a/sequoiahook/decisions/configuration/__init__.py
+++ b/sequoiahook/decisions/configuration/__init__.py
@@ -6,14 +6,12 @@
     Outcome,
     OutcomeUnknown,
     Patch,
-    Stale,
-    read_patch,
-)
-from sequoiahook.decisions.configuration.patching import (
     PatchSettings,
-    PatchWriter,
     Report,
+    Stale,
+    read_patch,
 )
+from sequoiahook.decisions.configuration.patching import PatchWriter
 from sequoiahook.decisions.configuration.rollout import ConfigurationHolder
 from sequoiahook.decisions.configuration.rollout_effects import Apply, Reject
 from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
--- a/sequoiahook/decisions/configuration/fetching.py
+++ b/sequoiahook/decisions/configuration/fetching.py
@@ -14,6 +14,7 @@
 PLATFORM = ""
 CALLS_AT_ONCE = 8
 DIGESTS_AT_ONCE = 64
+FRUITLESS_TURNS = 4
 
 
 class PieceFetcher:
@@ -33,6 +34,7 @@
         self.root: Root | None = None
         self._sources: list[str] = []
         self._ask_again_at: int | None = None
+        self._progress_at: int | None = None
 
     @property
     def source(self) -> str:
@@ -52,8 +54,18 @@
         self.root = None
         self._sources = []
         self._ask_again_at = None
+        self._progress_at = None
         self._calls.abandon()
 
+    def is_hopeless(self, now: int) -> bool:
+        """Return whether no piece has come for so long that the root is dropped.
+
+        Another root, perhaps a lower one whose pieces can be had, is sought then.
+        """
+        return self._progress_at is not None and now >= (
+            self._progress_at + FRUITLESS_TURNS * self._timeout_ms
+        )
+
     def rest(self) -> None:
         """Ask nothing more for now, since no piece is missing."""
         self._ask_again_at = None
@@ -75,13 +87,15 @@
             is_progress: Whether pieces have just come, so that the same source is
                 asked for further ones at once.
         """
-        if not self._calls.is_idle and (is_progress or not self._is_due(now)):
+        if is_progress or self._progress_at is None:
+            self._progress_at = now
+        if not is_progress and not self._is_due(now):
             return self._calls.due()
         if not is_progress:
-            if not self._is_due(now):
-                return []
             self._turn()
         self._ask_again_at = now + self._timeout_ms
+        if not self._calls.is_idle:
+            return self._calls.due()
         return self._ask(self._sources[0], missing[:DIGESTS_AT_ONCE])
 
     def _is_due(self, now: int) -> bool:
--- a/sequoiahook/decisions/configuration/patch.py
+++ b/sequoiahook/decisions/configuration/patch.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from sequoiahook.decisions.configuration.store import LEAF_BYTES_MAX
 from sequoiahook.errors import CheckError, Finding
 from sequoiahook.options import Section
 
@@ -11,6 +12,8 @@
     "Outcome",
     "OutcomeUnknown",
     "Patch",
+    "PatchSettings",
+    "Report",
     "Stale",
     "read_patch",
 ]
@@ -66,6 +69,34 @@
 Outcome = Accepted | Stale | Invalid | OutcomeUnknown
 
 
+class PatchSettings(NamedTuple):
+    """Settings of a patch writer.
+
+    Attributes:
+        deadline_ms: When the outcome is reported as unknown at the latest.
+        retry_ms: Wait before a failed call is made again; doubles with each failure.
+        retry_max_ms: Longest wait before a failed call is made again.
+        leaf_bytes_max: Above this size a piece with several entries is divided.
+    """
+
+    deadline_ms: int = 8000
+    retry_ms: int = 50
+    retry_max_ms: int = 1000
+    leaf_bytes_max: int = LEAF_BYTES_MAX
+
+
+class Report(NamedTuple):
+    """Tell the operator the outcome; returned exactly once by each writer.
+
+    Attributes:
+        patch_id: Id of the patch.
+        outcome: What became of it.
+    """
+
+    patch_id: str
+    outcome: Outcome
+
+
 def read_patch(document: Any) -> Patch:
     """Check the JSON document of a patch.
 
--- a/sequoiahook/decisions/configuration/patch_objects.py
+++ b/sequoiahook/decisions/configuration/patch_objects.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
+from sequoiahook.decisions.configuration.merge import merge
 from sequoiahook.decisions.configuration.patch import Patch
 from sequoiahook.decisions.configuration.root import (
     HISTORY_CHUNK,
@@ -17,13 +18,16 @@
     digest_of,
     piece_object_name,
     reachable_pieces,
+    split,
 )
 from sequoiahook.errors import CheckError, Finding
 from sequoiahook.options import Section
+from sequoiahook.world.configuration import read_configuration
 
 __all__ = [
     "Claim",
     "NewObject",
+    "changed_document",
     "claim_name",
     "claim_of",
     "next_root",
@@ -113,6 +117,24 @@
     return objects
 
 
+def changed_document(
+    document: dict[str, Any], patch: Patch, leaf_bytes_max: int
+) -> SplitDocument:
+    """Apply the changes of a patch and check the result.
+
+    Raises:
+        CheckError: With every finding of the changed document and its place.
+    """
+    try:
+        changed = merge(document, patch.changes)
+        read_configuration(patch.against + 1, changed)
+        new = split(changed, leaf_bytes_max)
+    except RecursionError as error:
+        raise CheckError([Finding("$", "is nested too deeply")]) from error
+    claim_of(patch)
+    return new
+
+
 def _history(patches: tuple[AcceptedPatch, ...]) -> NewObject:
     value = {"patches": [patch._asdict() for patch in patches]}
     return NewObject(history_name(patches[0].number), value)
--- a/sequoiahook/decisions/configuration/patching.py
+++ b/sequoiahook/decisions/configuration/patching.py
@@ -18,19 +18,20 @@
 
 import random
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from sequoiahook.decisions.call_book import CallBook
-from sequoiahook.decisions.configuration.merge import merge
 from sequoiahook.decisions.configuration.patch import (
     Accepted,
     Invalid,
     Outcome,
     OutcomeUnknown,
     Patch,
+    PatchSettings,
+    Report,
     Stale,
 )
 from sequoiahook.decisions.configuration.patch_objects import (
+    changed_document,
     claim_name,
     claim_of,
     next_root,
@@ -47,14 +48,12 @@
     root_value,
 )
 from sequoiahook.decisions.configuration.store import (
-    LEAF_BYTES_MAX,
+    PIECE_PREFIX,
     SplitDocument,
     assemble,
-    canonical,
-    digest_of,
     missing_pieces,
     piece_object_name,
-    split,
+    piece_of,
 )
 from sequoiahook.decisions.platform_calls import (
     CallAnswer,
@@ -69,39 +68,11 @@
     WriteObject,
 )
 from sequoiahook.errors import CheckError, Finding
-from sequoiahook.world.configuration import read_configuration
 
-__all__ = ["PatchSettings", "PatchWriter", "Report"]
+__all__ = ["PatchWriter"]
 
 CALLS_AT_ONCE = 8
-
-
-class PatchSettings(NamedTuple):
-    """Settings of a patch writer.
-
-    Attributes:
-        deadline_ms: When the outcome is reported as unknown at the latest.
-        retry_ms: Wait before a failed call is made again; doubles with each failure.
-        retry_max_ms: Longest wait before a failed call is made again.
-        leaf_bytes_max: Above this size a piece with several entries is divided.
-    """
-
-    deadline_ms: int = 8000
-    retry_ms: int = 50
-    retry_max_ms: int = 1000
-    leaf_bytes_max: int = LEAF_BYTES_MAX
-
-
-class Report(NamedTuple):
-    """Tell the operator the outcome; returned exactly once by each writer.
-
-    Attributes:
-        patch_id: Id of the patch.
-        outcome: What became of it.
-    """
-
-    patch_id: str
-    outcome: Outcome
+IMPOSSIBLE_VERSION = 2**52
 
 
 class PatchWriter:
@@ -277,9 +248,8 @@
 
     def _probe(self) -> list:
         """Learn the current version by a write that cannot take effect."""
-        if not self.version:
-            return self._report(Stale(0))
-        return self._call(WriteObject, ROOT_NAME, root_value(self.root), 0)
+        value = root_value(self.root)
+        return self._call(WriteObject, ROOT_NAME, value, IMPOSSIBLE_VERSION)
 
     def _on_root_answer(self, answer: CallAnswer) -> list:
         if self.root.number < self._patch.against:
@@ -291,8 +261,8 @@
         self._version_floor = max(self._version_floor, answer.current)
         return self._restart()
 
-    def _on_probe_answer(self, answer: CallAnswer) -> list:
-        if isinstance(answer, ObjectWritten) or answer.current == self.version:
+    def _on_probe_answer(self, answer: WriteConflict) -> list:
+        if answer.current == self.version:
             return self._report(Stale(self.root.number))
         self._version_floor = max(self._version_floor, answer.current)
         return self._restart()
@@ -310,9 +280,9 @@
     def _on_piece(self, name: str, answer: ObjectRead, now: int) -> list:
         if not answer.version:
             return self._fault((Finding(name, "is missing"),), now)
-        piece = canonical(answer.value)
-        digest = digest_of(piece)
-        if piece_object_name(digest) != name:
+        digest = name.removeprefix(PIECE_PREFIX)
+        piece = piece_of(digest, answer.value)
+        if piece is None:
             return self._fault((Finding(name, "does not match its digest"),), now)
         self.pieces_by_digest[digest] = piece
         return self._next_step()
@@ -321,9 +291,12 @@
         if self._new is None:
             document = assemble(self.root.pieces_by_name, self.pieces_by_digest)
             try:
-                self._new = self._changed(document)
+                self._new = changed_document(
+                    document, self._patch, self._settings.leaf_bytes_max
+                )
             except CheckError as error:
                 return self._report(Invalid(error.findings))
+            self.pieces_by_digest.update(self._new.pieces_by_digest)
         for item in objects_before_root(self.root, self._patch, self._new):
             if item.name not in self._stored_names:
                 self._calls.add(WriteObject, item.name, item.value, 0)
@@ -332,18 +305,6 @@
             self._calls.add(WriteObject, ROOT_NAME, value, self.version)
         return self._calls.due()
 
-    def _changed(self, document: dict) -> SplitDocument:
-        """Apply the changes and check the result."""
-        try:
-            changed = merge(document, self._patch.changes)
-            read_configuration(self._patch.against + 1, changed)
-            new = split(changed, self._settings.leaf_bytes_max)
-        except RecursionError as error:
-            raise CheckError([Finding("$", "is nested too deeply")]) from error
-        claim_of(self._patch)
-        self.pieces_by_digest.update(new.pieces_by_digest)
-        return new
-
     def _next_root(self) -> Root:
         return next_root(self.root, self._patch, self._new.pieces_by_name)
 
--- a/sequoiahook/decisions/configuration/platform_watch.py
+++ b/sequoiahook/decisions/configuration/platform_watch.py
@@ -69,6 +69,10 @@
         self._give_up_at = None
         return True
 
+    def read_again(self) -> None:
+        """Let the next watch bring the current version, also if it was seen."""
+        self._version = 0
+
     def see(self, answer: CallAnswer, now: int) -> Seen | None:
         """Take an answer; None if it brings nothing new."""
         if not isinstance(answer, ObjectRead | ObjectUnchanged):
--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -8,6 +8,7 @@
 
 from sequoiahook.decisions.configuration.fetching import PLATFORM, PieceFetcher
 from sequoiahook.decisions.configuration.held import HeldConfiguration
+from sequoiahook.decisions.configuration.peers import Peers
 from sequoiahook.decisions.configuration.platform_watch import PlatformWatch
 from sequoiahook.decisions.configuration.rollout_effects import Apply, Reject
 from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
@@ -18,8 +19,8 @@
     canonical,
     missing_pieces,
     piece_object_name,
+    piece_of,
 )
-from sequoiahook.decisions.configuration.topology import contacts
 from sequoiahook.decisions.configuration.watching import WatchDuty
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.platform_calls import CallAnswer, ObjectRead, ReadObject
@@ -59,22 +60,14 @@
         ids = itertools.count(1)
         self._settings = settings
         self._name = name
-        self._data_centre = data_centre
-        self._rng = rng
         self._held = HeldConfiguration()
         self._duty = WatchDuty(settings.duty, name, data_centre)
         self._watch = PlatformWatch(settings, ids, rng)
         self._fetcher = PieceFetcher(settings.call_timeout_ms, ids)
         self._status = StatusWriter(settings, data_centre, ids)
-        self._peers: tuple[str, ...] = ()
-        self._contacts: tuple[str, ...] = ()
-        self._unheard: set[str] = set()
-        self._boot_ends: int | None = None
-        self._next_compare = 0
-        self._compares = 0
+        self._peers = Peers(settings, name, data_centre, rng)
         self._rejected_number = 0
         self._reported_digests: set[str] = set()
-        self._watchers: set[str] = set()
 
     @property
     def number(self) -> int:
@@ -113,25 +106,18 @@
         Instances that are met before a first configuration is in force are asked
         for theirs.
         """
-        own = set(instances_by_data_centre.get(self._data_centre, ()))
-        known = {*self._peers, *self._contacts}
-        self._peers = tuple(sorted(own - {self._name}))
-        self._contacts = tuple(
-            contacts(
-                self._name,
-                self._data_centre,
-                {**instances_by_data_centre, self._data_centre: (*own, self._name)},
-                self._settings.links_per_pair,
-            )
-        )
-        self._duty.configure(own, now)
-        self._watchers &= set(self._peers)
-        self._unheard &= {*self._peers, *self._contacts}
-        return self._begin_boot(known, now) + self.tick(now)
+        new = self._peers.configure(instances_by_data_centre)
+        self._duty.configure(self._peers.peers, now)
+        effects = []
+        if not self.number:
+            self._peers.begin_boot(new, now)
+            message = self._comparison(now, True)
+            effects = [Send(name, message) for name in new]
+        return effects + self.tick(now)
 
     def receive(self, source: str, message: tuple, now: int) -> list:
         """Take a message of this part from an instance."""
-        self._unheard.discard(source)
+        self._peers.hear(source)
         if isinstance(message, ConfigurationCompare):
             effects = self._on_compare(source, message, now)
         elif isinstance(message, ConfigurationPush):
@@ -165,9 +151,9 @@
     def tick(self, now: int) -> list:
         """Do what is due."""
         is_watcher = self._duty.is_watcher(now)
-        self._is_booting(now)
+        self._peers.is_booting(now)
         effects = [*self._seek(now), *self._watch.tick(is_watcher, now)]
-        if now >= self._next_compare:
+        if now >= self._peers.next_compare:
             effects += self._compare(is_watcher, now)
         self._status.hear(self._name, self.number, now)
         self._status.forget_silent(now)
@@ -179,57 +165,31 @@
         is_watcher = self._duty.is_watcher(now)
         is_writer = is_watcher and self._duty.is_first(now)
         wakes = [
-            self._next_compare,
+            self._peers.next_compare,
             self._fetcher.next_wake(),
-            self._boot_ends,
+            self._peers.boot_ends,
             self._watch.next_wake(is_watcher, now),
             self._status.next_wake(is_writer, now),
             self._duty.next_change(now),
         ]
         return max(now, min(wake for wake in wakes if wake is not None))
 
-    def _begin_boot(self, known: set[str], now: int) -> list:
-        """Ask instances that are new to this one, while it holds nothing."""
-        if self.number:
-            return []
-        new = {*self._peers, *self._contacts} - known
-        self._unheard |= new
-        if self._boot_ends is None:
-            self._boot_ends = now + self._settings.boot_wait_ms
-        return [Send(name, self._comparison(now, True)) for name in sorted(new)]
-
-    def _is_booting(self, now: int) -> bool:
-        """Return whether a higher number may still come from a peer."""
-        if self._boot_ends is None:
-            return False
-        if self._unheard and now < self._boot_ends:
-            return True
-        self._boot_ends = None
-        return False
-
     def _comparison(self, now: int, wants_reply: bool) -> ConfigurationCompare:
         is_watcher = self._duty.is_watcher(now)
         return ConfigurationCompare(self.number, is_watcher, wants_reply)
 
     def _compare(self, is_watcher: bool, now: int) -> list:
         """Compare numbers with peers and with contacts of other data centres."""
-        interval_ms = self._settings.compare_interval_ms
-        self._next_compare = now + self._rng.randint(interval_ms * 3 // 4, interval_ms)
-        self._compares += 1
-        wants_reply = self._compares % self._settings.reply_every == 0
-        names = set(self._contacts)
-        if is_watcher:
-            names.update(self._peers)
-        elif self._peers:
-            names.add(self._rng.choice(self._peers))
-        message = self._comparison(now, wants_reply or not self.number)
-        return [Send(name, message) for name in sorted(names)]
+        wants_reply = self._peers.plan_compare(now) or not self.number
+        message = self._comparison(now, wants_reply)
+        names = self._peers.names_to_compare(is_watcher)
+        return [Send(name, message) for name in names]
 
     def _on_compare(self, source: str, message: ConfigurationCompare, now: int) -> list:
-        if source in self._peers:
+        if source in self._peers.peers:
             self._duty.hear(source, message.is_watcher, now)
             self._status.hear(source, message.number, now)
-            self._note_watcher(source, message.is_watcher)
+            self._peers.note_watcher(source, message.is_watcher)
         if message.number < self.number:
             pieces = self._held.pieces_since(
                 message.number, self._settings.push_bytes_max
@@ -241,12 +201,6 @@
             return [Send(source, self._comparison(now, False))]
         return []
 
-    def _note_watcher(self, source: str, is_watcher: bool) -> None:
-        if is_watcher:
-            self._watchers.add(source)
-        else:
-            self._watchers.discard(source)
-
     def _ask_for(self, number: int, source: str, now: int) -> list:
         """Ask an instance for its root, if that is not known yet."""
         sought = self._fetcher.root
@@ -262,7 +216,7 @@
         return ConfigurationPush(root.number, canonical(root_value(root)), pieces)
 
     def _on_push(self, source: str, message: ConfigurationPush, now: int) -> list:
-        if source in self._peers:
+        if source in self._peers.peers:
             self._status.hear(source, message.number, now)
         if message.number <= max(self.number, self._rejected_number):
             return []
@@ -315,9 +269,10 @@
         if not isinstance(answer, ObjectRead) or not answer.version:
             return []
         digest = call.name.removeprefix(PIECE_PREFIX)
-        wrong = self._held.add_pieces([(digest, canonical(answer.value))])
-        if wrong:
-            return self._reject_digests(wrong)
+        piece = piece_of(digest, answer.value)
+        if piece is None:
+            return self._reject_digests([digest])
+        self._held.add_pieces([(digest, piece)])
         return self._seek(now, is_progress=True)
 
     def _offer(self, root: Root, source: str, now: int) -> list:
@@ -333,8 +288,8 @@
             return []
         missing = missing_pieces(root.pieces_by_name, self._held.pieces_by_digest)
         if missing:
-            return self._fetcher.ask(missing, now, is_progress=is_progress)
-        if self._is_booting(now):
+            return self._fetch(missing, is_progress, now)
+        if self._peers.is_booting(now):
             self._fetcher.rest()
             return []
         source = self._fetcher.source
@@ -349,14 +304,21 @@
         applied = Apply(root.number, self._held.document, self._held.configuration)
         return [applied, *self._tell(source, now)]
 
+    def _fetch(self, missing: list[str], is_progress: bool, now: int) -> list:
+        if not is_progress and self._fetcher.is_hopeless(now):
+            self._fetcher.stop()
+            self._watch.read_again()
+            return []
+        return self._fetcher.ask(missing, now, is_progress=is_progress)
+
     def _tell(self, source: str, now: int) -> list:
         """Push what has come from outside the data centre; acknowledge the rest."""
-        if source in self._peers:
+        if source in self._peers.peers:
             message = self._comparison(now, False)
-            return [Send(name, message) for name in sorted(self._watchers)]
+            return [Send(name, message) for name in sorted(self._peers.watchers)]
         pieces = ()
         if self._duty.is_first(now) or not self._duty.is_watcher(now):
             pieces = self._held.pieces_since(
                 self._held.previous_number, self._settings.push_bytes_max
             )
-        return [Send(name, self._push(pieces)) for name in self._peers]
+        return [Send(name, self._push(pieces)) for name in self._peers.peers]
--- a/sequoiahook/decisions/configuration/store.py
+++ b/sequoiahook/decisions/configuration/store.py
@@ -25,6 +25,7 @@
     "digest_of",
     "missing_pieces",
     "piece_object_name",
+    "piece_of",
     "reachable_pieces",
     "split",
 ]
@@ -70,6 +71,15 @@
     return hashlib.sha256(piece).hexdigest()
 
 
+def piece_of(digest: str, value: Any) -> bytes | None:
+    """Return the piece that an object's value holds; None if the digest is another."""
+    try:
+        piece = canonical(value)
+    except (ValueError, RecursionError):
+        return None
+    return piece if digest_of(piece) == digest else None
+
+
 def piece_object_name(digest: str) -> str:
     """Return the name of the platform's object that holds a piece."""
     return PIECE_PREFIX + digest
--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any, NamedTuple
 
 from sequoiahook.decisions.configuration import (
@@ -47,6 +47,16 @@
 )
 
 
+ENVIRONMENTS = (
+    *({fault: 40} for fault in FAULTS),
+    {"lose_answers": 40, "stale_reads": 40},
+    {"lose_writes": 30, "delay_writes": 30},
+    {"delay_writes": 30, "stale_reads": 40, "lose_answers": 20},
+    dict.fromkeys(FAULTS, 15),
+    {},
+)
+
+
 class Change(NamedTuple):
     """What an operator does to the document; ``value`` None deletes."""
 
@@ -105,6 +115,10 @@
         self.slow_ms = 0
         self.percent_by_fault = dict.fromkeys(FAULTS, 0)
 
+    def begin(self, environment):
+        """Begin faults that last until all are healed: percent by fault."""
+        self.percent_by_fault.update(environment)
+
     def take(self, fault):
         return self.world.rng.randrange(100) < self.percent_by_fault[fault]
 
@@ -146,7 +160,7 @@
     def read(self, call):
         version = self.version(call.name)
         if version and self.take("stale_reads"):
-            version -= self.world.rng.randint(1, version)
+            version = self.world.rng.choice((0, version - 1, version // 2))
         if not version:
             return ObjectRead(call.call_id, 0, None)
         value = json.loads(self.versions_by_name[call.name][version])
@@ -318,7 +332,7 @@
         self.platform = FakePlatform(self)
         self.nodes_by_name = {}
         self.operators = []
-        self.first_patch_by_id = {}
+        self.numbers_by_id = defaultdict(set)
         self.outcomes = Counter()
         self.cut = set()
         self.partitions = set()
@@ -397,7 +411,8 @@
             self.later(delay_ms, target.run, "receive", source.name, effect.body)
 
     def submit(self, node, patch, change):
-        self.first_patch_by_id.setdefault(patch.id, patch)
+        if patch.changes is not None:
+            self.numbers_by_id[patch.id].add(patch.against)
         operator = Operator(self, node, patch, change)
         self.operators.append(operator)
         return operator
@@ -426,7 +441,7 @@
             assert outcome.current <= self.oracle.number
             assert outcome.current != patch.against
         elif isinstance(outcome, Invalid):
-            is_reused = self.first_patch_by_id[patch.id] != patch
+            is_reused = len(self.numbers_by_id[patch.id]) > 1
             assert operator.change.name == "wrong" or is_reused
             assert not is_applied
         else:
--- a/tests/test_patching.py
+++ b/tests/test_patching.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from sequoiahook.decisions.configuration import Accepted, OutcomeUnknown, Patch, Stale
-from tests.configuration_fakes import FAULTS, Change, World
+from tests.configuration_fakes import ENVIRONMENTS, FAULTS, Change, World
 
 DEADLINE_MS = 8000
 desk_index = st.integers(0, 2)
@@ -34,15 +34,15 @@
     @initialize(
         seed=st.integers(0, 1000),
         first=st.sampled_from((0, 30, 61)),
-        faults=st.sets(st.sampled_from(FAULTS), max_size=3),
+        environment=st.sampled_from(ENVIRONMENTS),
     )
-    def start(self, seed, first, faults):
+    def start(self, seed, first, environment):
+        self.environment = environment
         self.world = World({}, seed)
         self.desks = [Desk("a"), Desk("b"), Desk("c")]
         self.submitted = []
         self.many(0, first)
-        for fault in faults:
-            self.world.platform.percent_by_fault[fault] = 30
+        self.world.platform.begin(environment)
 
     def submit(self, desk, change, against):
         patch = change.patch(f"p{len(self.submitted)}", against)
@@ -80,11 +80,29 @@
             patch = patch._replace(against=self.world.oracle.number)
         self.world.submit(self.desks[desk], patch, change)
 
+    @rule(seed=st.integers(0, 2**32 - 1), environment=st.sampled_from(ENVIRONMENTS))
+    def burst(self, seed, environment):
+        """Many steps at once: a rule alone seldom meets faults often enough."""
+        rng = random.Random(seed)
+        self.world.platform.begin(environment)
+        for _ in range(12):
+            desk = rng.randrange(3)
+            kind = rng.randrange(5)
+            if kind < 3:
+                self.patch(desk, rng.randrange(30), rng.choice((-1, 0, 0, 0, 1)))
+            elif kind == 3:
+                self.repeat(
+                    desk, rng.randrange(9), rng.choice(("same", "query", "rebase"))
+                )
+            self.world.advance(rng.choice((0, 3, 20, 100, 400, 3000)))
+        self.world.heal()
+        self.world.platform.begin(self.environment)
+
     @rule(ms=st.sampled_from((1, 5, 11, 40, 400, 2000)))
     def advance(self, ms):
         self.world.advance(ms)
 
-    @rule(fault=st.sampled_from(FAULTS), percent=st.sampled_from((0, 20, 50, 100)))
+    @rule(fault=st.sampled_from(FAULTS), percent=st.sampled_from((20, 50, 100)))
     def fault(self, fault, percent):
         self.world.platform.percent_by_fault[fault] = percent
 
@@ -101,6 +119,7 @@
         operator = self.submit(desk, rate(1, 5), number)
         self.world.advance(500)
         assert operator.outcome == Accepted(number + 1)
+        self.world.platform.begin(self.environment)
 
     @invariant()
     def each_outcome_comes_in_time(self):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,8 +1,10 @@
+import random
+
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from sequoiahook.decisions.configuration import Accepted, Patch
-from tests.configuration_fakes import FAULTS, IN_FORCE_MS, Change, World
+from tests.configuration_fakes import ENVIRONMENTS, FAULTS, IN_FORCE_MS, Change, World
 
 DATA_CENTRES = ("east", "north", "west")
 SIZES = {"east": 3, "north": 3, "west": 2}
@@ -19,22 +21,16 @@
 
 
 class RolloutMachine(RuleBasedStateMachine):
-    @initialize(
-        seed=st.integers(0, 1000), faults=st.sets(st.sampled_from(FAULTS), max_size=2)
-    )
-    def start(self, seed, faults):
-        self.faults = faults
+    @initialize(seed=st.integers(0, 1000), environment=st.sampled_from(ENVIRONMENTS))
+    def start(self, seed, environment):
+        self.environment = environment
         self.world = World(SIZES, seed)
         self.count = 0
         self.submitted = []
         self.submit(self.world.living()[0], REGION, 0)
         self.world.advance(1500)
         self.world.check_all_hold(1)
-        self.begin_faults()
-
-    def begin_faults(self):
-        for fault in self.faults:
-            self.world.platform.percent_by_fault[fault] = 30
+        self.world.platform.begin(environment)
 
     def submit(self, node, change, against):
         self.count += 1
@@ -89,7 +85,7 @@
 
     @rule(
         fault=st.sampled_from(FAULTS),
-        percent=st.sampled_from((0, 30, 60, 100)),
+        percent=st.sampled_from((30, 60, 100)),
         which=index,
         serial=st.integers(0, 9),
         ms=st.sampled_from((0, 30, 400)),
@@ -131,10 +127,29 @@
             if node.holder.is_watcher(self.world.now):
                 self.world.replace(node, lag_ms)
 
+    @rule(seed=st.integers(0, 2**32 - 1), environment=st.sampled_from(ENVIRONMENTS))
+    def burst(self, seed, environment):
+        """Many steps at once: a rule alone seldom meets faults often enough."""
+        rng = random.Random(seed)
+        self.world.platform.begin(environment)
+        for _ in range(6):
+            kind = rng.randrange(8)
+            if kind < 4:
+                self.patch_newest(rng.randrange(8), rng.randrange(9), 1 + kind)
+            elif kind == 4:
+                self.repeat(rng.randrange(8), 0, rng.choice(("same", "rebase")))
+            elif kind == 5:
+                self.replace(rng.randrange(8), rng.choice((0, 700, None)))
+            elif kind == 6:
+                self.message_faults(rng.choice((0, 30)), rng.choice((0, 50)))
+            else:
+                self.cut_off(set(rng.sample(DATA_CENTRES, rng.randrange(3))))
+            self.world.advance(rng.choice((0, 10, 50, 400, 1500)))
+
     @rule()
     def settle(self):
         self.world.settle()
-        self.begin_faults()
+        self.world.platform.begin(self.environment)
 
     @rule(
         which=index,
@@ -161,7 +176,7 @@
             self.replace_watchers(data_centre, None)
         world.advance(world.accepted_at[world.oracle.number] + IN_FORCE_MS - world.now)
         world.check_all_hold(world.oracle.number)
-        self.begin_faults()
+        self.world.platform.begin(self.environment)
 
     @invariant()
     def each_holds_an_accepted_document(self):
--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -138,6 +138,24 @@
     assert holder.document == {"regions_by_name": {"r": {"data_centres": ["east"]}}}
 
 
+def test_lower_number_is_taken_if_the_higher_one_cannot_be_had():
+    holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
+    holder.configure_view({"east": ["a", "b", "c"]}, 0)
+    entry = {"burst": 1, "keys_by_name": {}, "rate_per_s": 1}
+    other = entry | {"rate_per_s": 9}
+    holder.receive("b", push_of(5, other)._replace(pieces=()), 10)
+    asks = [Send("a", ConfigurationCompare(0, flag, True)) for flag in (True, False)]
+    applied = []
+    for now in range(20, 5000, 20):
+        effects = holder.tick(now) if holder.next_wake(now) <= now else []
+        if now % 1000 == 0:
+            effects += holder.receive("a", ConfigurationCompare(3, True, False), now)
+        if any(ask in effects for ask in asks):
+            effects += holder.receive("a", push_of(3, entry), now)
+        applied += [effect.number for effect in effects if isinstance(effect, Apply)]
+    assert applied == [3]
+
+
 def test_malformed_root_is_reported_and_the_last_good_stays():
     world = start({"east": 3})
     good = json.loads(world.platform.current(ROOT))
