--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any, NamedTuple
 
 from sequoiahook.decisions.configuration import (
@@ -37,6 +37,24 @@
 ROOT = "configuration"
 IN_FORCE_MS = 5000
 PLATFORM_MS = 5
+FAULTS = (
+    "lose_answers",
+    "lose_writes",
+    "delay_writes",
+    "stale_reads",
+    "corrupt_reads",
+    "silent_watches",
+)
+
+
+ENVIRONMENTS = (
+    *({fault: 40} for fault in FAULTS),
+    {"lose_answers": 40, "stale_reads": 40},
+    {"lose_writes": 30, "delay_writes": 30},
+    {"delay_writes": 30, "stale_reads": 40, "lose_answers": 20},
+    dict.fromkeys(FAULTS, 15),
+    {},
+)
 
 
 class Change(NamedTuple):
@@ -89,28 +107,20 @@
         self.waiting = []
         self.outage = False
         self.slow_ms = 0
-        self.counts = dict.fromkeys(
-            (
-                "lose_answers",
-                "lose_writes",
-                "delay_writes",
-                "stale_reads",
-                "corrupt_reads",
-                "silent_watches",
-            ),
-            0,
-        )
+        self.percent_by_fault = dict.fromkeys(FAULTS, 0)
         self.calls_by_kind = {ReadObject: 0, Watch: 0, WriteObject: 0}
 
     def heal(self):
         self.outage = False
         self.slow_ms = 0
-        self.counts = dict.fromkeys(self.counts, 0)
+        self.percent_by_fault = dict.fromkeys(FAULTS, 0)
+
+    def begin(self, environment):
+        """Begin faults that last until all are healed: percent by fault."""
+        self.percent_by_fault.update(environment)
 
     def take(self, fault):
-        left = self.counts[fault]
-        self.counts[fault] = max(0, left - 1)
-        return left > 0
+        return self.world.rng.randrange(100) < self.percent_by_fault[fault]
 
     def current(self, name):
         return self.versions_by_name.get(name, [None])[-1]
@@ -150,7 +160,7 @@
     def read(self, call):
         version = self.version(call.name)
         if version and self.take("stale_reads"):
-            version -= self.world.rng.randint(1, version)
+            version = self.world.rng.choice((0, version - 1, version // 2))
         if not version:
             return ObjectRead(call.call_id, 0, None)
         value = json.loads(self.versions_by_name[call.name][version])
@@ -186,11 +196,19 @@
         versions.append(json.dumps(call.value))
         if call.name == ROOT:
             self.world.on_root_written(caller)
+        self.wake_watches(call.name)
+        return ObjectWritten(call.call_id, version + 1)
+
+    def force(self, name, value):
+        """Write an object past the system, as a stranger might."""
+        self.versions_by_name[name].append(json.dumps(value))
+        self.wake_watches(name)
+
+    def wake_watches(self, name):
         for watch, answer in list(self.waiting):
-            if watch.name == call.name and version + 1 > watch.after:
+            if watch.name == name and self.version(name) > watch.after:
                 self.waiting.remove((watch, answer))
                 self.world.later(PLATFORM_MS, answer, self.read(watch))
-        return ObjectWritten(call.call_id, version + 1)
 
 
 class Node:
@@ -206,6 +224,7 @@
         )
         self.is_alive = True
         self.highest = 0
+        self.applied = []
         self.rejects = []
         self.wake_at = None
 
@@ -224,6 +243,7 @@
         elif isinstance(effect, Apply):
             assert effect.number > self.highest, "an instance's number fell"
             self.highest = effect.number
+            self.applied.append(effect.number)
             expected = self.world.oracle.documents[effect.number]
             assert effect.document == expected
             self.world.on_apply(self)
@@ -263,6 +283,7 @@
         self.name = node.name
         self.data_centre = node.data_centre
         self.outcome = None
+        self.started = world.now
         self.teaches = world.rng.random() < 0.5
         self.writer = PatchWriter(
             world.patch_settings, patch, node.holder.pieces_by_digest, node.rng
@@ -311,12 +332,12 @@
         self.platform = FakePlatform(self)
         self.nodes_by_name = {}
         self.operators = []
-        self.first_patch_by_id = {}
+        self.numbers_by_id = defaultdict(set)
         self.outcomes = Counter()
         self.cut = set()
         self.partitions = set()
-        self.drops = 0
-        self.repeats = 0
+        self.drop_percent = 0
+        self.repeat_percent = 0
         self.messages = 0
         self.message_bytes = 0
         self.measure = None
@@ -381,20 +402,17 @@
         if self.measure is not None:
             self.measure(source, target, effect.body)
         places = frozenset((source.data_centre, target.data_centre))
-        if places in self.partitions or self.take("drops"):
+        if places in self.partitions or self.rng.randrange(100) < self.drop_percent:
             return
         base_ms = 1 if len(places) == 1 else 35
-        for _ in range(2 if self.take("repeats") else 1):
+        is_repeated = self.rng.randrange(100) < self.repeat_percent
+        for _ in range(2 if is_repeated else 1):
             delay_ms = base_ms + self.rng.randint(0, base_ms)
             self.later(delay_ms, target.run, "receive", source.name, effect.body)
 
-    def take(self, fault):
-        left = getattr(self, fault)
-        setattr(self, fault, max(0, left - 1))
-        return left > 0
-
     def submit(self, node, patch, change):
-        self.first_patch_by_id.setdefault(patch.id, patch)
+        if patch.changes is not None:
+            self.numbers_by_id[patch.id].add(patch.against)
         operator = Operator(self, node, patch, change)
         self.operators.append(operator)
         return operator
@@ -423,7 +441,7 @@
             assert outcome.current <= self.oracle.number
             assert outcome.current != patch.against
         elif isinstance(outcome, Invalid):
-            is_reused = self.first_patch_by_id[patch.id] != patch
+            is_reused = len(self.numbers_by_id[patch.id]) > 1
             assert operator.change.name == "wrong" or is_reused
             assert not is_applied
         else:
@@ -440,7 +458,7 @@
     def heal(self):
         self.platform.heal()
         self.partitions.clear()
-        self.drops = self.repeats = 0
+        self.drop_percent = self.repeat_percent = 0
 
     def settle(self):
         """End all faults but the cuts; all instances must have the newest number."""
