Remember hand-overs until their deadline, which all copies share

Cause: the ledger kept each id for 75 s, and an idle instance never forgot any. Ruled out: a fixed memory longer than any deadline, because the stamp already gives every copy the same deadline on the executor's clock. Change: an id is forgotten at its deadline plus a margin for drift; a copy that comes later is answered with unknown. A cancel carries the same durations.

--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -219,7 +219,7 @@
             self._wake_at(exchange, exchange.cancel_at)
             effects.append(self._hand_over_message(exchange, now))
         for exchange in self._at(name, EntryState.CANCELLING):
-            effects.append(self._cancel_message(exchange))
+            effects.append(self._cancel_message(exchange, now))
         if self._at(name, EntryState.ASKING):
             effects.append(Send(name, StampRequest()))
         return effects
@@ -257,7 +257,7 @@
         exchange.is_caller_gone = True
         if exchange.state in (EntryState.ASKING, EntryState.RESERVING):
             return self._refuse(exchange, Reason.CANCELLED, NOT_RUN)
-        return self._cancel(exchange)
+        return self._cancel(exchange, now)
 
     def reserved(
         self, number: int, reservation: int, token_lease_ms: int, now: int
@@ -307,7 +307,7 @@
         if exchange.state is EntryState.CANCELLING:
             return self._refuse(exchange, Reason.TIMEOUT, UNKNOWN)
         if exchange.state is EntryState.HANDED_OVER:
-            return self._cancel(exchange)
+            return self._cancel(exchange, now)
         if exchange.state is EntryState.CUT_OFF:
             return self._refuse(exchange, Reason.LINK_LOST, UNKNOWN)
         if now >= exchange.cancel_at:
@@ -348,7 +348,7 @@
             target_path=request.target_path,
             headers=request.headers,
             body=request.body,
-            remaining_ms=max(0, exchange.timeout_at - now),
+            remaining_ms=exchange.timeout_at - now,
             idempotent=request.idempotent,
             traceparent=request.traceparent,
             attempt=exchange.attempt,
@@ -426,14 +426,20 @@
             return False
         return now < exchange.cancel_at and self._budget.take(now)
 
-    def _cancel(self, exchange: _Exchange) -> list:
+    def _cancel(self, exchange: _Exchange, now: int) -> list:
         exchange.state = EntryState.CANCELLING
         self._wake_at(exchange, exchange.timeout_at)
-        return [self._cancel_message(exchange)]
+        return [self._cancel_message(exchange, now)]
 
-    def _cancel_message(self, exchange: _Exchange) -> Send:
-        stop_running = exchange.is_caller_gone
-        return Send(exchange.place, Cancel(exchange.id, exchange.stamp, stop_running))
+    def _cancel_message(self, exchange: _Exchange, now: int) -> Send:
+        body = Cancel(
+            id=exchange.id,
+            stamp=exchange.stamp,
+            stamp_age_ms=now - exchange.stamp_received_at,
+            remaining_ms=exchange.timeout_at - now,
+            stop_running=exchange.is_caller_gone,
+        )
+        return Send(exchange.place, body)
 
     def _refuse(
         self, exchange: _Exchange, cause: str, ran: str, retry_after_ms: int = 0
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -39,8 +39,8 @@
     """Durations and limits of an executor.
 
     Attributes:
-        memory_ms: How long ids are kept; longer than the longest deadline plus the time
-            for which an entry uses a stamp, in milliseconds.
+        drift_margin_ms: How long ids are kept after their deadline; longer than what
+            two clocks can drift apart in the longest deadline, in milliseconds.
         outcome_resend_ms: After which time an outcome is first sent again, in
             milliseconds; the time doubles.
         pause_limit_ms: A gap in the own loop that makes everything queued be refused,
@@ -50,7 +50,7 @@
         budget: Limits of the retries.
     """
 
-    memory_ms: int = 75_000
+    drift_margin_ms: int = 500
     outcome_resend_ms: int = 200
     pause_limit_ms: int = 1_000
     attempts_max: int = 3
@@ -83,7 +83,7 @@
         self._incarnation = incarnation
         self._rng = rng
         self._budget: RetryBudget | None = None
-        self._ledger: Ledger[Work] = Ledger(settings.memory_ms)
+        self._ledger: Ledger[Work] = Ledger(settings.drift_margin_ms)
         self._pools_by_service: dict[str, Pool] = {}
         self._retiring: list[Pool] = []
         self._resends: list[tuple[int, MessageId]] = []
@@ -97,6 +97,11 @@
         """Number of hand-overs without an acknowledged outcome."""
         return self._ledger.open_count
 
+    @property
+    def noted_count(self) -> int:
+        """Number of ids that are remembered, open or not."""
+        return len(self._ledger)
+
     def state(self, request_id: MessageId) -> ExecutorState | None:
         """Return the state of an open hand-over."""
         work = self._ledger.get(request_id)
@@ -200,6 +205,7 @@
     def next_wake(self, now: int) -> int | None:
         """Return when ``tick`` is next due; None if nothing is open."""
         wakes = [pool.next_wake(now) for pool in self._pools()]
+        wakes.append(self._ledger.next_forget_at)
         if self._resends:
             wakes.append(self._resends[0][0])
         if self._ledger.open_count:
@@ -220,27 +226,26 @@
     def _hand_over(self, source: str, body: HandOver, now: int) -> list:
         if body.id in self._ledger:
             return self._repeat_outcome(source, body.id, now)
-        reason = self._why_unknown(body.stamp, now)
+        reason = self._why_unknown(body, now)
         if reason:
             return [self._outcome(source, body.id, UNKNOWN, reason, now)]
         self._budget.first_attempt()
-        work = Work(source, body.id, now)
+        work = Work(source, body.id, _deadline_at(body))
         work.hand_over = body
         work.generation = self._generation
-        sent_at = min(now, body.stamp.clock_ms + body.stamp_age_ms)
-        work.deadline_at = sent_at + body.remaining_ms
-        work.right_lapses_at = sent_at + body.token_lease_ms
+        work.right_lapses_at = _sent_at(body) + body.token_lease_ms
         work.pool = self._pools_by_service.get(body.service)
         is_full = self._ledger.open_count >= self._settings.requests_max
-        self._ledger.open(body.id, work, now)
+        self._ledger.open(body.id, work, work.deadline_at)
         if is_full:
             return self._finish(work, NOT_RUN, Reason.OVERLOADED, now)
         return self._submit(work, now)
 
-    def _why_unknown(self, stamp: ReceiverStamp, now: int) -> str:
-        if stamp.incarnation != self._incarnation:
+    def _why_unknown(self, body: HandOver | Cancel, now: int) -> str:
+        """Return why an id that is not noted may have run; empty if it has not."""
+        if body.stamp.incarnation != self._incarnation:
             return Reason.OTHER_INCARNATION
-        if self._ledger.is_too_old(stamp.clock_ms, now):
+        if now >= _deadline_at(body) or now < body.stamp.clock_ms:
             return Reason.TOO_OLD
         return ""
 
@@ -327,11 +332,11 @@
             return self._stop(work, body.stop_running, now)
         if body.id in self._ledger:
             return self._repeat_outcome(source, body.id, now)
-        reason = self._why_unknown(body.stamp, now)
+        reason = self._why_unknown(body, now)
         if reason:
             return [self._outcome(source, body.id, UNKNOWN, reason, now)]
-        work = Work(source, body.id, now)
-        self._ledger.open(body.id, work, now)
+        work = Work(source, body.id, _deadline_at(body))
+        self._ledger.open(body.id, work, work.deadline_at)
         return self._finish(work, NOT_RUN, Reason.CANCELLED, now)
 
     def _stop(self, work: Work, stop_running: bool, now: int) -> list:
@@ -416,3 +421,13 @@
             used = {id(work.pool) for work in self._ledger.works()}
             self._retiring = [pool for pool in self._retiring if id(pool) in used]
         return [*self._pools_by_service.values(), *self._retiring]
+
+
+def _sent_at(body: HandOver | Cancel) -> int:
+    """Return the earliest time of sending, on the clock of the receiver."""
+    return body.stamp.clock_ms + body.stamp_age_ms
+
+
+def _deadline_at(body: HandOver | Cancel) -> int:
+    """Return the deadline on the clock of the receiver; all copies have the same."""
+    return _sent_at(body) + body.remaining_ms
--- a/sequoiahook/decisions/exchange/ledger.py
+++ b/sequoiahook/decisions/exchange/ledger.py
@@ -1,6 +1,6 @@
 """Which hand-overs an executor has seen, so that a repeat never runs again."""
 
-from collections import OrderedDict
+import heapq
 from typing import Generic, TypeVar
 
 from sequoiahook.messages.requests import MessageId
@@ -13,31 +13,30 @@
 class Ledger(Generic[W]):
     """Open hand-overs whole, and closed ones by what is known of them.
 
-    An id is kept for the memory's length after it was first noted, and longer while
-    it is open. A hand-over is accepted only if its stamp is younger than the memory:
-    since the stamp was given before the id was first noted, a repeat that arrives
-    after the id was forgotten carries a stamp that is too old.
+    An id is noted until its deadline and a margin for the drift of clocks, and longer
+    while it is open. Every copy of a hand-over has the same deadline on the clock of
+    the executor, so a copy that arrives after the id was forgotten is past it.
 
     Args:
-        memory_ms: How long ids are kept, in milliseconds.
+        margin_ms: How long ids are kept after their deadline, in milliseconds.
     """
 
-    def __init__(self, memory_ms: int):
-        self._memory_ms = memory_ms
+    def __init__(self, margin_ms: int):
+        self._margin_ms = margin_ms
         self._open_by_id: dict[MessageId, W] = {}
         self._ran_by_id: dict[MessageId, str] = {}
-        self._noted_at_by_id: OrderedDict[MessageId, int] = OrderedDict()
+        self._forget_at: list[tuple[int, MessageId]] = []
 
     def __len__(self) -> int:
-        return len(self._noted_at_by_id)
+        return len(self._open_by_id) + len(self._ran_by_id)
 
     def __contains__(self, message_id: MessageId) -> bool:
-        return message_id in self._noted_at_by_id
+        return message_id in self._open_by_id or message_id in self._ran_by_id
 
-    def open(self, message_id: MessageId, work: W, now: int) -> None:
+    def open(self, message_id: MessageId, work: W, deadline_at: int) -> None:
         """Note an id with its work."""
-        self._noted_at_by_id[message_id] = now
         self._open_by_id[message_id] = work
+        heapq.heappush(self._forget_at, (deadline_at + self._margin_ms, message_id))
 
     def get(self, message_id: MessageId) -> W | None:
         """Return the work of an open id."""
@@ -61,19 +60,17 @@
         """Number of open ids."""
         return len(self._open_by_id)
 
-    def is_too_old(self, stamped_at: int, now: int) -> bool:
-        """Return whether an id with such a stamp may have been forgotten."""
-        return not 0 <= now - stamped_at <= self._memory_ms
+    @property
+    def next_forget_at(self) -> int | None:
+        """When the next id can be forgotten; None if none is noted."""
+        return self._forget_at[0][0] if self._forget_at else None
 
     def forget_old(self, now: int) -> None:
-        """Forget closed ids that are older than the memory."""
-        while self._noted_at_by_id:
-            message_id, noted_at = next(iter(self._noted_at_by_id.items()))
-            if now - noted_at <= self._memory_ms:
-                return
+        """Forget closed ids that are due; look at open ones again a margin later."""
+        while self._forget_at and self._forget_at[0][0] <= now:
+            _, message_id = heapq.heappop(self._forget_at)
             if message_id in self._open_by_id:
-                self._noted_at_by_id[message_id] = now
-                self._noted_at_by_id.move_to_end(message_id)
-                continue
-            del self._noted_at_by_id[message_id]
-            del self._ran_by_id[message_id]
+                again_at = now + self._margin_ms
+                heapq.heappush(self._forget_at, (again_at, message_id))
+            else:
+                del self._ran_by_id[message_id]
--- a/sequoiahook/decisions/exchange/states.py
+++ b/sequoiahook/decisions/exchange/states.py
@@ -38,7 +38,7 @@
     PAUSED = "instance was paused"
     RIGHT_LAPSED = "right to run lapsed"
     TIMEOUT = "no outcome in time"
-    TOO_OLD = "older than the memory of repeats"
+    TOO_OLD = "arrived after its deadline"
 
 
 _STATUS_BY_REASON = {
--- a/sequoiahook/decisions/exchange/work.py
+++ b/sequoiahook/decisions/exchange/work.py
@@ -28,20 +28,20 @@
         resends: How often the outcome was sent again.
     """
 
-    def __init__(self, source: str, work_id: MessageId, now: int):
+    def __init__(self, source: str, work_id: MessageId, deadline_at: int):
         self.source = source
         self.id = work_id
         self.state = ExecutorState.QUEUED
         self.hand_over: HandOver | None = None
         self.pool: Pool | None = None
         self.generation = 0
-        self.deadline_at = now
-        self.right_lapses_at = now
+        self.deadline_at = deadline_at
+        self.right_lapses_at = deadline_at
         self.attempt = 0
         self.objection = ""
         self.is_sender_gone = False
         self.outcome: Outcome | None = None
-        self.resend_at = now
+        self.resend_at = deadline_at
         self.resends = 0
 
     @property
--- a/sequoiahook/messages/requests.py
+++ b/sequoiahook/messages/requests.py
@@ -90,8 +90,8 @@
 
     Lost: the sender cancels shortly before the deadline, or repeats it when the link
     is back. Repeated: recognised by id; the outcome is sent again. Reordered: a cancel
-    that came first wins. Delayed: the stamp bounds the age, and it is refused when the
-    deadline or the right may have lapsed, or when the ledger may have forgotten the id.
+    that came first wins. Delayed: the stamp bounds the age, and it is not run when the
+    right or the deadline may have passed; ids are remembered until their deadline.
     Delivered to a later incarnation: never run there, the outcome is unknown.
 
     Attributes:
@@ -186,9 +186,13 @@
     Attributes:
         id: Id of the hand-over.
         stamp: The stamp that the hand-over carried.
+        stamp_age_ms: How long the sender had held the stamp, in milliseconds.
+        remaining_ms: Time left to answer when it was sent, in milliseconds.
         stop_running: Whether to stop it at the target as well if it was sent.
     """
 
     id: MessageId
     stamp: ReceiverStamp
+    stamp_age_ms: int
+    remaining_ms: int
     stop_running: bool
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -20,13 +20,12 @@
 from sequoiahook.decisions.exchange.executor import Executor, ExecutorSettings
 from sequoiahook.decisions.exchange.pool_protocol import Refuse, Start
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
-from sequoiahook.messages.requests import HandOver, Outcome
+from sequoiahook.messages.requests import HandOver, Outcome, ReceiverStamp, StampGrant
 
 DEADLINE_MS = 1000
-MEMORY_MS = 3000
-PAUSE_MS = 300
+PAUSE_MS = 200
 ENTRY = EntrySettings(stamp_use_ms=1500, reconnect_grace_ms=300)
-EXECUTOR = ExecutorSettings(memory_ms=MEMORY_MS, pause_limit_ms=PAUSE_MS)
+EXECUTOR = ExecutorSettings(drift_margin_ms=20, pause_limit_ms=PAUSE_MS)
 
 
 class OnePool:
@@ -77,11 +76,17 @@
         self.incarnation = incarnation
         self.entry = EntryExchanges(ENTRY, name, incarnation, Random(incarnation))
         self.executor = Executor(EXECUTOR, name, incarnation, Random(incarnation))
-        self.pool = OnePool(2)
+        self.pool = OnePool(1)
         self.executor.set_pool("s", self.pool)
-        self.is_paused = False
+        self.paused_at = None
+        self.resumed_at = -1
+        self.arrived_at_by_id = {}
         self.withdrawn = set()
 
+    @property
+    def is_paused(self):
+        return self.paused_at is not None
+
 
 class Admitted:
     """What the oracle knows of one request."""
@@ -112,24 +117,35 @@
     def __init__(self, names=("a", "b", "c")):
         self.now = 0
         self.incarnations = 0
+        self.last_dead = {}
         self.numbers = 0
         self.messages = []
+        self.hand_overs = []
+        self.delivered = []
         self.writes = []
         self.sent = []
         self.reserves = []
         self.admitted = {}
         self.nodes = {}
+        self.ids_not_run = set()
+        self.ids_ran = set()
         for name in names:
             self.start(name)
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                stamp = ReceiverStamp(other.incarnation, self.time(other))
+                self.deliver((other.name, node.name, StampGrant(stamp)))
 
     def start(self, name):
         self.incarnations += 1
-        offset = self.incarnations * 1_000_003
+        offset = 1_000_003 * ord(name)
         self.nodes[name] = Node(name, self.incarnations, offset)
 
     def time(self, node):
         """The node's own clock; a paused node that does anything is awake again."""
-        node.is_paused = False
+        if node.is_paused and self.now - node.paused_at > PAUSE_MS:
+            node.resumed_at = self.now
+        node.paused_at = None
         return self.now + node.clock_offset
 
     # Effects.
@@ -139,7 +155,12 @@
             getattr(self, f"_on_{type(effect).__name__.lower()}")(node, effect)
 
     def _on_send(self, node, effect: Send):
-        self.messages.append((node.name, effect.destination, effect.body))
+        message = (node.name, effect.destination, effect.body)
+        self.messages.append(message)
+        if isinstance(effect.body, HandOver):
+            self.hand_overs.append(message)
+        if isinstance(effect.body, Outcome) and effect.body.ran == "not run":
+            self.ids_not_run.add(effect.body.id)
 
     def _on_write(self, node, effect: Write):
         self.writes.append((node, effect))
@@ -214,11 +235,31 @@
     def deliver(self, message):
         source, destination, body = message
         node = self.nodes[destination]
+        self.delivered.append(message)
+        if isinstance(body, HandOver):
+            node.arrived_at_by_id.setdefault(body.id, self.now)
         part = node.entry
-        if not isinstance(body, Outcome) and type(body).__name__ != "StampGrant":
+        if not isinstance(body, Outcome | StampGrant):
             part = node.executor
         self.apply(node, part.received(source, body, self.time(node)))
 
+    def deliver_all(self, position=0):
+        for _ in range(20):
+            if self.messages:
+                self.deliver(self.messages.pop(position))
+
+    def deliver_newest_first(self):
+        self.deliver_all(-1)
+
+    def write_all(self):
+        while self.writes:
+            self.write(0)
+
+    def answer_all(self):
+        for sent in list(self.sent):
+            self.end(sent, Stage.ANSWERED)
+        self.deliver_all()
+
     def send_failed(self, index):
         """Fail the only copy of a hand-over before a byte of it was written."""
         source, _, body = self.messages[index]
@@ -226,8 +267,10 @@
             return
         node = self.nodes[source]
         is_own = body.id.incarnation == node.incarnation
-        if is_own and sum(m[2] == body for m in self.messages) == 1:
+        message = self.messages[index]
+        if is_own and message not in self.delivered:
             del self.messages[index]
+            self.hand_overs = [other for other in self.hand_overs if other != message]
             self.apply(node, node.entry.send_failed(body.id, self.time(node)))
 
     def write(self, index, proof=None):
@@ -248,12 +291,15 @@
         key_name = admitted.request.key_name
         assert key_name not in node.withdrawn, "written after withdrawal"
         assert self.now < admitted.deadline_at, "written after the deadline"
+        arrived_at = node.arrived_at_by_id[write.request_id]
+        assert arrived_at >= node.resumed_at, "written after a pause of the loop"
         lapses_at = max(admitted.reservations.values())
         assert self.now < lapses_at, "written after the right lapsed"
 
     def run(self, sent):
         if not sent.has_run:
             sent.has_run = True
+            self.ids_ran.add(sent.write.request_id)
             self.admitted[int(sent.write.body)].runs += 1
 
     def end(self, sent, stage):
@@ -278,18 +324,30 @@
     def withdraw(self, node, key_name):
         node.withdrawn.add(key_name)
         self.apply(node, node.executor.withdraw("o", key_name, self.time(node)))
+        queued = [request_id for request_id, _ in node.pool.queue]
+        bodies = [body for _, _, body in self.hand_overs if body.id in queued]
+        assert all(body.key_name != key_name for body in bodies), "left in the queue"
 
     def kill(self, name):
         dead = self.nodes[name]
+        self.last_dead[name] = dead.incarnation
         self.writes = [item for item in self.writes if item[0] is not dead]
         self.reserves = [item for item in self.reserves if item[0] is not dead]
         for sent in self.sent:
             sent.has_result = sent.has_result or sent.node is dead
         self.start(name)
 
-    def tell_gone(self, name, other):
-        node = self.nodes[name]
-        self.apply(node, node.entry.peer_lost(other, self.time(node)))
+    def link(self, node, other, change):
+        now = self.time(node)
+        if change == "relink":
+            for name in self.nodes:
+                self.link(node, name, "peer_lost")
+                self.link(node, name, "peer_up")
+        elif change == "sender_gone":
+            dead = self.last_dead.get(other, 0)
+            self.apply(node, node.executor.sender_gone(other, dead, now))
+        else:
+            self.apply(node, getattr(node.entry, change)(other, now))
 
     def reserve(self, index, is_granted, token_lease_ms=DEADLINE_MS):
         node, number = self.reserves.pop(index)
@@ -333,7 +391,8 @@
         self.apply(node, node.executor.tick(now))
 
     def pause(self, node):
-        node.is_paused = True
+        if not node.is_paused:
+            node.paused_at = self.now
         for admitted in self.admitted.values():
             if admitted.node is node:
                 admitted.is_deadline_checked = False
@@ -341,7 +400,7 @@
     def settle(self):
         """Let everything that is open come to its end, without further faults."""
         for node in self.nodes.values():
-            node.is_paused = False
+            self.time(node)
         for _ in range(3000):
             if not self._settle_one():
                 break
@@ -370,6 +429,7 @@
     # Invariants, all from the targets' record and the oracle's own books.
 
     def check(self):
+        assert not self.ids_ran & self.ids_not_run, "said not run of an id that ran"
         for admitted in self.admitted.values():
             assert len(admitted.answers) <= 1, "two answers to one request"
             if not admitted.request.idempotent:
@@ -387,6 +447,9 @@
             assert node.entry.open_count == 0
             assert node.executor.open_count == 0
             assert not node.pool.queue and not node.pool.started
+        self.advance(2 * DEADLINE_MS)
+        for node in self.nodes.values():
+            assert node.executor.noted_count == 0, "ids kept for ever"
         for admitted in self.admitted.values():
             if self.nodes[admitted.node.name] is admitted.node:
                 settled = admitted.released | admitted.committed
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,4 +1,4 @@
-from exchange_world import DEADLINE_MS, World
+from exchange_world import DEADLINE_MS, PAUSE_MS, World
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -10,12 +10,27 @@
 
 from sequoiahook.decisions.exchange.target_result import Stage
 
-NAMES = st.sampled_from("abc")
 INDEX = st.integers(0, 30)
-PROOFS = st.sampled_from([Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT])
+NAMES = st.sampled_from("abc")
+PLACES = st.sampled_from(["a", "b", "c", "ab", "ba", "bc", "cab"])
+PROOFS = st.sampled_from([None, None, Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT])
+DELIVERED = ("deliver_all",)
+WRITTEN = ("deliver_all", "write_all")
+ANSWERED = ("deliver_all", "write_all", "answer_all", "deliver_all")
+STEPS = st.sampled_from(
+    [
+        (),
+        DELIVERED,
+        WRITTEN,
+        ANSWERED,
+        ("deliver_newest_first",),
+        ("write_all",),
+        ("answer_all",),
+    ]
+)
 STAGES = st.sampled_from(
     [
-        Stage.ANSWERED,
+        None,
         Stage.ANSWERED,
         Stage.SHED,
         Stage.WRITTEN_NO_ANSWER,
@@ -25,25 +40,28 @@
 )
 
 
+def has(*names):
+    return precondition(lambda self: all(getattr(self.world, n) for n in names))
+
+
+def at(items, index):
+    return index % len(items)
+
+
 class ExchangeMachine(RuleBasedStateMachine):
     @initialize()
     def start(self):
         self.world = World()
 
-    def has(*names):
-        return precondition(lambda self: all(getattr(self.world, n) for n in names))
-
-    def at(self, items, index):
-        return index % len(items)
-
     @rule(
         name=NAMES,
-        places=st.lists(NAMES, unique=True, max_size=3),
-        idempotent=st.booleans(),
-        key_name=st.sampled_from(["k1", "k2"]),
-        token_lease_ms=st.sampled_from([60, 400, 5000]),
+        places=PLACES,
+        idempotent=st.sampled_from([False, False, True]),
+        key_name=st.sampled_from(["k1", "k1", "k2"]),
+        token_lease_ms=st.sampled_from([60, 5000, 5000]),
+        steps=STEPS,
     )
-    def admit(self, name, places, idempotent, key_name, token_lease_ms):
+    def admit(self, name, places, idempotent, key_name, token_lease_ms, steps):
         self.world.admit(
             self.world.nodes[name],
             tuple(places),
@@ -51,95 +69,95 @@
             key_name=key_name,
             token_lease_ms=token_lease_ms,
         )
+        self.go_on(steps)
 
     @has("messages")
-    @rule(index=INDEX, keeps_copy=st.sampled_from([False, False, True]))
-    def deliver(self, index, keeps_copy):
-        messages = self.world.messages
-        index = self.at(messages, index)
-        message = messages[index] if keeps_copy else messages.pop(index)
-        self.world.deliver(message)
-
-    @has("messages")
-    @rule()
-    def deliver_all(self):
-        for _ in range(20):
-            if self.world.messages:
-                self.world.deliver(self.world.messages.pop(0))
-
-    @has("messages")
+    @rule(index=INDEX, fate=st.sampled_from(["arrives", "arrives", "lost", "failed"]))
+    def message(self, index, fate):
+        index = at(self.world.messages, index)
+        if fate == "failed":
+            self.world.send_failed(index)
+            return
+        message = self.world.messages.pop(index)
+        if fate == "arrives":
+            self.world.deliver(message)
+
+    @rule(steps=STEPS)
+    def go_on(self, steps):
+        """Let everything go well for some steps."""
+        for step in steps:
+            getattr(self.world, step)()
+
+    @has("hand_overs")
     @rule(index=INDEX)
-    def lose(self, index):
-        del self.world.messages[self.at(self.world.messages, index)]
-
-    @has("messages")
-    @rule(index=INDEX)
-    def send_failed(self, index):
-        self.world.send_failed(self.at(self.world.messages, index))
+    def repeat_hand_over(self, index):
+        hand_overs = self.world.hand_overs
+        self.world.deliver(hand_overs[at(hand_overs, index)])
 
     @has("writes")
-    @rule(index=INDEX, proof=st.one_of(st.none(), st.none(), PROOFS))
+    @rule(index=INDEX, proof=PROOFS)
     def write(self, index, proof):
-        self.world.write(self.at(self.world.writes, index), proof)
-
-    @has("sent")
-    @rule(index=INDEX)
-    def run_at_target(self, index):
-        self.world.run(self.world.sent[self.at(self.world.sent, index)])
+        self.world.write(at(self.world.writes, index), proof)
 
     @has("sent")
     @rule(index=INDEX, stage=STAGES)
-    def end(self, index, stage):
-        self.world.end(self.world.sent[self.at(self.world.sent, index)], stage)
+    def target(self, index, stage):
+        """Run a request, or end its exchange, or both."""
+        sent = self.world.sent[at(self.world.sent, index)]
+        if stage is None:
+            self.world.run(sent)
+        else:
+            self.world.end(sent, stage)
 
     @has("reserves")
-    @rule(index=INDEX, is_granted=st.booleans())
+    @rule(index=INDEX, is_granted=st.sampled_from([True, True, False]))
     def reserve(self, index, is_granted):
-        self.world.reserve(self.at(self.world.reserves, index), is_granted)
+        self.world.reserve(at(self.world.reserves, index), is_granted)
 
     @has("admitted")
     @rule(index=INDEX)
     def caller_gone(self, index):
         world = self.world
-        number = 1 + self.at(world.admitted, index)
+        number = 1 + at(world.admitted, index)
         node = world.admitted[number].node
         if world.nodes[node.name] is node:
             effects = node.entry.caller_gone(number, world.time(node))
             world.apply(node, effects)
 
-    @rule(name=NAMES, key_name=st.sampled_from(["k1", "k2"]))
-    def withdraw(self, name, key_name):
-        self.world.withdraw(self.world.nodes[name], key_name)
-
-    @rule(name=NAMES)
-    def kill(self, name):
-        self.world.kill(name)
-
-    @rule(name=NAMES, other=NAMES, is_up=st.booleans())
-    def link(self, name, other, is_up):
-        node = self.world.nodes[name]
-        change = node.entry.peer_up if is_up else node.entry.peer_lost
-        self.world.apply(node, change(other, self.world.time(node)))
-
-    @rule(name=NAMES, other=NAMES)
-    def sender_gone(self, name, other):
-        node = self.world.nodes[name]
-        now = self.world.time(node)
-        incarnation = self.world.nodes[other].incarnation
-        effects = node.executor.sender_gone(other, incarnation - 3, now)
-        self.world.apply(node, effects)
-
-    @rule(duration_ms=st.sampled_from([1, 50, 120, 350, DEADLINE_MS, 4000]))
+    @rule(duration_ms=st.sampled_from([1, 50, 50, 120, 350, DEADLINE_MS, 4000]))
     def advance(self, duration_ms):
         self.world.advance(duration_ms)
 
-    @rule(name=NAMES, is_paused=st.booleans(), ticks=st.booleans())
-    def pause(self, name, is_paused, ticks):
-        node = self.world.nodes[name]
-        if is_paused:
-            self.world.pause(node)
-        elif ticks:
-            self.world.tick(node)
+    @rule(
+        name=NAMES,
+        other=NAMES,
+        fault=st.sampled_from(
+            [
+                "kill",
+                "pause",
+                "peer_lost",
+                "peer_up",
+                "relink",
+                "sender_gone",
+                "tick",
+                "withdraw",
+            ]
+        ),
+    )
+    def disturb(self, name, other, fault):
+        world = self.world
+        node = world.nodes[name]
+        if fault == "kill":
+            world.kill(name)
+        elif fault == "pause":
+            world.pause(node)
+            world.advance(2 * PAUSE_MS)
+        elif fault == "tick":
+            world.tick(node)
+        elif fault == "withdraw":
+            world.withdraw(node, "k2")
+        else:
+            world.link(node, other, fault)
 
     @invariant()
     def promises_hold(self):
@@ -153,4 +171,4 @@
 
 
 TestExchange = ExchangeMachine.TestCase
-TestExchange.settings = settings(max_examples=100, stateful_step_count=50)
+TestExchange.settings = settings(max_examples=200, stateful_step_count=50)
