--- a/sequoiahook/wire/fields.py
+++ b/sequoiahook/wire/fields.py
@@ -82,13 +82,14 @@
 def presented_keys(target_path: bytes, headers: Iterable[tuple]) -> Presented:
     """Return the keys that a request carries.
 
-    A request with two different keys has none: it is not clear for whom it runs.
+    A request with two different keys has none: it is not clear for whom it runs. Keys
+    are ASCII; a plus sign in the query stands for itself, because no key has a space.
     """
     found = [key for name, value in headers for key in _keys_of_field(name, value)]
     for part in _query(target_path).split(b"&"):
         name, _, value = part.partition(b"=")
         if _parameter_name(name) == KEY_PARAMETER:
-            found.append(unquote_to_bytes(value.replace(b"+", b" ")).strip())
+            found.append(unquote_to_bytes(value).strip())
     keys = tuple(dict.fromkeys(key.decode("latin-1") for key in found if key))
     return Presented(keys[0] if len(keys) == 1 else "", keys)
 
