--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -74,6 +74,16 @@
     assert b"content-length" in head
 
 
+def test_refusal_arrives_although_the_body_is_not_read():
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
+
+    async def use(server):
+        return await exchange(server, head + b"y" * 900_000)
+
+    patient = FAST._replace(body_bytes_max=500_000)
+    assert serve(use, settings=patient).startswith(b"HTTP/1.1 413")
+
+
 def test_pipelined_requests_are_answered_one_by_one_in_order():
     running = []
 
@@ -137,7 +147,7 @@
         await finish.wait()
         return await echo(request)
 
-    serve(use, wait)
+    serve(use, wait, FAST._replace(idle_timeout_ms=60_000))
 
 
 def test_connection_is_closed_on_request_by_id():
@@ -150,12 +160,11 @@
     async def use(server):
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
         writer.write(GET)
-        await reader.readuntil(b"/a\r\n")
+        await reader.readuntil(b"\r\n\r\n")
         server.close_connection(ids[0])
-        await reader.read()
-        assert server.connection_count <= 1
+        assert await reader.read() == b""
 
-    serve(use, note)
+    serve(use, note, FAST._replace(idle_timeout_ms=60_000))
 
 
 def test_connections_over_the_limit_are_refused():
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -99,11 +99,11 @@
 def test_what_is_no_secret_goes_on():
     headers = (
         (b"Accept", b"*/*"),
-        (b"Cookie", b"a=1; KEY=secret-1; b=2"),
+        (b"Cookie", b"a=1; KEY=other; b=2"),
         (b"Connection", b"close, X-Hop"),
         (b"X-Hop", b"1"),
         (b"Referer", b"https://h/p?a=1"),
-        (b"Authorization", b"Bearer secret-1"),
+        (b"Authorization", b"Basic b3RoZXI="),
         (b"Sequoiahook-Organisation", b"other"),
     )
     clean = clean_request(b"/p?a=1&key=secret-1&b=%20", headers, b"x", ["secret-1"])
