Split entry and executor into modules with one job; join a request's whole path

Change: settings, open request, key gate and outbox are modules; short values are dropped only where keys stand; after a proof of not run the entry goes on only to a place that it has not tried. The stand-in target stops cancelled work.

--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -2,7 +2,6 @@
 
 import heapq
 from random import Random
-from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.exchange.effects import (
@@ -12,20 +11,18 @@
     Release,
     Reserve,
 )
-from sequoiahook.decisions.exchange.retry import RetryBudget, RetryBudgetSettings
+from sequoiahook.decisions.exchange.open_request import AdmittedRequest, OpenRequest
+from sequoiahook.decisions.exchange.retry import RetryBudget
+from sequoiahook.decisions.exchange.settings import EntrySettings
 from sequoiahook.decisions.exchange.stamps import StampBook
 from sequoiahook.decisions.exchange.states import EntryState, Reason, http_status
 from sequoiahook.messages.requests import (
     NOT_RUN,
     RAN,
     UNKNOWN,
-    Cancel,
-    Fields,
-    HandOver,
     MessageId,
     Outcome,
     OutcomeReceived,
-    ReceiverStamp,
     StampGrant,
     StampRequest,
 )
@@ -43,98 +40,6 @@
 )
 
 
-class EntrySettings(NamedTuple):
-    """Durations and limits of an entry.
-
-    Attributes:
-        answer_margin_ms: How long before the deadline a caller is answered at the
-            latest, in milliseconds.
-        cancel_margin_ms: How long before that a request is cancelled, so that its true
-            outcome can still arrive, in milliseconds.
-        stamp_use_ms: How long a stamp is used, in milliseconds.
-        stamp_retry_ms: After which time a stamp is asked for again, in milliseconds.
-        stamp_patience_ms: How long a place may take to give a stamp, in milliseconds.
-        reconnect_grace_ms: How long a cut-off request waits for its link, in
-            milliseconds.
-        attempts_max: Most hand-overs of one request.
-        requests_max: Most open requests.
-        budget: Limits of the retries.
-    """
-
-    answer_margin_ms: int = 50
-    cancel_margin_ms: int = 150
-    stamp_use_ms: int = 8_000
-    stamp_retry_ms: int = 100
-    stamp_patience_ms: int = 400
-    reconnect_grace_ms: int = 1_000
-    attempts_max: int = 3
-    requests_max: int = 2_000
-    budget: RetryBudgetSettings = RetryBudgetSettings()
-
-
-class AdmittedRequest(NamedTuple):
-    """A request that may run: its key is checked and its right is reserved.
-
-    Attributes:
-        number: Number given by the caller of ``admit``, unique for ever.
-        reservation: The reserved right.
-        service: Name of the service.
-        organisation: Name of the organisation; empty on a route open to all.
-        key_name: Name of the key; empty on a route open to all.
-        configuration_number: Configuration by which the key was checked.
-        method: HTTP method.
-        target_path: Path and query, without any key.
-        headers: Fields for the target, without any key.
-        body: Whole body.
-        deadline_ms: Time left until the caller's deadline, in milliseconds.
-        idempotent: Whether it may run more than once.
-        traceparent: Trace context of this instance's span.
-        token_lease_ms: How long the reserved right lasts, in milliseconds.
-    """
-
-    number: int
-    reservation: int
-    service: str
-    organisation: str
-    key_name: str
-    configuration_number: int
-    method: str
-    target_path: str
-    headers: Fields
-    body: bytes
-    deadline_ms: int
-    idempotent: bool
-    traceparent: str
-    token_lease_ms: int
-
-
-class _Exchange:
-    """One open request."""
-
-    def __init__(self, request: AdmittedRequest, places: tuple[str, ...], now: int):
-        self.request = request
-        self.places = places
-        self.place_index = 0
-        self.state = EntryState.ASKING
-        self.id: MessageId | None = None
-        self.stamp: ReceiverStamp | None = None
-        self.stamp_received_at = now
-        self.asked_since = now
-        self.attempt = 0
-        self.copies = 0
-        self.reservation: int | None = request.reservation
-        self.right_lapses_at = now + request.token_lease_ms
-        self.may_have_run = False
-        self.is_caller_gone = False
-        self.timeout_at = now
-        self.cancel_at = now
-        self.due_at = now
-
-    @property
-    def place(self) -> str:
-        return self.places[self.place_index % len(self.places)]
-
-
 class EntryExchanges:
     """All open requests of the callers of one instance.
 
@@ -161,8 +66,8 @@
         self._rng = rng
         self._budget: RetryBudget | None = None
         self._stamps = StampBook(settings.stamp_use_ms)
-        self._exchanges_by_number: dict[int, _Exchange] = {}
-        self._exchanges_by_id: dict[MessageId, _Exchange] = {}
+        self._exchanges_by_number: dict[int, OpenRequest] = {}
+        self._exchanges_by_id: dict[MessageId, OpenRequest] = {}
         self._due: list[tuple[int, int]] = []
         self._sequence = 0
 
@@ -189,7 +94,7 @@
         if self._budget is None:
             self._budget = RetryBudget(self._settings.budget, now)
         self._budget.first_attempt()
-        exchange = _Exchange(request, places, now)
+        exchange = OpenRequest(request, places, now)
         self._set_deadline(exchange, now)
         is_full = len(self._exchanges_by_number) >= self._settings.requests_max
         self._exchanges_by_number[request.number] = exchange
@@ -217,9 +122,9 @@
         for exchange in self._at(name, EntryState.CUT_OFF):
             exchange.state = EntryState.HANDED_OVER
             self._wake_at(exchange, exchange.cancel_at)
-            effects.append(self._hand_over_message(exchange, now))
+            effects.append(exchange.hand_over(now))
         for exchange in self._at(name, EntryState.CANCELLING):
-            effects.append(self._cancel_message(exchange, now))
+            effects.append(exchange.cancel(now))
         if self._at(name, EntryState.ASKING):
             effects.append(Send(name, StampRequest()))
         return effects
@@ -294,7 +199,7 @@
         """Return when ``tick`` is next due; None if nothing is open."""
         return self._due[0][0] if self._due else None
 
-    def _set_deadline(self, exchange: _Exchange, now: int) -> None:
+    def _set_deadline(self, exchange: OpenRequest, now: int) -> None:
         settings = self._settings
         deadline_ms = exchange.request.deadline_ms
         shortest_ms = deadline_ms // MARGIN_SHARE
@@ -303,7 +208,7 @@
         exchange.timeout_at = now + deadline_ms - answer_margin_ms
         exchange.cancel_at = exchange.timeout_at - cancel_margin_ms
 
-    def _act(self, exchange: _Exchange, now: int) -> list:
+    def _act(self, exchange: OpenRequest, now: int) -> list:
         if exchange.state is EntryState.CANCELLING:
             return self._refuse(exchange, Reason.TIMEOUT, UNKNOWN)
         if exchange.state is EntryState.HANDED_OVER:
@@ -316,7 +221,7 @@
             return self._next_place(exchange, now)
         return self._ask(exchange, now)
 
-    def _hand_over(self, exchange: _Exchange, now: int) -> list:
+    def _hand_over(self, exchange: OpenRequest, now: int) -> list:
         if now >= exchange.cancel_at:
             return self._refuse(exchange, Reason.DEADLINE, NOT_RUN)
         if now >= exchange.right_lapses_at:
@@ -333,32 +238,9 @@
         exchange.copies = 0
         self._exchanges_by_id[exchange.id] = exchange
         self._wake_at(exchange, exchange.cancel_at)
-        return [self._hand_over_message(exchange, now)]
-
-    def _hand_over_message(self, exchange: _Exchange, now: int) -> Send:
-        exchange.copies += 1
-        request = exchange.request
-        body = HandOver(
-            id=exchange.id,
-            service=request.service,
-            organisation=request.organisation,
-            key_name=request.key_name,
-            configuration_number=request.configuration_number,
-            method=request.method,
-            target_path=request.target_path,
-            headers=request.headers,
-            body=request.body,
-            remaining_ms=exchange.timeout_at - now,
-            idempotent=request.idempotent,
-            traceparent=request.traceparent,
-            attempt=exchange.attempt,
-            token_lease_ms=max(0, exchange.right_lapses_at - now),
-            stamp=exchange.stamp,
-            stamp_age_ms=now - exchange.stamp_received_at,
-        )
-        return Send(exchange.place, body)
+        return [exchange.hand_over(now)]
 
-    def _ask(self, exchange: _Exchange, now: int) -> list:
+    def _ask(self, exchange: OpenRequest, now: int) -> list:
         exchange.state = EntryState.ASKING
         retry_at = now + self._settings.stamp_retry_ms
         self._wake_at(exchange, min(exchange.cancel_at, retry_at))
@@ -370,7 +252,7 @@
             effects += self._hand_over(exchange, now)
         return effects
 
-    def _next_place(self, exchange: _Exchange, now: int) -> list:
+    def _next_place(self, exchange: OpenRequest, now: int) -> list:
         exchange.place_index += 1
         if exchange.place_index >= len(exchange.places):
             return self._refuse(exchange, Reason.LINK_LOST, NOT_RUN)
@@ -388,7 +270,7 @@
             exchange, outcome.reason, outcome.ran, now, outcome.retry_after_ms
         )
 
-    def _answer(self, exchange: _Exchange, outcome: Outcome) -> list:
+    def _answer(self, exchange: OpenRequest, outcome: Outcome) -> list:
         number = exchange.request.number
         answer = Answer(number, outcome.status, outcome.headers, outcome.body)
         effects = self._close(exchange, ran=RAN)
@@ -396,7 +278,7 @@
 
     def _end_attempt(
         self,
-        exchange: _Exchange,
+        exchange: OpenRequest,
         reason: str,
         ran: str,
         now: int,
@@ -417,32 +299,26 @@
         effects = self._settle(exchange, UNKNOWN)
         return [*effects, Reserve(request.number, request.organisation)]
 
-    def _may_retry(self, exchange: _Exchange, reason: str, ran: str, now: int) -> bool:
+    def _may_retry(
+        self, exchange: OpenRequest, reason: str, ran: str, now: int
+    ) -> bool:
         if ran != NOT_RUN and not exchange.request.idempotent:
             return False
         if exchange.state is EntryState.CANCELLING or reason in _FINAL_REASONS:
             return False
+        if ran == NOT_RUN and exchange.place_index + 1 >= len(exchange.places):
+            return False
         if exchange.attempt >= self._settings.attempts_max:
             return False
         return now < exchange.cancel_at and self._budget.take(now)
 
-    def _cancel(self, exchange: _Exchange, now: int) -> list:
+    def _cancel(self, exchange: OpenRequest, now: int) -> list:
         exchange.state = EntryState.CANCELLING
         self._wake_at(exchange, exchange.timeout_at)
-        return [self._cancel_message(exchange, now)]
-
-    def _cancel_message(self, exchange: _Exchange, now: int) -> Send:
-        body = Cancel(
-            id=exchange.id,
-            stamp=exchange.stamp,
-            stamp_age_ms=now - exchange.stamp_received_at,
-            remaining_ms=exchange.timeout_at - now,
-            stop_running=exchange.is_caller_gone,
-        )
-        return Send(exchange.place, body)
+        return [exchange.cancel(now)]
 
     def _refuse(
-        self, exchange: _Exchange, cause: str, ran: str, retry_after_ms: int = 0
+        self, exchange: OpenRequest, cause: str, ran: str, retry_after_ms: int = 0
     ) -> list:
         effects = self._close(exchange, ran)
         if exchange.is_caller_gone:
@@ -456,12 +332,12 @@
     def _spread(self, retry_after_ms: int) -> int:
         return retry_after_ms + self._rng.randint(0, retry_after_ms // JITTER_SHARE)
 
-    def _close(self, exchange: _Exchange, ran: str) -> list:
+    def _close(self, exchange: OpenRequest, ran: str) -> list:
         self._forget_id(exchange)
         del self._exchanges_by_number[exchange.request.number]
         return self._settle(exchange, ran)
 
-    def _settle(self, exchange: _Exchange, ran: str) -> list:
+    def _settle(self, exchange: OpenRequest, ran: str) -> list:
         """Give the reservation back or spend it: the only place that does."""
         reservation = exchange.reservation
         exchange.reservation = None
@@ -469,15 +345,15 @@
             return []
         return [Release(reservation) if ran == NOT_RUN else Commit(reservation)]
 
-    def _forget_id(self, exchange: _Exchange) -> None:
+    def _forget_id(self, exchange: OpenRequest) -> None:
         self._exchanges_by_id.pop(exchange.id, None)
         exchange.id = None
 
-    def _wake_at(self, exchange: _Exchange, due_at: int) -> None:
+    def _wake_at(self, exchange: OpenRequest, due_at: int) -> None:
         exchange.due_at = due_at
         heapq.heappush(self._due, (due_at, exchange.request.number))
 
-    def _at(self, place: str, state: EntryState) -> list[_Exchange]:
+    def _at(self, place: str, state: EntryState) -> list[OpenRequest]:
         return [
             exchange
             for exchange in self._exchanges_by_number.values()
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -1,23 +1,20 @@
 """What happens to a request at the instance that owns a pool of targets."""
 
-import heapq
 from collections import deque
 from random import Random
-from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.exchange.effects import AbortTarget
+from sequoiahook.decisions.exchange.key_gate import KeyGate
 from sequoiahook.decisions.exchange.ledger import Ledger
+from sequoiahook.decisions.exchange.outbox import Outbox
 from sequoiahook.decisions.exchange.pool_protocol import Pool, PoolEffect, Start
-from sequoiahook.decisions.exchange.retry import (
-    RetryBudget,
-    RetryBudgetSettings,
-    is_safe_to_retry,
-)
+from sequoiahook.decisions.exchange.retry import RetryBudget, is_safe_to_retry
+from sequoiahook.decisions.exchange.settings import ExecutorSettings
 from sequoiahook.decisions.exchange.states import ExecutorState, Reason
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
-from sequoiahook.decisions.exchange.work import Work
-from sequoiahook.decisions.keys import KeyName, KeyState, KeyTable
+from sequoiahook.decisions.exchange.work import Work, deadline_at, sent_at
+from sequoiahook.decisions.keys import KeyName, KeyTable
 from sequoiahook.messages.requests import (
     NOT_RUN,
     RAN,
@@ -35,29 +32,6 @@
 __all__ = ["Executor", "ExecutorSettings"]
 
 
-class ExecutorSettings(NamedTuple):
-    """Durations and limits of an executor.
-
-    Attributes:
-        drift_margin_ms: How long ids are kept after their deadline; longer than what
-            two clocks can drift apart in the longest deadline, in milliseconds.
-        outcome_resend_ms: After which time an outcome is first sent again, in
-            milliseconds; the time doubles.
-        pause_limit_ms: A gap in the own loop that makes everything queued be refused,
-            in milliseconds; at most the shortest lease that the pools hold.
-        attempts_max: Most targets that are tried for one hand-over.
-        requests_max: Most open hand-overs.
-        budget: Limits of the retries.
-    """
-
-    drift_margin_ms: int = 500
-    outcome_resend_ms: int = 200
-    pause_limit_ms: int = 1_000
-    attempts_max: int = 3
-    requests_max: int = 2_000
-    budget: RetryBudgetSettings = RetryBudgetSettings()
-
-
 class Executor:
     """All hand-overs that an instance runs on the targets of its pools.
 
@@ -81,14 +55,12 @@
         self._settings = settings
         self._name = instance_name
         self._incarnation = incarnation
-        self._rng = rng
         self._budget: RetryBudget | None = None
         self._ledger: Ledger[Work] = Ledger(settings.drift_margin_ms)
         self._pools_by_service: dict[str, Pool] = {}
         self._retiring: list[Pool] = []
-        self._resends: list[tuple[int, MessageId]] = []
-        self._keys: KeyTable | None = None
-        self._withdrawn: set[KeyName] = set()
+        self._outbox = Outbox(settings.outcome_resend_ms, rng)
+        self._key_gate = KeyGate()
         self._seen_at: int | None = None
         self._generation = 0
 
@@ -134,15 +106,13 @@
     def configured(self, keys: KeyTable, now: int) -> list:
         """Take the keys of a new configuration; refuses what they no longer allow."""
         self._observe(now)
-        if self._keys is None or keys.number >= self._keys.number:
-            self._keys = keys
-            self._withdrawn.clear()
+        self._key_gate.configured(keys)
         return self._refuse_withdrawn(now)
 
     def withdraw(self, organisation: str, key_name: str, now: int) -> list:
         """Refuse everything queued with a key, until the next configuration."""
         self._observe(now)
-        self._withdrawn.add(KeyName(organisation, key_name))
+        self._key_gate.withdraw(KeyName(organisation, key_name))
         return self._refuse_withdrawn(now)
 
     def may_write(self, request_id: MessageId, now: int) -> bool:
@@ -183,7 +153,7 @@
                 continue
             work.is_sender_gone = True
             if work.state is ExecutorState.FINISHED:
-                self._ledger.close(work.id, work.ran)
+                self._forget(work)
             else:
                 effects += self._stop(work, stop_running=False, now=now)
         return effects
@@ -194,10 +164,8 @@
         effects: list = []
         for pool in self._pools():
             effects += self._apply(pool.tick(now), now)
-        while self._resends and self._resends[0][0] <= now:
-            resend_at, request_id = heapq.heappop(self._resends)
-            work = self._ledger.get(request_id)
-            if work is not None and work.resend_at == resend_at:
+        for work in self._outbox.take_due(now):
+            if self._ledger.get(work.id) is work:
                 effects += self._resend(work, now)
         self._ledger.forget_old(now)
         return effects
@@ -205,9 +173,7 @@
     def next_wake(self, now: int) -> int | None:
         """Return when ``tick`` is next due; None if nothing is open."""
         wakes = [pool.next_wake(now) for pool in self._pools()]
-        wakes.append(self._ledger.next_forget_at)
-        if self._resends:
-            wakes.append(self._resends[0][0])
+        wakes += [self._ledger.next_forget_at, self._outbox.next_at]
         if self._ledger.open_count:
             wakes.append(now + self._settings.pause_limit_ms // 2)
         return min((wake for wake in wakes if wake is not None), default=None)
@@ -230,10 +196,10 @@
         if reason:
             return [self._outcome(source, body.id, UNKNOWN, reason, now)]
         self._budget.first_attempt()
-        work = Work(source, body.id, _deadline_at(body))
+        work = Work(source, body.id, deadline_at(body))
         work.hand_over = body
         work.generation = self._generation
-        work.right_lapses_at = _sent_at(body) + body.token_lease_ms
+        work.right_lapses_at = sent_at(body) + body.token_lease_ms
         work.pool = self._pools_by_service.get(body.service)
         is_full = self._ledger.open_count >= self._settings.requests_max
         self._ledger.open(body.id, work, work.deadline_at)
@@ -245,13 +211,13 @@
         """Return why an id that is not noted may have run; empty if it has not."""
         if body.stamp.incarnation != self._incarnation:
             return Reason.OTHER_INCARNATION
-        if now >= _deadline_at(body) or now < body.stamp.clock_ms:
+        if now >= deadline_at(body) or now < body.stamp.clock_ms:
             return Reason.TOO_OLD
         return ""
 
     def _objection(self, work: Work, now: int) -> str:
         """Return why a request must not be sent now; empty if it may."""
-        if self._is_withdrawn(work.hand_over):
+        if self._key_gate.is_withdrawn(work.hand_over):
             return Reason.KEY_WITHDRAWN
         if work.generation != self._generation:
             return Reason.PAUSED
@@ -261,16 +227,6 @@
             return Reason.RIGHT_LAPSED
         return ""
 
-    def _is_withdrawn(self, body: HandOver) -> bool:
-        if not body.key_name:
-            return False
-        name = KeyName(body.organisation, body.key_name)
-        if name in self._withdrawn:
-            return True
-        if self._keys is None or body.configuration_number > self._keys.number:
-            return False
-        return self._keys.state(name) is not KeyState.VALID
-
     def _submit(self, work: Work, now: int) -> list:
         reason = self._objection(work, now)
         if work.pool is None:
@@ -335,7 +291,7 @@
         reason = self._why_unknown(body, now)
         if reason:
             return [self._outcome(source, body.id, UNKNOWN, reason, now)]
-        work = Work(source, body.id, _deadline_at(body))
+        work = Work(source, body.id, deadline_at(body))
         self._ledger.open(body.id, work, work.deadline_at)
         return self._finish(work, NOT_RUN, Reason.CANCELLED, now)
 
@@ -355,7 +311,7 @@
         effects: list = []
         for work in self._ledger.works():
             is_queued = work.state is ExecutorState.QUEUED
-            if is_queued and self._is_withdrawn(work.hand_over):
+            if is_queued and self._key_gate.is_withdrawn(work.hand_over):
                 effects += self._unqueue(work, Reason.KEY_WITHDRAWN, now)
         return effects
 
@@ -376,25 +332,19 @@
     def _close(self, work: Work, outcome: Outcome, now: int) -> list:
         work.finish(outcome)
         if work.is_sender_gone:
-            self._ledger.close(work.id, outcome.ran)
+            self._forget(work)
             return []
-        self._resend_later(work, now)
+        self._outbox.add(work, now)
         return [Send(work.source, outcome)]
 
     def _resend(self, work: Work, now: int) -> list:
         if now >= work.deadline_at:
-            self._ledger.close(work.id, work.ran)
+            self._forget(work)
             return []
-        self._resend_later(work, now)
+        self._outbox.add(work, now)
         stamp = self._stamp(now)
         return [Send(work.source, work.outcome._replace(stamp=stamp))]
 
-    def _resend_later(self, work: Work, now: int) -> None:
-        delay_ms = self._settings.outcome_resend_ms << work.resends
-        work.resends += 1
-        work.resend_at = now + delay_ms + self._rng.randint(0, delay_ms // 2)
-        heapq.heappush(self._resends, (work.resend_at, work.id))
-
     def _repeat_outcome(self, source: str, request_id: MessageId, now: int) -> list:
         work = self._ledger.get(request_id)
         if work is None:
@@ -407,7 +357,12 @@
     def _acknowledged(self, request_id: MessageId) -> None:
         work = self._ledger.get(request_id)
         if work is not None and work.state is ExecutorState.FINISHED:
-            self._ledger.close(request_id, work.ran)
+            self._forget(work)
+
+    def _forget(self, work: Work) -> None:
+        """Keep only whether it ran."""
+        self._ledger.close(work.id, work.ran)
+        work.outcome = None
 
     def _outcome(
         self, source: str, request_id: MessageId, ran: str, reason: str, now: int
@@ -421,13 +376,3 @@
             used = {id(work.pool) for work in self._ledger.works()}
             self._retiring = [pool for pool in self._retiring if id(pool) in used]
         return [*self._pools_by_service.values(), *self._retiring]
-
-
-def _sent_at(body: HandOver | Cancel) -> int:
-    """Return the earliest time of sending, on the clock of the receiver."""
-    return body.stamp.clock_ms + body.stamp_age_ms
-
-
-def _deadline_at(body: HandOver | Cancel) -> int:
-    """Return the deadline on the clock of the receiver; all copies have the same."""
-    return _sent_at(body) + body.remaining_ms
--- a/sequoiahook/decisions/exchange/work.py
+++ b/sequoiahook/decisions/exchange/work.py
@@ -3,9 +3,9 @@
 from sequoiahook.decisions.exchange.effects import Write
 from sequoiahook.decisions.exchange.pool_protocol import Pool
 from sequoiahook.decisions.exchange.states import ExecutorState
-from sequoiahook.messages.requests import HandOver, MessageId, Outcome
+from sequoiahook.messages.requests import Cancel, HandOver, MessageId, Outcome
 
-__all__ = ["Work"]
+__all__ = ["Work", "deadline_at", "sent_at"]
 
 
 class Work:
@@ -24,7 +24,6 @@
         objection: Why it must not be sent; empty if it may.
         is_sender_gone: Whether nobody waits for its outcome.
         outcome: Its outcome once it is finished.
-        resend_at: When the outcome is sent again.
         resends: How often the outcome was sent again.
     """
 
@@ -41,7 +40,6 @@
         self.objection = ""
         self.is_sender_gone = False
         self.outcome: Outcome | None = None
-        self.resend_at = deadline_at
         self.resends = 0
 
     @property
@@ -77,3 +75,13 @@
         self.outcome = outcome
         self.hand_over = None
         self.pool = None
+
+
+def sent_at(body: HandOver | Cancel) -> int:
+    """Return the earliest time of sending, on the clock of the receiver."""
+    return body.stamp.clock_ms + body.stamp_age_ms
+
+
+def deadline_at(body: HandOver | Cancel) -> int:
+    """Return the deadline on the clock of the receiver; all copies have the same."""
+    return sent_at(body) + body.remaining_ms
--- a/sequoiahook/decisions/keys.py
+++ b/sequoiahook/decisions/keys.py
@@ -4,14 +4,12 @@
 from enum import Enum
 from typing import NamedTuple
 
+from sequoiahook.wire.fields import KEY_LENGTH_MAX, KEY_LENGTH_MIN
 from sequoiahook.world.configuration import Configuration
 from sequoiahook.world.organisation import Organisation, key_digest
 
 __all__ = ["Callers", "KeyName", "KeyState", "KeyTable", "Verdict"]
 
-KEY_LENGTH_MIN = 8
-KEY_LENGTH_MAX = 512
-
 
 class KeyState(Enum):
     """Whether a key works."""
--- a/sequoiahook/wire/fields.py
+++ b/sequoiahook/wire/fields.py
@@ -14,6 +14,8 @@
 from sequoiahook.messages.requests import Fields
 
 __all__ = [
+    "KEY_LENGTH_MAX",
+    "KEY_LENGTH_MIN",
     "CleanRequest",
     "Presented",
     "clean_request",
@@ -29,6 +31,8 @@
 RAN_FIELD = b"sequoiahook-ran"
 TRACE_FIELD = b"traceparent"
 
+KEY_LENGTH_MIN = 8
+KEY_LENGTH_MAX = 512
 KEY_FIELD = b"x-api-key"
 KEY_PARAMETER = b"key"
 _BEARER = b"bearer"
@@ -111,9 +115,10 @@
         target_path: Path and query as the caller sent them.
         headers: Fields as the caller sent them.
         body: Whole body.
-        keys: Each key that the request carries.
+        keys: Each key that the request carries. One that is too short to be a key is
+            dropped where keys stand, and not looked for elsewhere.
     """
-    secrets = tuple(key.encode("latin-1") for key in keys)
+    secrets = _secrets(keys)
     path, has_query, query = target_path.partition(b"?")
     nominated = _nominated(headers)
     kept: list[tuple[bytes, bytes]] = []
@@ -159,12 +164,16 @@
 def loggable_path(target_path: bytes, keys: Iterable[str]) -> str:
     """Return the path without the query, for logs and spans; no key is in it."""
     path = target_path.partition(b"?")[0]
-    secrets = tuple(key.encode("latin-1") for key in keys)
+    secrets = _secrets(keys)
     if _holds(path, secrets):
         return "(removed)"
     return path.decode("ascii", "backslashreplace")
 
 
+def _secrets(keys: Iterable[str]) -> tuple[bytes, ...]:
+    return tuple(key.encode("latin-1") for key in keys if len(key) >= KEY_LENGTH_MIN)
+
+
 def _ends_here(name: bytes, nominated: frozenset[bytes]) -> bool:
     if name in _HOP_BY_HOP or name in nominated:
         return True
--- a/standins/target.py
+++ b/standins/target.py
@@ -16,6 +16,7 @@
 READ_BYTES = 65_536
 MS_PER_S = 1000
 SERVICE_MS_DEFAULT = 5
+CANCELLATION_STEP_MS = 20
 
 
 class Control(NamedTuple):
@@ -32,6 +33,7 @@
         refuse_connections: Close the listening socket.
         cold_left: How many further requests take the cold time as well.
         cold_ms: Extra service time while cold, in milliseconds.
+        accept_cancellation: Stop a request whose connection the other side closed.
         load_report: Busy slots to report; -1 for the true number.
     """
 
@@ -45,6 +47,7 @@
     refuse_connections: bool = False
     cold_left: int = 0
     cold_ms: int = 200
+    accept_cancellation: bool = True
     load_report: int = -1
 
 
@@ -83,6 +86,7 @@
         self.control = control
         self.runs: list[Run] = []
         self.finished_count = 0
+        self.cancelled_count = 0
         self.field_names: set[str] = set()
         self.received = bytearray()
         self.shed_count = 0
@@ -95,6 +99,7 @@
         self._host = ""
         self._port = 0
         self._connections = 0
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port."""
@@ -103,12 +108,21 @@
         self._port = self._server.sockets[0].getsockname()[1]
         return self._port
 
+    async def close(self) -> None:
+        """Stop to listen, and end all connections."""
+        self._server.close()
+        while self._writers:
+            for writer in list(self._writers):
+                writer.transport.abort()
+            await asyncio.sleep(0)
+
     def record(self) -> dict:
         """Return what was seen so far."""
         return {
             "name": self.name,
             "runs": [run._asdict() for run in self.runs],
             "finished_count": self.finished_count,
+            "cancelled_count": self.cancelled_count,
             "field_names": sorted(self.field_names),
             "received": self.received.decode("latin-1"),
             "shed_count": self.shed_count,
@@ -141,6 +155,7 @@
         number = self._connections
         connection = h11.Connection(h11.SERVER)
         is_reused = False
+        self._writers.add(writer)
         try:
             while await self._serve_one(connection, reader, writer, number, is_reused):
                 connection.start_next_cycle()
@@ -148,6 +163,7 @@
         except (OSError, h11.ProtocolError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(
@@ -170,7 +186,9 @@
             self.shed_count += 1
             fields = ((b"sequoiahook-ran", b"no"),)
             return await self._send(connection, writer, 503, fields, b"shed")
-        await self._run(_run_of(request, path, number, is_reused))
+        is_whole = await self._run(_run_of(request, path, number, is_reused), reader)
+        if not is_whole:
+            return False
         if self.control.close_silently:
             return False
         return await self._send_result(connection, writer, request, body)
@@ -205,7 +223,8 @@
         self.received += data
         self.field_names |= {name.decode("latin-1") for name, _ in request.headers}
 
-    async def _run(self, run: Run) -> None:
+    async def _run(self, run: Run, reader: asyncio.StreamReader) -> bool:
+        """Run a request in a slot; stop when the other side disconnects."""
         self.asked += 1
         self.asked_peak = max(self.asked_peak, self.asked)
         try:
@@ -214,22 +233,31 @@
                 self.running += 1
                 self.running_peak = max(self.running_peak, self.running)
                 try:
-                    await self._work()
+                    is_whole = await self._work(reader)
                 finally:
                     self.running -= 1
-                self.finished_count += 1
+                self.finished_count += is_whole
+                self.cancelled_count += not is_whole
+                return is_whole
         finally:
             self.asked -= 1
 
-    async def _work(self) -> None:
+    async def _work(self, reader: asyncio.StreamReader) -> bool:
         control = self.control
         if control.fail_fast:
-            return
+            return True
         service_ms = control.service_ms
         if control.cold_left > 0:
             self.control = control._replace(cold_left=control.cold_left - 1)
             service_ms += control.cold_ms
-        await asyncio.sleep(service_ms / MS_PER_S)
+        left_ms = service_ms
+        while left_ms > 0:
+            if control.accept_cancellation and reader.at_eof():
+                return False
+            step_ms = min(left_ms, CANCELLATION_STEP_MS)
+            await asyncio.sleep(step_ms / MS_PER_S)
+            left_ms -= step_ms
+        return True
 
     async def _send_result(
         self,
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -35,6 +35,7 @@
         return await use(target, port, client)
     finally:
         client.close()
+        await target.close()
 
 
 @pytest.mark.parametrize("name", CONTROL_OF_ONE_RUN)
@@ -101,6 +102,9 @@
             await asyncio.sleep(0)
         exchange.abort()
         assert (await running).stage is Stage.WRITTEN_NO_ANSWER
+        while not target.cancelled_count:
+            await asyncio.sleep(0)
+        assert target.running == 0
 
     asyncio.run(with_target(use, service_ms=5000))
 
