Bound the bytes of open requests; wait for a lost link when no retry is left

Cause: counts alone allowed gigabytes of bodies; an idempotent request whose link was lost was refused at once when the budget was spent, although the link may come back.

--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -34,6 +34,7 @@
         port: TCP port; 0 for any free one.
         header_bytes_max: Most bytes of a request's line and fields.
         body_bytes_max: Most bytes of a request's body.
+        all_body_bytes_max: Most bytes in the bodies of all requests at a time.
         header_timeout_ms: Longest time for a request's line and fields, in
             milliseconds.
         body_timeout_ms: Longest time for a request's body, in milliseconds.
@@ -46,6 +47,7 @@
     port: int = 0
     header_bytes_max: int = 32 * 1024
     body_bytes_max: int = 4 * 1024 * 1024
+    all_body_bytes_max: int = 128 * 1024 * 1024
     header_timeout_ms: int = 5_000
     body_timeout_ms: int = 30_000
     idle_timeout_ms: int = 60_000
@@ -142,6 +144,7 @@
         self._tasks_by_id: dict[int, asyncio.Task] = {}
         self._last_id = 0
         self.is_closing = False
+        self.held_bytes = 0
 
     @property
     def port(self) -> int:
@@ -206,6 +209,7 @@
         finally:
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
+            connection.let_go()
             connection.abort()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
@@ -240,6 +244,7 @@
         self._peer_host = peer[0] if peer else ""
         self._is_idle = True
         self._method = b""
+        self._held_bytes = 0
         self.is_last_request = False
 
     def close_if_idle(self) -> None:
@@ -266,6 +271,7 @@
                 await self.refuse(error.status, str(error))
                 return
             answer = await self._handle(request)
+            self.let_go()
             await self._write_answer(answer)
             if self._h11.our_state is not h11.DONE or self._must_end():
                 return
@@ -344,6 +350,7 @@
                 await self._receive()
             elif isinstance(event, h11.Data):
                 body += event.data
+                self._hold(len(event.data))
                 if len(body) > self._settings.body_bytes_max:
                     raise _BadRequestError(413, "body too large")
             elif isinstance(event, h11.EndOfMessage):
@@ -351,6 +358,17 @@
             else:
                 raise _CallerGoneError
 
+    def _hold(self, byte_count: int) -> None:
+        self._held_bytes += byte_count
+        self._server.held_bytes += byte_count
+        if self._server.held_bytes > self._settings.all_body_bytes_max:
+            raise _BadRequestError(503, "too many bytes in open requests")
+
+    def let_go(self) -> None:
+        """Count the body of the current request no more."""
+        self._server.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+
     async def _receive(self) -> None:
         data = await self._reader.read(READ_BYTES)
         self._h11.receive_data(data)
--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -70,6 +70,7 @@
         self._exchanges_by_id: dict[MessageId, OpenRequest] = {}
         self._due: list[tuple[int, int]] = []
         self._sequence = 0
+        self._open_bytes = 0
 
     @property
     def open_count(self) -> int:
@@ -96,7 +97,8 @@
         self._budget.first_attempt()
         exchange = OpenRequest(request, places, now)
         self._set_deadline(exchange, now)
-        is_full = len(self._exchanges_by_number) >= self._settings.requests_max
+        is_full = self._is_full(request)
+        self._open_bytes += len(request.body)
         self._exchanges_by_number[request.number] = exchange
         if is_full:
             return self._refuse(exchange, Reason.OVERLOADED, NOT_RUN)
@@ -125,9 +127,7 @@
             effects.append(exchange.hand_over(now))
         for exchange in self._at(name, EntryState.CANCELLING):
             effects.append(exchange.cancel(now))
-        if self._at(name, EntryState.ASKING):
-            effects.append(Send(name, StampRequest()))
-        return effects
+        return [*effects, Send(name, StampRequest())]
 
     def peer_lost(self, name: str, now: int) -> list:
         """Note that the link to an instance is lost, with anything that was on it."""
@@ -136,12 +136,7 @@
         for exchange in self._at(name, EntryState.ASKING):
             effects += self._next_place(exchange, now)
         for exchange in self._at(name, EntryState.HANDED_OVER):
-            if exchange.request.idempotent and len(exchange.places) > 1:
-                effects += self._end_attempt(exchange, Reason.LINK_LOST, UNKNOWN, now)
-                continue
-            exchange.state = EntryState.CUT_OFF
-            grace_ends_at = now + self._settings.reconnect_grace_ms
-            self._wake_at(exchange, min(exchange.cancel_at, grace_ends_at))
+            effects += self._cut_off(exchange, now)
         return effects
 
     def send_failed(self, message_id: MessageId, now: int) -> list:
@@ -199,6 +194,12 @@
         """Return when ``tick`` is next due; None if nothing is open."""
         return self._due[0][0] if self._due else None
 
+    def _is_full(self, request: AdmittedRequest) -> bool:
+        settings = self._settings
+        if len(self._exchanges_by_number) >= settings.requests_max:
+            return True
+        return self._open_bytes + len(request.body) > settings.body_bytes_max
+
     def _set_deadline(self, exchange: OpenRequest, now: int) -> None:
         settings = self._settings
         deadline_ms = exchange.request.deadline_ms
@@ -240,6 +241,16 @@
         self._wake_at(exchange, exchange.cancel_at)
         return [exchange.hand_over(now)]
 
+    def _cut_off(self, exchange: OpenRequest, now: int) -> list:
+        """Try elsewhere if that does no harm; else wait for the link."""
+        has_other = len(exchange.places) > 1
+        if has_other and self._may_retry(exchange, Reason.LINK_LOST, UNKNOWN, now):
+            return self._retry(exchange, UNKNOWN, now)
+        exchange.state = EntryState.CUT_OFF
+        grace_ends_at = now + self._settings.reconnect_grace_ms
+        self._wake_at(exchange, min(exchange.cancel_at, grace_ends_at))
+        return []
+
     def _ask(self, exchange: OpenRequest, now: int) -> list:
         exchange.state = EntryState.ASKING
         retry_at = now + self._settings.stamp_retry_ms
@@ -285,9 +296,12 @@
         retry_after_ms: int = 0,
     ) -> list:
         """End one hand-over without an answer: try again, or refuse."""
-        may_retry = self._may_retry(exchange, reason, ran, now)
-        if not may_retry:
-            return self._refuse(exchange, reason, ran, retry_after_ms)
+        if self._may_retry(exchange, reason, ran, now):
+            return self._retry(exchange, ran, now)
+        return self._refuse(exchange, reason, ran, retry_after_ms)
+
+    def _retry(self, exchange: OpenRequest, ran: str, now: int) -> list:
+        """Go to the next place; a run after a possible one needs its own right."""
         self._forget_id(exchange)
         exchange.place_index += 1
         if ran == NOT_RUN:
@@ -335,6 +349,7 @@
     def _close(self, exchange: OpenRequest, ran: str) -> list:
         self._forget_id(exchange)
         del self._exchanges_by_number[exchange.request.number]
+        self._open_bytes -= len(exchange.request.body)
         return self._settle(exchange, ran)
 
     def _settle(self, exchange: OpenRequest, ran: str) -> list:
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -63,6 +63,7 @@
         self._key_gate = KeyGate()
         self._seen_at: int | None = None
         self._generation = 0
+        self._open_bytes = 0
 
     @property
     def open_count(self) -> int:
@@ -199,14 +200,20 @@
         work = Work(source, body.id, deadline_at(body))
         work.hand_over = body
         work.generation = self._generation
-        work.right_lapses_at = sent_at(body) + body.token_lease_ms
+        work.right_lapses_at = min(now, sent_at(body)) + body.token_lease_ms
         work.pool = self._pools_by_service.get(body.service)
-        is_full = self._ledger.open_count >= self._settings.requests_max
+        is_full = self._is_full(body)
+        self._open_bytes += len(body.body)
         self._ledger.open(body.id, work, work.deadline_at)
         if is_full:
             return self._finish(work, NOT_RUN, Reason.OVERLOADED, now)
         return self._submit(work, now)
 
+    def _is_full(self, body: HandOver) -> bool:
+        if self._ledger.open_count >= self._settings.requests_max:
+            return True
+        return self._open_bytes + len(body.body) > self._settings.body_bytes_max
+
     def _why_unknown(self, body: HandOver | Cancel, now: int) -> str:
         """Return why an id that is not noted may have run; empty if it has not."""
         if body.stamp.incarnation != self._incarnation:
@@ -330,6 +337,8 @@
         return self._close(work, outcome, now)
 
     def _close(self, work: Work, outcome: Outcome, now: int) -> list:
+        if work.hand_over is not None:
+            self._open_bytes -= len(work.hand_over.body)
         work.finish(outcome)
         if work.is_sender_gone:
             self._forget(work)
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -84,6 +84,24 @@
     assert serve(use, settings=patient).startswith(b"HTTP/1.1 413")
 
 
+def test_bodies_of_all_connections_together_are_bounded():
+    post = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+
+    async def use(server):
+        _, first = await asyncio.open_connection("127.0.0.1", server.port)
+        first.write(post % 900 + b"y" * 800)
+        while server.held_bytes < 800:
+            await asyncio.sleep(0)
+        answer = await exchange(server, post % 900 + b"y" * 900)
+        first.close()
+        while server.held_bytes:
+            await asyncio.sleep(0)
+        return answer
+
+    answer = serve(use, settings=FAST._replace(all_body_bytes_max=1500))
+    assert answer.startswith(b"HTTP/1.1 503")
+
+
 def test_pipelined_requests_are_answered_one_by_one_in_order():
     running = []
 
