--- a/sequoiahook/decisions/exchange/work.py
+++ b/sequoiahook/decisions/exchange/work.py
@@ -3,9 +3,9 @@
 from sequoiahook.decisions.exchange.effects import Write
 from sequoiahook.decisions.exchange.pool_protocol import Pool
 from sequoiahook.decisions.exchange.states import ExecutorState
-from sequoiahook.messages.requests import HandOver, MessageId, Outcome
+from sequoiahook.messages.requests import Cancel, HandOver, MessageId, Outcome
 
-__all__ = ["Work"]
+__all__ = ["Work", "deadline_at", "sent_at"]
 
 
 class Work:
@@ -24,24 +24,22 @@
         objection: Why it must not be sent; empty if it may.
         is_sender_gone: Whether nobody waits for its outcome.
         outcome: Its outcome once it is finished.
-        resend_at: When the outcome is sent again.
         resends: How often the outcome was sent again.
     """
 
-    def __init__(self, source: str, work_id: MessageId, now: int):
+    def __init__(self, source: str, work_id: MessageId, deadline_at: int):
         self.source = source
         self.id = work_id
         self.state = ExecutorState.QUEUED
         self.hand_over: HandOver | None = None
         self.pool: Pool | None = None
         self.generation = 0
-        self.deadline_at = now
-        self.right_lapses_at = now
+        self.deadline_at = deadline_at
+        self.right_lapses_at = deadline_at
         self.attempt = 0
         self.objection = ""
         self.is_sender_gone = False
         self.outcome: Outcome | None = None
-        self.resend_at = now
         self.resends = 0
 
     @property
@@ -77,3 +75,13 @@
         self.outcome = outcome
         self.hand_over = None
         self.pool = None
+
+
+def sent_at(body: HandOver | Cancel) -> int:
+    """Return the earliest time of sending, on the clock of the receiver."""
+    return body.stamp.clock_ms + body.stamp_age_ms
+
+
+def deadline_at(body: HandOver | Cancel) -> int:
+    """Return the deadline on the clock of the receiver; all copies have the same."""
+    return sent_at(body) + body.remaining_ms
