--- a/sequoiahook/decisions/membership/tracker.py
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -107,7 +107,7 @@
         """Turn away from peers that have become silent."""
         for peer in self._presence.peers.suspects(now):
             self.drop(peer)
-        for name in self.linking.wanted:
+        for name in sorted(self.linking.wanted):
             peer = self._presence.peer(name)
             if peer is not None and now - peer.heard_at > self._settings.suspect_ms:
                 self.linking.avoid(name, now)
@@ -184,7 +184,7 @@
         for data_centre in sorted(data_centres):
             self.linking.refresh(data_centre, now)
             members = self.fleet.members_by_data_centre.get(data_centre, {})
-            for name in self.linking.wanted_by_data_centre[data_centre]:
+            for name in sorted(self.linking.wanted_by_data_centre[data_centre]):
                 self._presence.learn(members[name].instance, False, now)
 
     def _broadcast(self, change: RosterChange | None, is_own: bool) -> list:
