Take late answers of a slow platform

Cause: with the platform 700 ms slow, piece reads were given up after 500 ms and their answers ignored, so that no instance ever got the pieces (test: numbers stayed at 1). Ruled out: a longer timeout alone (it delays the turn to another source). Change: an overdue call makes room for the next source, and its answer still counts; a piece is checked against its digest and a root against the number in force anyway. Conclusion: a slow platform delays a change and does not prevent it.

--- a/sequoiahook/decisions/call_book.py
+++ b/sequoiahook/decisions/call_book.py
@@ -13,14 +13,19 @@
 
     Args:
         at_once: Most calls under way at a time; further ones wait.
+        late_max: How many overdue calls are remembered, whose answers still count.
         ids: Source of call ids, shared by the books of one part.
     """
 
-    def __init__(self, at_once: int, ids: Iterator[int] | None = None):
+    def __init__(
+        self, at_once: int, ids: Iterator[int] | None = None, late_max: int = 0
+    ):
         self._at_once = at_once
         self._ids = itertools.count(1) if ids is None else ids
         self._waiting: list[PlatformCall] = []
         self._under_way_by_id: dict[int, PlatformCall] = {}
+        self._late_by_id: dict[int, PlatformCall] = {}
+        self._late_max = late_max
 
     @property
     def is_idle(self) -> bool:
@@ -42,9 +47,22 @@
 
     def take(self, call_id: int) -> PlatformCall | None:
         """Remove a call that was answered; None if it was abandoned."""
-        return self._under_way_by_id.pop(call_id, None)
+        late = self._late_by_id.pop(call_id, None)
+        return self._under_way_by_id.pop(call_id, late)
+
+    def overdue(self) -> None:
+        """Go on without the calls under way; drop those that wait.
+
+        Answers of the latest ones still count, so that a slow platform only delays.
+        """
+        self._late_by_id.update(self._under_way_by_id)
+        for call_id in list(self._late_by_id)[: -self._late_max or None]:
+            del self._late_by_id[call_id]
+        self._waiting.clear()
+        self._under_way_by_id.clear()
 
     def abandon(self) -> None:
         """Forget all calls; their answers are not taken."""
         self._waiting.clear()
         self._under_way_by_id.clear()
+        self._late_by_id.clear()
--- a/sequoiahook/decisions/configuration/fetching.py
+++ b/sequoiahook/decisions/configuration/fetching.py
@@ -13,6 +13,7 @@
 
 PLATFORM = ""
 CALLS_AT_ONCE = 8
+LATE_CALLS_MAX = 64
 DIGESTS_AT_ONCE = 64
 FRUITLESS_TURNS = 4
 
@@ -30,7 +31,7 @@
 
     def __init__(self, timeout_ms: int, ids: Iterator[int]):
         self._timeout_ms = timeout_ms
-        self._calls = CallBook(CALLS_AT_ONCE, ids)
+        self._calls = CallBook(CALLS_AT_ONCE, ids, LATE_CALLS_MAX)
         self.root: Root | None = None
         self._sources: list[str] = []
         self._ask_again_at: int | None = None
@@ -103,7 +104,7 @@
 
     def _turn(self) -> None:
         """Turn to the next source, after the first time."""
-        self._calls.abandon()
+        self._calls.overdue()
         if self._ask_again_at is not None:
             self._sources.append(self._sources.pop(0))
 
--- a/sequoiahook/decisions/configuration/patch.py
+++ b/sequoiahook/decisions/configuration/patch.py
@@ -43,7 +43,16 @@
 
 
 class Stale(NamedTuple):
-    """The patch is not applied and never will be; the current number is given."""
+    """The patch is refused, since the current number is another one.
+
+    If the current number is above the one that the patch was made for, the patch is
+    not applied and never will be. If it is below, there was no such configuration
+    when the platform was asked, and this submission did nothing.
+
+    Attributes:
+        current: The current number; a late read may have given one that has since
+            grown.
+    """
 
     current: int
 
--- a/sequoiahook/decisions/configuration/platform_watch.py
+++ b/sequoiahook/decisions/configuration/platform_watch.py
@@ -18,6 +18,9 @@
 __all__ = ["PlatformWatch", "Seen"]
 
 
+LATE_CALLS_MAX = 8
+
+
 class Seen(NamedTuple):
     """A root value that the watch brought."""
 
@@ -38,7 +41,7 @@
     ):
         self._settings = settings
         self._rng = rng
-        self._calls = CallBook(1, ids)
+        self._calls = CallBook(1, ids, LATE_CALLS_MAX)
         self._version = 0
         self._next_start = 0
         self._give_up_at: int | None = None
@@ -46,7 +49,7 @@
     def tick(self, is_watcher: bool, now: int) -> list[PlatformCall]:
         """Start a watch if one is due."""
         if self._give_up_at is not None and now >= self._give_up_at:
-            self._calls.abandon()
+            self._calls.overdue()
             self._give_up_at = None
         if not is_watcher or self._give_up_at is not None or now < self._next_start:
             return []
@@ -63,10 +66,11 @@
         return max(now, self._next_start) if is_watcher else None
 
     def is_mine(self, call_id: int) -> bool:
-        """Return whether the call under way has the id, and end it."""
+        """Return whether a call of this part has the id, and end it."""
         if self._calls.take(call_id) is None:
             return False
-        self._give_up_at = None
+        if self._calls.is_idle:
+            self._give_up_at = None
         return True
 
     def read_again(self) -> None:
--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -284,6 +284,7 @@
         self.data_centre = node.data_centre
         self.outcome = None
         self.started = world.now
+        self.number_at_start = world.oracle.number
         self.teaches = world.rng.random() < 0.5
         self.writer = PatchWriter(
             world.patch_settings, patch, node.holder.pieces_by_digest, node.rng
@@ -437,9 +438,12 @@
             assert self.oracle.patch_ids[outcome.number - 1] == patch.id
             assert outcome.number == patch.against + 1 or patch.changes is None
         elif isinstance(outcome, Stale):
-            assert not is_applied or patch.changes is None
             assert outcome.current <= self.oracle.number
-            assert outcome.current != patch.against
+            if outcome.current < patch.against:
+                assert outcome.current >= operator.number_at_start
+            else:
+                assert not is_applied or patch.changes is None
+                assert outcome.current != patch.against
         elif isinstance(outcome, Invalid):
             is_reused = len(self.numbers_by_id[patch.id]) > 1
             assert operator.change.name == "wrong" or is_reused
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -154,7 +154,9 @@
     @rule(
         which=index,
         data_centre=place,
-        loses=st.sets(st.sampled_from(("watchers", "watches", "messages", "peers"))),
+        loses=st.sets(
+            st.sampled_from(("watchers", "watches", "messages", "peers", "speed"))
+        ),
     )
     def accepted_is_in_force_in_time(self, which, data_centre, loses):
         world = self.world
@@ -167,6 +169,8 @@
         while operator.outcome is None:
             world.advance(1)
         assert operator.outcome == Accepted(world.oracle.number)
+        if "speed" in loses:
+            world.platform.slow_ms = 700
         if "messages" in loses:
             world.drop_percent = 20
         if "peers" in loses and not world.cut:
--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -114,6 +114,16 @@
     world.check_all_hold(2)
 
 
+def test_slow_platform_delays_and_does_not_prevent():
+    world = start({"east": 3, "west": 3})
+    world.platform.slow_ms = 700
+    for rate in range(1, 4):
+        submit(world, organisation(rate))
+        world.advance(8000)
+        assert world.oracle.number == 1 + rate
+        world.check_all_hold(1 + rate)
+
+
 def test_pieces_come_from_another_instance_when_the_first_is_silent():
     piece = b'{"entries":{"r":{"data_centres":["east"]}}}'
     digest = digest_of(piece)
