--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -235,6 +235,7 @@
         for effect in effects:
             self.carry_out(effect)
         self.check()
+        assert self.holder.next_wake(self.world.now) > self.world.now, "a busy loop"
         self.plan()
 
     def carry_out(self, effect):
@@ -270,6 +271,7 @@
         if wake == self.wake_at:
             self.wake_at = None
             self.run("tick")
+            assert not self.is_alive or self.wake_at > self.world.now
 
 
 class Operator:
@@ -298,6 +300,8 @@
     def tick(self):
         if self.node.is_alive:
             self.carry_out(self.writer.tick(self.world.now))
+            wake = self.writer.next_wake(self.world.now)
+            assert wake is None or wake > self.world.now, "a busy loop"
 
     def carry_out(self, effects):
         for effect in effects:
