Move pools to their next owner at once, and prove the path with real processes

Cause: real processes showed refusals whenever the owner of a pool changed: a replaced instance won its old pools back and had to wait 4.5 s before it might act, while the one that had kept them dropped them (503 'service not served here', also in a planned stop of two instances in a row). Ruled out: letting the successor act at once, which would run more than a target's slots. Change: the owner offers its pool, the successor accepts, the transfer names what still runs; queued requests are refused as moved and placed again by their entry. A lost owner's pool opens after its deadline less the time that it was silent. A daemon whose ticking task fails now ends with code 1 instead of going on half alive. Connections of a withdrawn key end with their next answer: closing idle ones at once lost requests on their way (connection reset in the test).

--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,17 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m pytest
+	@cat KNOWN-RED.txt
 
 demo: environment
 	$(PYTHON) -m standins.demo
 
+fuzz: environment
+	PYTHONHASHSEED=random $(PYTHON) -m tests.fuzz --seconds $(SECONDS)
+
+bench: environment
+	$(PYTHON) -m bench.policy
+
 format: environment
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -184,11 +184,14 @@
             await asyncio.wait(tasks)
 
     def close_connection(self, connection_id: int) -> None:
-        """Close a connection as soon as its current request is answered."""
+        """End a connection with its next answer.
+
+        An idle one is not closed at once: a request that is on its way would be lost
+        without a word.
+        """
         connection = self._connections_by_id.get(connection_id)
         if connection is not None:
             connection.is_last_request = True
-            connection.close_if_idle()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/sequoiahook/daemons/instance.py
+++ b/sequoiahook/daemons/instance.py
@@ -70,6 +70,7 @@
 
 __all__ = ["InstanceDaemon"]
 
+EXIT_FAILED = 1
 INCARNATION_BITS = 53
 LIST_IDLE_MS = 1_000
 LIST_WAIT_MS = 20_000
@@ -162,8 +163,10 @@
         await self._start()
         ticking = asyncio.create_task(self._tick())
         listing = asyncio.create_task(self._follow_list())
+        self._exited.add_done_callback(lambda _: ticking.cancel())
         try:
-            return await self._exited
+            await asyncio.wait({ticking, listing}, return_when=asyncio.FIRST_COMPLETED)
+            return self._exit_code(ticking, listing)
         finally:
             for task in (ticking, listing, *self._tasks):
                 task.cancel()
@@ -173,6 +176,15 @@
             self._targets.close()
             self._platform.close()
 
+    def _exit_code(self, *tasks: asyncio.Task) -> int:
+        """Return the code of a planned stop; a task that failed ends the process."""
+        if self._exited.done():
+            return self._exited.result()
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                log.critical("task failed", exc_info=_exc_info(task.exception()))
+        return EXIT_FAILED
+
     def stop(self) -> dict[str, Any]:
         """Start a graceful stop; a second call shortens its waits."""
         self._feed(lambda now: self._core.stop(now))
@@ -414,7 +426,11 @@
     def _ended(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.error("task failed", exc_info=task.exception())
+            log.error("task failed", exc_info=_exc_info(task.exception()))
+
+
+def _exc_info(error: BaseException) -> tuple:
+    return type(error), error, error.__traceback__
 
 
 def _member(entry: InstanceEntry) -> Member:
--- a/sequoiahook/decisions/exchange/effects.py
+++ b/sequoiahook/decisions/exchange/effects.py
@@ -4,7 +4,16 @@
 
 from sequoiahook.messages.requests import Fields, MessageId
 
-__all__ = ["AbortTarget", "Answer", "Commit", "Refusal", "Release", "Reserve", "Write"]
+__all__ = [
+    "AbortTarget",
+    "Answer",
+    "Commit",
+    "Refusal",
+    "Release",
+    "Relocate",
+    "Reserve",
+    "Write",
+]
 
 
 class Answer(NamedTuple):
@@ -41,6 +50,16 @@
     retry_after_ms: int
 
 
+class Relocate(NamedTuple):
+    """Choose places anew, since a pool has moved; reply with ``relocated``.
+
+    Attributes:
+        number: Number of the request.
+    """
+
+    number: int
+
+
 class Reserve(NamedTuple):
     """Reserve another right to run; reply with ``reserved`` or ``not_reserved``.
 
--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -9,6 +9,7 @@
     Commit,
     Refusal,
     Release,
+    Relocate,
     Reserve,
 )
 from sequoiahook.decisions.exchange.open_request import AdmittedRequest, OpenRequest
@@ -35,6 +36,12 @@
 JITTER_SHARE = 5
 """Advice on when to come back is spread over this fraction (one fifth) of itself."""
 
+RELOCATE_RETRY_MS = 50
+
+_MOVED_REASONS = frozenset({Reason.MOVED, Reason.NO_POOL})
+_NOT_HANDED_OVER = frozenset(
+    {EntryState.ASKING, EntryState.RELOCATING, EntryState.RESERVING}
+)
 _FINAL_REASONS = frozenset(
     {Reason.CANCELLED, Reason.KEY_WITHDRAWN, Reason.RIGHT_LAPSED, Reason.DEADLINE}
 )
@@ -155,7 +162,7 @@
         if exchange is None:
             return []
         exchange.is_caller_gone = True
-        if exchange.state in (EntryState.ASKING, EntryState.RESERVING):
+        if exchange.state in _NOT_HANDED_OVER:
             return self._refuse(exchange, Reason.CANCELLED, NOT_RUN)
         return self._cancel(exchange, now)
 
@@ -173,6 +180,19 @@
         exchange.right_lapses_at = now + token_lease_ms
         return self._hand_over(exchange, now)
 
+    def relocated(self, number: int, places: tuple[str, ...], now: int) -> list:
+        """Go on with a request whose pool has moved; without places it waits."""
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is None or exchange.state is not EntryState.RELOCATING:
+            return []
+        if not places or places[0] == exchange.moved_from:
+            exchange.moved_from = ""
+            self._wake_at(exchange, min(exchange.cancel_at, now + RELOCATE_RETRY_MS))
+            return []
+        exchange.places = places
+        exchange.place_index = 0
+        return self._hand_over(exchange, now)
+
     def not_reserved(self, number: int, retry_after_ms: int, now: int) -> list:
         """End a request for which there is no other right."""
         exchange = self._exchanges_by_number.get(number)
@@ -218,6 +238,8 @@
             return self._refuse(exchange, Reason.LINK_LOST, UNKNOWN)
         if now >= exchange.cancel_at:
             return self._refuse(exchange, Reason.TIMEOUT, NOT_RUN)
+        if exchange.state is EntryState.RELOCATING:
+            return [Relocate(exchange.request.number)]
         if now - exchange.asked_since >= self._settings.stamp_patience_ms:
             return self._next_place(exchange, now)
         return self._ask(exchange, now)
@@ -296,6 +318,8 @@
         retry_after_ms: int = 0,
     ) -> list:
         """End one hand-over without an answer: try again, or refuse."""
+        if ran == NOT_RUN and reason in _MOVED_REASONS and now < exchange.cancel_at:
+            return self._relocate(exchange)
         if self._may_retry(exchange, reason, ran, now):
             return self._retry(exchange, ran, now)
         return self._refuse(exchange, reason, ran, retry_after_ms)
@@ -313,6 +337,15 @@
         effects = self._settle(exchange, UNKNOWN)
         return [*effects, Reserve(request.number, request.organisation)]
 
+    def _relocate(self, exchange: OpenRequest) -> list:
+        """Ask for other places; the hand-over that ended does not count."""
+        self._forget_id(exchange)
+        exchange.attempt -= 1
+        exchange.moved_from = exchange.place
+        exchange.state = EntryState.RELOCATING
+        self._wake_at(exchange, exchange.cancel_at)
+        return [Relocate(exchange.request.number)]
+
     def _may_retry(
         self, exchange: OpenRequest, reason: str, ran: str, now: int
     ) -> bool:
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -91,6 +91,19 @@
         if pool is not None:
             self._retiring.append(pool)
 
+    def move_pool(self, service: str, now: int) -> list:
+        """Give up the pool of a service: what is queued in it is refused as moved.
+
+        What is sent already may finish.
+        """
+        pool = self._pools_by_service.get(service)
+        self.drop_pool(service)
+        effects: list = []
+        for work in self._ledger.works():
+            if work.pool is pool and work.state is ExecutorState.QUEUED:
+                effects += self._unqueue(work, Reason.MOVED, now)
+        return effects
+
     def received(self, source: str, body: tuple, now: int) -> list:
         """Take a message from another instance, or from this one."""
         self._observe(now)
--- a/sequoiahook/decisions/exchange/open_request.py
+++ b/sequoiahook/decisions/exchange/open_request.py
@@ -69,6 +69,7 @@
         right_lapses_at: When the right ends.
         may_have_run: Whether an earlier hand-over may have run.
         is_caller_gone: Whether nobody waits for the answer.
+        moved_from: Place whose pool has moved; empty once other places were chosen.
         timeout_at: When the caller is answered at the latest.
         cancel_at: When what is not sent yet is cancelled.
         due_at: When it is looked at next.
@@ -89,6 +90,7 @@
         self.right_lapses_at = now + request.token_lease_ms
         self.may_have_run = False
         self.is_caller_gone = False
+        self.moved_from = ""
         self.timeout_at = now
         self.cancel_at = now
         self.due_at = now
--- a/sequoiahook/decisions/exchange/states.py
+++ b/sequoiahook/decisions/exchange/states.py
@@ -9,6 +9,7 @@
     """Where a request stands at the instance that the caller is connected to."""
 
     ASKING = "asking the place for a stamp"
+    RELOCATING = "waiting for another place"
     RESERVING = "waiting for the right to run again"
     HANDED_OVER = "handed over"
     CUT_OFF = "handed over, link lost"
@@ -31,6 +32,7 @@
     DEADLINE = "deadline too near"
     KEY_WITHDRAWN = "key withdrawn"
     LINK_LOST = "link to the executing instance lost"
+    MOVED = "the pool has another owner"
     NO_PLACE = "no place to run"
     NO_POOL = "service not served here"
     OTHER_INCARNATION = "meant for an earlier run of the instance"
--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -17,6 +17,7 @@
     Commit,
     Refusal,
     Release,
+    Relocate,
     Reserve,
     Write,
 )
@@ -70,6 +71,7 @@
 from sequoiahook.messages import (
     configuration as configuration_messages,
     membership as membership_messages,
+    ownership as ownership_messages,
     pools as pool_messages,
     requests as request_messages,
     rights as rights_messages,
@@ -84,7 +86,7 @@
 __all__ = ["InstanceCore"]
 
 TICK_MS = 50
-VIEW_REFRESH_MS = 500
+VIEW_REFRESH_MS = 100
 HTTP_UNAVAILABLE = 503
 
 
@@ -129,6 +131,7 @@
             me.data_centre,
             SteeringParts(
                 self._membership,
+                self._owner,
                 self._rights,
                 self._entry,
                 self._placement,
@@ -320,7 +323,7 @@
             Commit: lambda e, now: self._steering.commit(e.reservation, now),
             Committed: lambda e, now: [],
             HandOverRights: lambda e, now: self._rights.hand_over(now),
-            AnnounceLeaving: lambda e, now: self._membership.leave(now),
+            AnnounceLeaving: self._on_leaving,
             Lapsed: lambda e, now: self._count("rights lapsed"),
             LeaveViews: lambda e, now: self._membership.leave_views(now),
             ReadObject: self._on_rollout_call,
@@ -329,13 +332,14 @@
             ),
             Reject: self._on_reject,
             Release: lambda e, now: self._steering.release(e.reservation, now),
+            Relocate: lambda e, now: self._steering.relocate(e.number, now),
             Reserve: lambda e, now: self._steering.reserve(e.number, now),
             Reserved: lambda e, now: self._steering.reserved(int(e.request_id), now),
             Send: self._on_send,
             Watch: self._on_rollout_call,
             WriteObject: self._on_rollout_call,
             membership_effects.LinksChanged: self._on_links_changed,
-            membership_effects.Paused: lambda e, now: [Note("paused", e._asdict())],
+            membership_effects.Paused: self._on_paused,
             membership_effects.PeerDown: self._on_member_down,
             membership_effects.PeerUp: lambda e, now: [Note("peer up", e._asdict())],
             membership_effects.ReadObject: self._on_view_call,
@@ -347,6 +351,9 @@
         return {
             configuration_messages.__name__: self._to_rollout,
             membership_messages.__name__: self._membership.receive,
+            ownership_messages.__name__: lambda e, now: self._owner.received(
+                e.source, e.body, self._membership, now
+            ),
             pool_messages.__name__: self._to_pools,
             request_messages.__name__: self._to_exchanges,
             rights_messages.__name__: lambda e, now: self._rights.handle(
@@ -462,7 +469,7 @@
         effects += self._executor.configured(keys, now)
         self._placement.configure(configuration)
         self._owner.configure(configuration, now)
-        self._owner.refresh(self._membership, now)
+        effects += self._owner.refresh(self._membership, now)
         effects += self._configure_rights(configuration, now)
         self._lookup.set_services(_data_centres_by_service(configuration))
         for name in keys.withdrawn_since(before) if before is not None else ():
@@ -522,6 +529,12 @@
         lost = self._entry.peer_lost(effect.name, now)
         return [Note("peer down", effect._asdict()), *gone, *lost]
 
+    def _on_leaving(self, effect: Any, now: int) -> list:
+        return [*self._membership.leave(now), *self._refresh(now)]
+
+    def _on_paused(self, effect: Any, now: int) -> list:
+        return [Note("paused", effect._asdict()), *self._owner.paused(now)]
+
     def _on_view_changed(self, effect: Any, now: int) -> list:
         fields = {"number": effect.view.number, "members": effect.view.instances}
         return [Note("view", fields), *self._rights.set_view(effect.view, now)]
@@ -551,7 +564,7 @@
         }
         effects += self._rights.set_alive(silent_ms_by_name, now)
         if self.configuration is not None:
-            self._owner.refresh(membership, now)
+            effects += self._owner.refresh(membership, now)
         return effects
 
     def _set_foreign_view(
--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -6,13 +6,20 @@
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.exchange.executor import Executor
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.instance.transfers import Transfers
 from sequoiahook.decisions.membership.membership import Membership
 from sequoiahook.decisions.placement.lender import CreditLender
 from sequoiahook.decisions.placement.settings import PlacementSettings
 from sequoiahook.decisions.pool.effects import PoolEffect, TargetReport
 from sequoiahook.decisions.pool.pool import Pool
 from sequoiahook.decisions.pool.settings import PoolSettings
-from sequoiahook.messages.pools import CreditAsk, PoolSummary
+from sequoiahook.messages.membership import LIVE
+from sequoiahook.messages.ownership import (
+    PoolAcceptance,
+    PoolOffer,
+    PoolTransfer,
+)
+from sequoiahook.messages.pools import CreditAsk, PoolHandover, PoolSummary
 from sequoiahook.messages.requests import MessageId
 from sequoiahook.world.configuration import Configuration
 from sequoiahook.world.instance import Instance
@@ -20,7 +27,11 @@
 
 __all__ = ["OwnedPool", "PoolOwner", "pool_key"]
 
+OFFER_ID_BITS = 48
 SUMMARY_INTERVAL_MS = 500
+TRANSFER_GRACE_MS = 3_000
+"""Below the time after which a successor may act without a transfer."""
+
 CLOSED_WAIT_MS = -1
 SERVER_ERROR_STATUS = 500
 _FAULTS = frozenset(
@@ -50,12 +61,24 @@
     def __init__(self, pool: Pool, lender: CreditLender):
         self.pool = pool
         self.lender = lender
+        self.is_transferred = False
+        self.lost_at: int | None = None
         self._pending: list[PoolEffect] = []
 
     def configure(self, targets: list[Target], warm_up_ms: int, now: int) -> None:
         """Take the targets; what follows from that is returned by the next tick."""
         self._pending += self.pool.configure(targets, warm_up_ms, now)
 
+    def take_over(self, previous_runs_ms: int, now: int) -> None:
+        """Begin after an owner that was lost and may have work running."""
+        self._pending += self.pool.take_over(now, now + previous_runs_ms)
+
+    def take_transfer(self, handover: PoolHandover, now: int) -> None:
+        """Begin after an owner that told what it has running."""
+        self.is_transferred = True
+        self._pending += self.pool.take_over(now, now, handover.view_number)
+        self._pending += self.pool.handed_over(handover, now)
+
     def submit(
         self, request_id: MessageId, organisation: str, deadline_at: int, now: int
     ) -> list[PoolEffect]:
@@ -125,6 +148,7 @@
         self._configuration: Configuration | None = None
         self._summary_at = 0
         self._sequence = 0
+        self._transfers = Transfers(rng.getrandbits(OFFER_ID_BITS))
 
     @property
     def services(self) -> list[str]:
@@ -153,18 +177,110 @@
             return None
         return self._configuration.targets_by_name.get(name)
 
-    def refresh(self, membership: Membership, now: int) -> None:
-        """Take on and drop pools as the keepers change."""
-        for service in list(self._owned_by_service):
-            is_served = service in self._targets_by_service
-            if not is_served or not membership.may_act(pool_key(service), now):
-                self._executor.drop_pool(service)
-                del self._owned_by_service[service]
+    def owner(self, service: str, membership: Membership, now: int) -> str | None:
+        """Return which instance owns a service's pool, or is about to.
+
+        Instances that are leaving come last, so that their pools move early.
+        """
+        if service not in self._targets_by_service:
+            return None
+        live = membership.live(self._me.data_centre)
+        for name in membership.keepers(pool_key(service)):
+            if name in live:
+                return name
+        return membership.acting_keeper(pool_key(service), now)
+
+    def refresh(self, membership: Membership, now: int) -> list:
+        """Take on, offer and drop pools as the keepers change."""
+        effects: list = list(self._transfers.tick(now))
+        for service, owned in list(self._owned_by_service.items()):
+            effects += self._keep(service, owned, membership, now)
         for service in self._targets_by_service:
-            if service in self._owned_by_service:
-                continue
-            if membership.may_act(pool_key(service), now):
-                self._take_on(service, now)
+            is_mine = self.owner(service, membership, now) == self._me.name
+            is_new = service not in self._owned_by_service
+            if is_mine and is_new and membership.may_act(pool_key(service), now):
+                owned = self._take_on(service, now)
+                owned.take_over(self._previous_runs_ms(service, membership), now)
+        return effects
+
+    def paused(self, now: int) -> list:
+        """Drop every pool, since others may own them by now."""
+        self._transfers.forget()
+        effects: list = []
+        for service in list(self._owned_by_service):
+            effects += self._drop(service, now)
+        return effects
+
+    def received(
+        self, source: str, body: tuple, membership: Membership, now: int
+    ) -> list:
+        """Take a message about the ownership of a pool."""
+        if isinstance(body, PoolOffer):
+            return self._on_offer(source, body, membership, now)
+        if isinstance(body, PoolAcceptance):
+            return self._on_acceptance(source, body, now)
+        if not self._transfers.take(source, body):
+            return []
+        if body.service not in self._owned_by_service:
+            owned = self._take_on(body.service, now)
+            owned.take_transfer(body.handover, now)
+        return []
+
+    def _keep(
+        self, service: str, owned: OwnedPool, membership: Membership, now: int
+    ) -> list:
+        """Keep a pool, offer it to its next owner, or drop it."""
+        successor = self.owner(service, membership, now)
+        if successor is None:
+            return self._drop(service, now)
+        may_act = membership.may_act(pool_key(service), now)
+        if successor == self._me.name:
+            self._transfers.withdraw(service)
+            owned.lost_at = None
+            if may_act or owned.is_transferred:
+                return []
+            return self._drop(service, now)
+        if may_act:
+            owned.lost_at = None
+        elif owned.lost_at is None:
+            owned.lost_at = now
+        elif now - owned.lost_at >= TRANSFER_GRACE_MS:
+            return self._drop(service, now)
+        is_leaving = membership.state != LIVE
+        return self._transfers.offer(service, successor, is_leaving, now)
+
+    def _on_offer(
+        self, source: str, offer: PoolOffer, membership: Membership, now: int
+    ) -> list:
+        is_mine = self.owner(offer.service, membership, now) == self._me.name
+        if not (is_mine or offer.is_leaving) or membership.state != LIVE:
+            return []
+        return self._transfers.accept(source, offer, now)
+
+    def _on_acceptance(self, source: str, body: PoolAcceptance, now: int) -> list:
+        owned = self._owned_by_service.get(body.service)
+        if owned is None or not self._transfers.is_accepted(source, body):
+            return self._transfers.repeat(source, body)
+        effects = self._drop(body.service, now)
+        handover = owned.pool.handover(self._me.data_centre, body.offer_id, 1, now)
+        transfer = PoolTransfer(body.service, body.offer_id, handover)
+        return [*effects, *self._transfers.transfer(source, transfer)]
+
+    def _drop(self, service: str, now: int) -> list:
+        """Own a pool no longer: what is queued is refused, what runs may finish."""
+        del self._owned_by_service[service]
+        self._transfers.withdraw(service)
+        return self._executor.move_pool(service, now)
+
+    def _previous_runs_ms(self, service: str, membership: Membership) -> int:
+        """Return for how long work of an owner that was lost may still run.
+
+        That owner wrote nothing later than a lease after it was last heard from, and
+        has been silent, or has known better, for the time until a takeover.
+        """
+        deadline_ms = self._configuration.services_by_name[service].deadline_ms
+        since_write_ms = membership.takeover_ms - membership.lease_longest_ms
+        return max(0, deadline_ms - since_write_ms)
 
     def asked(self, message: CreditAsk, now: int) -> list[Send]:
         """Answer an ask for credit; one for a pool that is not owned is dropped."""
@@ -188,7 +304,7 @@
         """Return when summaries are due; None if no pool is owned."""
         return self._summary_at if self._owned_by_service else None
 
-    def _take_on(self, service: str, now: int) -> None:
+    def _take_on(self, service: str, now: int) -> OwnedPool:
         pool = Pool(self._pool_settings, service, self._rng)
         lender = CreditLender(
             self._placement_settings,
@@ -200,9 +316,8 @@
         owned = OwnedPool(pool, lender)
         self._owned_by_service[service] = owned
         self._configure_pool(service, owned, now)
-        longest_ms = self._configuration.services_by_name[service].deadline_ms
-        pool.take_over(now, now + longest_ms)
         self._executor.set_pool(service, owned)
+        return owned
 
     def _configure_pool(self, service: str, owned: OwnedPool, now: int) -> None:
         configuration = self._configuration
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -7,7 +7,7 @@
 from sequoiahook.decisions.exchange.entry import AdmittedRequest, EntryExchanges
 from sequoiahook.decisions.exchange.states import Reason
 from sequoiahook.decisions.instance.effects import Arrival
-from sequoiahook.decisions.instance.pools import pool_key
+from sequoiahook.decisions.instance.pools import PoolOwner
 from sequoiahook.decisions.instance.routes import Routes
 from sequoiahook.decisions.instance.settings import SteeringSettings
 from sequoiahook.decisions.instance.tracing import Tracing
@@ -43,6 +43,7 @@
     """The parts that admission asks."""
 
     membership: Membership
+    owner: PoolOwner
     rights: Rights
     entry: EntryExchanges
     placement: Placement
@@ -203,6 +204,14 @@
         self.answered(number)
         return effects
 
+    def relocate(self, number: int, now: int) -> list:
+        """Choose places anew for a request whose pool has moved."""
+        opened = self._open_by_number.get(number)
+        if opened is None:
+            return []
+        places = self._places(opened, now)
+        return self._parts.entry.relocated(number, places, now)
+
     def answered(self, number: int) -> Arrival | None:
         """Forget a request that has its answer."""
         self._seeking.discard(number)
@@ -284,22 +293,13 @@
         names: list[str] = []
         for place in parts.placement.choose(service, left_ms, parts.holder, now):
             if place.data_centre == self._data_centre:
-                name = self._own_owner(service, now)
+                name = parts.owner.owner(service, parts.membership, now)
             else:
                 name = owner_by_pool.get((service, place.data_centre))
             if name is not None and name not in names:
                 names.append(name)
         return tuple(names)
 
-    def _own_owner(self, service: str, now: int) -> str | None:
-        is_served = any(
-            target.service == service and target.data_centre == self._data_centre
-            for target in self._configuration.targets_by_name.values()
-        )
-        if not is_served:
-            return None
-        return self._parts.membership.acting_keeper(pool_key(service), now)
-
     def _admitted(self, opened: _Open, now: int) -> AdmittedRequest:
         key = opened.key or KeyName("", "")
         arrival = opened.arrival
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -78,6 +78,16 @@
         """The view in force; number 0 until one is known."""
         return self._agreement.view
 
+    @property
+    def takeover_ms(self) -> int:
+        """Silence after which the next in order takes over from a keeper."""
+        return self._settings.takeover_ms
+
+    @property
+    def lease_longest_ms(self) -> int:
+        """Longest time for which an instance acts without looking at its clock."""
+        return self._settings.lease_longest_ms
+
     @property
     def state(self) -> str:
         """This instance's state."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,12 +9,14 @@
 import argparse
 import asyncio
 import json
+import time
 from typing import NamedTuple
 
 import h11
 
 READ_BYTES = 65_536
 MS_PER_S = 1000
+NS_PER_MS = 1_000_000
 SERVICE_MS_DEFAULT = 5
 CANCELLATION_STEP_MS = 20
 
@@ -61,6 +63,7 @@
         path: Path and query.
         connection: Number of the connection.
         is_reused: Whether it was not the first request of its connection.
+        arrived_ms: When it arrived, on the machine's monotonic clock, in milliseconds.
     """
 
     request_id: str
@@ -69,6 +72,7 @@
     path: str
     connection: int
     is_reused: bool
+    arrived_ms: int
 
 
 class StandInTarget:
@@ -269,7 +273,12 @@
         path = request.target.decode("latin-1")
         is_head = request.method == b"HEAD"
         status = 500 if self.control.fail_fast else 200
-        document = {"target": self.name, "path": path, "body_bytes": len(body)}
+        document = {
+            "target": self.name,
+            "path": path,
+            "body_bytes": len(body),
+            "request_id": dict(request.headers).get(b"x-request-id", b"").decode(),
+        }
         answer = json.dumps(document).encode()
         return await self._send(connection, writer, status, (), answer, is_head)
 
@@ -322,6 +331,7 @@
         path=path,
         connection=number,
         is_reused=is_reused,
+        arrived_ms=time.monotonic_ns() // NS_PER_MS,
     )
 
 
