Write only the pieces that the stored root does not name

Cause: the writer walked the old root through the pieces of the new document, where the changed branches are missing; everything below them was written again. Ruled out: to rely on the conflict of a second write (it costs a call for each piece). Change: walk the old root through all known pieces. Conclusion: a change costs the platform in proportion to what is changed.

--- a/sequoiahook/decisions/configuration/patch_objects.py
+++ b/sequoiahook/decisions/configuration/patch_objects.py
@@ -1,6 +1,7 @@
 """The platform's objects that one patch makes."""
 
 import json
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -104,11 +105,18 @@
 
 
 def objects_before_root(
-    root: Root, patch: Patch, new: SplitDocument
+    root: Root, patch: Patch, new: SplitDocument, known_pieces: Mapping[str, bytes]
 ) -> list[NewObject]:
-    """Return the objects that must be there before the next root is written."""
+    """Return the objects that must be there before the next root is written.
+
+    Args:
+        root: The root that the patch was made for.
+        patch: The patch.
+        new: The changed document.
+        known_pieces: Pieces by digest, with all those of the root, which are stored.
+    """
     objects = [NewObject(claim_name(patch.id), claim_of(patch)._asdict())]
-    stored = reachable_pieces(root.pieces_by_name, new.pieces_by_digest)
+    stored = reachable_pieces(root.pieces_by_name, known_pieces)
     for digest, piece in new.pieces_by_digest.items():
         if digest not in stored:
             objects.append(NewObject(piece_object_name(digest), json.loads(piece)))
--- a/sequoiahook/decisions/configuration/patching.py
+++ b/sequoiahook/decisions/configuration/patching.py
@@ -297,7 +297,8 @@
             except CheckError as error:
                 return self._report(Invalid(error.findings))
             self.pieces_by_digest.update(self._new.pieces_by_digest)
-        for item in objects_before_root(self.root, self._patch, self._new):
+        known = self.pieces_by_digest
+        for item in objects_before_root(self.root, self._patch, self._new, known):
             if item.name not in self._stored_names:
                 self._calls.add(WriteObject, item.name, item.value, 0)
         if self._calls.is_idle:
--- a/tests/test_patching.py
+++ b/tests/test_patching.py
@@ -4,6 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from sequoiahook.decisions.configuration import Accepted, OutcomeUnknown, Patch, Stale
+from sequoiahook.decisions.platform_calls import WriteObject
 from tests.configuration_fakes import ENVIRONMENTS, FAULTS, Change, World
 
 DEADLINE_MS = 8000
@@ -166,6 +167,33 @@
     return Change("organisations_by_name", f"org{serial}", change)
 
 
+def test_a_change_of_a_large_document_writes_few_objects():
+    world = World({}, 1)
+    desk = Desk("a")
+    entries = {f"org{serial}": rate(serial, 1).value for serial in range(300)}
+    first = Patch("first", 0, {"organisations_by_name": entries})
+    world.submit(desk, first, AllOf(entries))
+    world.advance(2000)
+    before = world.platform.calls_by_kind[WriteObject]
+    assert before > 100
+    operator = world.submit(desk, rate(7, 2).patch("p", 1), rate(7, 2))
+    world.advance(500)
+    assert repr(operator.outcome) == repr(Accepted(2))
+    assert world.platform.calls_by_kind[WriteObject] - before <= 6
+
+
+class AllOf:
+    """A change that the oracle takes as a whole."""
+
+    name = "all"
+
+    def __init__(self, entries):
+        self.entries = entries
+
+    def apply(self, document):
+        return document | {"organisations_by_name": self.entries}
+
+
 def test_late_reads_do_not_make_a_writer_hurry():
     world = World({}, 1)
     desk = Desk("a")
