--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -6,24 +6,19 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from sequoiahook.decisions.configuration.fetching import PLATFORM, PieceFetcher
+from sequoiahook.decisions.configuration.fetching import PLATFORM
 from sequoiahook.decisions.configuration.held import HeldConfiguration
 from sequoiahook.decisions.configuration.peers import Peers
 from sequoiahook.decisions.configuration.platform_watch import PlatformWatch
 from sequoiahook.decisions.configuration.rollout_effects import Apply, Reject
 from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
 from sequoiahook.decisions.configuration.root import Root, read_root, root_value
+from sequoiahook.decisions.configuration.seeking import RootSeeker
 from sequoiahook.decisions.configuration.status import StatusWriter
-from sequoiahook.decisions.configuration.store import (
-    PIECE_PREFIX,
-    canonical,
-    missing_pieces,
-    piece_object_name,
-    piece_of,
-)
+from sequoiahook.decisions.configuration.store import canonical
 from sequoiahook.decisions.configuration.watching import WatchDuty
 from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.platform_calls import CallAnswer, ObjectRead, ReadObject
+from sequoiahook.decisions.platform_calls import CallAnswer
 from sequoiahook.errors import CheckError, Finding
 from sequoiahook.messages.configuration import (
     ConfigurationCompare,
@@ -63,11 +58,9 @@
         self._held = HeldConfiguration()
         self._duty = WatchDuty(settings.duty, name, data_centre)
         self._watch = PlatformWatch(settings, ids, rng)
-        self._fetcher = PieceFetcher(settings.call_timeout_ms, ids)
+        self._seeker = RootSeeker(self._held, settings.call_timeout_ms, ids)
         self._status = StatusWriter(settings, data_centre, ids)
         self._peers = Peers(settings, name, data_centre, rng)
-        self._rejected_number = 0
-        self._reported_digests: set[str] = set()
 
     @property
     def number(self) -> int:
@@ -125,7 +118,9 @@
         elif isinstance(message, PieceRequest):
             effects = self._on_request(source, message)
         else:
-            effects = self._on_pieces(message, now)
+            is_booting = self._peers.is_booting(now)
+            found = self._seeker.on_pieces(message.pieces, now, is_booting)
+            effects = self._told(found, now)
         return effects + self.tick(now)
 
     def answer(self, answer: CallAnswer, now: int) -> list:
@@ -136,9 +131,8 @@
         elif self._status.is_mine(answer.call_id):
             self._status.on_answer(answer, now)
         else:
-            call = self._fetcher.take(answer.call_id)
-            if call is not None:
-                effects = self._on_piece_read(call, answer, now)
+            is_booting = self._peers.is_booting(now)
+            effects = self._told(self._seeker.answer(answer, now, is_booting), now)
         return effects + self.tick(now)
 
     def learn(self, root: Root, pieces: Mapping[str, bytes], now: int) -> list:
@@ -166,7 +160,7 @@
         is_writer = is_watcher and self._duty.is_first(now)
         wakes = [
             self._peers.next_compare,
-            self._fetcher.next_wake(),
+            self._seeker.next_wake(),
             self._peers.boot_ends,
             self._watch.next_wake(is_watcher, now),
             self._status.next_wake(is_writer, now),
@@ -196,21 +190,14 @@
             )
             return [Send(source, self._push(pieces))]
         if message.number > self.number:
-            return self._ask_for(message.number, source, now)
+            is_known = self._seeker.is_known(message.number, source)
+            if is_known or not self._seeker.is_wanted(message.number):
+                return []
+            return [Send(source, self._comparison(now, True))]
         if message.wants_reply and message.number == self.number:
             return [Send(source, self._comparison(now, False))]
         return []
 
-    def _ask_for(self, number: int, source: str, now: int) -> list:
-        """Ask an instance for its root, if that is not known yet."""
-        sought = self._fetcher.root
-        if sought is not None and sought.number == number:
-            self._fetcher.offer(sought, source)
-        is_known = sought is not None and sought.number >= number
-        if is_known or number <= self._rejected_number:
-            return []
-        return [Send(source, self._comparison(now, True))]
-
     def _push(self, pieces: tuple) -> ConfigurationPush:
         root = self._held.root._replace(recent_patches=())
         return ConfigurationPush(root.number, canonical(root_value(root)), pieces)
@@ -218,13 +205,14 @@
     def _on_push(self, source: str, message: ConfigurationPush, now: int) -> list:
         if source in self._peers.peers:
             self._status.hear(source, message.number, now)
-        if message.number <= max(self.number, self._rejected_number):
+        if not self._seeker.is_wanted(message.number):
             return []
         try:
             root = read_root(json.loads(message.root))
         except (CheckError, ValueError, RecursionError) as error:
             return [Reject(0, (Finding(f"push from {source}", str(error)),))]
-        return self._reject_wrong(message.pieces) + self._offer(root, source, now)
+        effects = self._seeker.add_pieces(message.pieces)
+        return effects + self._offer(root, source, now)
 
     def _on_request(self, source: str, message: PieceRequest) -> list:
         """Answer with pieces; one who asks for old pieces learns the newer root."""
@@ -234,27 +222,6 @@
             effects.append(Send(source, self._push(())))
         return effects
 
-    def _on_pieces(self, message: ConfigurationPieces, now: int) -> list:
-        if self._fetcher.root is None:
-            return []
-        count = len(self._held.pieces_by_digest)
-        effects = self._reject_wrong(message.pieces)
-        is_progress = len(self._held.pieces_by_digest) > count
-        return effects + self._seek(now, is_progress=is_progress)
-
-    def _reject_wrong(self, pieces: tuple) -> list:
-        return self._reject_digests(self._held.add_pieces(pieces))
-
-    def _reject_digests(self, digests: list[str]) -> list:
-        """Report pieces that do not match their digests, each digest once."""
-        new = sorted(set(digests) - self._reported_digests)
-        if not new:
-            return []
-        self._reported_digests.update(new)
-        problem = "does not match its digest"
-        findings = [Finding(piece_object_name(digest), problem) for digest in new]
-        return [Reject(0, tuple(findings))]
-
     def _on_watch(self, answer: CallAnswer, now: int) -> list:
         seen = self._watch.see(answer, now)
         if seen is None:
@@ -265,51 +232,23 @@
             return [Reject(0, error.findings)]
         return self._offer(root, PLATFORM, now)
 
-    def _on_piece_read(self, call: ReadObject, answer: CallAnswer, now: int) -> list:
-        if not isinstance(answer, ObjectRead) or not answer.version:
-            return []
-        digest = call.name.removeprefix(PIECE_PREFIX)
-        piece = piece_of(digest, answer.value)
-        if piece is None:
-            return self._reject_digests([digest])
-        self._held.add_pieces([(digest, piece)])
-        return self._seek(now, is_progress=True)
-
     def _offer(self, root: Root, source: str, now: int) -> list:
-        if root.number <= max(self.number, self._rejected_number):
-            return []
-        self._fetcher.offer(root, source)
+        self._seeker.offer(root, source)
         return self._seek(now)
 
-    def _seek(self, now: int, *, is_progress: bool = False) -> list:
+    def _seek(self, now: int) -> list:
         """Get what is missing of the newest root, or put it into force."""
-        root = self._fetcher.root
-        if root is None:
-            return []
-        missing = missing_pieces(root.pieces_by_name, self._held.pieces_by_digest)
-        if missing:
-            return self._fetch(missing, is_progress, now)
-        if self._peers.is_booting(now):
-            self._fetcher.rest()
-            return []
-        source = self._fetcher.source
-        self._fetcher.stop()
-        self._reported_digests.clear()
-        try:
-            self._held.take(root)
-        except CheckError as error:
-            self._rejected_number = root.number
-            self._held.drop_unused()
-            return [Reject(root.number, error.findings)]
-        applied = Apply(root.number, self._held.document, self._held.configuration)
-        return [applied, *self._tell(source, now)]
-
-    def _fetch(self, missing: list[str], is_progress: bool, now: int) -> list:
-        if not is_progress and self._fetcher.is_hopeless(now):
-            self._fetcher.stop()
+        is_booting = self._peers.is_booting(now)
+        return self._told(self._seeker.seek(now, is_booting), now)
+
+    def _told(self, effects: list, now: int) -> list:
+        """Add what others are told, if a configuration has come into force."""
+        if self._seeker.was_dropped:
+            self._seeker.was_dropped = False
             self._watch.read_again()
-            return []
-        return self._fetcher.ask(missing, now, is_progress=is_progress)
+        if any(isinstance(effect, Apply) for effect in effects):
+            return effects + self._tell(self._seeker.source, now)
+        return effects
 
     def _tell(self, source: str, now: int) -> list:
         """Push what has come from outside the data centre; acknowledge the rest."""
