--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -137,10 +137,11 @@
 
     def learn(self, root: Root, pieces: Mapping[str, bytes], now: int) -> list:
         """Take a root and pieces that a PatchWriter read or wrote."""
-        if root.number <= self.number:
-            return []
-        self._held.add_pieces(pieces.items())
-        return self._offer(root, PLATFORM, now) + self.tick(now)
+        effects = []
+        if self._seeker.is_wanted(root.number):
+            self._held.add_pieces(pieces.items())
+            effects = self._offer(root, PLATFORM, now)
+        return effects + self.tick(now)
 
     def tick(self, now: int) -> list:
         """Do what is due."""
