--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -139,3 +139,11 @@
     assert released == Release(1)
     assert (refusal.ran, refusal.cause) == ("not run", cause)
     assert exchanges.open_count == 0
+
+
+def test_bytes_of_answered_requests_are_free_again():
+    exchanges = entry(body_bytes_max=10)
+    for number in range(3):
+        send = hand_over(exchanges.admit(request(number, body=b"12345678"), ("a",), 0))
+        effects = exchanges.received("a", outcome(send, "not run", "full"), 1)
+        assert effects[1] == Release(number)
