End caller connections only when the last answer is out; keep bytes that come with the close

Cause: a graceful close returned while the last bytes of an answer were still in the transport, and closed an idle connection even if a request had just been read from it. Change: the close waits for the transport, half-closes and reads on for a moment, and looks for bytes at hand before it gives an idle connection up. A refusal for want of another right now gives the cause of the first failure. Seen failing: without the look for bytes at hand, the request that comes with the close gets no answer.

--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -20,7 +20,7 @@
 ]
 
 READ_BYTES = 65_536
-DISCARD_TIMEOUT_MS = 1_000
+DISCARD_TIMEOUT_MS = 500
 _NO_BODY_STATUSES = frozenset({204, 304})
 _log = Logger("caller_http")
 _JSON = (b"content-type", b"application/json")
@@ -207,10 +207,10 @@
         except (OSError, h11.LocalProtocolError, _CallerGoneError) as error:
             _log.debug("caller connection ended: {}", type(error).__name__)
         finally:
+            connection.let_go()
+            await connection.end()
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
-            connection.let_go()
-            connection.abort()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Pass a request to the handler; a failure of it is answered as unknown."""
@@ -242,22 +242,27 @@
         )
         peer = writer.get_extra_info("peername")
         self._peer_host = peer[0] if peer else ""
-        self._is_idle = True
+        self._idle_timer: asyncio.Timeout | None = None
         self._method = b""
         self._held_bytes = 0
         self.is_last_request = False
 
     def close_if_idle(self) -> None:
-        """Close at once if no byte of a request has come; else after its answer."""
+        """Close at once if no request has begun; else after its answer."""
         self.is_last_request = True
-        if self._is_idle:
-            self._writer.close()
+        if self._idle_timer is not None:
+            self._idle_timer.reschedule(asyncio.get_running_loop().time())
 
-    def abort(self) -> None:
-        """Close, and forget what is not written."""
+    async def end(self) -> None:
+        """Close, and wait until the caller has what was written."""
         if self._h11.our_state in (h11.SEND_BODY, h11.ERROR):
             self._writer.transport.abort()
         self._writer.close()
+        try:
+            async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
+                await self._writer.wait_closed()
+        except OSError:
+            self._writer.transport.abort()
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -273,12 +278,14 @@
             answer = await self._handle(request)
             self.let_go()
             await self._write_answer(answer)
-            if self._h11.our_state is not h11.DONE or self._must_end():
+            if self._must_end():
+                await self._discard_rest()
+                return
+            if self._h11.our_state is not h11.DONE:
                 return
             if self._h11.their_state is not h11.DONE:
                 return
             self._h11.start_next_cycle()
-            self._is_idle = True
 
     async def refuse(self, status: int, cause: str) -> None:
         """Answer without a handler, and end the connection."""
@@ -295,7 +302,7 @@
             async with asyncio.timeout(DISCARD_TIMEOUT_MS / MS_PER_S):
                 while left > 0 and (data := await self._reader.read(READ_BYTES)):
                     left -= len(data)
-        except TimeoutError:
+        except OSError:
             return
 
     def _must_end(self) -> bool:
@@ -325,10 +332,8 @@
     async def _read_head(self) -> h11.Request:
         event = self._h11.next_event()
         if event is h11.NEED_DATA and not self._h11.trailing_data[0]:
-            async with asyncio.timeout(self._settings.idle_timeout_ms / MS_PER_S):
-                await self._receive()
+            await self._wait_idle()
             event = self._h11.next_event()
-        self._is_idle = False
         try:
             async with asyncio.timeout(self._settings.header_timeout_ms / MS_PER_S):
                 while event is h11.NEED_DATA:
@@ -342,6 +347,24 @@
             raise _BadRequestError(431, "header too large")
         return event
 
+    async def _wait_idle(self) -> None:
+        idle_s = 0 if self._must_end() else self._settings.idle_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(idle_s) as self._idle_timer:
+                await self._receive()
+        except TimeoutError:
+            await self._receive_at_hand()
+        finally:
+            self._idle_timer = None
+
+    async def _receive_at_hand(self) -> None:
+        """Take bytes that came together with the end of the wait, if there are any."""
+        try:
+            async with asyncio.timeout(0):
+                await self._receive()
+        except TimeoutError:
+            raise _CallerGoneError from None
+
     async def _read_body(self) -> bytes:
         body = bytearray()
         while True:
--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -178,7 +178,7 @@
         exchange = self._exchanges_by_number.get(number)
         if exchange is None or exchange.state is not EntryState.RESERVING:
             return []
-        return self._refuse(exchange, Reason.LINK_LOST, UNKNOWN, retry_after_ms)
+        return self._refuse(exchange, exchange.failure, UNKNOWN, retry_after_ms)
 
     def tick(self, now: int) -> list:
         """Do what is due."""
@@ -245,7 +245,7 @@
         """Try elsewhere if that does no harm; else wait for the link."""
         has_other = len(exchange.places) > 1
         if has_other and self._may_retry(exchange, Reason.LINK_LOST, UNKNOWN, now):
-            return self._retry(exchange, UNKNOWN, now)
+            return self._retry(exchange, Reason.LINK_LOST, UNKNOWN, now)
         exchange.state = EntryState.CUT_OFF
         grace_ends_at = now + self._settings.reconnect_grace_ms
         self._wake_at(exchange, min(exchange.cancel_at, grace_ends_at))
@@ -297,16 +297,17 @@
     ) -> list:
         """End one hand-over without an answer: try again, or refuse."""
         if self._may_retry(exchange, reason, ran, now):
-            return self._retry(exchange, ran, now)
+            return self._retry(exchange, reason, ran, now)
         return self._refuse(exchange, reason, ran, retry_after_ms)
 
-    def _retry(self, exchange: OpenRequest, ran: str, now: int) -> list:
+    def _retry(self, exchange: OpenRequest, reason: str, ran: str, now: int) -> list:
         """Go to the next place; a run after a possible one needs its own right."""
         self._forget_id(exchange)
         exchange.place_index += 1
         if ran == NOT_RUN:
             return self._hand_over(exchange, now)
         exchange.may_have_run = True
+        exchange.failure = reason
         exchange.state = EntryState.RESERVING
         self._wake_at(exchange, exchange.cancel_at)
         request = exchange.request
--- a/sequoiahook/decisions/exchange/open_request.py
+++ b/sequoiahook/decisions/exchange/open_request.py
@@ -68,6 +68,7 @@
         reservation: The reserved right; None between two rights.
         right_lapses_at: When the right ends.
         may_have_run: Whether an earlier hand-over may have run.
+        failure: Why that earlier hand-over has no answer.
         is_caller_gone: Whether nobody waits for the answer.
         timeout_at: When the caller is answered at the latest.
         cancel_at: When what is not sent yet is cancelled.
@@ -88,6 +89,7 @@
         self.reservation: int | None = request.reservation
         self.right_lapses_at = now + request.token_lease_ms
         self.may_have_run = False
+        self.failure = ""
         self.is_caller_gone = False
         self.timeout_at = now
         self.cancel_at = now
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -155,6 +155,7 @@
         answer = await busy_reader.read()
         assert b"x-path: /a" in answer
         assert b"connection: close" in answer.lower()
+        busy.close()
         await closing
 
     started = asyncio.Event()
@@ -185,6 +186,49 @@
     serve(use, note, FAST._replace(idle_timeout_ms=60_000))
 
 
+@pytest.mark.parametrize("bytes_come_first", [True, False])
+def test_request_that_comes_with_the_close_is_answered(bytes_come_first):
+    async def use(server):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        (connection,) = server._connections_by_id.values()
+        while connection._idle_timer is None:
+            await asyncio.sleep(0)
+        steps = [
+            lambda: connection._reader.feed_data(GET),
+            lambda: server.close_connection(1),
+        ]
+        for step in steps if bytes_come_first else reversed(steps):
+            step()
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    assert b"x-path: /a" in serve(use, settings=FAST._replace(idle_timeout_ms=60_000))
+
+
+def test_large_answer_is_whole_after_a_graceful_close():
+    body = b"z" * 3_000_000
+    started = asyncio.Event()
+
+    async def large(request):
+        started.set()
+        return CallerAnswer(200, (), body)
+
+    async def use(server):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await started.wait()
+        closing = asyncio.ensure_future(server.close_gracefully())
+        answer = await reader.read()
+        writer.close()
+        await closing
+        return answer
+
+    assert serve(use, large).endswith(b"\r\n\r\n" + body)
+
+
 def test_connections_over_the_limit_are_refused():
     async def use(server):
         opened = [
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -91,6 +91,14 @@
     assert exchanges.reserved(1, 78, 500, 6) == [Release(78)]
 
 
+def test_request_without_another_right_says_why_it_failed_and_unknown():
+    exchanges = entry()
+    send = hand_over(exchanges.admit(request(1, idempotent=True), ("a",), 0))
+    exchanges.received("a", outcome(send, "unknown", "no answer"), 5)
+    (refusal,) = exchanges.not_reserved(1, 0, 6)
+    assert (refusal.ran, refusal.cause) == ("unknown", "no answer")
+
+
 def test_retries_stay_within_the_budget():
     exchanges = entry(budget=RetryBudgetSettings(10, 0, 100))
     retried = 0
