Name each credit grant by its lender, so that no unit comes back

Cause: a longer run of the credit machine delivered an ask again after the lender had forgotten its lapsed grant; the second grant had another count but the same unit names, so a late repeat of a request could have been redeemed twice. Change: a grant has a number of its own, unique for the lender's incarnation. Conclusion: a unit is redeemed at most once, however late or often it arrives.

--- a/sequoiahook/decisions/placement/credit.py
+++ b/sequoiahook/decisions/placement/credit.py
@@ -2,21 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Credit", "GrantKey"]
-
-
-class GrantKey(NamedTuple):
-    """What names one grant on both sides.
-
-    Attributes:
-        borrower: Name of the instance that asked.
-        incarnation: Its incarnation.
-        ask_id: The id of its ask.
-    """
-
-    borrower: str
-    incarnation: int
-    ask_id: int
+__all__ = ["Credit"]
 
 
 class Credit(NamedTuple):
@@ -27,7 +13,7 @@
         data_centre: Data centre of the pool.
         lender: Instance that granted it, and that the request goes to.
         lender_incarnation: Incarnation of the lender.
-        grant: The grant that it belongs to.
+        grant_id: The grant that it belongs to.
         unit: Number of the unit in the grant, from 0.
     """
 
@@ -35,5 +21,5 @@
     data_centre: str
     lender: str
     lender_incarnation: int
-    grant: GrantKey
+    grant_id: int
     unit: int
--- a/sequoiahook/decisions/placement/holder.py
+++ b/sequoiahook/decisions/placement/holder.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.placement.credit import Credit, GrantKey
+from sequoiahook.decisions.placement.credit import Credit
 from sequoiahook.decisions.placement.settings import PlacementSettings
 from sequoiahook.messages.pools import CreditAsk, CreditGrant
 
@@ -97,9 +97,14 @@
         until = ask.asked_at + message.lease_ms
         if until <= now:
             return False
-        key = GrantKey(self._instance, self._incarnation, message.ask_id)
         units = [
-            Credit(*pool, message.lender, message.lender_incarnation, key, unit)
+            Credit(
+                *pool,
+                message.lender,
+                message.lender_incarnation,
+                message.grant_id,
+                unit,
+            )
             for unit in range(message.count)
         ]
         self._held_by_pool.setdefault(pool, []).append(_Held(units, until))
--- a/sequoiahook/decisions/placement/lender.py
+++ b/sequoiahook/decisions/placement/lender.py
@@ -3,16 +3,25 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.placement.credit import Credit, GrantKey
+from sequoiahook.decisions.placement.credit import Credit
 from sequoiahook.decisions.placement.settings import PlacementSettings
 from sequoiahook.messages.pools import CreditAsk, CreditGrant
 
 __all__ = ["CreditLender"]
 
 
+class _AskKey(NamedTuple):
+    """What names an ask."""
+
+    borrower: str
+    incarnation: int
+    ask_id: int
+
+
 class _Grant(NamedTuple):
     """Units lent and not yet redeemed, counted until a time."""
 
+    grant_id: int
     count: int
     units: set[int]
     until: int
@@ -45,7 +54,9 @@
         self._data_centre = data_centre
         self._instance = instance
         self._incarnation = incarnation
-        self._grants_by_key: dict[GrantKey, _Grant] = {}
+        self._grants_by_ask: dict[_AskKey, _Grant] = {}
+        self._grants_by_id: dict[int, _Grant] = {}
+        self._last_grant_id = 0
 
     def ask(
         self, message: CreditAsk, free_slots: int, capacity: int, now: int
@@ -61,12 +72,12 @@
         self.tick(now)
         if (message.service, message.data_centre) != (self._service, self._data_centre):
             return []
-        key = GrantKey(message.borrower, message.incarnation, message.ask_id)
-        grant = self._grants_by_key.get(key)
+        key = _AskKey(message.borrower, message.incarnation, message.ask_id)
+        grant = self._grants_by_ask.get(key)
         if grant is None:
             count = self._grant_count(message.wanted, free_slots, capacity)
             grant = self._lend(key, count, now)
-        return [Send(message.borrower, self._message(key, grant.count))]
+        return [Send(message.borrower, self._message(key, grant))]
 
     def redeem(self, credit: Credit, now: int) -> bool:
         """Take one unit back with the request that it came with.
@@ -81,7 +92,7 @@
             self._incarnation,
         ):
             return False
-        grant = self._grants_by_key.get(credit.grant)
+        grant = self._grants_by_id.get(credit.grant_id)
         if grant is None or credit.unit not in grant.units:
             return False
         grant.units.remove(credit.unit)
@@ -90,34 +101,37 @@
     def lent(self, now: int) -> int:
         """Return how many units may still arrive."""
         self.tick(now)
-        return sum(len(grant.units) for grant in self._grants_by_key.values())
+        return sum(len(grant.units) for grant in self._grants_by_id.values())
 
     def tick(self, now: int) -> None:
         """Forget the grants whose time has passed."""
-        lapsed = [k for k, grant in self._grants_by_key.items() if grant.until <= now]
+        lapsed = [k for k, grant in self._grants_by_ask.items() if grant.until <= now]
         for key in lapsed:
-            del self._grants_by_key[key]
+            grant = self._grants_by_ask.pop(key)
+            del self._grants_by_id[grant.grant_id]
 
     def next_wake(self) -> int | None:
         """Return when :meth:`tick` has something to do; None if never."""
-        return min((g.until for g in self._grants_by_key.values()), default=None)
+        return min((g.until for g in self._grants_by_id.values()), default=None)
 
     def _grant_count(self, wanted: int, free_slots: int, capacity: int) -> int:
-        lent = sum(len(grant.units) for grant in self._grants_by_key.values())
+        lent = sum(len(grant.units) for grant in self._grants_by_id.values())
         reserve = -(-capacity * self._settings.credit_reserve_percent // 100)
         lendable = free_slots - reserve - lent
         if lendable <= 0 or wanted <= 0:
             return 0
         return min(wanted, self._settings.credit_ask_max, max(1, lendable // 2))
 
-    def _lend(self, key: GrantKey, count: int, now: int) -> _Grant:
+    def _lend(self, key: _AskKey, count: int, now: int) -> _Grant:
         settings = self._settings
         until = now + settings.credit_lease_ms + settings.credit_margin_ms
-        grant = _Grant(count, set(range(count)), until)
-        self._grants_by_key[key] = grant
+        self._last_grant_id += 1
+        grant = _Grant(self._last_grant_id, count, set(range(count)), until)
+        self._grants_by_ask[key] = grant
+        self._grants_by_id[grant.grant_id] = grant
         return grant
 
-    def _message(self, key: GrantKey, count: int) -> CreditGrant:
+    def _message(self, key: _AskKey, grant: _Grant) -> CreditGrant:
         return CreditGrant(
             self._service,
             self._data_centre,
@@ -125,6 +139,7 @@
             self._incarnation,
             key.incarnation,
             key.ask_id,
-            count,
+            grant.grant_id,
+            grant.count,
             self._settings.credit_lease_ms,
         )
--- a/sequoiahook/messages/pools.py
+++ b/sequoiahook/messages/pools.py
@@ -84,6 +84,7 @@
         lender_incarnation: Incarnation of the lender.
         incarnation: Incarnation of the borrower, as in the ask.
         ask_id: As in the ask.
+        grant_id: Names the grant among all of this incarnation of the lender.
         count: How many requests may be sent; 0 refuses.
         lease_ms: How long the credit lives.
     """
@@ -94,6 +95,7 @@
     lender_incarnation: int
     incarnation: int
     ask_id: int
+    grant_id: int
     count: int
     lease_ms: int
 
--- a/tests/test_credit_machine.py
+++ b/tests/test_credit_machine.py
@@ -76,12 +76,15 @@
             self.messages.append(effect)
             grant = effect.body
             assert isinstance(grant, CreditGrant)
-            key = (ask.borrower, grant.incarnation, grant.ask_id)
+            key = grant.grant_id
             if key in self.granted:
-                assert self.granted[key][0] == grant.count
+                ask_key = (ask.borrower, ask.incarnation, ask.ask_id)
+                assert self.granted[key] == (grant.count, *self.granted[key][1:])
+                assert self.granted[key][2] == ask_key
                 continue
             before = self.outstanding()
-            self.granted[key] = (grant.count, self.now)
+            ask_key = (ask.borrower, ask.incarnation, ask.ask_id)
+            self.granted[key] = (grant.count, self.now, ask_key)
             if grant.count:
                 assert before + grant.count <= free_slots - RESERVE
             assert grant.count <= ask.wanted
@@ -89,9 +92,9 @@
     def outstanding(self):
         """Units that may still arrive: granted, within the lease, not redeemed."""
         total = 0
-        for key, (count, granted_at) in self.granted.items():
+        for key, (count, granted_at, _) in self.granted.items():
             if self.now - granted_at <= SETTINGS.credit_lease_ms:
-                used = [unit for unit in self.redeemed if unit[1:4] == key]
+                used = [unit for unit in self.redeemed if unit[1] == key]
                 mine = [unit for unit in used if unit[0] == self.lender_incarnation]
                 total += count - len(mine)
         return total
@@ -101,12 +104,12 @@
         credit = self.holders[name].spend(POOL, self.clock(name))
         if credit is None:
             return
-        unit = (credit.lender_incarnation, *credit.grant, credit.unit)
+        unit = (credit.lender_incarnation, credit.grant_id, credit.unit)
         assert unit not in self.spent, "a unit is spent twice"
         self.spent.add(unit)
         self.requests.append(credit)
         if credit.lender_incarnation == self.lender_incarnation:
-            count, granted_at = self.granted[tuple(credit.grant)]
+            count, granted_at, _ = self.granted[credit.grant_id]
             assert credit.unit < count
             assert self.now - granted_at <= SETTINGS.credit_lease_ms * 1.05
 
@@ -116,7 +119,7 @@
             return
         index = data.draw(st.integers(0, len(self.requests) - 1))
         credit = self.requests[index] if keep else self.requests.pop(index)
-        unit = (credit.lender_incarnation, *credit.grant, credit.unit)
+        unit = (credit.lender_incarnation, credit.grant_id, credit.unit)
         is_taken = self.lender.redeem(credit, self.now)
         if is_taken:
             assert unit not in self.redeemed, "a unit is redeemed twice"
