--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -80,6 +80,10 @@
         """Take the summary of a pool."""
         self._summaries.add(message, now)
 
+    def delay_ms(self, data_centre: str) -> int:
+        """Return the one-way delay to a data centre, in milliseconds."""
+        return self._delay_by_data_centre[data_centre]
+
     def owner_by_pool(self, now: int) -> dict[PoolKey, str]:
         """Return the owner of each pool, as the summaries tell."""
         return self._summaries.owner_by_pool(now)
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -19,7 +19,7 @@
 from sequoiahook.decisions.pool.runs import Run, Runs
 from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.target_set import TargetSet
-from sequoiahook.messages.pools import HandedRun, PoolHandover
+from sequoiahook.messages.pools import HandedRun, PoolHandover, PoolSummary
 from sequoiahook.world.instance import Address
 from sequoiahook.world.target import Target
 
@@ -223,6 +223,25 @@
         """Return how many requests the open targets may run together."""
         return self._targets.capacity(now)
 
+    def summary(
+        self, data_centre: str, owner: str, incarnation: int, sequence: int, now: int
+    ) -> PoolSummary:
+        """Return what other instances are told of the pool."""
+        wait_ms = self.wait_ms("", now)
+        return PoolSummary(
+            self.service_name,
+            data_centre,
+            owner,
+            incarnation,
+            sequence,
+            0,
+            self.free_slots(now),
+            self.capacity(now),
+            -1 if wait_ms is None else wait_ms,
+            self._targets.open_count(),
+            int(self._duration.mean_ms),
+        )
+
     def service_time_ms(self) -> float:
         """Return the estimate of how long a request runs."""
         return self._duration.mean_ms
