Tell other instances the whole wait of a pool, not that of a newcomer

Cause: the summary's wait was that of an organisation with nothing queued, which fair queueing lets go first; so a pool with a deep queue looked idle and nothing spilled. Ruled out: credit and link budgets, which were hardly asked. Change: the summary names the wait behind everything that is queued.

--- a/sequoiahook/decisions/pool/fair_queue.py
+++ b/sequoiahook/decisions/pool/fair_queue.py
@@ -147,6 +147,10 @@
             ahead_ms += min(flow.cost_ms, max(0.0, earlier_ms))
         return ahead_ms
 
+    def work_ms(self) -> float:
+        """Return the slot time of everything that is queued."""
+        return sum(flow.cost_ms for flow in self._flows.values())
+
     def _flow(self, organisation: str) -> _Flow:
         flow = self._flows.get(organisation)
         if flow is None:
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -227,7 +227,7 @@
         self, data_centre: str, owner: str, incarnation: int, sequence: int, now: int
     ) -> PoolSummary:
         """Return what other instances are told of the pool."""
-        wait_ms = self.wait_ms("", now)
+        wait_ms = self._wait_ms(self._queue.work_ms(), now)
         return PoolSummary(
             self.service_name,
             data_centre,
@@ -248,13 +248,16 @@
 
     def wait_ms(self, organisation: str, now: int) -> int | None:
         """Return how long a new request would wait; None if no target is open."""
+        return self._wait_ms(self._queue.work_ahead_ms(organisation), now)
+
+    def _wait_ms(self, work_ahead_ms: float, now: int) -> int | None:
         opens_at = self._opens_at(now)
         if opens_at is None:
             return None
         if not len(self._queue) and self.free_slots(now):
             return 0
         capacity = max(1, self._targets.capacity(max(now, opens_at)))
-        work_ms = self._queue.work_ahead_ms(organisation) + self._duration.mean_ms
+        work_ms = work_ahead_ms + self._duration.mean_ms
         return opens_at - now + int(work_ms / capacity)
 
     def _opens_at(self, now: int) -> int | None:
