Let the pool's owner send work on at once, and keep credit from being hoarded

Cause: under uneven demand the own queue stayed deep while neighbours were half idle: the entry decided on summaries 100 ms old, asks named only the wants of the last 5 ms, and instances with little need held most of the credit for 1.5 s. Ruled out: link budgets (a quarter of the link left).

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -54,7 +54,12 @@
         self.carry_out(self.pool.configure(targets, warm_up_ms, self.world.engine.now))
 
     def submit(
-        self, request: Request, deadline_at: int, credit: Credit | None, done
+        self,
+        request: Request,
+        deadline_at: int,
+        credit: Credit | None,
+        wait_limit_ms: int | None,
+        done,
     ) -> None:
         now = self.world.engine.now
         if credit is not None and not self.lender.redeem(credit, now):
@@ -62,7 +67,9 @@
             return
         self.waiting[request.number] = (request, done)
         self.carry_out(
-            self.pool.submit(request.number, request.organisation, deadline_at, now)
+            self.pool.submit(
+                request.number, request.organisation, deadline_at, now, wait_limit_ms
+            )
         )
 
     def carry_out(self, effects: list) -> None:
@@ -160,24 +167,27 @@
         if not self.world.rights[request.organisation].spend(self.world.engine.now):
             answer(request, "refused")
             return
-        self._place(self.entries[instance], request, answer, is_first=True)
+        self._place(self.entries[instance], request, answer)
 
-    def _place(self, entry: _Entry, request: Request, answer, is_first: bool) -> None:
+    def _place(self, entry: _Entry, request: Request, answer) -> None:
         now = self.world.engine.now
         deadline_at = request.sent_at + request.load.deadline_ms
         deadline_at -= self.world.size.caller_ms
         places = entry.placement.choose(
             request.load.service, deadline_at - now, entry.holder, now
         )
-        for place in places:
-            if place.data_centre == entry.data_centre and not is_first:
-                continue
-            if self._send(entry, place, request, deadline_at, answer):
+        self._try(entry, places, request, deadline_at, answer)
+
+    def _try(self, entry: _Entry, places: list, request, deadline_at: int, answer):
+        places = [*places]
+        while places:
+            place = places.pop(0)
+            if self._send(entry, place, places, request, deadline_at, answer):
                 return
         answer(request, "refused")
 
     def _send(
-        self, entry: _Entry, place: Place, request: Request, deadline_at: int, answer
+        self, entry: _Entry, place: Place, rest: list, request, deadline_at: int, answer
     ) -> bool:
         key = PoolKey(request.load.service, place.data_centre)
         now = self.world.engine.now
@@ -198,7 +208,7 @@
             if fate != "refused":
                 answer(request, fate)
                 return
-            self._place(entry, request, answer, is_first=place.needs_credit)
+            self._try(entry, rest, request, deadline_at, answer)
 
         self._transfer(
             entry,
@@ -208,6 +218,7 @@
             request,
             deadline_at - back_ms,
             credit,
+            place.wait_limit_ms,
             ended,
         )
         return True
--- a/sequoiahook/decisions/placement/holder.py
+++ b/sequoiahook/decisions/placement/holder.py
@@ -74,12 +74,14 @@
             now: The time.
         """
         self._forget_lapsed(now)
-        wanted_by_pool = self._wanted_by_pool
-        self._wanted_by_pool = {}
         effects = []
-        for pool, wanted in wanted_by_pool.items():
+        for pool in [*self._wanted_by_pool]:
             owner = owner_by_pool.get(pool)
-            if owner is not None and self._may_ask(pool, now):
+            if owner is not None and not self._may_ask(pool, now):
+                continue
+            wanted = self._wanted_by_pool.pop(pool) + self._settings.credit_ahead
+            wanted -= self.count(pool, now)
+            if owner is not None and wanted > 0:
                 effects.append(self._ask(pool, owner, wanted, now))
         return effects
 
--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -22,11 +22,14 @@
         shift_name: The planned shift whose cap must be reserved first; None if the
             request does not move by a plan.
         needs_credit: Whether a unit of credit must be spent first.
+        wait_limit_ms: The pool's owner refuses the request if it would wait longer,
+            because the next place is better then; None if it takes any wait.
     """
 
     data_centre: str
     shift_name: str | None
     needs_credit: bool
+    wait_limit_ms: int | None = None
 
 
 class LinkRoom(Protocol):
@@ -107,12 +110,16 @@
             holder: Credit of this instance.
             now: The time.
         """
-        own = Place(self._data_centre, None, False)
-        own_ms = self._cost_ms(service_name, self._data_centre, now)
-        places = self._spill(service_name, own_ms, deadline_left_ms, holder, now)
-        ordered = [place for cost_ms, place in places if cost_ms < own_ms]
         planned = self._planned(service_name, holder, now)
-        return [*planned, *ordered, own]
+        spill = self._spill(service_name, deadline_left_ms, holder, now)
+        own = Place(self._data_centre, None, False)
+        if not spill:
+            return [*planned, own]
+        others = [place for _, place in spill]
+        limit_ms = int(spill[0][0]) + self._settings.spill_gain_ms
+        if self._cost_ms(service_name, self._data_centre, now) > limit_ms:
+            return [*planned, *others, own]
+        return [*planned, own._replace(wait_limit_ms=limit_ms), *others, own]
 
     def _planned(
         self, service_name: str, holder: CreditHolder, now: int
@@ -130,24 +137,18 @@
         return places
 
     def _spill(
-        self,
-        service_name: str,
-        own_ms: float,
-        deadline_left_ms: int,
-        holder: CreditHolder,
-        now: int,
+        self, service_name: str, deadline_left_ms: int, holder: CreditHolder, now: int
     ) -> list[tuple[float, Place]]:
+        own = PoolKey(service_name, self._data_centre)
+        if not self._summaries.is_scarce(own, self._settings.prefetch_percent, now):
+            return []
         places = []
         for data_centre in self._delay_by_data_centre:
             if data_centre == self._data_centre:
                 continue
             cost_ms = self._cost_ms(service_name, data_centre, now)
-            service_ms = self._summaries.service_time_ms(
-                PoolKey(service_name, data_centre), now
-            )
-            gain_ms = own_ms - cost_ms
-            if gain_ms < self._settings.spill_gain_ms:
-                continue
+            pool = PoolKey(service_name, data_centre)
+            service_ms = self._summaries.service_time_ms(pool, now)
             if cost_ms + service_ms >= deadline_left_ms:
                 continue
             if self._may_send(service_name, data_centre, holder, now):
--- a/sequoiahook/decisions/placement/summaries.py
+++ b/sequoiahook/decisions/placement/summaries.py
@@ -40,6 +40,13 @@
             return None
         return float("inf") if summary.wait_ms < 0 else summary.wait_ms
 
+    def is_scarce(self, pool: PoolKey, percent: int, now: int) -> bool:
+        """Return whether less than a part of a pool's slots is free."""
+        summary = self._fresh(pool, now)
+        if summary is None:
+            return False
+        return summary.free_slots * 100 < summary.capacity * percent
+
     def service_time_ms(self, pool: PoolKey, now: int) -> int:
         """Return how long requests run in a pool; 0 if it is not known."""
         summary = self._fresh(pool, now)
--- a/sequoiahook/decisions/pool/effects.py
+++ b/sequoiahook/decisions/pool/effects.py
@@ -13,6 +13,7 @@
     QUEUE_FULL = "queue-full"
     NO_TARGET = "no-target"
     MOVED = "moved"
+    BUSY = "busy"
 
 
 class Start(NamedTuple):
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -154,7 +154,12 @@
         )
 
     def submit(
-        self, request_id: Hashable, organisation: str, deadline_at: int, now: int
+        self,
+        request_id: Hashable,
+        organisation: str,
+        deadline_at: int,
+        now: int,
+        wait_limit_ms: int | None = None,
     ) -> list[PoolEffect]:
         """Take a request: it is started, queued, or refused at once.
 
@@ -165,11 +170,15 @@
             organisation: Whose slot time it takes.
             deadline_at: When its caller stops waiting.
             now: The time.
+            wait_limit_ms: Refuse the request as busy if it would wait longer, since
+                there is a better place then; None if there is no other.
         """
         effects = self._advance(now)
         if request_id in self._queue or request_id in self._runs:
             return effects
         refusal = self._refusal(request_id, organisation, deadline_at, now)
+        if refusal is None and wait_limit_ms is not None:
+            refusal = self._busy(request_id, organisation, wait_limit_ms, now)
         if refusal is not None:
             return [*effects, refusal]
         cost_ms = self._cost_ms(organisation)
@@ -288,6 +297,14 @@
             return self._refuse(request_id, RefuseReason.QUEUE_FULL, wait_ms)
         return None
 
+    def _busy(
+        self, request_id: Hashable, organisation: str, wait_limit_ms: int, now: int
+    ) -> Refuse | None:
+        wait_ms = self.wait_ms(organisation, now)
+        if wait_ms is None or wait_ms <= wait_limit_ms:
+            return None
+        return self._refuse(request_id, RefuseReason.BUSY, wait_ms)
+
     def _refuse(self, request_id: Hashable, reason: str, wait_ms: int) -> Refuse:
         wait_ms = max(wait_ms, self._settings.retry_after_min_ms)
         return Refuse(request_id, reason, wait_ms)
