--- a/bench/engine.py
+++ b/bench/engine.py
@@ -12,26 +12,28 @@
 
 
 class Engine:
-    """Runs calls in order of their virtual time."""
+    """Runs calls in order of their virtual time, which is shown in whole ms."""
 
     def __init__(self):
         self.now = 0
+        self._time_ms = 0.0
         self._calls: list[tuple] = []
         self._numbers = count()
 
     def at(self, time_ms: float, call: Callable, *args: object) -> None:
         """Run a call at a time, or now if that has passed."""
-        due = max(self.now, round(time_ms))
+        due = max(self._time_ms, time_ms)
         heapq.heappush(self._calls, (due, next(self._numbers), call, args))
 
     def after(self, duration_ms: float, call: Callable, *args: object) -> None:
         """Run a call after a duration."""
-        self.at(self.now + duration_ms, call, *args)
+        self.at(self._time_ms + duration_ms, call, *args)
 
     def run(self, until: int) -> None:
         """Run everything that is due before a time."""
         while self._calls and self._calls[0][0] < until:
-            self.now, _, call, args = heapq.heappop(self._calls)
+            self._time_ms, _, call, args = heapq.heappop(self._calls)
+            self.now = int(self._time_ms)
             call(*args)
         self.now = until
 
--- a/sequoiahook/decisions/placement/settings.py
+++ b/sequoiahook/decisions/placement/settings.py
@@ -17,7 +17,7 @@
         credit_margin_ms: The lender counts credit for this much longer, for the way of
             requests and the drift of clocks.
         credit_reserve_percent: Part of a pool's slots that is never lent.
-        credit_ahead: Units that are asked for beyond what was wanted since the last ask.
+        credit_ahead: Units that are asked for beyond those wanted since the last ask.
         credit_ask_max: Most units in one ask.
         credit_ask_timeout_ms: An ask without answer counts as lost after this.
         credit_refused_ms: Pause after an ask was refused.
