--- a/tests/test_credit_machine.py
+++ b/tests/test_credit_machine.py
@@ -153,7 +153,7 @@
 
 def test_credit_flows_when_nothing_is_lost():
     lender = CreditLender(SETTINGS, *POOL, "b", 1)
-    holder = CreditHolder(SETTINGS, "a1", 1)
+    holder = CreditHolder(SETTINGS._replace(credit_ahead=0), "a1", 1)
     holder.want(POOL, 5)
     (ask,) = holder.tick({POOL: "b"}, 0)
     (grant,) = lender.ask(ask.body, CAPACITY, CAPACITY, 7)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,36 +1,135 @@
 import random
+from itertools import pairwise
 
-from sequoiahook.decisions.pool import Pool, PoolSettings, Refuse, Start, TargetReport
+from sequoiahook.decisions.pool import (
+    Pool,
+    PoolSettings,
+    Refuse,
+    RefuseReason,
+    Start,
+    TargetReport,
+)
+from sequoiahook.decisions.pool.shares import shares
+from sequoiahook.world.contract import Contract
 from sequoiahook.world.target import Target
 
+OK = TargetReport(True, False, 50, False)
+FAULT = TargetReport(False, True, 2, False)
 
-def target(name, slots=2, state="active", port=None):
+
+def target(name, slots=2, state="active", port=None, service="register"):
     port = port or 1000 + int(name[1:])
-    return Target(name, "register", "dc1", "127.0.0.1", port, slots, state)
+    return Target(name, service, "dc1", "127.0.0.1", port, slots, state)
 
 
-def pool(*targets, warm_up_ms=0):
-    subject = Pool(PoolSettings(), "register", random.Random(1))
+def pool(*targets, warm_up_ms=0, settings=None):
+    subject = Pool(settings or PoolSettings(), "register", random.Random(1))
     subject.configure(targets, warm_up_ms, 0)
     return subject
 
 
-def test_request_starts_at_once_on_a_free_slot():
-    subject = pool(target("t1"))
-    assert subject.submit("a", "x", 5_000, 0) == [Start("a", "t1")]
-
-
 def test_request_that_cannot_be_in_time_is_refused_at_once():
     subject = pool(target("t1", slots=1))
-    subject.submit("a", "x", 5_000, 0)
+    assert subject.submit("a", "x", 5_000, 0) == [Start("a", "t1")]
     (effect,) = subject.submit("b", "x", 60, 0)
-    assert isinstance(effect, Refuse)
+    assert (effect.request_id, effect.reason) == ("b", RefuseReason.DEADLINE)
     assert effect.retry_after_ms > 0
 
 
-def test_finish_starts_the_next():
+def test_blocked_pool_refuses_at_once_and_says_when_it_opens():
+    subject = Pool(PoolSettings(), "register", random.Random(1))
+    subject.take_over(0, 3_000)
+    subject.configure([target("t1")], 0, 0)
+    (effect,) = subject.submit("a", "x", 2_000, 0)
+    assert isinstance(effect, Refuse)
+    assert 1_000 <= effect.retry_after_ms <= 1_200
+    assert subject.submit("b", "x", 5_000, 0) == []
+    assert subject.next_wake(0) == 3_000
+    assert subject.tick(3_000) == [Start("b", "t1")]
+
+
+def test_busy_is_said_only_beyond_the_wait_limit():
+    subject = pool(target("t1", slots=1))
+    assert subject.submit("a", "x", 5_000, 0, 0) == [Start("a", "t1")]
+    (effect,) = subject.submit("b", "x", 5_000, 0, 10)
+    assert effect.reason == RefuseReason.BUSY
+    assert subject.submit("b", "x", 5_000, 0, 100) == []
+
+
+def test_everything_queued_is_refused_when_no_target_is_left():
     subject = pool(target("t1", slots=1))
     subject.submit("a", "x", 5_000, 0)
+    subject.submit("b", "x", 5_000, 0)
+    (effect,) = subject.set_leaving(["t1"], 1)
+    assert (effect.request_id, effect.reason) == ("b", RefuseReason.NO_TARGET)
+
+
+def test_target_that_fails_fast_gets_less_and_is_suspended_longer_each_time():
+    subject = pool(target("t1", slots=4), target("t2", slots=4))
+    now = faults = 0
+    suspended_at = []
+    for number in range(2_000):
+        now += 10
+        (start,) = subject.submit(number, "x", now + 5_000, now)
+        if start.target_name == "t1":
+            faults += 1
+            suspended_at.append(now)
+            subject.finish(number, FAULT, now + 2)
+        else:
+            subject.finish(number, OK, now + 9)
+    assert faults <= 10, "20 seconds of a sound choice between two targets"
+    gaps = [b - a for a, b in pairwise(suspended_at[3:])]
+    assert gaps == sorted(gaps)
+
+
+def test_target_recovers_by_one_request_after_its_suspension():
+    subject = pool(target("t1", slots=4))
+    for number in range(3):
+        subject.submit(number, "x", 5_000, 0)
+        subject.finish(number, FAULT, 0)
+    assert subject.submit("a", "x", 5_000, 0) == []
+    assert subject.next_wake(0) == 500
     assert subject.submit("b", "x", 5_000, 0) == []
-    report = TargetReport(True, False, 10, False)
-    assert subject.finish("a", report, 10) == [Start("b", "t1")]
+    assert subject.tick(500) == [Start("a", "t1")]
+    assert len(subject.finish("a", OK, 550)) == 1
+    assert subject.capacity(550) == 2
+
+
+def test_added_target_warms_up_over_time():
+    subject = pool(target("t1", slots=4))
+    subject.configure([target("t1", slots=4), target("t2", slots=4)], 900, 0)
+    assert [subject.capacity(now) - 4 for now in (0, 300, 600, 900)] == [1, 2, 3, 4]
+
+
+def test_names_and_addresses_that_come_twice_count_once():
+    subject = pool(
+        target("t1", slots=4),
+        target("t1", slots=2),
+        target("t2", slots=3, port=1001),
+        target("t3", slots=9, service="archive"),
+    )
+    assert subject.capacity(0) == 2
+
+
+def test_load_reports_only_lower_a_target():
+    subject = pool(target("t1"), target("t2"))
+    subject.report_load("t1", -1_000, 0)
+    subject.report_load("t2", 100, 0)
+    starts = [subject.submit(n, "x", 5_000, 0)[0].target_name for n in range(4)]
+    assert starts == ["t1", "t1", "t2", "t2"]
+    assert subject.submit(4, "x", 5_000, 0) == []
+
+
+def test_flood_of_one_organisation_leaves_the_others_next():
+    subject = pool(target("t1", slots=2))
+    contracts = {"flood": Contract(100, 10), "small": Contract(25, 10)}
+    subject.set_shares(shares(contracts))
+    for number in range(100):
+        subject.submit(number, "flood", 60_000, 0)
+    for number in range(100, 104):
+        subject.submit(number, "small", 60_000, 0)
+    order = []
+    for _ in range(13):
+        running = next(iter(subject._runs)).request_id
+        order += [e.request_id >= 100 for e in subject.finish(running, OK, 50)]
+    assert sum(order) == 4, "a third of the starts, and not behind the flood"
