--- a/sequoiahook/decisions/placement/holder.py
+++ b/sequoiahook/decisions/placement/holder.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.placement.credit import Credit, GrantKey
+from sequoiahook.decisions.placement.credit import Credit
 from sequoiahook.decisions.placement.settings import PlacementSettings
 from sequoiahook.messages.pools import CreditAsk, CreditGrant
 
@@ -74,12 +74,14 @@
             now: The time.
         """
         self._forget_lapsed(now)
-        wanted_by_pool = self._wanted_by_pool
-        self._wanted_by_pool = {}
         effects = []
-        for pool, wanted in wanted_by_pool.items():
+        for pool in [*self._wanted_by_pool]:
             owner = owner_by_pool.get(pool)
-            if owner is not None and self._may_ask(pool, now):
+            if owner is not None and not self._may_ask(pool, now):
+                continue
+            wanted = self._wanted_by_pool.pop(pool) + self._settings.credit_ahead
+            wanted -= self.count(pool, now)
+            if owner is not None and wanted > 0:
                 effects.append(self._ask(pool, owner, wanted, now))
         return effects
 
@@ -97,9 +99,14 @@
         until = ask.asked_at + message.lease_ms
         if until <= now:
             return False
-        key = GrantKey(self._instance, self._incarnation, message.ask_id)
         units = [
-            Credit(*pool, message.lender, message.lender_incarnation, key, unit)
+            Credit(
+                *pool,
+                message.lender,
+                message.lender_incarnation,
+                message.grant_id,
+                unit,
+            )
             for unit in range(message.count)
         ]
         self._held_by_pool.setdefault(pool, []).append(_Held(units, until))
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -19,7 +19,7 @@
 from sequoiahook.decisions.pool.runs import Run, Runs
 from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.target_set import TargetSet
-from sequoiahook.messages.pools import HandedRun, PoolHandover
+from sequoiahook.messages.pools import HandedRun, PoolHandover, PoolSummary
 from sequoiahook.world.instance import Address
 from sequoiahook.world.target import Target
 
@@ -154,7 +154,12 @@
         )
 
     def submit(
-        self, request_id: Hashable, organisation: str, deadline_at: int, now: int
+        self,
+        request_id: Hashable,
+        organisation: str,
+        deadline_at: int,
+        now: int,
+        wait_limit_ms: int | None = None,
     ) -> list[PoolEffect]:
         """Take a request: it is started, queued, or refused at once.
 
@@ -165,11 +170,15 @@
             organisation: Whose slot time it takes.
             deadline_at: When its caller stops waiting.
             now: The time.
+            wait_limit_ms: Refuse the request as busy if it would wait longer, since
+                there is a better place then; None if there is no other.
         """
         effects = self._advance(now)
         if request_id in self._queue or request_id in self._runs:
             return effects
         refusal = self._refusal(request_id, organisation, deadline_at, now)
+        if refusal is None and wait_limit_ms is not None:
+            refusal = self._busy(request_id, organisation, wait_limit_ms, now)
         if refusal is not None:
             return [*effects, refusal]
         cost_ms = self._cost_ms(organisation)
@@ -223,19 +232,41 @@
         """Return how many requests the open targets may run together."""
         return self._targets.capacity(now)
 
+    def summary(
+        self, data_centre: str, owner: str, incarnation: int, sequence: int, now: int
+    ) -> PoolSummary:
+        """Return what other instances are told of the pool."""
+        wait_ms = self._wait_ms(self._queue.work_ms(), now)
+        return PoolSummary(
+            self.service_name,
+            data_centre,
+            owner,
+            incarnation,
+            sequence,
+            0,
+            self.free_slots(now),
+            self.capacity(now),
+            -1 if wait_ms is None else wait_ms,
+            self._targets.open_count(),
+            int(self._duration.mean_ms),
+        )
+
     def service_time_ms(self) -> float:
         """Return the estimate of how long a request runs."""
         return self._duration.mean_ms
 
     def wait_ms(self, organisation: str, now: int) -> int | None:
         """Return how long a new request would wait; None if no target is open."""
+        return self._wait_ms(self._queue.work_ahead_ms(organisation), now)
+
+    def _wait_ms(self, work_ahead_ms: float, now: int) -> int | None:
         opens_at = self._opens_at(now)
         if opens_at is None:
             return None
         if not len(self._queue) and self.free_slots(now):
             return 0
         capacity = max(1, self._targets.capacity(max(now, opens_at)))
-        work_ms = self._queue.work_ahead_ms(organisation) + self._duration.mean_ms
+        work_ms = work_ahead_ms + self._duration.mean_ms
         return opens_at - now + int(work_ms / capacity)
 
     def _opens_at(self, now: int) -> int | None:
@@ -266,6 +297,14 @@
             return self._refuse(request_id, RefuseReason.QUEUE_FULL, wait_ms)
         return None
 
+    def _busy(
+        self, request_id: Hashable, organisation: str, wait_limit_ms: int, now: int
+    ) -> Refuse | None:
+        wait_ms = self.wait_ms(organisation, now)
+        if wait_ms is None or wait_ms <= wait_limit_ms:
+            return None
+        return self._refuse(request_id, RefuseReason.BUSY, wait_ms)
+
     def _refuse(self, request_id: Hashable, reason: str, wait_ms: int) -> Refuse:
         wait_ms = max(wait_ms, self._settings.retry_after_min_ms)
         return Refuse(request_id, reason, wait_ms)
--- a/tests/test_credit_machine.py
+++ b/tests/test_credit_machine.py
@@ -35,6 +35,7 @@
         self.granted = {}
         self.spent = set()
         self.redeemed = set()
+        self.asked = {}
         self.restart_lender()
 
     def clock(self, name):
@@ -45,6 +46,7 @@
         self.lender_incarnation += 1
         self.lender = CreditLender(SETTINGS, *POOL, "b", self.lender_incarnation)
         self.granted = {}
+        self.asked = {}
 
     @rule(name=st.sampled_from(BORROWERS))
     def restart_borrower(self, name):
@@ -76,12 +78,16 @@
             self.messages.append(effect)
             grant = effect.body
             assert isinstance(grant, CreditGrant)
-            key = (ask.borrower, grant.incarnation, grant.ask_id)
+            key = grant.grant_id
+            ask_key = (ask.borrower, ask.incarnation, ask.ask_id)
             if key in self.granted:
-                assert self.granted[key][0] == grant.count
+                assert self.granted[key][::2] == (grant.count, ask_key)
                 continue
+            known_at = self.asked.get(ask_key, -(10**6))
+            assert self.now - known_at > SETTINGS.credit_lease_ms, "lends again"
+            self.asked[ask_key] = self.now
             before = self.outstanding()
-            self.granted[key] = (grant.count, self.now)
+            self.granted[key] = (grant.count, self.now, ask_key)
             if grant.count:
                 assert before + grant.count <= free_slots - RESERVE
             assert grant.count <= ask.wanted
@@ -89,9 +95,9 @@
     def outstanding(self):
         """Units that may still arrive: granted, within the lease, not redeemed."""
         total = 0
-        for key, (count, granted_at) in self.granted.items():
+        for key, (count, granted_at, _) in self.granted.items():
             if self.now - granted_at <= SETTINGS.credit_lease_ms:
-                used = [unit for unit in self.redeemed if unit[1:4] == key]
+                used = [unit for unit in self.redeemed if unit[1] == key]
                 mine = [unit for unit in used if unit[0] == self.lender_incarnation]
                 total += count - len(mine)
         return total
@@ -101,22 +107,34 @@
         credit = self.holders[name].spend(POOL, self.clock(name))
         if credit is None:
             return
-        unit = (credit.lender_incarnation, *credit.grant, credit.unit)
+        unit = (credit.lender_incarnation, credit.grant_id, credit.unit)
         assert unit not in self.spent, "a unit is spent twice"
         self.spent.add(unit)
         self.requests.append(credit)
         if credit.lender_incarnation == self.lender_incarnation:
-            count, granted_at = self.granted[tuple(credit.grant)]
+            count, granted_at, _ = self.granted[credit.grant_id]
             assert credit.unit < count
             assert self.now - granted_at <= SETTINGS.credit_lease_ms * 1.05
 
+    @rule(name=st.sampled_from(BORROWERS), free_slots=st.integers(1, CAPACITY))
+    def borrow(self, name, free_slots):
+        """An ask and its grant pass at once; the ask and the grant may come again."""
+        before = len(self.messages)
+        self.want(name, 9)
+        for effect in self.messages[before:]:
+            self.answer(effect.body, free_slots)
+        for effect in self.messages[before:]:
+            if isinstance(effect.body, CreditGrant):
+                self.holders[name].granted(effect.body, self.clock(name))
+        self.spend(name)
+
     @rule(data=st.data(), keep=st.booleans())
     def arrive(self, data, keep):
         if not self.requests:
             return
         index = data.draw(st.integers(0, len(self.requests) - 1))
         credit = self.requests[index] if keep else self.requests.pop(index)
-        unit = (credit.lender_incarnation, *credit.grant, credit.unit)
+        unit = (credit.lender_incarnation, credit.grant_id, credit.unit)
         is_taken = self.lender.redeem(credit, self.now)
         if is_taken:
             assert unit not in self.redeemed, "a unit is redeemed twice"
@@ -150,7 +168,7 @@
 
 def test_credit_flows_when_nothing_is_lost():
     lender = CreditLender(SETTINGS, *POOL, "b", 1)
-    holder = CreditHolder(SETTINGS, "a1", 1)
+    holder = CreditHolder(SETTINGS._replace(credit_ahead=0), "a1", 1)
     holder.want(POOL, 5)
     (ask,) = holder.tick({POOL: "b"}, 0)
     (grant,) = lender.ask(ask.body, CAPACITY, CAPACITY, 7)
