Settle view by view, and compute the wanted view from the one just read

Cause: the membership machine saw the view of a data centre change 45 times in a minute: the proposer compared the object with members wanted from its older view, and so added and removed a leaving instance in turn. Nobody settled under such changes. Change: the wanted view is computed after the read; each view settles on its own, so that views that follow each other fast do not start the wait again. The table's part length is gone: no built table needs it (a break of the check was not seen by tests).

--- a/sequoiahook/decisions/lookup/building.py
+++ b/sequoiahook/decisions/lookup/building.py
@@ -137,7 +137,7 @@
         lengths.insert(0, OPEN_LENGTH)
         values.insert(0, reaching)
     if starts:
-        yield make_piece(bits, base, length, starts, lengths, values)
+        yield make_piece(bits, base, starts, lengths, values)
 
 
 def _value_reaching(entries: _Entries, bits: int, base: int, low: int) -> int:
--- a/sequoiahook/decisions/lookup/pieces.py
+++ b/sequoiahook/decisions/lookup/pieces.py
@@ -36,7 +36,7 @@
 OPEN_LENGTH = 0xFF
 """Length of an entry that reaches to the next one."""
 
-_HEADER = struct.Struct("<4sBBBBIQ")
+_HEADER = struct.Struct("<4sBBBxIQ")
 _MAGIC = b"SQB1"
 _CODE_BY_SIZE = {array(code).itemsize: code for code in "BHILQ"}
 _BYTE_ORDER_IS_LITTLE = sys.byteorder == "little"
@@ -51,7 +51,6 @@
     Attributes:
         bits: Bits of an address, IPV4_BITS or IPV6_BITS.
         base: First address of the part.
-        part_length: Length of the part's own prefix in bits.
         shift: Trailing zero bits that all offsets share.
         offsets: Where each entry starts; sorted.
         lengths: Prefix length of each entry, or OPEN_LENGTH.
@@ -60,7 +59,6 @@
 
     bits: int
     base: int
-    part_length: int
     shift: int
     offsets: array
     lengths: array
@@ -69,8 +67,6 @@
     def find(self, address: int) -> int:
         """Return the value at an address from the base on; NO_VALUE for none."""
         offset = address - self.base
-        if offset >> (self.bits - self.part_length):
-            return NO_VALUE
         index = bisect_right(self.offsets, offset >> self.shift) - 1
         if index < 0:
             return NO_VALUE
@@ -83,12 +79,7 @@
 
 
 def make_piece(
-    bits: int,
-    base: int,
-    part_length: int,
-    starts: array,
-    lengths: array,
-    values: array,
+    bits: int, base: int, starts: array, lengths: array, values: array
 ) -> Piece:
     """Make a piece with the smallest offsets that hold its entries."""
     union = 0
@@ -97,7 +88,7 @@
     shift = (union & -union).bit_length() - 1 if union else 0
     code = _CODE_BY_SIZE[8] if union >> shift >> 32 else _CODE_BY_SIZE[4]
     offsets = array(code, ((start - base) >> shift for start in starts))
-    return Piece(bits, base, part_length, shift, offsets, lengths, values)
+    return Piece(bits, base, shift, offsets, lengths, values)
 
 
 def encode_piece(piece: Piece) -> bytes:
@@ -105,7 +96,6 @@
     header = _HEADER.pack(
         _MAGIC,
         piece.bits,
-        piece.part_length,
         piece.shift,
         piece.offsets.itemsize,
         len(piece.offsets),
@@ -123,11 +113,11 @@
     """
     if len(data) < _HEADER.size:
         raise _malformed("is too short")
-    magic, bits, part_length, shift, size, count, base = _HEADER.unpack_from(data)
+    magic, bits, shift, size, count, base = _HEADER.unpack_from(data)
     if magic != _MAGIC or bits not in (IPV4_BITS, IPV6_BITS) or size not in (4, 8):
         raise _malformed("has an unknown format")
-    if part_length > bits or shift > bits:
-        raise _malformed("has an impossible prefix")
+    if shift > bits:
+        raise _malformed("has an impossible shift")
     if len(data) != _HEADER.size + count * (size + 3):
         raise _malformed("has a wrong length")
     at = _HEADER.size
@@ -137,7 +127,7 @@
         column.frombytes(data[at : at + count * item_size])
         columns.append(_little(column))
         at += count * item_size
-    return Piece(bits, base, part_length, shift, *columns)
+    return Piece(bits, base, shift, *columns)
 
 
 def piece_name(data: bytes) -> str:
--- a/sequoiahook/decisions/membership/agreement.py
+++ b/sequoiahook/decisions/membership/agreement.py
@@ -44,8 +44,8 @@
         self._presence = presence
         self._started_at = now
         self._views = ViewReplica(settings, me.data_centre, rng)
-        self._tenure = Tenure(me.name, settings.takeover_ms, now)
-        self._tenure.start_term(presence.peers.probe, now)
+        probe = presence.peers.probe
+        self._tenure = Tenure(me.name, settings.takeover_ms, probe, now)
         self._unknown_since_by_name: dict[str, int] = {}
 
     @property
@@ -91,11 +91,14 @@
         self, version: int, value: bytes | None, live: Collection[str], now: int
     ) -> list:
         """Take in the platform's object, and change it if that is called for."""
-        wanted = self._wanted(now) if self._is_proposer(live, now) else None
+        is_proposer = self._is_proposer(live, now)
         calls: list = []
 
         def read() -> None:
-            calls.extend(self._views.object_read(version, value, wanted, now))
+            found = self._views.object_read(value, now)
+            if is_proposer:
+                wanted = self._wanted(now)
+                calls.extend(self._views.propose(found, version, wanted, now))
 
         return self._change(read, now) + calls
 
@@ -135,8 +138,8 @@
         view = self.view
         if view == before:
             return []
-        self._note_unknown(now)
         self._tenure.change_view(view, absent)
+        self._note_unknown(now)
         return [
             ViewChanged(view),
             *(
@@ -150,7 +153,7 @@
         before = self._unknown_since_by_name
         self._unknown_since_by_name = {
             name: before.get(name, now)
-            for name in self.view.instances
+            for name in self._tenure.names
             if self._presence.peer(name) is None
         }
 
--- a/sequoiahook/decisions/membership/fleet.py
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -13,6 +13,7 @@
 from sequoiahook.messages.membership import (
     LIVE,
     Member,
+    Roster,
     RosterChange,
     RosterSnapshot,
 )
@@ -119,7 +120,10 @@
     def apply_change(self, name: str, change: RosterChange) -> bool:
         """Apply a change of a peer's rosters; return False if one is missing."""
         follower = self._followers_by_name.get(name)
-        return follower is not None and follower.apply_change(change)
+        if follower is None:
+            return False
+        changed = self._shared(change.data_centre, change.changed)
+        return follower.apply_change(change._replace(changed=changed))
 
     def apply_snapshot(self, name: str, snapshot: RosterSnapshot) -> set[str]:
         """Apply a snapshot of a peer's rosters.
@@ -128,7 +132,13 @@
             The data centres whose members may have changed.
         """
         follower = self._followers_by_name.get(name)
-        return set() if follower is None else set(follower.apply_snapshot(snapshot))
+        if follower is None:
+            return set()
+        rosters = tuple(
+            Roster(data_centre, self._shared(data_centre, members))
+            for data_centre, members in snapshot.rosters
+        )
+        return set(follower.apply_snapshot(snapshot._replace(rosters=rosters)))
 
     def note_state(self, peer: Peer) -> None:
         """Note the state of a peer by its own word."""
@@ -183,6 +193,18 @@
         for name in members:
             self._data_centre_by_name[name] = data_centre
 
+    def _shared(
+        self, data_centre: str, members: Iterable[Member]
+    ) -> tuple[Member, ...]:
+        """Return equal members that are held already, so that reports share them."""
+        held = self.members_by_data_centre.get(data_centre, {})
+        return tuple(
+            held[member.instance.name]
+            if held.get(member.instance.name) == member
+            else member
+            for member in members
+        )
+
     def _corrected(self, members: Members) -> dict[str, Member]:
         return {
             name: self._departures.correct(member) for name, member in members.items()
--- a/sequoiahook/decisions/membership/keepers.py
+++ b/sequoiahook/decisions/membership/keepers.py
@@ -6,9 +6,8 @@
 confirmed the view and the sender's term that long ago, or is silent for that long.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from functools import lru_cache
-from typing import NamedTuple
 
 from sequoiahook.decisions.rendezvous import order
 from sequoiahook.world.view import DataCentreView
@@ -16,6 +15,7 @@
 __all__ = ["Tenure", "keeper_order"]
 
 ORDERS_CACHED = 4096
+STAGES_MAX = 32
 
 
 @lru_cache(maxsize=ORDERS_CACHED)
@@ -24,35 +24,59 @@
     return tuple(order(key, instances))
 
 
-class _Stage(NamedTuple):
-    """A view since the last settled one, and who did not count at its end."""
+class _Stage:
+    """A view that this instance has held, and who has confirmed it.
 
-    view: DataCentreView
-    absent: frozenset[str]
+    Attributes:
+        view: The view.
+        names: All others that may have acted before it or may act under it.
+        absent: Who did not count as a keeper when the next view came.
+        cleared_at_by_name: From when each of them is known not to act any more
+            because of an earlier view.
+        is_settled: Whether that holds for all of them.
+    """
+
+    def __init__(self, view: DataCentreView, names: Iterable[str]):
+        self.view = view
+        self.names = frozenset(names)
+        self.absent: frozenset[str] = frozenset()
+        self.cleared_at_by_name: dict[str, int] = {}
+        self.is_settled = False
+
+    def is_clear(self, absent: Callable[[str], bool], now: int) -> bool:
+        """Return whether nobody can act any more because of an earlier view."""
+        return all(absent(name) or self._is_cleared(name, now) for name in self.names)
+
+    def _is_cleared(self, name: str, now: int) -> bool:
+        cleared_at = self.cleared_at_by_name.get(name)
+        return cleared_at is not None and cleared_at <= now
 
 
 class Tenure:
     """Whether this instance may act for the keys that the view gives it.
 
     A term starts when the process starts and after each pause. In a term nothing is
-    held from before.
+    held from before. The views of a term are kept from the last settled one on, so
+    that views that follow each other fast do not start the wait again.
 
     Args:
         me: Name of this instance.
         takeover_ms: Longest lease and margin.
+        probe: Probe number of the last round before the term.
         now: Start of the process.
     """
 
-    def __init__(self, me: str, takeover_ms: int, now: int):
+    def __init__(self, me: str, takeover_ms: int, probe: int, now: int):
         self._me = me
         self._takeover_ms = takeover_ms
-        self._stages: list[_Stage] = []
-        self._view = DataCentreView("", 0, ())
-        self._former_names: set[str] = set()
         self._highest_view = 0
-        self._is_settled = False
-        self._cleared_at_by_name: dict[str, int] = {}
-        self.start_term(0, now)
+        self._stages = [_Stage(DataCentreView("", 0, ()), ())]
+        self.start_term(probe, now)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """All others whose acting matters to this instance."""
+        return self._stages[-1].names
 
     def start_term(self, probe: int, now: int) -> None:
         """Hold nothing from here on.
@@ -63,9 +87,8 @@
         """
         self._term_probe = probe
         self._term_at = now
-        self._stages.clear()
-        self._is_settled = False
-        self._cleared_at_by_name.clear()
+        current = self._stages[-1]
+        self._stages = [_Stage(current.view, current.names)]
 
     def change_view(self, view: DataCentreView, absent: Collection[str]) -> None:
         """Go on under another view.
@@ -74,14 +97,13 @@
             view: The new view.
             absent: Names that did not count as keepers just before.
         """
-        if self._is_settled:
-            self._stages = [_Stage(self._view, frozenset(absent))]
-        elif self._stages:
-            self._stages.append(_Stage(self._view, frozenset(absent)))
-        self._former_names.update(self._view.instances)
-        self._view = view
-        self._is_settled = False
-        self._cleared_at_by_name.clear()
+        current = self._stages[-1]
+        current.absent = frozenset(absent)
+        before = current.view.instances if current.is_settled else current.names
+        names = {*before, *current.view.instances, *view.instances}
+        self._stages.append(_Stage(view, names - {self._me}))
+        if len(self._stages) > STAGES_MAX:
+            del self._stages[0]
 
     def confirm(self, name: str, view: int, echo: int, now: int) -> None:
         """Take in what a member's heartbeat shows that it knows.
@@ -93,12 +115,15 @@
             now: The time in milliseconds.
         """
         self._highest_view = max(self._highest_view, view)
-        if view >= self._view.number and echo > self._term_probe:
-            self._cleared_at_by_name.setdefault(name, now + self._takeover_ms)
+        if echo <= self._term_probe:
+            return
+        for stage in self._stages:
+            if view >= stage.view.number:
+                stage.cleared_at_by_name.setdefault(name, now + self._takeover_ms)
 
     def handed_over(self, name: str, now: int) -> None:
         """Note that a member has handed over all that this instance takes on."""
-        self._cleared_at_by_name[name] = now
+        self._stages[-1].cleared_at_by_name[name] = now
 
     def may_act(self, key: str, absent: Callable[[str], bool], now: int) -> bool:
         """Return whether this instance may act for a key.
@@ -108,36 +133,28 @@
             absent: Whether a member does not count as a keeper.
             now: The time in milliseconds.
         """
-        if self._first(key, self._view, absent) != self._me:
-            return False
-        return self._settle(absent, now) or self._has_continuity(key)
-
-    def _settle(self, absent: Callable[[str], bool], now: int) -> bool:
-        if not self._is_settled and self._is_clear(absent, now):
-            self._is_settled = True
-            self._stages.clear()
-            self._former_names.clear()
-        return self._is_settled
-
-    def _is_clear(self, absent: Callable[[str], bool], now: int) -> bool:
-        if now - self._term_at < self._takeover_ms:
-            return False
-        if self._highest_view > self._view.number:
-            return False
-        names = self._former_names.union(self._view.instances)
-        names.discard(self._me)
-        return all(absent(name) or self._is_cleared(name, now) for name in names)
-
-    def _is_cleared(self, name: str, now: int) -> bool:
-        cleared_at = self._cleared_at_by_name.get(name)
-        return cleared_at is not None and cleared_at <= now
-
-    def _has_continuity(self, key: str) -> bool:
-        if not self._stages:
+        current = self._stages[-1]
+        if self._first(key, current.view, absent) != self._me:
             return False
+        self._settle(absent, now)
+        return self._stages[0].is_settled and self._came_first(key)
+
+    def _settle(self, absent: Callable[[str], bool], now: int) -> None:
+        if self._stages[-1].is_settled or now - self._term_at < self._takeover_ms:
+            return
+        if self._highest_view > self._stages[-1].view.number:
+            return
+        for index in reversed(range(len(self._stages))):
+            stage = self._stages[index]
+            if stage.is_settled or stage.is_clear(absent, now):
+                stage.is_settled = True
+                del self._stages[:index]
+                return
+
+    def _came_first(self, key: str) -> bool:
         return all(
             self._first(key, stage.view, stage.absent.__contains__) == self._me
-            for stage in self._stages
+            for stage in self._stages[:-1]
         )
 
     def _first(
--- a/sequoiahook/decisions/membership/views.py
+++ b/sequoiahook/decisions/membership/views.py
@@ -91,26 +91,34 @@
         self._call_at = now
         return [ReadObject(self._object)]
 
-    def object_read(
-        self,
-        version: int,
-        value: bytes | None,
-        wanted: Collection[str] | None,
-        now: int,
-    ) -> list:
-        """Take in an answer of the platform, and write if a change is wanted.
+    def object_read(self, value: bytes | None, now: int) -> DataCentreView:
+        """Take in an answer of the platform.
 
         Args:
-            version: Version of the object; 0 if it does not exist.
-            value: Its value; None if it does not exist.
-            wanted: Names that the view is to have; None if another one proposes.
+            value: Value of the object; None if it does not exist.
             now: The time in milliseconds.
+
+        Returns:
+            The view that was read, whether or not it is the highest.
         """
         self._is_read = True
         self._finish_call(0, now)
         found = self._decode(value)
         self.adopt(found)
-        if wanted is None or set(wanted) == set(found.instances):
+        return found
+
+    def propose(
+        self, found: DataCentreView, version: int, wanted: Collection[str], now: int
+    ) -> list:
+        """Return a write if the view that was read is not the wanted one.
+
+        Args:
+            found: The view that was read.
+            version: Version of the object; 0 if it does not exist.
+            wanted: Names that the view is to have.
+            now: The time in milliseconds.
+        """
+        if set(wanted) == set(found.instances):
             return []
         number = max(self.view.number, found.number) + 1
         names = tuple(sorted(set(wanted)))
