--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 import json
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -9,7 +10,15 @@
     rule,
 )
 
-from sequoiahook.messages.membership import LEAVING, LEFT, LIVE
+from sequoiahook.decisions.membership import (
+    Paused,
+    PeerDown,
+    read_membership_settings,
+)
+from sequoiahook.errors import CheckError
+from sequoiahook.messages.base import Envelope
+from sequoiahook.messages.membership import LEAVING, LEFT, LIVE, Heartbeat, Leaving
+from sequoiahook.options import Section
 from tests.membership_network import STEP_MS, Network
 
 SIZES = {"a": 3, "b": 2, "c": 2}
@@ -196,3 +205,79 @@
 
 TestMembership = MembershipMachine.TestCase
 TestMembership.settings = settings(max_examples=20, stateful_step_count=25)
+
+
+def settled_network():
+    network = Network({"a": 3, "b": 2}, seed=1)
+    network.is_lossy = False
+    for _ in range(60):
+        network.step()
+    return network
+
+
+def test_a_resumed_instance_takes_nobody_for_dead():
+    network = settled_network()
+    for node in network.nodes_by_name.values():
+        effects = node.membership.tick(network.now + node.offset + 30_000)
+        assert isinstance(effects[0], Paused)
+        assert not any(isinstance(effect, PeerDown) for effect in effects)
+        own = node.instance.data_centre
+        assert len(node.membership.live(own)) == len(network.in_data_centre(own))
+
+
+def test_every_pair_reaches_each_other_in_three_hops():
+    network = settled_network()
+    names = sorted(network.nodes_by_name)
+    for source in names:
+        for destination in names:
+            assert hops(network, source, destination) <= 3
+
+
+def hops(network, source, destination):
+    at, arrived_from, count = source, None, 0
+    while at != destination and count < 10:
+        membership = network.nodes_by_name[at].membership
+        at, arrived_from = membership.next_hop(destination, arrived_from), at
+        assert network.has_link(arrived_from, at)
+        count += 1
+    return count
+
+
+def test_a_message_of_a_replaced_incarnation_is_dropped():
+    network = settled_network()
+    node = network.nodes_by_name["a0"]
+    now = network.now + node.offset
+    old = network.nodes_by_name["a1"].instance
+    network.crash("a1")
+    network.start("a1", "a")
+    for _ in range(40):
+        network.step()
+    now = network.now + node.offset
+    new = network.nodes_by_name["a1"].instance
+    late = Heartbeat(2**40, 0, 99, LEAVING, 0)
+    node.membership.receive(Envelope("a1", old.incarnation, 1, "a0", late), now)
+    node.membership.receive(
+        Envelope("a1", old.incarnation, 2, "a0", Leaving(LEAVING)), now
+    )
+    assert node.membership.live("a")["a1"] == new
+    assert node.membership.view.number < 99
+
+
+def test_age_is_an_upper_bound_and_silence_a_lower_one():
+    network = settled_network()
+    for node in network.nodes_by_name.values():
+        now = network.now + node.offset
+        for name in network.nodes_by_name:
+            age_ms = node.membership.age_ms(name, now)
+            silence_ms = node.membership.silence_ms(name, now)
+            if name != node.instance.name and silence_ms is not None:
+                assert silence_ms <= age_ms <= 2 * 1000 + 4 * (300 + STEP_MS)
+
+
+def test_settings_report_every_finding_with_its_place():
+    section = Section({"heartbeat_ms": 5000, "margin_ms": 100, "links_per_pair": 0})
+    read_membership_settings(section)
+    with pytest.raises(CheckError) as error:
+        section.finish()
+    places = {finding.place for finding in error.value.findings}
+    assert places == {"$.links_per_pair", "$.margin_ms"}
