--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -243,6 +243,27 @@
     return count
 
 
+def test_links_return_when_all_ends_of_both_sides_die_at_once():
+    network = Network({"a": 4, "b": 4}, seed=2)
+    network.is_lossy = False
+    for _ in range(60):
+        network.step()
+    ones = [n.instance.name for n in network.in_data_centre("a")]
+    twos = [n.instance.name for n in network.in_data_centre("b")]
+    links = [(x, y) for x in ones for y in twos if network.has_link(x, y)]
+    assert links
+    for name in {name for link in links for name in link}:
+        network.crash(name)
+    assert network.in_data_centre("a")
+    assert network.in_data_centre("b")
+    for _ in range(120):
+        network.step()
+    for node in network.nodes_by_name.values():
+        for data_centre in "ab":
+            expected = {n.instance.name for n in network.in_data_centre(data_centre)}
+            assert set(node.membership.live(data_centre)) == expected
+
+
 def test_a_message_of_a_replaced_incarnation_is_dropped():
     network = settled_network()
     node = network.nodes_by_name["a0"]
