Spend credit and wait limits with each hand-over to another data centre

Cause: hand-overs to another data centre went without the credit that its owner had granted, so nothing but the receiver's refusal bounded them. Change: the entry's place says whether credit is needed; a unit is spent when the hand-over is sent and goes with it, a repeat carries the same unit, and the receiver redeems it before it takes the request in. A place that would be worse than the next one is named by a wait limit. Refusals that only say 'the next place is better' need no retry budget. A service without targets, or without an owner that is heard from, in the own data centre goes elsewhere.

The fixture of the placement test named no targets, which now means that the data centre cannot run the service; it names one, and its expectations are unchanged.

--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -2,6 +2,7 @@
 
 import heapq
 from random import Random
+from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.exchange.effects import (
@@ -17,6 +18,7 @@
 from sequoiahook.decisions.exchange.settings import EntrySettings
 from sequoiahook.decisions.exchange.stamps import StampBook
 from sequoiahook.decisions.exchange.states import EntryState, Reason, http_status
+from sequoiahook.decisions.pool.effects import RefuseReason
 from sequoiahook.messages.requests import (
     NOT_RUN,
     RAN,
@@ -28,7 +30,7 @@
     StampRequest,
 )
 
-__all__ = ["AdmittedRequest", "EntryExchanges", "EntrySettings"]
+__all__ = ["AdmittedRequest", "EntryExchanges", "EntrySettings", "Position"]
 
 MARGIN_SHARE = 5
 """A margin takes at most this fraction (one fifth) of a short deadline."""
@@ -39,6 +41,9 @@
 RELOCATE_RETRY_MS = 50
 
 _MOVED_REASONS = frozenset({Reason.MOVED, Reason.NO_POOL})
+_ELSEWHERE_REASONS = frozenset({Reason.LINK_FULL, Reason.NO_CREDIT, RefuseReason.BUSY})
+"""Refusals that only say that the next place is better; they need no retry budget."""
+
 _NOT_HANDED_OVER = frozenset(
     {EntryState.ASKING, EntryState.RELOCATING, EntryState.RESERVING}
 )
@@ -47,6 +52,18 @@
 )
 
 
+class Position(NamedTuple):
+    """Where a hand-over goes to.
+
+    Attributes:
+        number: Number of the request.
+        place_index: Which of its places it is.
+    """
+
+    number: int
+    place_index: int
+
+
 class EntryExchanges:
     """All open requests of the callers of one instance.
 
@@ -146,15 +163,27 @@
             effects += self._cut_off(exchange, now)
         return effects
 
+    def position(self, message_id: MessageId) -> Position | None:
+        """Return which place of which request a hand-over goes to."""
+        exchange = self._exchanges_by_id.get(message_id)
+        if exchange is None:
+            return None
+        index = exchange.place_index % len(exchange.places)
+        return Position(exchange.request.number, index)
+
+    def not_sendable(self, message_id: MessageId, reason: str, now: int) -> list:
+        """Note that a hand-over was held back before anything was sent."""
+        exchange = self._exchanges_by_id.get(message_id)
+        if exchange is None or exchange.copies > 1:
+            return []
+        return self._end_attempt(exchange, reason, NOT_RUN, now)
+
     def send_failed(self, message_id: MessageId, now: int) -> list:
         """Note that no byte of one copy of a hand-over left this instance.
 
         It proves that the request never ran only if there was no other copy.
         """
-        exchange = self._exchanges_by_id.get(message_id)
-        if exchange is None or exchange.copies > 1:
-            return []
-        return self._end_attempt(exchange, Reason.LINK_LOST, NOT_RUN, now)
+        return self.not_sendable(message_id, Reason.LINK_LOST, now)
 
     def caller_gone(self, number: int, now: int) -> list:
         """Note that nobody waits for the answer to a request any more."""
@@ -318,8 +347,14 @@
         retry_after_ms: int = 0,
     ) -> list:
         """End one hand-over without an answer: try again, or refuse."""
-        if ran == NOT_RUN and reason in _MOVED_REASONS and now < exchange.cancel_at:
-            return self._relocate(exchange)
+        is_open = exchange.state is not EntryState.CANCELLING
+        if ran == NOT_RUN and is_open and now < exchange.cancel_at:
+            if reason in _MOVED_REASONS:
+                return self._relocate(exchange)
+            has_other = exchange.place_index + 1 < len(exchange.places)
+            if reason in _ELSEWHERE_REASONS and has_other:
+                exchange.attempt -= 1
+                return self._retry(exchange, reason, ran, now)
         if self._may_retry(exchange, reason, ran, now):
             return self._retry(exchange, reason, ran, now)
         return self._refuse(exchange, reason, ran, retry_after_ms)
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -75,6 +75,16 @@
         """Number of ids that are remembered, open or not."""
         return len(self._ledger)
 
+    def knows(self, request_id: MessageId) -> bool:
+        """Return whether a hand-over was received before."""
+        return request_id in self._ledger
+
+    def refuse(self, source: str, request_id: MessageId, reason: str, now: int) -> list:
+        """Refuse a hand-over that was never taken in, and never will be."""
+        work = Work(source, request_id, now)
+        self._ledger.open(request_id, work, now)
+        return self._finish(work, NOT_RUN, reason, now)
+
     def state(self, request_id: MessageId) -> ExecutorState | None:
         """Return the state of an open hand-over."""
         work = self._ledger.get(request_id)
@@ -255,8 +265,13 @@
             return self._finish(work, NOT_RUN, reason, now)
         work.state = ExecutorState.QUEUED
         work.attempt += 1
-        organisation = work.hand_over.organisation
-        effects = work.pool.submit(work.id, organisation, work.deadline_at, now)
+        body = work.hand_over
+        limits = {}
+        if work.attempt == 1 and body.wait_limit_ms >= 0:
+            limits = {"wait_limit_ms": body.wait_limit_ms}
+        effects = work.pool.submit(
+            work.id, body.organisation, work.deadline_at, now, **limits
+        )
         return self._apply(effects, now)
 
     def _apply(self, pool_effects: list[PoolEffect], now: int) -> list:
--- a/sequoiahook/decisions/exchange/pool_protocol.py
+++ b/sequoiahook/decisions/exchange/pool_protocol.py
@@ -18,9 +18,17 @@
     """
 
     def submit(
-        self, request_id: MessageId, organisation: str, deadline_at: int, now: int
+        self,
+        request_id: MessageId,
+        organisation: str,
+        deadline_at: int,
+        now: int,
+        wait_limit_ms: int | None = None,
     ) -> list[PoolEffect]:
-        """Queue a request that is of no use after ``deadline_at``."""
+        """Queue a request that is of no use after ``deadline_at``.
+
+        With a wait limit it is refused if it would wait longer.
+        """
 
     def finish(
         self, request_id: MessageId, result: TargetResult, now: int
--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -23,6 +23,7 @@
 )
 from sequoiahook.decisions.exchange.entry import EntryExchanges
 from sequoiahook.decisions.exchange.executor import Executor
+from sequoiahook.decisions.exchange.states import Reason
 from sequoiahook.decisions.exchange.target_result import TargetResult
 from sequoiahook.decisions.instance.effects import (
     Arrival,
@@ -388,11 +389,25 @@
     def _to_exchanges(self, envelope: Envelope, now: int) -> list:
         body = envelope.body
         if isinstance(body, request_messages.HandOver):
+            if not self._is_creditable(envelope, now):
+                return self._executor.refuse(
+                    envelope.source, body.id, Reason.NO_CREDIT, now
+                )
             self._tracing.start(("execute", body.id), "execute", body.traceparent, now)
         if isinstance(body, request_messages.Outcome | request_messages.StampGrant):
             return self._entry.received(envelope.source, body, now)
         return self._executor.received(envelope.source, body, now)
 
+    def _is_creditable(self, envelope: Envelope, now: int) -> bool:
+        """Return whether a hand-over may be taken in; a repeat always may."""
+        body = envelope.body
+        if self._executor.knows(body.id):
+            return True
+        source = self._membership.instance(envelope.source)
+        if source is not None and source.data_centre == self.me.data_centre:
+            return True
+        return self._owner.redeem(body, now)
+
     def _to_pools(self, envelope: Envelope, now: int) -> list:
         body = envelope.body
         if isinstance(body, pool_messages.PoolSummary):
@@ -425,6 +440,12 @@
             effect.body,
         )
         spans: list = []
+        if isinstance(effect.body, request_messages.HandOver):
+            prepared = self._steering.prepare(effect.body, now)
+            if prepared is None:
+                request_id = effect.body.id
+                return self._entry.not_sendable(request_id, Reason.NO_CREDIT, now)
+            envelope = envelope._replace(body=prepared)
         if isinstance(effect.body, request_messages.Outcome):
             outcome = effect.body
             spans = self._tracing.end(("execute", outcome.id), now, ran=outcome.ran)
--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -8,6 +8,7 @@
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.instance.transfers import Transfers
 from sequoiahook.decisions.membership.membership import Membership
+from sequoiahook.decisions.placement.credit import Credit
 from sequoiahook.decisions.placement.lender import CreditLender
 from sequoiahook.decisions.placement.settings import PlacementSettings
 from sequoiahook.decisions.pool.effects import PoolEffect, TargetReport
@@ -20,7 +21,7 @@
     PoolTransfer,
 )
 from sequoiahook.messages.pools import CreditAsk, PoolHandover, PoolSummary
-from sequoiahook.messages.requests import MessageId
+from sequoiahook.messages.requests import HandOver, MessageId
 from sequoiahook.world.configuration import Configuration
 from sequoiahook.world.instance import Instance
 from sequoiahook.world.target import Target
@@ -80,10 +81,17 @@
         self._pending += self.pool.handed_over(handover, now)
 
     def submit(
-        self, request_id: MessageId, organisation: str, deadline_at: int, now: int
+        self,
+        request_id: MessageId,
+        organisation: str,
+        deadline_at: int,
+        now: int,
+        wait_limit_ms: int | None = None,
     ) -> list[PoolEffect]:
         """Queue a request."""
-        return self.pool.submit(request_id, organisation, deadline_at, now)
+        return self.pool.submit(
+            request_id, organisation, deadline_at, now, wait_limit_ms
+        )
 
     def finish(
         self, request_id: MessageId, result: TargetResult, now: int
@@ -290,6 +298,15 @@
         free_slots = owned.pool.free_slots(now) - owned.pool.queue_length()
         return owned.lender.ask(message, free_slots, owned.pool.capacity(now), now)
 
+    def redeem(self, body: HandOver, now: int) -> bool:
+        """Take the credit of a hand-over from another data centre."""
+        owned = self._owned_by_service.get(body.service)
+        if owned is None or not body.credit:
+            return owned is None
+        (unit,) = body.credit
+        credit = Credit(body.service, self._me.data_centre, self._me.name, *unit)
+        return owned.lender.redeem(credit, now)
+
     def summaries(self, now: int) -> list[PoolSummary]:
         """Return the summaries that are due."""
         if now < self._summary_at:
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -13,10 +13,10 @@
 from sequoiahook.decisions.instance.tracing import Tracing
 from sequoiahook.decisions.keys import Callers, KeyName, KeyState, KeyTable
 from sequoiahook.decisions.membership.membership import Membership
-from sequoiahook.decisions.placement.holder import CreditHolder
-from sequoiahook.decisions.placement.placement import Placement
+from sequoiahook.decisions.placement.holder import CreditHolder, PoolKey
+from sequoiahook.decisions.placement.placement import Place, Placement
 from sequoiahook.decisions.rights.rights import Rights
-from sequoiahook.messages.requests import NOT_RUN
+from sequoiahook.messages.requests import NOT_RUN, CreditUnit, HandOver, MessageId
 from sequoiahook.wire.fields import CleanRequest, clean_request, presented_keys
 from sequoiahook.world.configuration import Configuration
 from sequoiahook.world.service import Service
@@ -65,6 +65,8 @@
         self.reservations = 0
         self.is_admitted = False
         self.place_by: int | None = None
+        self.places: list[Place] = []
+        self.unit_by_id: dict[MessageId, CreditUnit] = {}
 
     @property
     def deadline_at(self) -> int:
@@ -290,16 +292,46 @@
         left_ms = opened.deadline_at - now
         parts = self._parts
         owner_by_pool = parts.placement.owner_by_pool(now)
+        own_owner = parts.owner.owner(service, parts.membership, now)
+        places = parts.placement.choose(
+            service,
+            left_ms,
+            parts.holder,
+            now,
+            is_own_open=own_owner in parts.membership.live(self._data_centre),
+        )
         names: list[str] = []
-        for place in parts.placement.choose(service, left_ms, parts.holder, now):
-            if place.data_centre == self._data_centre:
-                name = parts.owner.owner(service, parts.membership, now)
-            else:
-                name = owner_by_pool.get((service, place.data_centre))
-            if name is not None and name not in names:
+        opened.places = []
+        for place in places:
+            name = own_owner
+            if place.data_centre != self._data_centre:
+                name = owner_by_pool.get(PoolKey(service, place.data_centre))
+            if name is not None:
                 names.append(name)
+                opened.places.append(place)
         return tuple(names)
 
+    def prepare(self, body: HandOver, now: int) -> HandOver | None:
+        """Add credit and wait limit to a hand-over; None if there is no credit."""
+        position = self._parts.entry.position(body.id)
+        opened = self._open_by_number.get(position.number) if position else None
+        if opened is None or position.place_index >= len(opened.places):
+            return body
+        place = opened.places[position.place_index]
+        if place.wait_limit_ms is not None:
+            body = body._replace(wait_limit_ms=place.wait_limit_ms)
+        if not place.needs_credit:
+            return body
+        unit = opened.unit_by_id.get(body.id)
+        if unit is None:
+            pool = PoolKey(body.service, place.data_centre)
+            credit = self._parts.holder.spend(pool, now)
+            if credit is None:
+                return None
+            unit = CreditUnit(credit.lender_incarnation, credit.grant_id, credit.unit)
+            opened.unit_by_id[body.id] = unit
+        return body._replace(credit=(unit,))
+
     def _admitted(self, opened: _Open, now: int) -> AdmittedRequest:
         key = opened.key or KeyName("", "")
         arrival = opened.arrival
--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -68,6 +68,7 @@
         self._delay_by_data_centre: dict[str, int] = {}
         self._summaries = Summaries(settings)
         self._own_services: set[str] = set()
+        self._is_own_open = True
         self._phase_by_shift: dict[str, int] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -104,6 +105,8 @@
         deadline_left_ms: int,
         holder: CreditHolder,
         now: int,
+        *,
+        is_own_open: bool = True,
     ) -> list[Place]:
         """Return where a request may go, best first.
 
@@ -116,7 +119,10 @@
             deadline_left_ms: How long the caller still waits.
             holder: Credit of this instance.
             now: The time.
+            is_own_open: Whether the own data centre's pool has an owner that is heard
+                from; without one it comes last.
         """
+        self._is_own_open = is_own_open
         planned = self._planned(service_name, holder, now)
         spill = self._spill(service_name, deadline_left_ms, holder, now)
         own = Place(self._data_centre, None, False)
@@ -147,7 +153,10 @@
         self, service_name: str, deadline_left_ms: int, holder: CreditHolder, now: int
     ) -> list[tuple[float, Place]]:
         own = PoolKey(service_name, self._data_centre)
-        if not self._summaries.is_scarce(own, self._settings.prefetch_percent, now):
+        is_own_useful = self._is_own_served(service_name, self._data_centre)
+        if is_own_useful and not self._summaries.is_scarce(
+            own, self._settings.prefetch_percent, now
+        ):
             return []
         places = []
         for data_centre in self._delay_by_data_centre:
@@ -172,13 +181,17 @@
         return holder.count(pool, now) > 0
 
     def _is_own_served(self, service_name: str, data_centre: str) -> bool:
-        """Return whether it is the own data centre and has targets of a service."""
-        return data_centre == self._data_centre and service_name in self._own_services
+        """Return whether it is the own data centre and can run a service."""
+        is_own = data_centre == self._data_centre
+        return is_own and self._is_own_open and service_name in self._own_services
 
     def _cost_ms(self, service_name: str, data_centre: str, now: int) -> float:
+        is_own_served = self._is_own_served(service_name, data_centre)
+        if data_centre == self._data_centre and not is_own_served:
+            return INFINITE
         wait_ms = self._summaries.wait_ms(PoolKey(service_name, data_centre), now)
         if wait_ms is None:
-            wait_ms = 0 if self._is_own_served(service_name, data_centre) else INFINITE
+            wait_ms = 0 if is_own_served else INFINITE
         return wait_ms + 2 * self._delay_by_data_centre[data_centre]
 
 
--- a/sequoiahook/messages/requests.py
+++ b/sequoiahook/messages/requests.py
@@ -15,6 +15,7 @@
     "RAN",
     "UNKNOWN",
     "Cancel",
+    "CreditUnit",
     "Fields",
     "HandOver",
     "MessageId",
@@ -47,6 +48,20 @@
     sequence: int
 
 
+class CreditUnit(NamedTuple):
+    """One unit of credit that the receiver's data centre granted.
+
+    Attributes:
+        lender_incarnation: Incarnation of the instance that granted it.
+        grant_id: The grant that it belongs to.
+        unit: Number of the unit in the grant, from 0.
+    """
+
+    lender_incarnation: int
+    grant_id: int
+    unit: int
+
+
 class ReceiverStamp(NamedTuple):
     """A reading of the clock of the instance that gave it; opaque to all others.
 
@@ -111,6 +126,9 @@
         token_lease_ms: How long the right to run lasts from sending, in milliseconds.
         stamp: Stamp that the receiver gave.
         stamp_age_ms: How long the sender had held the stamp, in milliseconds.
+        credit: The unit of credit that a hand-over to another data centre spends.
+        wait_limit_ms: Refuse it if it would queue for longer, in milliseconds, since
+            there is a better place then; -1 for no limit.
     """
 
     id: MessageId
@@ -129,6 +147,8 @@
     token_lease_ms: int
     stamp: ReceiverStamp
     stamp_age_ms: int
+    credit: tuple[CreditUnit, ...] = ()
+    wait_limit_ms: int = -1
 
 
 @message
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -27,6 +27,15 @@
         "ab": {"regions": ["ra", "rb"], "bits_per_second": 10**9, "one_way_ms": 35}
     },
     "services_by_name": {"s": {"path_prefix": "/"}},
+    "targets_by_name": {
+        "t": {
+            "service": "s",
+            "data_centre": "a1",
+            "host": "127.0.0.1",
+            "port": 1,
+            "slots": 4,
+        }
+    },
 }
 SHIFT = {
     "service": "s",
@@ -59,6 +68,17 @@
     return [place.data_centre for place in places]
 
 
+def test_a_service_without_targets_or_owner_here_goes_elsewhere():
+    holder = FullHolder(SETTINGS, "i", 1)
+    without_targets = placement({**DOCUMENT, "targets_by_name": {}})
+    without_targets.summarised(summary("a2", 0, 9), 0)
+    assert names(without_targets.choose("s", 5_000, holder, 0)) == ["a2", "a1"]
+    without_owner = placement()
+    without_owner.summarised(summary("a2", 0, 9), 0)
+    places = without_owner.choose("s", 5_000, holder, 0, is_own_open=False)
+    assert names(places) == ["a2", "a1"]
+
+
 def test_own_first_then_the_region_then_others():
     subject = placement()
     holder = FullHolder(SETTINGS, "i", 1)
