--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -84,6 +84,14 @@
     assert serve(use, settings=patient).startswith(b"HTTP/1.1 413")
 
 
+def test_last_answer_arrives_although_more_was_sent():
+    async def use(server):
+        server.announce_close()
+        return await exchange(server, GET + GET * 30_000)
+
+    assert serve(use).count(b"x-path: /a") == 1
+
+
 def test_bodies_of_all_connections_together_are_bounded():
     post = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
 
