--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -1,15 +1,23 @@
 """The HTTP server that callers connect to; it decides nothing about requests."""
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
 
 import h11
 from logbook import Logger
 
-from sequoiahook.clock import MS_PER_S
-from sequoiahook.messages.requests import NOT_RUN, UNKNOWN, Fields
+from sequoiahook.daemons.caller_connection import (
+    READ_BYTES,
+    CallerConnection,
+    CallerGoneError,
+)
+from sequoiahook.daemons.caller_exchange import (
+    CallerAnswer,
+    CallerRequest,
+    CallerServerSettings,
+    refusal_answer,
+)
+from sequoiahook.messages.requests import UNKNOWN
 
 __all__ = [
     "CallerAnswer",
@@ -19,112 +27,11 @@
     "refusal_answer",
 ]
 
-READ_BYTES = 65_536
-DISCARD_TIMEOUT_MS = 500
-_NO_BODY_STATUSES = frozenset({204, 304})
 _log = Logger("caller_http")
-_JSON = (b"content-type", b"application/json")
-
-
-class CallerServerSettings(NamedTuple):
-    """Limits of the server.
-
-    Attributes:
-        host: IP number to listen on.
-        port: TCP port; 0 for any free one.
-        header_bytes_max: Most bytes of a request's line and fields.
-        body_bytes_max: Most bytes of a request's body.
-        all_body_bytes_max: Most bytes in the bodies of all requests at a time.
-        header_timeout_ms: Longest time for a request's line and fields, in
-            milliseconds.
-        body_timeout_ms: Longest time for a request's body, in milliseconds.
-        idle_timeout_ms: Longest time between requests, in milliseconds.
-        write_timeout_ms: Longest time for a caller to take an answer, in milliseconds.
-        connections_max: Most open connections.
-    """
-
-    host: str = "127.0.0.1"
-    port: int = 0
-    header_bytes_max: int = 32 * 1024
-    body_bytes_max: int = 4 * 1024 * 1024
-    all_body_bytes_max: int = 128 * 1024 * 1024
-    header_timeout_ms: int = 5_000
-    body_timeout_ms: int = 30_000
-    idle_timeout_ms: int = 60_000
-    write_timeout_ms: int = 30_000
-    connections_max: int = 2_000
-
-
-class CallerRequest(NamedTuple):
-    """A whole request as a caller sent it; it may hold a key.
-
-    Attributes:
-        connection_id: Number of the connection, unique in this process.
-        peer_host: IP number of the caller.
-        method: HTTP method.
-        target_path: Path and query.
-        headers: Fields; trailers are left out.
-        body: Whole body.
-    """
-
-    connection_id: int
-    peer_host: str
-    method: str
-    target_path: bytes
-    headers: Fields
-    body: bytes
-
-
-class CallerAnswer(NamedTuple):
-    """A whole answer to a caller.
-
-    Attributes:
-        status: HTTP status.
-        headers: Fields without content-length and connection.
-        body: Whole body.
-        must_close: Whether the connection ends with it.
-    """
-
-    status: int
-    headers: Fields
-    body: bytes
-    must_close: bool = False
-
 
 Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
 
-def refusal_answer(
-    status: int, cause: str, ran: str, retry_after_ms: int = 0
-) -> CallerAnswer:
-    """Make the answer that tells a caller that its request has none.
-
-    Args:
-        status: HTTP status.
-        cause: Why.
-        ran: ``not run`` or ``unknown``.
-        retry_after_ms: When to come back, in milliseconds; 0 if there is no advice.
-    """
-    document = {"error": cause, "ran": ran, "retry_after_ms": retry_after_ms}
-    headers: list[tuple[bytes, bytes]] = [_JSON]
-    if retry_after_ms > 0:
-        seconds = -(-retry_after_ms // MS_PER_S)
-        headers.append((b"retry-after", b"%d" % seconds))
-    return CallerAnswer(status, tuple(headers), json.dumps(document).encode())
-
-
-class _BadRequestError(Exception):
-    """A request that is not handled: it ends the connection with a status."""
-
-    def __init__(self, status: int, cause: str):
-        super().__init__(cause)
-        self.status = status
-
-
-class _CallerGoneError(Exception):
-    """The caller closed the connection."""
-
-
 class CallerServer:
     """Serves HTTP/1.1 to callers.
 
@@ -140,7 +47,7 @@
         self.settings = settings
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._connections_by_id: dict[int, _Connection] = {}
+        self._connections_by_id: dict[int, CallerConnection] = {}
         self._tasks_by_id: dict[int, asyncio.Task] = {}
         self._last_id = 0
         self.is_closing = False
@@ -195,7 +102,7 @@
     ) -> None:
         self._last_id += 1
         connection_id = self._last_id
-        connection = _Connection(self, connection_id, reader, writer)
+        connection = CallerConnection(self, connection_id, reader, writer)
         is_full = len(self._connections_by_id) >= self.settings.connections_max
         self._connections_by_id[connection_id] = connection
         self._tasks_by_id[connection_id] = asyncio.current_task()
@@ -204,7 +111,7 @@
                 await connection.refuse(503, "too many connections")
             else:
                 await connection.run()
-        except (OSError, h11.LocalProtocolError, _CallerGoneError) as error:
+        except (OSError, h11.LocalProtocolError, CallerGoneError) as error:
             _log.debug("caller connection ended: {}", type(error).__name__)
         finally:
             connection.let_go()
@@ -220,223 +127,3 @@
             _log.error("handler failed: {}", type(error).__name__)
             answer = refusal_answer(500, "internal error", UNKNOWN)
             return answer._replace(must_close=True)
-
-
-class _Connection:
-    """One connection of a caller, owned by one task."""
-
-    def __init__(
-        self,
-        server: CallerServer,
-        connection_id: int,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ):
-        self._server = server
-        self._settings = server.settings
-        self._id = connection_id
-        self._reader = reader
-        self._writer = writer
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._settings.header_bytes_max
-        )
-        peer = writer.get_extra_info("peername")
-        self._peer_host = peer[0] if peer else ""
-        self._idle_timer: asyncio.Timeout | None = None
-        self._method = b""
-        self._held_bytes = 0
-        self.is_last_request = False
-
-    def close_if_idle(self) -> None:
-        """Close at once if no request has begun; else after its answer."""
-        self.is_last_request = True
-        if self._idle_timer is not None:
-            self._idle_timer.reschedule(asyncio.get_running_loop().time())
-
-    async def end(self) -> None:
-        """Close, and wait until the caller has what was written."""
-        if self._h11.our_state in (h11.SEND_BODY, h11.ERROR):
-            self._writer.transport.abort()
-        self._writer.close()
-        try:
-            async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
-                await self._writer.wait_closed()
-        except OSError:
-            self._writer.transport.abort()
-
-    async def run(self) -> None:
-        """Serve requests until the connection ends."""
-        while True:
-            try:
-                request = await self._read_request()
-            except h11.RemoteProtocolError as error:
-                await self.refuse(error.error_status_hint, "malformed request")
-                return
-            except _BadRequestError as error:
-                await self.refuse(error.status, str(error))
-                return
-            answer = await self._handle(request)
-            self.let_go()
-            await self._write_answer(answer)
-            if self._must_end():
-                await self._discard_rest()
-                return
-            if self._h11.our_state is not h11.DONE:
-                return
-            if self._h11.their_state is not h11.DONE:
-                return
-            self._h11.start_next_cycle()
-
-    async def refuse(self, status: int, cause: str) -> None:
-        """Answer without a handler, and end the connection."""
-        answer = refusal_answer(status, cause, NOT_RUN)
-        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await self._write_answer(answer._replace(must_close=True))
-            await self._discard_rest()
-
-    async def _discard_rest(self) -> None:
-        """Read on for a while: unread bytes would reset the answer on its way."""
-        self._writer.write_eof()
-        left = self._settings.body_bytes_max
-        try:
-            async with asyncio.timeout(DISCARD_TIMEOUT_MS / MS_PER_S):
-                while left > 0 and (data := await self._reader.read(READ_BYTES)):
-                    left -= len(data)
-        except OSError:
-            return
-
-    def _must_end(self) -> bool:
-        return self.is_last_request or self._server.is_closing
-
-    async def _read_request(self) -> CallerRequest:
-        head = await self._read_head()
-        self._method = head.method
-        if head.method == b"CONNECT":
-            raise _BadRequestError(400, "method not allowed here")
-        if self._h11.they_are_waiting_for_100_continue:
-            await self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        try:
-            async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
-                body = await self._read_body()
-        except TimeoutError:
-            raise _BadRequestError(408, "body too slow") from None
-        return CallerRequest(
-            self._id,
-            self._peer_host,
-            head.method.decode("ascii"),
-            bytes(head.target),
-            tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            body,
-        )
-
-    async def _read_head(self) -> h11.Request:
-        event = self._h11.next_event()
-        if event is h11.NEED_DATA and not self._h11.trailing_data[0]:
-            await self._wait_idle()
-            event = self._h11.next_event()
-        try:
-            async with asyncio.timeout(self._settings.header_timeout_ms / MS_PER_S):
-                while event is h11.NEED_DATA:
-                    await self._receive()
-                    event = self._h11.next_event()
-        except TimeoutError:
-            raise _BadRequestError(408, "header too slow") from None
-        if not isinstance(event, h11.Request):
-            raise _CallerGoneError
-        if _header_bytes(event) > self._settings.header_bytes_max:
-            raise _BadRequestError(431, "header too large")
-        return event
-
-    async def _wait_idle(self) -> None:
-        idle_s = 0 if self._must_end() else self._settings.idle_timeout_ms / MS_PER_S
-        try:
-            async with asyncio.timeout(idle_s) as self._idle_timer:
-                await self._receive()
-        except TimeoutError:
-            await self._receive_at_hand()
-        finally:
-            self._idle_timer = None
-
-    async def _receive_at_hand(self) -> None:
-        """Take bytes that came together with the end of the wait, if there are any."""
-        try:
-            async with asyncio.timeout(0):
-                await self._receive()
-        except TimeoutError:
-            raise _CallerGoneError from None
-
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                await self._receive()
-            elif isinstance(event, h11.Data):
-                body += event.data
-                self._hold(len(event.data))
-                if len(body) > self._settings.body_bytes_max:
-                    raise _BadRequestError(413, "body too large")
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise _CallerGoneError
-
-    def _hold(self, byte_count: int) -> None:
-        self._held_bytes += byte_count
-        self._server.held_bytes += byte_count
-        if self._server.held_bytes > self._settings.all_body_bytes_max:
-            raise _BadRequestError(503, "too many bytes in open requests")
-
-    def let_go(self) -> None:
-        """Count the body of the current request no more."""
-        self._server.held_bytes -= self._held_bytes
-        self._held_bytes = 0
-
-    async def _receive(self) -> None:
-        data = await self._reader.read(READ_BYTES)
-        self._h11.receive_data(data)
-
-    async def _handle(self, request: CallerRequest) -> CallerAnswer:
-        """Run the handler; cancel it if the caller disconnects meanwhile."""
-        handling = asyncio.ensure_future(self._server.handle(request))
-        reading = asyncio.ensure_future(self._reader.read(READ_BYTES))
-        try:
-            await asyncio.wait({handling, reading}, return_when=asyncio.FIRST_COMPLETED)
-            if reading.done():
-                data = reading.result()
-                if not data and not handling.done():
-                    raise _CallerGoneError
-                self._h11.receive_data(data)
-            return await handling
-        finally:
-            for task in (handling, reading):
-                if not task.done():
-                    task.cancel()
-            await asyncio.gather(handling, reading, return_exceptions=True)
-
-    async def _write_answer(self, answer: CallerAnswer) -> None:
-        headers = list(answer.headers)
-        has_body = self._method != b"HEAD" and answer.status not in _NO_BODY_STATUSES
-        if has_body:
-            headers.append((b"content-length", b"%d" % len(answer.body)))
-        if answer.must_close or self._must_end():
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=answer.status, headers=headers)
-        data = self._h11.send(head)
-        if has_body:
-            data += self._h11.send(h11.Data(data=answer.body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._write_bytes(data)
-
-    async def _write(self, event: h11.Event) -> None:
-        await self._write_bytes(self._h11.send(event))
-
-    async def _write_bytes(self, data: bytes) -> None:
-        self._writer.write(data)
-        async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
-            await self._writer.drain()
-
-
-def _header_bytes(head: h11.Request) -> int:
-    fields = sum(len(name) + len(value) for name, value in head.headers)
-    return len(head.method) + len(head.target) + fields
