--- /dev/null
+++ b/sequoiahook/daemons/target_exchange.py
@@ -0,0 +1,303 @@
+"""One exchange with a target over HTTP/1.1, and how far it got."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+import h11
+
+from sequoiahook.clock import MS_PER_S, NS_PER_MS
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.messages.requests import Fields
+from sequoiahook.wire.fields import RAN_FIELD, response_fields
+from sequoiahook.world.instance import Address
+
+__all__ = [
+    "ConnectionKeeper",
+    "IdleConnection",
+    "TargetClientSettings",
+    "TargetExchange",
+    "TargetRequest",
+    "now_ms",
+]
+
+READ_BYTES = 65_536
+_NOT_RUN_WORD = b"no"
+_SHED_STATUS = 503
+
+
+class TargetClientSettings(NamedTuple):
+    """Limits of the client.
+
+    Attributes:
+        connect_timeout_ms: Longest time to open a connection, in milliseconds.
+        answer_bytes_max: Most bytes of an answer's body.
+        header_bytes_max: Most bytes of an answer's line and fields.
+        idle_max: Most idle connections kept for each target.
+        idle_ms: How long an idle connection is kept, in milliseconds.
+    """
+
+    connect_timeout_ms: int = 500
+    answer_bytes_max: int = 4 * 1024 * 1024
+    header_bytes_max: int = 64 * 1024
+    idle_max: int = 8
+    idle_ms: int = 10_000
+
+
+class TargetRequest(NamedTuple):
+    """A request as it is written to a target.
+
+    Attributes:
+        address: Where the target listens.
+        method: HTTP method.
+        target_path: Path and query, without any key.
+        headers: All fields but host and content-length.
+        body: Whole body.
+        timeout_ms: Longest time for the whole exchange, in milliseconds.
+        may_reuse: Whether a kept-alive connection may be used. A kept-alive connection
+            that closes as the request goes out proves nothing, so this is for
+            idempotent requests only.
+    """
+
+    address: Address
+    method: str
+    target_path: str
+    headers: Fields
+    body: bytes
+    timeout_ms: int
+    may_reuse: bool
+
+
+class IdleConnection(NamedTuple):
+    """A kept-alive connection that carries no exchange.
+
+    Attributes:
+        reader: What the target sends.
+        writer: What the target gets.
+        since_ms: Since when it is idle, in milliseconds.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    since_ms: int
+
+
+class ConnectionKeeper(Protocol):
+    """Where an exchange gets a kept-alive connection from, and leaves its own.
+
+    Attributes:
+        settings: Limits.
+    """
+
+    settings: TargetClientSettings
+
+    def take_idle(self, request: TargetRequest) -> IdleConnection | None:
+        """Return a kept-alive connection for a request, if it may have one."""
+
+    def put_back(self, exchange: "TargetExchange") -> None:
+        """Keep the connection of a finished exchange, or close it."""
+
+
+def now_ms() -> int:
+    """Return the monotonic time in milliseconds."""
+    return time.monotonic_ns() // NS_PER_MS
+
+
+class TargetExchange:
+    """One request on its way to a target.
+
+    Args:
+        request: The request.
+        client: Where connections are kept.
+    """
+
+    def __init__(self, request: TargetRequest, client: ConnectionKeeper):
+        self.request = request
+        self.stage = Stage.NOTHING_WRITTEN
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self._client = client
+        self._settings = client.settings
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=client.settings.header_bytes_max
+        )
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+        self._started_ms = now_ms()
+        self._steps: asyncio.Task | None = None
+        self._is_aborted = False
+
+    async def run(self, may_write: Callable[[], bool]) -> TargetResult:
+        """Connect, write and read; see :meth:`TargetClient.exchange`."""
+        if self._is_aborted:
+            return self._result()
+        self._steps = asyncio.ensure_future(self._run_steps(may_write))
+        try:
+            await self._steps
+        except (OSError, ValueError, h11.ProtocolError):
+            self._fail()
+        except asyncio.CancelledError:
+            if not self._is_aborted or asyncio.current_task().cancelling():
+                raise
+            self._fail()
+        finally:
+            self._client.put_back(self)
+        return self._result()
+
+    def abort(self) -> None:
+        """Close the connection; ``run`` then returns how far it got."""
+        self._is_aborted = True
+        if self._steps is not None:
+            self._steps.cancel()
+
+    async def _run_steps(self, may_write: Callable[[], bool]) -> None:
+        async with asyncio.timeout(self.request.timeout_ms / MS_PER_S):
+            idle = self._client.take_idle(self.request)
+            if idle is not None:
+                self.reader, self.writer = idle.reader, idle.writer
+            elif not await self._connect():
+                return
+            self.stage = Stage.NOTHING_WRITTEN
+            if self.is_closed or not may_write():
+                return
+            self._write()
+            await self._read_answer()
+
+    async def _connect(self) -> bool:
+        self.stage = Stage.CONNECT_TIMEOUT
+        host, port = self.request.address
+        timeout_s = self._settings.connect_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                self.reader, self.writer = await asyncio.open_connection(
+                    host, port, limit=READ_BYTES
+                )
+        except TimeoutError:
+            return False
+        except OSError:
+            self.stage = Stage.CONNECT_REFUSED
+            return False
+        return True
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is known to be closed before anything is written."""
+        return self.reader.at_eof() or self.writer.is_closing()
+
+    @property
+    def can_keep(self) -> bool:
+        """Whether the connection can carry another request."""
+        is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        is_empty = is_done and not self._h11.trailing_data[0]
+        return self.stage is Stage.ANSWERED and is_empty and not self.is_closed
+
+    def _write(self) -> None:
+        """Give all bytes to the transport at once, without an await."""
+        request = self.request
+        host = str(request.address).encode("ascii")
+        length = b"%d" % len(request.body)
+        head = h11.Request(
+            method=request.method,
+            target=request.target_path,
+            headers=[
+                (b"host", host),
+                *request.headers,
+                (b"content-length", length),
+            ],
+        )
+        data = self._h11.send(head)
+        data += self._h11.send(h11.Data(data=request.body))
+        data += self._h11.send(h11.EndOfMessage())
+        self._started_ms = now_ms()
+        self.stage = Stage.PARTLY_WRITTEN
+        self.writer.write(data)
+
+    async def _read_answer(self) -> None:
+        """Read the whole answer."""
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(await self.reader.read(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._settings.answer_bytes_max:
+                    self._fail()
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                self._fail()
+                return
+
+    def _fail(self) -> None:
+        """Note that no whole answer came."""
+        if self.stage is not Stage.PARTLY_WRITTEN:
+            return
+        if self._head is not None:
+            self.stage = Stage.ANSWER_TRUNCATED
+        elif not self.writer.transport.get_write_buffer_size():
+            self.stage = Stage.WRITTEN_NO_ANSWER
+
+    def close(self) -> None:
+        """Close the connection; at once if the exchange did not end well."""
+        if self.stage is not Stage.ANSWERED:
+            self.writer.transport.abort()
+        self.writer.close()
+
+    def _result(self) -> TargetResult:
+        """Return how far the exchange got."""
+        if self._head is None or self.stage is Stage.ANSWER_TRUNCATED:
+            return TargetResult(self.stage, duration_ms=self._elapsed_ms())
+        return TargetResult(
+            stage=self.stage,
+            status=self._head.status_code,
+            headers=response_fields(self._head.headers),
+            body=bytes(self._body),
+            says_close=self._has(b"connection", b"close"),
+            duration_ms=self._elapsed_ms(),
+            retry_after_ms=self._retry_after_ms(),
+        )
+
+    def _finish(self) -> None:
+        if self._is_end_unmarked():
+            self.stage = Stage.ANSWER_TRUNCATED
+        elif self._is_shed():
+            self.stage = Stage.SHED
+        else:
+            self.stage = Stage.ANSWERED
+
+    def _is_end_unmarked(self) -> bool:
+        """Whether only the close of the connection ended the body.
+
+        Such a body cannot be told from a truncated one.
+        """
+        has_length = any(name == b"content-length" for name, _ in self._head.headers)
+        is_chunked = self._has(b"transfer-encoding", b"chunked")
+        is_bodiless = self.request.method == "HEAD"
+        is_bodiless = is_bodiless or self._head.status_code in (204, 304)
+        return not (has_length or is_chunked or is_bodiless)
+
+    def _is_shed(self) -> bool:
+        is_not_run = self._has(RAN_FIELD, _NOT_RUN_WORD)
+        return self._head.status_code == _SHED_STATUS and is_not_run
+
+    def _has(self, name: bytes, word: bytes) -> bool:
+        values = [v for n, v in self._head.headers if n == name]
+        return any(
+            word == token.strip().lower()
+            for value in values
+            for token in value.split(b",")
+        )
+
+    def _retry_after_ms(self) -> int:
+        for name, value in self._head.headers:
+            if name == b"retry-after" and value.isdigit():
+                return int(value) * MS_PER_S
+        return 0
+
+    def _elapsed_ms(self) -> int:
+        return now_ms() - self._started_ms
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -58,6 +58,16 @@
     asyncio.run(with_target(use))
 
 
+def test_request_that_cannot_be_encoded_is_not_written():
+    async def use(target, port, client):
+        request = request_to(port)._replace(target_path="/\u0142")
+        result = await client.exchange(request, lambda: True)
+        assert result.stage is Stage.NOTHING_WRITTEN
+        assert target.received == b""
+
+    asyncio.run(with_target(use))
+
+
 def test_only_reusable_requests_share_a_connection():
     async def use(target, port, client):
         for reuse in (True, True, False):
