Lend each free slot for what can follow it within 150 ms

Cause: under uneven demand and when a pool is closed, far data centres had free slots but no credit left to grant: a unit is out for the way there and back, longer than a request holds a slot. Change: a lender counts on the pool's own service time; what may come at once waits at most 150 ms.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -130,6 +130,17 @@
     world.engine.at(EVENT_MS + 5_000, cut.discard, "r1-d1")
 
 
+def _owner_changes(is_planned: bool, is_blocked: bool) -> Callable:
+    def prepare(world: World, steering) -> None:
+        keys = getattr(steering, "owners", {})
+        for key in [*keys][:1]:
+            world.engine.at(
+                EVENT_MS, steering.replace_owner, key, is_planned, is_blocked
+            )
+
+    return prepare
+
+
 def _uploads(world: World, steering) -> None:
     """One data centre gets so many uploads that they spill over the links."""
     world.callers.weights["r1-d1"] = 4.0
@@ -147,4 +158,9 @@
     "rolling": Scenario(0.7, _rolling),
     "cut-off": Scenario(0.7, _cut_off),
     "uploads": Scenario(0.5, _uploads),
+    "owner-leaves": Scenario(0.7, _owner_changes(is_planned=True, is_blocked=True)),
+    "owner-dies": Scenario(0.7, _owner_changes(is_planned=False, is_blocked=True)),
+    "owner-dies-unblocked": Scenario(
+        0.7, _owner_changes(is_planned=False, is_blocked=False)
+    ),
 }
--- a/sequoiahook/decisions/placement/lender.py
+++ b/sequoiahook/decisions/placement/lender.py
@@ -59,7 +59,12 @@
         self._last_grant_id = 0
 
     def ask(
-        self, message: CreditAsk, free_slots: int, capacity: int, now: int
+        self,
+        message: CreditAsk,
+        free_slots: int,
+        capacity: int,
+        now: int,
+        service_time_ms: int | None = None,
     ) -> list[Send]:
         """Answer an ask out of the slots that local demand leaves free.
 
@@ -68,6 +73,8 @@
             free_slots: Free slots of the pool, less its queue.
             capacity: Slots of the pool that may be used.
             now: The time.
+            service_time_ms: How long a request holds a slot; if it is not known, each
+                free slot is lent once.
         """
         self.tick(now)
         if (message.service, message.data_centre) != (self._service, self._data_centre):
@@ -75,7 +82,9 @@
         key = _AskKey(message.borrower, message.incarnation, message.ask_id)
         grant = self._grants_by_ask.get(key)
         if grant is None:
-            count = self._grant_count(message.wanted, free_slots, capacity)
+            reserve = -(-capacity * self._settings.credit_reserve_percent // 100)
+            takes = self._takes(free_slots, service_time_ms)
+            count = self._grant_count(message.wanted, takes - reserve)
             grant = self._lend(key, count, now)
         return [Send(message.borrower, self._message(key, grant))]
 
@@ -114,10 +123,15 @@
         """Return when :meth:`tick` has something to do; None if never."""
         return min((g.until for g in self._grants_by_id.values()), default=None)
 
-    def _grant_count(self, wanted: int, free_slots: int, capacity: int) -> int:
+    def _takes(self, free_slots: int, service_time_ms: int | None) -> int:
+        if service_time_ms is None or free_slots <= 0:
+            return free_slots
+        wait_ms = self._settings.credit_wait_ms
+        return free_slots + free_slots * wait_ms // max(1, service_time_ms)
+
+    def _grant_count(self, wanted: int, limit: int) -> int:
         lent = sum(len(grant.units) for grant in self._grants_by_id.values())
-        reserve = -(-capacity * self._settings.credit_reserve_percent // 100)
-        lendable = free_slots - reserve - lent
+        lendable = limit - lent
         if lendable <= 0 or wanted <= 0:
             return 0
         return min(wanted, self._settings.credit_ask_max, max(1, lendable // 2))
--- a/sequoiahook/decisions/placement/settings.py
+++ b/sequoiahook/decisions/placement/settings.py
@@ -16,6 +16,8 @@
         credit_lease_ms: How long granted credit lives.
         credit_margin_ms: The lender counts credit for this much longer, for the way of
             requests and the drift of clocks.
+        credit_wait_ms: Longest wait of lent work if all of it comes at once; each free
+            slot is lent for one request now, and for those that follow it this soon.
         credit_reserve_percent: Part of a pool's slots that is never lent.
         credit_ahead: Units that are asked for beyond those wanted since the last ask.
         credit_ask_max: Most units in one ask.
@@ -29,6 +31,7 @@
     spill_gain_ms: int = 5
     credit_lease_ms: int = 300
     credit_margin_ms: int = 150
+    credit_wait_ms: int = 150
     credit_reserve_percent: int = 10
     credit_ahead: int = 4
     credit_ask_max: int = 16
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -106,7 +106,8 @@
         Args:
             now: The time.
             previous_may_run_until_ms: When the last of that work has ended at the
-                latest, on this clock.
+                latest, on this clock: the service's deadline and the overrun after
+                the previous owner can have started anything.
             view_number: The view by which this instance owns the pool.
         """
         self._blocked_until = max(self._blocked_until, previous_may_run_until_ms)
