--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -78,6 +78,16 @@
     assert tenure.may_act(KEY, nobody_absent, TAKEOVER_MS)
 
 
+def test_a_member_that_was_removed_is_still_waited_for():
+    tenure = Tenure(FIRST, TAKEOVER_MS, 10, 0)
+    tenure.change_view(DataCentreView("a", 1, NAMES), ())
+    tenure.change_view(DataCentreView("a", 2, (FIRST, SECOND)), ())
+    tenure.confirm(SECOND, 2, 11, 0)
+    assert not tenure.may_act(KEY, nobody_absent, TAKEOVER_MS)
+    tenure.confirm(THIRD, 2, 11, TAKEOVER_MS)
+    assert tenure.may_act(KEY, nobody_absent, 2 * TAKEOVER_MS)
+
+
 def test_an_echo_of_an_earlier_incarnation_counts_as_none():
     address = Address("10.0.0.1", 1)
     peer = Peer(Instance("a1", 5, "a", address, address), 0)
