--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -264,6 +264,22 @@
             assert set(node.membership.live(data_centre)) == expected
 
 
+def test_what_an_earlier_incarnation_lent_outlives_a_quick_departure():
+    network = settled_network()
+    key = next(key for key in KEYS if network.may_act(network.nodes_by_name["a1"], key))
+    died_at = network.now
+    network.crash("a1")
+    network.start("a1", "a")
+    for _ in range(6):
+        network.step()
+    network.leave("a1")
+    network.leave_views("a1")
+    while not any(network.may_act(n, key) for n in network.in_data_centre("a")):
+        network.step()
+        assert network.now - died_at < 20_000
+    assert network.now - died_at >= LEASE_MS
+
+
 def test_a_message_of_a_replaced_incarnation_is_dropped():
     network = settled_network()
     node = network.nodes_by_name["a0"]
