Pace requests and answers between regions by the links' budgets

Cause: link budgets only turned new places down; what was sent was not counted. Change: the instance that sends a request or an answer to another region takes its bytes from its share of the link first and holds the envelope back until it has them; a queue that is full refuses requests as not run.

--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -34,6 +34,7 @@
     Transmit,
 )
 from sequoiahook.decisions.instance.operators import Operators
+from sequoiahook.decisions.instance.pacing import LinkPacer
 from sequoiahook.decisions.instance.platform_tickets import (
     PlatformTickets,
     view_answer,
@@ -49,6 +50,7 @@
 )
 from sequoiahook.decisions.instance.tracing import Tracing
 from sequoiahook.decisions.keys import Callers, KeyTable
+from sequoiahook.decisions.links import LinkBudgets
 from sequoiahook.decisions.lookup.lookup import Lookup, LookupAnswer
 from sequoiahook.decisions.membership import effects as membership_effects
 from sequoiahook.decisions.membership.membership import Membership
@@ -124,7 +126,11 @@
             settings.pool, settings.placement, me, self._executor, rng
         )
         self._holder = CreditHolder(settings.placement, me.name, me.incarnation)
-        self._placement = Placement(settings.placement, me.data_centre, rng)
+        self._budgets = LinkBudgets(settings.links, me.data_centre, me.name)
+        self._pacer = LinkPacer(self._budgets)
+        self._placement = Placement(
+            settings.placement, me.data_centre, rng, self._budgets
+        )
         self._callers = Callers()
         self._tracing = Tracing(me.name, rng)
         self._steering = Steering(
@@ -298,6 +304,8 @@
         effects += self._holder.tick(self._placement.owner_by_pool(now), now)
         for summary in self._owner.summaries(now):
             effects += self._spread(summary, self.me.name, now)
+        for envelope in self._pacer.tick(now):
+            effects += self._transmit(envelope, now)
         effects += self._stopping.tick(now)
         return self._carry(effects, now)
 
@@ -314,6 +322,7 @@
             self._entry.next_wake(now),
             self._executor.next_wake(now),
             self._owner.next_wake(),
+            self._pacer.next_wake(now),
             self._stopping.next_wake(now),
         ]
         return max(now, min(wake for wake in wakes if wake is not None))
@@ -454,6 +463,21 @@
         return [*spans, *self._route(envelope, now)]
 
     def _route(self, envelope: Envelope, now: int) -> list:
+        """Send an envelope of this instance towards its destination, at its pace."""
+        destination = self._membership.instance(envelope.destination)
+        if destination is None:
+            return self._transmit(envelope, now)
+        data_centre = destination.data_centre
+        is_request = isinstance(envelope.body, request_messages.HandOver)
+        if is_request and self._pacer.is_full(data_centre):
+            request_id = envelope.body.id
+            return self._entry.not_sendable(request_id, Reason.LINK_FULL, now)
+        effects: list = []
+        for ready in self._pacer.submit(envelope, data_centre, now):
+            effects += self._transmit(ready, now)
+        return effects
+
+    def _transmit(self, envelope: Envelope, now: int) -> list:
         hop = self._membership.next_hop(envelope.destination)
         if hop is None:
             return self._not_sent(envelope, now)
@@ -585,6 +609,8 @@
         }
         effects += self._rights.set_alive(silent_ms_by_name, now)
         if self.configuration is not None:
+            instances = membership.view.instances
+            self._budgets.configure(self.configuration, instances, now)
             effects += self._owner.refresh(membership, now)
         return effects
 
--- a/sequoiahook/decisions/instance/settings.py
+++ b/sequoiahook/decisions/instance/settings.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
 from sequoiahook.decisions.exchange.entry import EntrySettings
 from sequoiahook.decisions.exchange.executor import ExecutorSettings
+from sequoiahook.decisions.links import LinkSettings
 from sequoiahook.decisions.lookup.settings import LookupSettings
 from sequoiahook.decisions.membership.settings import MembershipSettings
 from sequoiahook.decisions.placement.settings import PlacementSettings
@@ -44,6 +45,7 @@
     executor: ExecutorSettings = ExecutorSettings()
     pool: PoolSettings = PoolSettings()
     placement: PlacementSettings = PlacementSettings()
+    links: LinkSettings = LinkSettings()
     lookup: LookupSettings = LookupSettings()
     stopping: StoppingSettings = StoppingSettings()
     steering: SteeringSettings = SteeringSettings()
--- a/sequoiahook/decisions/links.py
+++ b/sequoiahook/decisions/links.py
@@ -150,6 +150,7 @@
         self._instance = instance
         self._budgets_by_region: dict[str, LinkBudget] = {}
         self._configuration: Configuration | None = None
+        self._instances: tuple[str, ...] = ()
 
     def configure(
         self, configuration: Configuration, instances: Sequence[str], now: int
@@ -161,7 +162,11 @@
             instances: Names of the instances of this data centre, in the view's order.
             now: The time.
         """
+        is_known = self._configuration is configuration
+        if is_known and self._instances == tuple(instances):
+            return
         self._configuration = configuration
+        self._instances = tuple(instances)
         region = configuration.region_of(self._data_centre)
         contracts_by_name = contracts(configuration, self._settings)
         seen = set()
@@ -180,6 +185,8 @@
 
     def budget(self, destination: str) -> LinkBudget | None:
         """Return the budget for bytes to a data centre; None if there is no limit."""
+        if self._configuration is None:
+            return None
         region = self._configuration.region_of(destination)
         return self._budgets_by_region.get(region)
 
