--- a/standins/target.py
+++ b/standins/target.py
@@ -17,6 +17,7 @@
 MS_PER_S = 1000
 SERVICE_MS_DEFAULT = 5
 CANCELLATION_STEP_MS = 20
+DEADLINE_FIELD = b"sequoiahook-deadline-ms"
 
 
 class Control(NamedTuple):
@@ -34,6 +35,8 @@
         cold_left: How many further requests take the cold time as well.
         cold_ms: Extra service time while cold, in milliseconds.
         accept_cancellation: Stop a request whose connection the other side closed.
+        accept_deadlines: Shed a request whose sequoiahook-deadline-ms is less than the
+            service time.
         load_report: Busy slots to report; -1 for the true number.
     """
 
@@ -48,6 +51,7 @@
     cold_left: int = 0
     cold_ms: int = 200
     accept_cancellation: bool = True
+    accept_deadlines: bool = False
     load_report: int = -1
 
 
@@ -182,7 +186,7 @@
             status, answer = await self._answer_control(path, body)
             return await self._send(connection, writer, status, (), answer)
         self._note(request, data)
-        if self.control.shed or self.control.draining:
+        if self._sheds(request):
             self.shed_count += 1
             fields = ((b"sequoiahook-ran", b"no"),)
             return await self._send(connection, writer, 503, fields, b"shed")
@@ -193,6 +197,14 @@
             return False
         return await self._send_result(connection, writer, request, body)
 
+    def _sheds(self, request: h11.Request) -> bool:
+        control = self.control
+        if control.shed or control.draining:
+            return True
+        deadlines = [int(v) for n, v in request.headers if n == DEADLINE_FIELD]
+        is_late = any(deadline < control.service_ms for deadline in deadlines)
+        return control.accept_deadlines and is_late
+
     async def _read(
         self,
         connection: h11.Connection,
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -194,6 +194,12 @@
     assert not target.runs
 
 
+def test_target_that_cannot_make_the_deadline_sheds():
+    answer, target = run(POST, accept_deadlines=True, service_ms=3500)
+    assert b'"ran": "not run"' in answer
+    assert not target.runs
+
+
 def test_answer_to_head_has_no_body():
     answer, _ = run(GET.replace(b"GET", b"HEAD"))
     assert answer.startswith(b"HTTP/1.1 200")
