Repeat pushes that are not acknowledged

Ruled out: shorter comparisons for all (they cost bytes all the time). Change: a push is repeated after 300 ms to those that have not acknowledged, up to three times; a silent watcher is replaced after 2 s. The test loses 40% now instead of 20%, but no two messages in a row on one link: with unbounded loss no time holds. A late push with a lower number is now answered with the number in force; the test that asked for no answer asks for exactly this one, and that the number stays.

--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -10,6 +10,7 @@
 from sequoiahook.decisions.configuration.held import HeldConfiguration
 from sequoiahook.decisions.configuration.peers import Peers
 from sequoiahook.decisions.configuration.platform_watch import PlatformWatch
+from sequoiahook.decisions.configuration.push_rounds import PushRounds
 from sequoiahook.decisions.configuration.rollout_effects import Apply, Reject
 from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
 from sequoiahook.decisions.configuration.root import Root, read_root, root_value
@@ -61,6 +62,7 @@
         self._seeker = RootSeeker(self._held, settings.call_timeout_ms, ids)
         self._status = StatusWriter(settings, data_centre, ids)
         self._peers = Peers(settings, name, data_centre, rng)
+        self._push_rounds = PushRounds(settings)
 
     @property
     def number(self) -> int:
@@ -150,6 +152,8 @@
         effects = [*self._seek(now), *self._watch.tick(is_watcher, now)]
         if now >= self._peers.next_compare:
             effects += self._compare(is_watcher, now)
+        if self._push_rounds.is_due(now):
+            effects += self._push_again()
         self._status.hear(self._name, self.number, now)
         self._status.forget_silent(now)
         effects += self._status.tick(is_watcher and self._duty.is_first(now), now)
@@ -162,6 +166,7 @@
         wakes = [
             self._peers.next_compare,
             self._seeker.next_wake(),
+            self._push_rounds.next_wake(),
             self._peers.boot_ends,
             self._watch.next_wake(is_watcher, now),
             self._status.next_wake(is_writer, now),
@@ -206,6 +211,8 @@
     def _on_push(self, source: str, message: ConfigurationPush, now: int) -> list:
         if source in self._peers.peers:
             self._status.hear(source, message.number, now)
+        if message.number <= self.number:
+            return [Send(source, self._comparison(now, False))]
         if not self._seeker.is_wanted(message.number):
             return []
         try:
@@ -255,10 +262,28 @@
         """Push what has come from outside the data centre; acknowledge the rest."""
         if source in self._peers.peers:
             message = self._comparison(now, False)
-            return [Send(name, message) for name in sorted(self._peers.watchers)]
-        pieces = ()
-        if self._duty.is_first(now) or not self._duty.is_watcher(now):
-            pieces = self._held.pieces_since(
-                self._held.previous_number, self._settings.push_bytes_max
-            )
+            names = sorted({*self._peers.watchers, source})
+            return [Send(name, message) for name in names]
+        self._push_rounds.begin(now)
+        is_first = self._duty.is_first(now) or not self._duty.is_watcher(now)
+        pieces = self._new_pieces() if is_first else ()
         return [Send(name, self._push(pieces)) for name in self._peers.peers]
+
+    def _push_again(self) -> list:
+        """Repeat the push to those peers that have not acknowledged the number."""
+        number_by_name = self._status.number_by_name
+        names = [
+            name
+            for name in self._peers.peers
+            if number_by_name.get(name, 0) < self.number
+        ]
+        if not names:
+            self._push_rounds.stop()
+        message = self._push(self._new_pieces())
+        return [Send(name, message) for name in names]
+
+    def _new_pieces(self) -> tuple:
+        """Return the pieces that are new since the number in force before."""
+        return self._held.pieces_since(
+            self._held.previous_number, self._settings.push_bytes_max
+        )
--- a/sequoiahook/decisions/configuration/rollout_settings.py
+++ b/sequoiahook/decisions/configuration/rollout_settings.py
@@ -25,6 +25,8 @@
         status_interval_ms: Shortest time between two writes of the status.
         forget_ms: When a silent instance leaves the status.
         push_bytes_max: Most bytes of pieces in one message.
+        push_again_ms: When a push that is not acknowledged is repeated.
+        push_again_max: How often it is repeated.
     """
 
     duty: WatchDutySettings = WatchDutySettings()
@@ -39,3 +41,5 @@
     status_interval_ms: int = 2000
     forget_ms: int = 15_000
     push_bytes_max: int = 262_144
+    push_again_ms: int = 300
+    push_again_max: int = 3
--- a/sequoiahook/decisions/configuration/watching.py
+++ b/sequoiahook/decisions/configuration/watching.py
@@ -19,7 +19,7 @@
     """
 
     watchers: int = 2
-    silence_ms: int = 2500
+    silence_ms: int = 2000
     step_ms: int = 250
 
 
--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -37,6 +37,7 @@
 ROOT = "configuration"
 IN_FORCE_MS = 5000
 PLATFORM_MS = 5
+ANY_COUNT = 10**9
 FAULTS = (
     "lose_answers",
     "lose_writes",
@@ -342,6 +343,8 @@
         self.cut = set()
         self.partitions = set()
         self.drop_percent = 0
+        self.lost_in_row_max = ANY_COUNT
+        self.lost_in_row_by_link = {}
         self.repeat_percent = 0
         self.messages = 0
         self.message_bytes = 0
@@ -407,7 +410,7 @@
         if self.measure is not None:
             self.measure(source, target, effect.body)
         places = frozenset((source.data_centre, target.data_centre))
-        if places in self.partitions or self.rng.randrange(100) < self.drop_percent:
+        if places in self.partitions or self.is_dropped(source, target):
             return
         base_ms = 1 if len(places) == 1 else 35
         is_repeated = self.rng.randrange(100) < self.repeat_percent
@@ -415,6 +418,16 @@
             delay_ms = base_ms + self.rng.randint(0, base_ms)
             self.later(delay_ms, target.run, "receive", source.name, effect.body)
 
+    def is_dropped(self, source, target):
+        """Lose a share of messages, at most so many in a row between two instances."""
+        link = (source.name, target.name)
+        lost = self.lost_in_row_by_link.get(link, 0)
+        is_dropped = (
+            lost < self.lost_in_row_max and self.rng.randrange(100) < self.drop_percent
+        )
+        self.lost_in_row_by_link[link] = lost + 1 if is_dropped else 0
+        return is_dropped
+
     def submit(self, node, patch, change):
         if patch.changes is not None:
             self.numbers_by_id[patch.id].add(patch.against)
@@ -468,6 +481,7 @@
         self.platform.heal()
         self.partitions.clear()
         self.drop_percent = self.repeat_percent = 0
+        self.lost_in_row_max = ANY_COUNT
 
     def settle(self):
         """End all faults but the cuts; all instances must have the newest number."""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -172,7 +172,8 @@
         if "speed" in loses:
             world.platform.slow_ms = 700
         if "messages" in loses:
-            world.drop_percent = 20
+            world.drop_percent = 40
+            world.lost_in_row_max = 1
         if "peers" in loses and not world.cut:
             others = set(DATA_CENTRES) - {data_centre}
             world.partitions = {frozenset((data_centre, other)) for other in others}
--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -52,6 +52,18 @@
         world.advance(237)
 
 
+def test_lost_pushes_are_repeated():
+    world = start({"east": 6, "west": 6})
+    for rate in range(1, 9):
+        world.drop_percent = 100
+        world.lost_in_row_max = 1
+        submit(world, organisation(rate))
+        world.advance(800)
+        world.check_all_hold(1 + rate)
+        world.heal()
+        world.advance(2337)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_boot_in_outage_takes_highest_of_the_answers(seed):
     world = start({"east": 4}, seed)
@@ -84,7 +96,9 @@
     assert not any(isinstance(effect, Apply) for effect in early)
     both = holder.receive("b", push_of(5, entry), 20)
     assert [effect.number for effect in both if isinstance(effect, Apply)] == [5]
-    assert holder.receive("a", push_of(4, entry), 30) == []
+    late = holder.receive("a", push_of(4, entry), 30)
+    assert late == [Send("a", ConfigurationCompare(5, holder.is_watcher(30), False))]
+    assert holder.number == 5
     alone = ConfigurationHolder(settings, "c", "east", random.Random(1))
     alone.configure_view({"east": ["a", "b", "c"]}, 0)
     alone.receive("a", push_of(3, entry), 10)
