Let a booting instance get all pieces with one request

Cause: a random fuzz found an instance that booted at the time of a change at number 0 after 5 s: 40% of the messages were lost, and each level of the tree cost a request, a lost one 500 ms. Ruled out: pushing everything to a booting instance (each peer would send it all). Change: an instance that holds nothing asks one source for the pieces below, too, as far as they fit; a request to an instance is repeated after 250 ms. A root is dropped after 2 s without a piece, as before.

--- a/sequoiahook/decisions/configuration/fetching.py
+++ b/sequoiahook/decisions/configuration/fetching.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from sequoiahook.decisions.call_book import CallBook
+from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
 from sequoiahook.decisions.configuration.root import Root
 from sequoiahook.decisions.configuration.store import piece_object_name
 from sequoiahook.decisions.effects import Send
@@ -15,22 +16,21 @@
 CALLS_AT_ONCE = 8
 LATE_CALLS_MAX = 64
 DIGESTS_AT_ONCE = 64
-FRUITLESS_TURNS = 4
 
 
 class PieceFetcher:
     """Asks one source after the other until no piece is missing.
 
     Args:
-        timeout_ms: When to turn to the next source.
+        settings: When to turn to the next source, and when to give up.
         ids: Source of call ids.
 
     Attributes:
         root: The root that is sought; None if nothing is.
     """
 
-    def __init__(self, timeout_ms: int, ids: Iterator[int]):
-        self._timeout_ms = timeout_ms
+    def __init__(self, settings: RolloutSettings, ids: Iterator[int]):
+        self._settings = settings
         self._calls = CallBook(CALLS_AT_ONCE, ids, LATE_CALLS_MAX)
         self.root: Root | None = None
         self._sources: list[str] = []
@@ -63,8 +63,8 @@
 
         Another root, perhaps a lower one whose pieces can be had, is sought then.
         """
-        return self._progress_at is not None and now >= (
-            self._progress_at + FRUITLESS_TURNS * self._timeout_ms
+        return self._progress_at is not None and (
+            now >= self._progress_at + self._settings.hopeless_ms
         )
 
     def rest(self) -> None:
@@ -79,12 +79,20 @@
         """Remove a platform call of this part that was answered."""
         return self._calls.take(call_id)
 
-    def ask(self, missing: list[str], now: int, *, is_progress: bool = False) -> list:
+    def ask(
+        self,
+        missing: list[str],
+        now: int,
+        *,
+        wants_below: bool = False,
+        is_progress: bool = False,
+    ) -> list:
         """Ask for missing pieces, unless a question is still open.
 
         Args:
             missing: Digests that are missing now.
             now: The time in milliseconds.
+            wants_below: Whether to ask instances for the pieces below, too.
             is_progress: Whether pieces have just come, so that the same source is
                 asked for further ones at once.
         """
@@ -94,10 +102,10 @@
             return self._calls.due()
         if not is_progress:
             self._turn()
-        self._ask_again_at = now + self._timeout_ms
+        self._ask_again_at = now + self._timeout_ms()
         if not self._calls.is_idle:
             return self._calls.due()
-        return self._ask(self._sources[0], missing[:DIGESTS_AT_ONCE])
+        return self._ask(missing[:DIGESTS_AT_ONCE], wants_below)
 
     def _is_due(self, now: int) -> bool:
         return self._ask_again_at is None or now >= self._ask_again_at
@@ -108,9 +116,14 @@
         if self._ask_again_at is not None:
             self._sources.append(self._sources.pop(0))
 
-    def _ask(self, source: str, digests: list[str]) -> list:
-        if source != PLATFORM:
-            return [Send(source, PieceRequest(tuple(digests)))]
+    def _timeout_ms(self) -> int:
+        if self.source == PLATFORM:
+            return self._settings.call_timeout_ms
+        return self._settings.request_timeout_ms
+
+    def _ask(self, digests: list[str], wants_below: bool) -> list:
+        if self.source != PLATFORM:
+            return [Send(self.source, PieceRequest(tuple(digests), wants_below))]
         for digest in digests:
             self._calls.add(ReadObject, piece_object_name(digest))
         return self._calls.due()
--- a/sequoiahook/decisions/configuration/held.py
+++ b/sequoiahook/decisions/configuration/held.py
@@ -8,6 +8,7 @@
     assemble,
     digest_of,
     reachable_pieces,
+    walk_pieces,
 )
 from sequoiahook.world.configuration import Configuration, read_configuration
 
@@ -79,6 +80,10 @@
             return ()
         return self.some_pieces(sorted(self._new_digests), bytes_max)
 
+    def with_those_below(self, digests: tuple[str, ...]) -> list[str]:
+        """Return digests and those of all pieces below them, branches first."""
+        return list(dict.fromkeys(walk_pieces(digests, self.pieces_by_digest)))
+
     def some_pieces(self, digests: Iterable[str], bytes_max: int) -> tuple:
         """Return those of the pieces that are there and fit; at least one if any."""
         found = []
--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -59,7 +59,7 @@
         self._held = HeldConfiguration()
         self._duty = WatchDuty(settings.duty, name, data_centre)
         self._watch = PlatformWatch(settings, ids, rng)
-        self._seeker = RootSeeker(self._held, settings.call_timeout_ms, ids)
+        self._seeker = RootSeeker(self._held, settings, ids)
         self._status = StatusWriter(settings, data_centre, ids)
         self._peers = Peers(settings, name, data_centre, rng)
         self._push_rounds = PushRounds(settings)
@@ -224,7 +224,10 @@
 
     def _on_request(self, source: str, message: PieceRequest) -> list:
         """Answer with pieces; one who asks for old pieces learns the newer root."""
-        pieces = self._held.some_pieces(message.digests, self._settings.push_bytes_max)
+        digests = message.digests
+        if message.wants_below:
+            digests = self._held.with_those_below(digests)
+        pieces = self._held.some_pieces(digests, self._settings.push_bytes_max)
         effects = [Send(source, ConfigurationPieces(pieces))]
         if len(pieces) < len(message.digests) and self.number:
             effects.append(Send(source, self._push(())))
--- a/sequoiahook/decisions/configuration/rollout_settings.py
+++ b/sequoiahook/decisions/configuration/rollout_settings.py
@@ -20,8 +20,9 @@
         watch_wait_ms: How long the platform holds a watch.
         watch_pause_ms: Shortest time between the starts of two watches.
         watch_retry_ms: Longest pause after a watch that failed.
-        call_timeout_ms: When a platform call, beyond the wait of a watch, or a
-            request to a peer is given up.
+        call_timeout_ms: When a platform call, beyond the wait of a watch, is given up.
+        request_timeout_ms: When a request to an instance is given up.
+        hopeless_ms: When a root is dropped for which no piece has come.
         status_interval_ms: Shortest time between two writes of the status.
         forget_ms: When a silent instance leaves the status.
         push_bytes_max: Most bytes of pieces in one message.
@@ -38,6 +39,8 @@
     watch_pause_ms: int = 200
     watch_retry_ms: int = 1000
     call_timeout_ms: int = 500
+    request_timeout_ms: int = 250
+    hopeless_ms: int = 2000
     status_interval_ms: int = 2000
     forget_ms: int = 15_000
     push_bytes_max: int = 262_144
--- a/sequoiahook/decisions/configuration/seeking.py
+++ b/sequoiahook/decisions/configuration/seeking.py
@@ -5,6 +5,7 @@
 from sequoiahook.decisions.configuration.fetching import PieceFetcher
 from sequoiahook.decisions.configuration.held import HeldConfiguration
 from sequoiahook.decisions.configuration.rollout_effects import Apply, Reject
+from sequoiahook.decisions.configuration.rollout_settings import RolloutSettings
 from sequoiahook.decisions.configuration.root import Root
 from sequoiahook.decisions.configuration.store import (
     PIECE_PREFIX,
@@ -23,7 +24,7 @@
 
     Args:
         held: The configuration in force.
-        timeout_ms: When to turn to the next source of pieces.
+        settings: When to turn to the next source, and when to give up.
         ids: Source of call ids.
 
     Attributes:
@@ -32,9 +33,11 @@
             the owner sets it back.
     """
 
-    def __init__(self, held: HeldConfiguration, timeout_ms: int, ids: Iterator[int]):
+    def __init__(
+        self, held: HeldConfiguration, settings: RolloutSettings, ids: Iterator[int]
+    ):
         self._held = held
-        self._fetcher = PieceFetcher(timeout_ms, ids)
+        self._fetcher = PieceFetcher(settings, ids)
         self._rejected_number = 0
         self._reported_digests: set[str] = set()
         self.source = ""
@@ -116,7 +119,10 @@
             self._fetcher.stop()
             self.was_dropped = True
             return []
-        return self._fetcher.ask(missing, now, is_progress=is_progress)
+        wants_below = not self._held.number
+        return self._fetcher.ask(
+            missing, now, wants_below=wants_below, is_progress=is_progress
+        )
 
     def _take(self, root: Root) -> list[Apply | Reject]:
         self.source = self._fetcher.source
--- a/sequoiahook/decisions/configuration/store.py
+++ b/sequoiahook/decisions/configuration/store.py
@@ -10,7 +10,8 @@
 import hashlib
 import json
 import re
-from collections.abc import Iterator, Mapping
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 from sequoiahook.errors import CheckError, Finding
@@ -28,6 +29,7 @@
     "piece_of",
     "reachable_pieces",
     "split",
+    "walk_pieces",
 ]
 
 LEAF_BYTES_MAX = 16_384
@@ -131,13 +133,13 @@
 
 def missing_pieces(pieces_by_name: Mapping[str, str], pieces: Pieces) -> list[str]:
     """Return digests that are named but not there; branches come before leaves."""
-    walk = _walk(pieces_by_name, pieces)
+    walk = walk_pieces(pieces_by_name.values(), pieces)
     return sorted({digest for digest in walk if digest not in pieces})
 
 
 def reachable_pieces(pieces_by_name: Mapping[str, str], pieces: Pieces) -> set[str]:
     """Return the digests of all pieces of a document that are there."""
-    walk = _walk(pieces_by_name, pieces)
+    walk = walk_pieces(pieces_by_name.values(), pieces)
     return {digest for digest in walk if digest in pieces}
 
 
@@ -223,10 +225,11 @@
     )
 
 
-def _walk(pieces_by_name: Mapping[str, str], pieces: Pieces) -> Iterator[str]:
-    pending = list(pieces_by_name.values())
+def walk_pieces(digests: Iterable[str], pieces: Pieces) -> Iterator[str]:
+    """Yield digests and those of all pieces below them, level by level."""
+    pending = deque(digests)
     while pending:
-        digest = pending.pop()
+        digest = pending.popleft()
         yield digest
         pending.extend(_children(pieces.get(digest, b"")))
 
--- a/sequoiahook/messages/configuration.py
+++ b/sequoiahook/messages/configuration.py
@@ -61,9 +61,12 @@
 
     Attributes:
         digests: Digests of the pieces.
+        wants_below: Whether to add the pieces below them, as far as they fit; asked
+            by an instance that holds nothing yet.
     """
 
     digests: tuple[str, ...]
+    wants_below: bool
 
 
 @message
