Let an instance that holds nothing compare with all its peers

Cause: a booting instance whose first questions met booting or dead peers asked one random peer a second after that, and was late when messages were lost, too. Change: it asks all peers at each comparison until it holds a configuration. Conclusion: one lost answer costs a comparison, not a chance.

--- a/sequoiahook/decisions/configuration/peers.py
+++ b/sequoiahook/decisions/configuration/peers.py
@@ -90,10 +90,15 @@
         self._compares += 1
         return self._compares % self._settings.reply_every == 0
 
-    def names_to_compare(self, is_watcher: bool) -> list[str]:
-        """Return all peers for a watcher, else one of them, and the contacts."""
+    def names_to_compare(self, with_all: bool) -> list[str]:
+        """Return all peers or one of them, and the contacts.
+
+        Args:
+            with_all: Whether to compare with all, as a watcher does, and an instance
+                that holds nothing yet.
+        """
         names = set(self.contacts)
-        if is_watcher:
+        if with_all:
             names.update(self.peers)
         elif self.peers:
             names.add(self._rng.choice(self.peers))
--- a/sequoiahook/decisions/configuration/rollout.py
+++ b/sequoiahook/decisions/configuration/rollout.py
@@ -182,7 +182,7 @@
         """Compare numbers with peers and with contacts of other data centres."""
         wants_reply = self._peers.plan_compare(now) or not self.number
         message = self._comparison(now, wants_reply)
-        names = self._peers.names_to_compare(is_watcher)
+        names = self._peers.names_to_compare(is_watcher or not self.number)
         return [Send(name, message) for name in names]
 
     def _on_compare(self, source: str, message: ConfigurationCompare, now: int) -> list:
