--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -11,7 +11,8 @@
     Reject,
     RolloutSettings,
 )
-from sequoiahook.decisions.configuration.store import digest_of
+from sequoiahook.decisions.configuration.root import Root
+from sequoiahook.decisions.configuration.store import digest_of, split
 from sequoiahook.decisions.effects import Send
 from sequoiahook.messages.configuration import (
     ConfigurationCompare,
@@ -106,6 +107,30 @@
     assert [effect.number for effect in late if isinstance(effect, Apply)] == [3]
 
 
+def test_boot_gets_all_pieces_with_one_request():
+    entry = {"burst": 1, "keys_by_name": {}, "rate_per_s": 1}
+    document = {"organisations_by_name": {f"o{i}": entry for i in range(200)}}
+    new = split(document, 100)
+    assert len(new.pieces_by_digest) > 100
+    holders = {
+        name: ConfigurationHolder(RolloutSettings(), name, "east", random.Random(1))
+        for name in ("a", "b")
+    }
+    holders["a"].configure_view({"east": ["a", "b"]}, 0)
+    holders["a"].learn(Root(1, (), new.pieces_by_name), new.pieces_by_digest, 2000)
+    effects = [("b", holders["b"].configure_view({"east": ["a", "b"]}, 0))]
+    requests = 0
+    while effects:
+        source, found = effects.pop()
+        for effect in found:
+            if isinstance(effect, Send):
+                requests += isinstance(effect.body, PieceRequest)
+                to = effect.destination
+                effects.append((to, holders[to].receive(source, effect.body, 2000)))
+    assert holders["b"].document == document
+    assert requests == 1
+
+
 def test_unusable_push_is_reported_once():
     holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
     holder.configure_view({"east": ["a", "c"]}, 0)
