--- a/tests/test_rollout_cases.py
+++ b/tests/test_rollout_cases.py
@@ -11,7 +11,8 @@
     Reject,
     RolloutSettings,
 )
-from sequoiahook.decisions.configuration.store import digest_of
+from sequoiahook.decisions.configuration.root import Root
+from sequoiahook.decisions.configuration.store import digest_of, split
 from sequoiahook.decisions.effects import Send
 from sequoiahook.messages.configuration import (
     ConfigurationCompare,
@@ -52,6 +53,18 @@
         world.advance(237)
 
 
+def test_lost_pushes_are_repeated():
+    world = start({"east": 6, "west": 6})
+    for rate in range(1, 9):
+        world.drop_percent = 100
+        world.lost_in_row_max = 1
+        submit(world, organisation(rate))
+        world.advance(800)
+        world.check_all_hold(1 + rate)
+        world.heal()
+        world.advance(2337)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_boot_in_outage_takes_highest_of_the_answers(seed):
     world = start({"east": 4}, seed)
@@ -84,7 +97,9 @@
     assert not any(isinstance(effect, Apply) for effect in early)
     both = holder.receive("b", push_of(5, entry), 20)
     assert [effect.number for effect in both if isinstance(effect, Apply)] == [5]
-    assert holder.receive("a", push_of(4, entry), 30) == []
+    late = holder.receive("a", push_of(4, entry), 30)
+    assert late == [Send("a", ConfigurationCompare(5, holder.is_watcher(30), False))]
+    assert holder.number == 5
     alone = ConfigurationHolder(settings, "c", "east", random.Random(1))
     alone.configure_view({"east": ["a", "b", "c"]}, 0)
     alone.receive("a", push_of(3, entry), 10)
@@ -92,6 +107,30 @@
     assert [effect.number for effect in late if isinstance(effect, Apply)] == [3]
 
 
+def test_boot_gets_all_pieces_with_one_request():
+    entry = {"burst": 1, "keys_by_name": {}, "rate_per_s": 1}
+    document = {"organisations_by_name": {f"o{i}": entry for i in range(200)}}
+    new = split(document, 100)
+    assert len(new.pieces_by_digest) > 100
+    holders = {
+        name: ConfigurationHolder(RolloutSettings(), name, "east", random.Random(1))
+        for name in ("a", "b")
+    }
+    holders["a"].configure_view({"east": ["a", "b"]}, 0)
+    holders["a"].learn(Root(1, (), new.pieces_by_name), new.pieces_by_digest, 2000)
+    effects = [("b", holders["b"].configure_view({"east": ["a", "b"]}, 0))]
+    requests = 0
+    while effects:
+        source, found = effects.pop()
+        for effect in found:
+            if isinstance(effect, Send):
+                requests += isinstance(effect.body, PieceRequest)
+                to = effect.destination
+                effects.append((to, holders[to].receive(source, effect.body, 2000)))
+    assert holders["b"].document == document
+    assert requests == 1
+
+
 def test_unusable_push_is_reported_once():
     holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
     holder.configure_view({"east": ["a", "c"]}, 0)
@@ -131,7 +170,7 @@
     holder = ConfigurationHolder(RolloutSettings(), "c", "east", random.Random(1))
     effects = holder.configure_view({"east": ["a", "b", "c"]}, 0)
     push = ConfigurationPush(4, json.dumps(root | {"recent_patches": []}).encode(), ())
-    assert Send("a", PieceRequest((digest,))) in holder.receive("a", push, 10)
+    assert Send("a", PieceRequest((digest,), True)) in holder.receive("a", push, 10)
     effects = holder.receive("b", ConfigurationCompare(4, False, False), 20)
     wrong = ConfigurationPieces(((digest, piece + b" "),))
     effects = holder.receive("a", wrong, 30)
