--- a/sequoiahook/daemons/instance.py
+++ b/sequoiahook/daemons/instance.py
@@ -41,10 +41,10 @@
 from sequoiahook.daemons.target_http import (
     TargetClient,
     TargetClientSettings,
+    TargetExchange,
     TargetRequest,
 )
 from sequoiahook.decisions.exchange.effects import AbortTarget, Answer, Refusal, Write
-from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.instance import InstanceCore
 from sequoiahook.decisions.instance.effects import (
     Arrival,
@@ -129,7 +129,7 @@
         )
         self._answers_by_number: dict[int, asyncio.Future] = {}
         self._replies_by_ticket: dict[int, asyncio.Future] = {}
-        self._exchanges_by_id: dict[MessageId, asyncio.Task] = {}
+        self._exchanges_by_id: dict[MessageId, TargetExchange] = {}
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._exited: asyncio.Future[int] | None = None
@@ -373,32 +373,22 @@
         self._feed(lambda now: self._core.connections_closed(now))
 
     def _write(self, effect: Write) -> None:
-        task = self._spawn(self._exchange(effect))
-        self._exchanges_by_id[effect.request_id] = task
+        exchange = self._targets.open(self._target_request(effect))
+        self._exchanges_by_id[effect.request_id] = exchange
+        self._spawn(self._exchange(effect.request_id, exchange))
 
     def _abort_target(self, effect: AbortTarget) -> None:
-        task = self._exchanges_by_id.get(effect.request_id)
-        if task is not None:
-            task.cancel()
-
-    async def _exchange(self, effect: Write) -> None:
-        was_written = False
-
-        def may_write() -> bool:
-            nonlocal was_written
-            now = self._clock.now()
-            was_written = self._core.may_write(effect.request_id, now)
-            return was_written
-
-        try:
-            result = await self._targets.exchange(
-                self._target_request(effect), may_write
-            )
-        except asyncio.CancelledError:
-            stage = Stage.WRITTEN_NO_ANSWER if was_written else Stage.NOTHING_WRITTEN
-            result = TargetResult(stage)
-        self._exchanges_by_id.pop(effect.request_id, None)
-        self._feed(lambda now: self._core.target_result(effect.request_id, result, now))
+        exchange = self._exchanges_by_id.get(effect.request_id)
+        if exchange is not None:
+            exchange.abort()
+
+    async def _exchange(self, request_id: MessageId, exchange: TargetExchange) -> None:
+        """Run an exchange; the core hears of its end exactly once."""
+        result = await exchange.run(
+            lambda: self._core.may_write(request_id, self._clock.now())
+        )
+        del self._exchanges_by_id[request_id]
+        self._feed(lambda now: self._core.target_result(request_id, result, now))
 
     def _target_request(self, effect: Write) -> TargetRequest:
         target = self._core.configuration.targets_by_name[effect.target_name]
--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -351,7 +351,7 @@
             membership_effects.LinksChanged: self._on_links_changed,
             membership_effects.Paused: self._on_paused,
             membership_effects.PeerDown: self._on_member_down,
-            membership_effects.PeerUp: lambda e, now: [Note("peer up", e._asdict())],
+            membership_effects.PeerUp: self._on_member_up,
             membership_effects.ReadObject: self._on_view_call,
             membership_effects.ViewChanged: self._on_view_changed,
             membership_effects.WriteObject: self._on_view_call,
@@ -569,6 +569,10 @@
                 address_by_peer[name] = instance.link_address
         return [Dial(address_by_peer)]
 
+    def _on_member_up(self, effect: Any, now: int) -> list:
+        note = Note("peer up", effect._asdict())
+        return [note, *self._entry.peer_up(effect.name, now)]
+
     def _on_member_down(self, effect: Any, now: int) -> list:
         gone = self._executor.sender_gone(effect.name, effect.incarnation, now)
         lost = self._entry.peer_lost(effect.name, now)
