Fuzz whole instances in virtual time against the targets' record

Cause: each part was fuzzed alone; what goes wrong between them was seen only with real processes. Change: four instances in two data centres run without I/O over fake links, platform and targets; kills, replacements, freezes, cuts, outages and planned stops come at any moment. After each step: no request with a side effect ran twice, each 'not run' is true, each answer is its own, no target runs above its slots, rate and burst hold in every window, no number falls; at rest every instance serves.

Failing first: it found that a pool was accepted by an instance without a configuration (AttributeError when the transfer came); such offers are now ignored.

--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -260,6 +260,8 @@
     def _on_offer(
         self, source: str, offer: PoolOffer, membership: Membership, now: int
     ) -> list:
+        if offer.service not in self._targets_by_service:
+            return []
         is_mine = self.owner(offer.service, membership, now) == self._me.name
         if not (is_mine or offer.is_leaving) or membership.state != LIVE:
             return []
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,192 @@
+"""The promises over whole instances: any fault at any moment, together or twice."""
+
+from collections import Counter
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from sequoiahook.decisions.exchange.effects import Answer
+from sequoiahook.world.organisation import key_digest
+from tests.virtual_fleet import Fleet
+
+NAMES = {"a-1": "dc-a", "a-2": "dc-a", "b-1": "dc-b", "b-2": "dc-b"}
+PAIR = frozenset(("dc-a", "dc-b"))
+KEY = "key-of-organisation-one"
+RATE_PER_S = 40
+BURST = 8
+SLOTS = 2
+START_MS = 12_000
+REST_MS = 30_000
+IN_FORCE_MS = 5_000
+DOCUMENT = {
+    "regions_by_name": {
+        "north": {"data_centres": ["dc-a"]},
+        "south": {"data_centres": ["dc-b"]},
+    },
+    "links_by_name": {
+        "north-south": {
+            "regions": ["north", "south"],
+            "bits_per_second": 280_000_000,
+            "one_way_ms": 10,
+        }
+    },
+    "services_by_name": {
+        "desk": {"path_prefix": "/desk", "deadline_ms": 1500},
+        "vault": {"path_prefix": "/vault", "deadline_ms": 1500},
+    },
+    "targets_by_name": {
+        name: {
+            "service": name.split("-")[0],
+            "data_centre": f"dc-{name.split('-')[1]}",
+            "host": "127.0.0.1",
+            "port": port,
+            "slots": SLOTS,
+        }
+        for port, name in enumerate(("desk-a", "desk-b", "vault-b"), 9000)
+    },
+    "organisations_by_name": {
+        "one": {
+            "rate_per_s": RATE_PER_S,
+            "burst": BURST,
+            "keys_by_name": {"first": {"digest": key_digest(KEY)}},
+        }
+    },
+}
+
+
+class CoreMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.fleet = Fleet(NAMES, DOCUMENT, seed)
+        self.highest_by_process = {}
+        self.checked_runs = 0
+        self.withdrawn_at = None
+        self.fleet.run(START_MS, self.check_numbers)
+
+    @rule(
+        name=st.sampled_from(sorted(NAMES)),
+        method=st.sampled_from(["GET", "POST"]),
+        service=st.sampled_from([b"/desk/x", b"/vault/x"]),
+        count=st.integers(1, 12),
+    )
+    def ask(self, name, method, service, count):
+        for _ in range(count):
+            self.fleet.request(name, method, service, KEY)
+
+    @rule(duration_ms=st.sampled_from([5, 40, 200, 1_000, 4_000]))
+    def advance(self, duration_ms):
+        self.fleet.run(duration_ms, self.check_numbers)
+
+    @rule(name=st.sampled_from(sorted(NAMES)))
+    def kill(self, name):
+        self.fleet.kill(name)
+
+    @rule(name=st.sampled_from(sorted(NAMES)))
+    def replace(self, name):
+        self.fleet.kill(name)
+        self.fleet.boot(name)
+
+    @rule(
+        name=st.sampled_from(sorted(NAMES)),
+        duration_ms=st.sampled_from([300, 1_500, 6_000]),
+    )
+    def freeze(self, name, duration_ms):
+        self.fleet.freeze(name, duration_ms)
+
+    @rule(is_cut=st.booleans())
+    def cut(self, is_cut):
+        self.fleet.cut({PAIR} if is_cut else set())
+
+    @rule(is_up=st.booleans())
+    def platform(self, is_up):
+        self.fleet.is_platform_up = is_up
+
+    @rule(name=st.sampled_from(sorted(NAMES)))
+    def stop(self, name):
+        self.fleet.stop(name)
+
+    @rule(
+        name=st.sampled_from(sorted(DOCUMENT["targets_by_name"])),
+        service_ms=st.sampled_from([5, 40, 400, 3_000]),
+        is_faulty=st.booleans(),
+    )
+    def target(self, name, service_ms, is_faulty):
+        target = self.fleet.targets_by_name[name]
+        target.service_ms = service_ms
+        target.is_faulty = is_faulty
+
+    def check_numbers(self):
+        for name, number in self.fleet.number_by_name.items():
+            process = (name, self.fleet.generation_by_name[name])
+            assert number >= self.highest_by_process.get(process, 0), process
+            self.highest_by_process[process] = number
+
+    def runs(self):
+        targets = self.fleet.targets_by_name.values()
+        return [run for target in targets for run in target.runs]
+
+    @invariant()
+    def nothing_is_harmed(self):
+        if not hasattr(self, "fleet"):
+            return
+        runs = self.runs()
+        count_by_id = Counter(request_id for request_id, *_ in runs)
+        for request_id, _, _, method in runs:
+            assert method == "GET" or count_by_id[request_id] == 1, request_id
+        for request_id, answer in self.fleet.answers_by_id.items():
+            if isinstance(answer, Answer):
+                assert answer.body == request_id.encode(), request_id
+            elif answer.ran == "not run":
+                assert not count_by_id[request_id], (request_id, answer)
+
+    @invariant()
+    def no_target_is_overloaded(self):
+        if hasattr(self, "fleet"):
+            for name, target in self.fleet.targets_by_name.items():
+                assert target.peak <= SLOTS, name
+
+    @invariant()
+    def rate_and_burst_hold(self):
+        if not hasattr(self, "fleet"):
+            return
+        times = sorted(at for _, _, at, _ in self.runs())
+        if len(times) == self.checked_runs:
+            return
+        self.checked_runs = len(times)
+        for first, start in enumerate(times):
+            for last in range(first + BURST, len(times)):
+                allowed = BURST + RATE_PER_S * (times[last] - start) / 1000
+                assert last - first + 1 <= allowed, (start, times[last])
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        fleet = self.fleet
+        fleet.is_platform_up = True
+        fleet.cut(set())
+        fleet.frozen_until.clear()
+        for target in fleet.targets_by_name.values():
+            target.is_faulty = False
+            target.service_ms = 5
+        for name in NAMES:
+            if name not in fleet.cores_by_name:
+                fleet.boot(name)
+        fleet.run(REST_MS, self.check_numbers)
+        for name in NAMES:
+            if name not in fleet.cores_by_name:
+                fleet.boot(name)
+        fleet.run(REST_MS, self.check_numbers)
+        self.nothing_is_harmed()
+        self.rate_and_burst_hold()
+        asked = {
+            name: fleet.request(name, "GET", b"/desk/rest", KEY)
+            for name in fleet.cores_by_name
+        }
+        fleet.run(2_000)
+        for name, request_id in asked.items():
+            answer = fleet.answers_by_id.get(request_id)
+            assert isinstance(answer, Answer), (name, answer)
+
+
+TestCore = CoreMachine.TestCase
+TestCore.settings = settings(max_examples=12, stateful_step_count=20)
