--- a/sequoiahook/decisions/rights/account.py
+++ b/sequoiahook/decisions/rights/account.py
@@ -151,6 +151,20 @@
         self.waits = [wait for wait in self.waits if isinstance(wait, LocalWait)]
         return self.base.give_up(lapses_ms, now)
 
+    def held(self, now: int) -> Amount:
+        """Return the share and the loans, at hand or lent on."""
+        held = self.base.total
+        for part in self.borrowing.usable_parts(now):
+            held = held.plus(part.amount).plus(self.lending.outstanding(part))
+        return held
+
+    def local_demand(self, now: int) -> int:
+        """Return the use here and, for a keeper, in its data centre."""
+        demand = self.demand.rate(now)
+        if self.is_keeper:
+            demand += self.lending.demand(self.local_names, now)
+        return demand
+
     def in_use(self) -> Iterable[Part]:
         """Return the parts that reservations were taken from."""
         for reservation in self.reservations_by_id.values():
@@ -209,5 +223,6 @@
         retry_after_ms = min(retry_after_ms, FOREVER_MS)
         if isinstance(wait, LocalWait):
             return Refused(wait.request_id, retry_after_ms)
+        retry_after_ms = min(retry_after_ms, self.settings.local_lease_ms // 2)
         body = RightsRefusal(self.name, wait.ask.sequence, retry_after_ms)
         return Send(wait.borrower, body)
--- a/sequoiahook/decisions/rights/asking.py
+++ b/sequoiahook/decisions/rights/asking.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.rights.account import Account
 from sequoiahook.decisions.rights.borrowing import Borrowed
+from sequoiahook.decisions.rights.part import Part
 from sequoiahook.decisions.rights.waits import LocalWait
 from sequoiahook.messages.rights import Amount, RightsAsk
 from sequoiahook.world.contract import MICRO
@@ -14,11 +15,9 @@
 
 NOTHING = Amount()
 PERCENT = 100
-BURST_MS = 100
-"""A loan of a rate comes with the capacity for this much of its use."""
 SMALL_BURST = 8
 """Bursts up to this many units are returned without delay."""
-REPEAT_PART = 20
+REPEAT_PART = 5
 """A grown want is asked for again after this part of the usual time for a repeat."""
 
 
@@ -62,7 +61,7 @@
     settings = account.settings
     parts = account.parts(now)
     free = sum(part.tokens for part in parts)
-    demand = _demand(account, now)
+    demand = account.local_demand(now)
     ahead_ms = (
         settings.remote_ahead_ms if account.is_keeper else settings.local_ahead_ms
     )
@@ -79,16 +78,11 @@
 
 def _wanted_rate(account: Account, demand: int, now: int) -> tuple[int, int]:
     aim, capacity_aim = _aims(account, demand)
-    parts = account.borrowing.usable_parts(now)
-    held = sum(part.rate for part in parts) + account.base.total.rate
-    held += sum(
-        account.lending.outstanding(part).rate for part in parts if account.is_keeper
-    )
-    missing = aim - held
+    held = account.held(now)
+    missing = aim - held.rate
     if aim == 0 or missing * 10 < demand:
         return 0, 0
-    capacity = sum(part.capacity for part in parts)
-    return missing, max(0, capacity_aim - capacity)
+    return missing, max(0, capacity_aim - held.capacity)
 
 
 def _aims(account: Account, demand: int) -> tuple[int, int]:
@@ -96,17 +90,10 @@
     if demand * settings.local_lease_ms < 2 * MICRO:
         return 0, 0
     rate = demand * settings.lent_rate_percent // PERCENT
-    capacity = (1 + -(-demand * BURST_MS // MICRO)) * MICRO
+    capacity = MICRO + demand * settings.lent_burst_ms
     return rate, capacity
 
 
-def _demand(account: Account, now: int) -> int:
-    demand = account.demand.rate(now)
-    if account.is_keeper:
-        demand += account.lending.demand(account.local_names, now)
-    return demand
-
-
 def _waiting_tokens(account: Account) -> int:
     return sum(
         wait.tokens
@@ -168,7 +155,7 @@
         ids.run,
         sequence,
         wanted,
-        _demand(account, now),
+        account.local_demand(now),
         wait_ms,
         account.borrowing.held_loans(lender, now),
     )
@@ -179,15 +166,12 @@
 
 def _give_back_idle(account: Account, now: int) -> None:
     reserved = list(map(id, account.in_use()))
-    demand = _demand(account, now)
-    aim, capacity_aim = _aims(account, demand)
+    aim, capacity_aim = _aims(account, account.local_demand(now))
     for loan in account.borrowing.loans_by_id.values():
         if not loan.part.is_usable(now):
             continue
         loan.part.refill(now)
-        if loan.part.rate == 0:
-            unusable = loan.part.capacity - loan.part.tokens
-            _give_back(loan, Amount(0, unusable, 0), now)
+        _give_back_room(account, loan, now)
         is_held = id(loan.part) in reserved
         is_idle = now - loan.part.used_ms >= account.settings.idle_ms
         if is_idle and not is_held and aim == 0:
@@ -196,12 +180,35 @@
             _give_back_excess(account, loan, aim, capacity_aim, now)
 
 
+def _give_back_room(account: Account, loan: Borrowed, now: int) -> None:
+    """Return the capacity of tokens that were spent, which the lender can refill."""
+    part = loan.part
+    kept = part.rate * account.settings.lent_burst_ms
+    if part.rate:
+        kept += max(0, MICRO - _capacity_elsewhere(account, part, now))
+    room = part.capacity - max(part.tokens, kept)
+    if room > 0:
+        _give_back(loan, Amount(0, room, 0), now)
+
+
+def _capacity_elsewhere(account: Account, part: Part, now: int) -> int:
+    return sum(
+        other.capacity
+        for other in account.parts(now)
+        if other is not part and other.rate
+    )
+
+
 def _give_back_excess(
     account: Account, loan: Borrowed, aim: int, capacity_aim: int, now: int
 ) -> None:
     part = loan.part
-    rate = max(0, part.rate - loan.rate_limit, part.rate - aim * 3 // 2)
-    capacity = max(0, part.capacity - 2 * capacity_aim) // MICRO * MICRO
+    held = account.held(now)
+    excess = max(part.rate - loan.rate_limit, held.rate - aim * 9 // 8)
+    rate = max(0, min(part.rate, excess))
+    spare = held.capacity - account.base.total.capacity - capacity_aim - MICRO
+    needed = (part.rate - rate) * account.settings.lent_burst_ms
+    capacity = max(0, min(part.capacity - needed, spare))
     overflow = max(0, part.tokens - (part.capacity - capacity))
     _give_back(loan, Amount(rate, capacity, overflow), now)
 
--- a/sequoiahook/decisions/rights/borrowing.py
+++ b/sequoiahook/decisions/rights/borrowing.py
@@ -2,7 +2,13 @@
 
 from sequoiahook.decisions.rights.part import Part
 from sequoiahook.decisions.rights.settings import RightsSettings
-from sequoiahook.messages.rights import Amount, HeldLoan, RightsGrant, RightsRefusal
+from sequoiahook.messages.rights import (
+    Amount,
+    GrantedLoan,
+    HeldLoan,
+    RightsGrant,
+    RightsRefusal,
+)
 
 __all__ = ["Borrowed", "Borrowing", "OpenAsk"]
 
@@ -124,34 +130,23 @@
         held = []
         for loan_id, loan in self.loans_by_id.items():
             if loan.lender == lender and loan.part.is_usable(now):
-                held.append(HeldLoan(loan_id, loan.granted, loan.returned))
+                is_due = now >= loan.renew_ms and not loan.is_empty
+                held.append(HeldLoan(loan_id, loan.granted, loan.returned, is_due))
                 loan.reported = loan.returned
         return tuple(held)
 
-    def on_grant(self, source: str, grant: RightsGrant, now: int) -> Borrowed | None:
-        """Credit a grant.
-
-        Returns:
-            The loan; None if the grant came too late to count.
-        """
+    def on_grant(self, source: str, grant: RightsGrant, now: int) -> None:
+        """Credit a grant, unless it comes too late to count."""
         asked_ms = self._asked_ms_by_sequence.get(grant.sequence)
         if asked_ms is None:
-            return None
-        expires_ms = asked_ms + min(grant.duration_ms, self._settings.remote_lease_ms)
-        loan = self.loans_by_id.get(grant.loan_id)
-        if expires_ms <= now or (loan and not loan.part.is_usable(now)):
-            return None
-        if loan is None:
-            loan = Borrowed(source, Part(grant.loan_id, now, expires_ms), now)
-            self.loans_by_id[grant.loan_id] = loan
-        loan.part.expires_ms = max(loan.part.expires_ms, expires_ms)
-        loan.renew_ms = max(loan.renew_ms, (asked_ms + expires_ms) // 2)
-        loan.credit(grant.granted, now)
-        loan.rate_limit = grant.rate_limit
+            return
+        for granted in grant.loans:
+            self._credit(source, granted, asked_ms, now)
         self.spare_by_lender[source] = grant.spare
-        self.dry_until_by_lender.pop(source, None)
-        self._close(source, grant.sequence, grant.is_last)
-        return loan
+        ask = self.asks_by_lender.get(source)
+        if ask is not None and ask.sequence == grant.sequence and grant.is_last:
+            ask.is_open = False
+            self.dry_until_by_lender.pop(source, None)
 
     def on_refusal(self, source: str, refusal: RightsRefusal, now: int) -> None:
         """Remember until when a lender has nothing."""
@@ -164,7 +159,18 @@
         self.spare_by_lender[source] = 0
         self.dry_until_by_lender[source] = now + refusal.retry_after_ms
 
-    def _close(self, lender: str, sequence: int, is_last: bool) -> None:
-        ask = self.asks_by_lender.get(lender)
-        if is_last and ask is not None and ask.sequence == sequence:
-            ask.is_open = False
+    def _credit(
+        self, source: str, granted: GrantedLoan, asked_ms: int, now: int
+    ) -> None:
+        duration_ms = min(granted.duration_ms, self._settings.remote_lease_ms)
+        expires_ms = asked_ms + duration_ms
+        loan = self.loans_by_id.get(granted.loan_id)
+        if expires_ms <= now or (loan and not loan.part.is_usable(now)):
+            return
+        if loan is None:
+            loan = Borrowed(source, Part(granted.loan_id, now, expires_ms), now)
+            self.loans_by_id[granted.loan_id] = loan
+        loan.part.expires_ms = max(loan.part.expires_ms, expires_ms)
+        loan.renew_ms = max(loan.renew_ms, asked_ms + duration_ms // 2)
+        loan.credit(granted.granted, now)
+        loan.rate_limit = granted.rate_limit
--- a/sequoiahook/decisions/rights/keepership.py
+++ b/sequoiahook/decisions/rights/keepership.py
@@ -43,7 +43,8 @@
         self._answered: set[str] = set()
         self._lapses_ms = 0
         self._floor_ms: int | None = None
-        self.is_leaving = False
+        self._is_leaving = False
+        self._keeper_by_contract: dict[tuple[str, str], str | None] = {}
 
     @property
     def view(self) -> DataCentreView:
@@ -57,6 +58,11 @@
         """Data centres with a known view."""
         return self._views_by_data_centre
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this instance is stopping."""
+        return self._is_leaving
+
     @property
     def is_claimed(self) -> bool:
         """Whether every peer has answered the latest claim."""
@@ -69,8 +75,12 @@
 
     def keeper(self, contract: str, data_centre: str) -> str | None:
         """Return the instance that keeps a contract in a data centre."""
-        view = self._views_by_data_centre.get(data_centre)
-        return rendezvous.winner(contract, self._eligible(view)) if view else None
+        key = (contract, data_centre)
+        if key not in self._keeper_by_contract:
+            view = self._views_by_data_centre.get(data_centre)
+            names = self._eligible(view) if view else ()
+            self._keeper_by_contract[key] = rendezvous.winner(contract, names)
+        return self._keeper_by_contract[key]
 
     def would_keep(self, contract: str, claimant: str) -> bool:
         """Return whether a peer that is evidently alive keeps a contract."""
@@ -87,6 +97,7 @@
         if old is not None and view.number <= old.number:
             return False
         self._views_by_data_centre[view.data_centre] = view
+        self._keeper_by_contract.clear()
         if view.data_centre != self._data_centre:
             return False
         self._leaving &= set(view.instances)
@@ -110,12 +121,19 @@
         )
         is_changed = silent != self._silent
         self._silent = silent
+        self._keeper_by_contract.clear()
         return is_changed
 
+    def leave(self) -> None:
+        """Stop being a keeper."""
+        self._is_leaving = True
+        self._keeper_by_contract.clear()
+
     def note_leaving(self, name: str) -> bool:
         """Note that a peer stops; return whether that is news."""
         is_news = name not in self._leaving
         self._leaving.add(name)
+        self._keeper_by_contract.clear()
         return is_news
 
     def pause(self, now: int) -> None:
@@ -149,6 +167,7 @@
         self._answered.add(source)
         if not answer.is_leaving:
             self._leaving.discard(source)
+            self._keeper_by_contract.clear()
         lapse_ms = answer.lapse_ms
         if lapse_ms:
             lapses_ms = now + lapse_ms + self._settings.margin_ms
@@ -171,7 +190,7 @@
     def _eligible(self, view: DataCentreView) -> list[str]:
         away = self._silent | self._leaving
         names = [name for name in view.instances if name not in away]
-        if self.is_leaving:
+        if self._is_leaving:
             names = [name for name in names if name != self._name]
         return names
 
--- a/sequoiahook/decisions/rights/lending.py
+++ b/sequoiahook/decisions/rights/lending.py
@@ -3,11 +3,9 @@
 import random
 from collections.abc import Iterable
 
-from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.rights.part import Part
 from sequoiahook.decisions.rights.settings import RightsSettings
-from sequoiahook.messages.rights import Amount, HeldLoan, RightsAsk, RightsGrant
-from sequoiahook.world.contract import MICRO
+from sequoiahook.messages.rights import Amount, GrantedLoan, HeldLoan, RightsAsk
 
 __all__ = ["Lending", "Lent"]
 
@@ -39,6 +37,10 @@
         self.expires_ms = 0
         self.duration_ms = 0
 
+    def stated(self, rate_limit: int) -> GrantedLoan:
+        """Return the loan as it is told to the borrower."""
+        return GrantedLoan(self.loan_id, self.duration_ms, self.granted, rate_limit)
+
     @property
     def outstanding(self) -> Amount:
         """What the borrower may still hold."""
@@ -125,14 +127,20 @@
                 total += min(lent.granted.tokens, lent.outstanding.capacity)
         return total
 
+    def may_lend(self, part: Part, now: int) -> bool:
+        """Return whether a part lasts long enough for a loan from it."""
+        margin_ms = self._settings.margin_ms
+        return part.expires_ms is None or part.expires_ms - now >= 2 * margin_ms
+
     def renew(self, borrower: str, ask: RightsAsk, now: int) -> list[Lent]:
-        """Extend the loans that an ask names and return them."""
+        """Extend the loans that an ask wants renewed and return them."""
         renewed = []
         for held in ask.loans:
             lent = self.lent_by_id.get(held.loan_id)
-            if lent is None or lent.borrower != borrower:
+            if lent is None or lent.borrower != borrower or not held.wants_renewal:
                 continue
-            if lent.outstanding != NOTHING and self._extend(lent, now):
+            if lent.outstanding != NOTHING and self.may_lend(lent.part, now):
+                self._extend(lent, now)
                 renewed.append(lent)
         return renewed
 
@@ -144,41 +152,21 @@
         amount: Amount,
         lease_ms: int,
         now: int,
-    ) -> Lent | None:
-        """Debit a part and add to the borrower's loan from it.
+    ) -> Lent:
+        """Debit a part that may be lent from and add to the borrower's loan of it.
 
         Only a loan that the ask names is added to: the borrower may have stopped
         counting any other one.
-
-        Returns:
-            The loan; None if the part lapses too soon to lend from.
         """
         lent = self._named_loan(ask, borrower, part)
         if lent is None:
             loan_id = self._rng.getrandbits(LOAN_ID_BITS)
             lent = Lent(loan_id, borrower, part, lease_ms)
-        if not self._extend(lent, now):
-            return None
+        self._extend(lent, now)
         self.lent_by_id[lent.loan_id] = lent
         lent.granted = lent.granted.plus(part.take(amount, now))
         return lent
 
-    def grant(
-        self, lent: Lent, ask: RightsAsk, rate_limit: int, spare: int, is_last: bool
-    ) -> Send:
-        """Return the message that tells a borrower of its loan."""
-        body = RightsGrant(
-            ask.contract,
-            lent.loan_id,
-            ask.sequence,
-            lent.duration_ms,
-            lent.granted,
-            rate_limit,
-            max(0, spare) // MICRO * MICRO,
-            is_last,
-        )
-        return Send(lent.borrower, body)
-
     def _absorb_loan(self, borrower: str, held: HeldLoan, now: int) -> None:
         lent = self.lent_by_id.get(held.loan_id)
         if lent is None or lent.borrower != borrower:
@@ -195,16 +183,13 @@
                 return lent
         return None
 
-    def _extend(self, lent: Lent, now: int) -> bool:
+    def _extend(self, lent: Lent, now: int) -> None:
         margin_ms = self._settings.margin_ms
         duration_ms = lent.lease_ms
         if lent.part.expires_ms is not None:
             duration_ms = min(duration_ms, lent.part.expires_ms - margin_ms - now)
-        if duration_ms < margin_ms:
-            return False
         lent.duration_ms = duration_ms
         lent.expires_ms = max(lent.expires_ms, now + duration_ms + margin_ms)
-        return True
 
     def _stated(self, borrower: str) -> tuple[int, int]:
         return self._demand_by_borrower.get(borrower, (0, 0))
--- a/sequoiahook/decisions/rights/rights.py
+++ b/sequoiahook/decisions/rights/rights.py
@@ -226,7 +226,7 @@
     def hand_over(self, now: int) -> list:
         """Ask the peers to take over what this instance keeps, as it stops."""
         self._look_at_clock(now)
-        self._keepership.is_leaving = True
+        self._keepership.leave()
         body = RightsLeaving(self._keepership.view.number)
         effects: list = [Send(name, body) for name in self._keepership.peers()]
         return effects + self._pump_all(now)
--- a/sequoiahook/decisions/rights/settings.py
+++ b/sequoiahook/decisions/rights/settings.py
@@ -23,6 +23,7 @@
         demand_ms: Time constant of the average use.
         local_ahead_ms: How far ahead of its use an instance keeps tokens.
         remote_ahead_ms: How far ahead of its use a keeper keeps tokens.
+        lent_burst_ms: How much of its use a loan of a rate has capacity for.
         return_delay_ms: How long returns of small parts of a burst are gathered.
         lent_rate_percent: Part of its average use that a borrower wants as a rate.
     """
@@ -37,8 +38,9 @@
     kept_percent: int = 25
     idle_ms: int = 250
     demand_ms: int = 1000
-    local_ahead_ms: int = 20
-    remote_ahead_ms: int = 200
+    local_ahead_ms: int = 10
+    remote_ahead_ms: int = 60
+    lent_burst_ms: int = 40
     return_delay_ms: int = 20
     lent_rate_percent: int = 90
 
--- a/sequoiahook/decisions/rights/supply.py
+++ b/sequoiahook/decisions/rights/supply.py
@@ -6,7 +6,7 @@
 from sequoiahook.decisions.rights.lending import Lent
 from sequoiahook.decisions.rights.part import Part
 from sequoiahook.decisions.rights.waits import AskWait, LocalWait
-from sequoiahook.messages.rights import Amount, RightsAsk, RightsRefusal
+from sequoiahook.messages.rights import Amount, RightsAsk, RightsGrant, RightsRefusal
 from sequoiahook.world.contract import MICRO
 
 __all__ = ["on_ask", "serve"]
@@ -69,10 +69,11 @@
 def _answer_as_stranger(
     account: Account, source: str, ask: RightsAsk, lents: list[Lent]
 ) -> list:
-    effects = [
-        account.lending.grant(lent, ask, lent.outstanding.rate, 0, False)
-        for lent in lents
-    ]
+    effects = []
+    if lents:
+        loans = tuple(lent.stated(lent.outstanding.rate) for lent in lents)
+        body = RightsGrant(account.name, ask.sequence, loans, 0, False)
+        effects.append(Send(source, body))
     if ask.wanted != NOTHING:
         body = RightsRefusal(account.name, ask.sequence, NOT_KEEPER_RETRY_MS)
         effects.append(Send(source, body))
@@ -107,18 +108,22 @@
 
 
 def _lend_tokens(account: Account, wait: AskWait, now: int) -> list:
-    lents = []
-    missing = wait.tokens
+    offers = []
     for part in _lendable_parts(account, wait.is_remote, now):
         free = _free(account, part, wait.is_remote, now)
-        tokens = min(missing, free.tokens) // MICRO * MICRO
-        if tokens <= 0:
-            continue
+        tokens = min(free.tokens, _lendable_capacity(account, part))
+        if tokens > 0 and account.lending.may_lend(part, now):
+            offers.append((part, tokens))
+    total = sum(tokens for _, tokens in offers)
+    missing = min(wait.tokens, total) // MICRO * MICRO
+    lents = []
+    for part, offered in offers:
+        tokens = min(missing, offered)
+        if tokens == 0:
+            break
+        missing -= tokens
         amount = Amount(0, tokens, tokens)
-        lent = _lend(account, wait.borrower, wait.ask, part, amount, now)
-        if lent is not None:
-            lents.append(lent)
-            missing -= tokens
+        lents.append(_lend(account, wait.borrower, wait.ask, part, amount, now))
     return _grants(account, lents, wait.ask, True, wait.is_remote, now)
 
 
@@ -128,13 +133,19 @@
     if ask.wanted.rate <= 0:
         return None
     parts = _lendable_parts(account, is_remote, now)
-    frees = [(_free(account, part, is_remote, now), part) for part in parts]
+    frees = [
+        (_free(account, part, is_remote, now), part)
+        for part in parts
+        if account.lending.may_lend(part, now)
+    ]
     if not frees:
         return None
     free, part = max(frees, key=lambda pair: pair[0].rate)
-    rate = min(free.rate, ask.wanted.rate)
-    capacity = min(ask.wanted.capacity, free.capacity // 2) // MICRO * MICRO
-    if rate <= 0 or (capacity == 0 and ask.wanted.capacity > 0):
+    refill_ms = account.settings.lent_burst_ms
+    capacity = max(ask.wanted.capacity, ask.wanted.rate * refill_ms)
+    capacity = min(capacity, free.capacity // 2)
+    rate = min(free.rate, ask.wanted.rate, capacity // refill_ms)
+    if rate <= 0:
         return None
     overflow = max(0, free.tokens - (free.capacity - capacity))
     return _lend(account, source, ask, part, Amount(rate, capacity, overflow), now)
@@ -147,7 +158,7 @@
     part: Part,
     amount: Amount,
     now: int,
-) -> Lent | None:
+) -> Lent:
     settings = account.settings
     is_remote = borrower not in account.local_names
     lease_ms = settings.remote_lease_ms if is_remote else settings.local_lease_ms
@@ -161,6 +172,16 @@
     return account.parts(now)
 
 
+def _lendable_capacity(account: Account, part: Part) -> int:
+    """Return the capacity that can go without stopping the part's refill."""
+    total = part.capacity
+    if part is account.base.part:
+        total = account.base.total.capacity
+    refill_ms = account.settings.lent_burst_ms
+    kept = min(part.rate * refill_ms, max(0, total - MICRO))
+    return part.capacity - kept
+
+
 def _free(account: Account, part: Part, is_remote: bool, now: int) -> Amount:
     part.refill(now)
     if not is_remote:
@@ -168,6 +189,7 @@
     percent = account.settings.kept_percent
     kept_rate = account.base.total.rate * percent // PERCENT
     kept_capacity = account.base.total.capacity * percent // PERCENT // MICRO * MICRO
+    kept_rate = max(kept_rate, part.rate + _local_rate_missing(account, now))
     kept = Amount(kept_rate, kept_capacity, kept_capacity)
     return part.amount.minus(kept).highest(NOTHING)
 
@@ -180,29 +202,37 @@
     is_remote: bool,
     now: int,
 ) -> list:
+    if not lents:
+        return []
     spare = sum(
         _free(account, part, is_remote, now).tokens
         for part in _lendable_parts(account, is_remote, now)
     )
-    effects = []
-    for index, lent in enumerate(lents):
-        limit = _rate_limit(account, lent, is_remote, now)
-        is_final = is_last and index == len(lents) - 1
-        effects.append(account.lending.grant(lent, ask, limit, spare, is_final))
-    return effects
+    loans = tuple(
+        lent.stated(_rate_limit(account, lent, is_remote, now)) for lent in lents
+    )
+    spare = spare // MICRO * MICRO
+    body = RightsGrant(account.name, ask.sequence, loans, spare, is_last)
+    return [Send(lents[0].borrower, body)]
 
 
 def _rate_limit(account: Account, lent: Lent, is_remote: bool, now: int) -> int:
     rate = lent.outstanding.rate
-    own = account.demand.rate(now)
-    total = own + account.lending.demand(account.local_names, now)
     if is_remote:
-        is_short = any(not getattr(w, "is_remote", False) for w in account.waits)
-        return rate // 2 if is_short else rate
-    held = account.base.total.rate + sum(
-        part.rate for part in account.borrowing.usable_parts(now)
-    )
+        return max(0, rate - max(0, _local_rate_missing(account, now)))
+    held = account.held(now).rate
+    total = account.local_demand(now)
     if total <= held:
         return rate
     demand = account.lending.demand([lent.borrower], now)
     return held * demand // total
+
+
+def _local_rate_missing(account: Account, now: int) -> int:
+    """Return by how much the rate kept for the own data centre is too low."""
+    lent_away = sum(
+        lent.outstanding.rate
+        for lent in account.lending.lent_by_id.values()
+        if lent.borrower not in account.local_names
+    )
+    return account.local_demand(now) - (account.held(now).rate - lent_away)
--- a/sequoiahook/messages/rights.py
+++ b/sequoiahook/messages/rights.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Amount",
+    "GrantedLoan",
     "HandedPart",
     "HeldLoan",
     "RightsAsk",
@@ -41,11 +42,13 @@
 
     def plus(self, other: "Amount") -> "Amount":
         """Return the sum, field by field."""
-        return Amount(*(mine + its for mine, its in zip(self, other, strict=True)))
+        rate, capacity, tokens = other
+        return Amount(self.rate + rate, self.capacity + capacity, self.tokens + tokens)
 
     def minus(self, other: "Amount") -> "Amount":
         """Return the difference, field by field."""
-        return Amount(*(mine - its for mine, its in zip(self, other, strict=True)))
+        rate, capacity, tokens = other
+        return Amount(self.rate - rate, self.capacity - capacity, self.tokens - tokens)
 
     def highest(self, other: "Amount") -> "Amount":
         """Return the higher value of each field."""
@@ -63,11 +66,13 @@
         loan_id: The loan.
         seen: Total of what the borrower has been granted, as far as it knows.
         returned: Total of what it has returned; already debited.
+        wants_renewal: Whether it asks for more time.
     """
 
     loan_id: int
     seen: Amount
     returned: Amount
+    wants_renewal: bool
 
 
 @message
@@ -84,7 +89,7 @@
         wanted: What it wants on top of everything granted so far.
         demand: Its use, in micro-units a millisecond.
         wait_ms: How long the ask may wait at the lender for tokens.
-        loans: The loans that it holds from this lender and wants renewed.
+        loans: The loans that it holds from this lender.
     """
 
     contract: str
@@ -96,31 +101,41 @@
     loans: tuple[HeldLoan, ...]
 
 
+class GrantedLoan(NamedTuple):
+    """What a lender says about one loan.
+
+    Attributes:
+        loan_id: The loan, a random number of the lender.
+        duration_ms: How long the loan lasts, from when the borrower asked.
+        granted: Total of what the loan has moved to the borrower.
+        rate_limit: Rate above which the borrower is asked to return the excess.
+    """
+
+    loan_id: int
+    duration_ms: int
+    granted: Amount
+    rate_limit: int
+
+
 @message
 class RightsGrant(NamedTuple):
-    """A lender grants or renews a loan; it has debited the amount already.
+    """A lender grants or renews loans; it has debited the amounts already.
 
-    Lost: the loan stays unused until it lapses, or the next grant of it arrives.
+    Lost: the loans stay unused until they lapse, or the next grant of them arrives.
     Repeated or reordered: the totals count once. Delayed: ignored once the duration
     since the ask has passed at the borrower.
 
     Attributes:
         contract: Name of the contract.
-        loan_id: The loan, a random number of the lender.
-        sequence: Sequence of the ask that it answers; the duration counts from there.
-        duration_ms: How long the loan lasts, from when the borrower asked.
-        granted: Total of what the loan has moved to the borrower.
-        rate_limit: Rate above which the borrower is asked to return the excess.
+        sequence: Sequence of the ask that it answers; durations count from there.
+        loans: The loans.
         spare: Tokens that the lender could lend further.
         is_last: Whether the ask is answered in full; more may follow otherwise.
     """
 
     contract: str
-    loan_id: int
     sequence: int
-    duration_ms: int
-    granted: Amount
-    rate_limit: int
+    loans: tuple[GrantedLoan, ...]
     spare: int
     is_last: bool
 
