--- a/sequoiahook/decisions/rights/keepership.py
+++ b/sequoiahook/decisions/rights/keepership.py
@@ -36,6 +36,7 @@
         self._rng = rng
         self._views_by_data_centre: dict[str, DataCentreView] = {}
         self._silent: frozenset[str] = frozenset()
+        self._quiet: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
         self._claim_id = 0
         self._is_claimed = True
@@ -114,27 +115,28 @@
         Returns:
             Whether an instance fell silent or is heard from again.
         """
-        silent = frozenset(
-            name
-            for name, silent_ms in silent_ms_by_name.items()
-            if silent_ms >= self._settings.takeover_ms and name != self._name
-        )
-        is_changed = silent != self._silent
+        quiet = self._longer_than(silent_ms_by_name, self._settings.quiet_ms)
+        silent = self._longer_than(silent_ms_by_name, self._settings.takeover_ms)
+        is_changed = (quiet, silent) != (self._quiet, self._silent)
+        self._quiet = quiet
         self._silent = silent
-        self._keeper_by_contract.clear()
+        if is_changed:
+            self._keeper_by_contract.clear()
         return is_changed
 
+    def is_quiet(self, name: str) -> bool:
+        """Return whether an instance was not heard from for a while."""
+        return name in self._quiet
+
     def leave(self) -> None:
         """Stop being a keeper."""
         self._is_leaving = True
         self._keeper_by_contract.clear()
 
-    def note_leaving(self, name: str) -> bool:
-        """Note that a peer stops; return whether that is news."""
-        is_news = name not in self._leaving
+    def note_leaving(self, name: str) -> None:
+        """Note that a peer stops."""
         self._leaving.add(name)
         self._keeper_by_contract.clear()
-        return is_news
 
     def pause(self, now: int) -> None:
         """Trust nothing of what was known about keepers before a pause."""
@@ -187,6 +189,15 @@
         names = set(self.view.instances) - self._silent - {self._name}
         return sorted(names)
 
+    def _longer_than(
+        self, silent_ms_by_name: Mapping[str, int], limit_ms: int
+    ) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, silent_ms in silent_ms_by_name.items()
+            if silent_ms >= limit_ms and name != self._name
+        )
+
     def _eligible(self, view: DataCentreView) -> list[str]:
         away = self._silent | self._leaving
         names = [name for name in view.instances if name not in away]
--- a/sequoiahook/decisions/rights/settings.py
+++ b/sequoiahook/decisions/rights/settings.py
@@ -15,6 +15,7 @@
         margin_ms: Added by lenders for drift between clocks during a lease.
         view_spread_ms: Longest time in which a running instance learns of a new view
             and is heard from by its peers.
+        quiet_ms: Silence after which an instance is not asked for loans.
         local_retry_ms: When an ask inside a data centre is repeated.
         remote_retry_ms: When an ask between data centres is repeated.
         reservation_lease_ms: When a reservation that nobody reports counts as spent.
@@ -32,6 +33,7 @@
     remote_lease_ms: int = 1500
     margin_ms: int = 100
     view_spread_ms: int = 1000
+    quiet_ms: int = 500
     local_retry_ms: int = 100
     remote_retry_ms: int = 400
     reservation_lease_ms: int = 30_000
