Tick on time, believe messages over silence, let lent excess lapse

Cause: with a check that nothing is lost once all faults have ended, the fault machine found three faults. Calls that did no work pushed the next tick ahead for ever, so shares were never settled. A peer that had given up its part to one back from a pause still counted that one as silent and began to keep again: twice the rate was in force. A keeper whose share had fallen went on renewing what it had lent above it. Change: next_wake counts from the last full look; a message ends silence; loans of a share that is over its limit are not renewed. The machine heals at the end of each run and checks that rates and capacities add up to the contract.

--- a/sequoiahook/decisions/rights/base.py
+++ b/sequoiahook/decisions/rights/base.py
@@ -26,6 +26,11 @@
         self.full_ms: int | None = None
         self._lapses_ms = 0
 
+    @property
+    def is_over(self) -> bool:
+        """Whether more is lent or reserved than the share allows."""
+        return self.total.highest(self.allowed) != self.allowed
+
     def is_full(self, now: int) -> bool:
         """Return whether nothing of an earlier keeper is in use any more."""
         return (
--- a/sequoiahook/decisions/rights/keepership.py
+++ b/sequoiahook/decisions/rights/keepership.py
@@ -37,6 +37,7 @@
         self._views_by_data_centre: dict[str, DataCentreView] = {}
         self._silent: frozenset[str] = frozenset()
         self._quiet: frozenset[str] = frozenset()
+        self._heard_ms_by_name: dict[str, int] = {}
         self._leaving: set[str] = set()
         self._claim_id = 0
         self._is_claimed = True
@@ -109,12 +110,26 @@
             self._floor_ms = now + self._settings.takeover_ms
         return True
 
-    def set_silent(self, silent_ms_by_name: Mapping[str, int]) -> bool:
+    def note_heard(self, name: str, now: int) -> None:
+        """Note a message of an instance, which may come before its heartbeat."""
+        self._heard_ms_by_name[name] = now
+        if name in self._quiet or name in self._silent:
+            self._quiet -= {name}
+            self._silent -= {name}
+            self._keeper_by_contract.clear()
+
+    def set_silent(self, silent_ms_by_name: Mapping[str, int], now: int) -> bool:
         """Take in how long instances have been silent.
 
         Returns:
             Whether an instance fell silent or is heard from again.
         """
+        silent_ms_by_name = {
+            name: min(
+                silent_ms, now - self._heard_ms_by_name.get(name, now - silent_ms)
+            )
+            for name, silent_ms in silent_ms_by_name.items()
+        }
         quiet = self._longer_than(silent_ms_by_name, self._settings.quiet_ms)
         silent = self._longer_than(silent_ms_by_name, self._settings.takeover_ms)
         is_changed = (quiet, silent) != (self._quiet, self._silent)
--- a/sequoiahook/decisions/rights/lending.py
+++ b/sequoiahook/decisions/rights/lending.py
@@ -132,14 +132,25 @@
         margin_ms = self._settings.margin_ms
         return part.expires_ms is None or part.expires_ms - now >= 2 * margin_ms
 
-    def renew(self, borrower: str, ask: RightsAsk, now: int) -> list[Lent]:
-        """Extend the loans that an ask wants renewed and return them."""
+    def renew(
+        self, borrower: str, ask: RightsAsk, ended: Part | None, now: int
+    ) -> list[Lent]:
+        """Extend the loans that an ask wants renewed and return them.
+
+        Args:
+            borrower: Name of the borrowing instance.
+            ask: The ask.
+            ended: A part whose loans are left to lapse; None if there is none.
+            now: The time in milliseconds.
+        """
         renewed = []
         for held in ask.loans:
             lent = self.lent_by_id.get(held.loan_id)
             if lent is None or lent.borrower != borrower or not held.wants_renewal:
                 continue
-            if lent.outstanding != NOTHING and self.may_lend(lent.part, now):
+            if lent.part is ended or lent.outstanding == NOTHING:
+                continue
+            if self.may_lend(lent.part, now):
                 self._extend(lent, now)
                 renewed.append(lent)
         return renewed
--- a/sequoiahook/decisions/rights/ownership.py
+++ b/sequoiahook/decisions/rights/ownership.py
@@ -83,9 +83,13 @@
             for account in self.accounts_by_name.values():
                 account.give_up_base(now)
 
-    def set_silent(self, silent_ms_by_name: Mapping[str, int]) -> bool:
+    def set_silent(self, silent_ms_by_name: Mapping[str, int], now: int) -> bool:
         """Take in how long instances have been silent; return whether it matters."""
-        return self._keepership.set_silent(silent_ms_by_name)
+        return self._keepership.set_silent(silent_ms_by_name, now)
+
+    def note_heard(self, name: str, now: int) -> None:
+        """Note that a message of an instance has come."""
+        self._keepership.note_heard(name, now)
 
     def pause(self, now: int) -> None:
         """Trust nothing that was held before a pause."""
--- a/sequoiahook/decisions/rights/rights.py
+++ b/sequoiahook/decisions/rights/rights.py
@@ -82,6 +82,7 @@
         self._accounts_by_name = self._ownership.accounts_by_name
         self._name_by_request_id: dict[str, str] = {}
         self._seen_ms: int | None = None
+        self._done_ms: int | None = None
 
     def configure(
         self,
@@ -107,7 +108,7 @@
         Instances that are not named count as heard from.
         """
         self._look_at_clock(now)
-        if not self._ownership.set_silent(silent_ms_by_name):
+        if not self._ownership.set_silent(silent_ms_by_name, now):
             return []
         return self._pump_all(now)
 
@@ -170,6 +171,7 @@
     def handle(self, source: str, body: tuple, now: int) -> list:
         """Take in a message of another instance."""
         self._look_at_clock(now)
+        self._ownership.note_heard(source, now)
         if isinstance(body, RightsClaim | RightsYield | RightsLeaving):
             return self._handle_peer(source, body, now) + self._pump_all(now)
         account = self._accounts_by_name.get(body.contract)
@@ -188,13 +190,13 @@
 
         A call that comes more than a lease after the previous one counts as a pause.
         """
-        seen_ms = now if self._seen_ms is None else self._seen_ms
-        wakes = [seen_ms + self._settings.local_lease_ms // PAUSE_PARTS]
+        done_ms = now if self._done_ms is None else self._done_ms
+        wakes = [done_ms + self._settings.local_lease_ms // PAUSE_PARTS]
         claim_ms = self._ownership.next_claim_ms()
         if claim_ms is not None:
             wakes.append(claim_ms)
         wakes += [
-            account_wake(account, seen_ms)
+            account_wake(account, done_ms)
             for account in self._accounts_by_name.values()
         ]
         return max(now + 1, min(wakes))
@@ -244,6 +246,7 @@
         return self._accounts_by_name.get(name) if name else None
 
     def _pump_all(self, now: int) -> list:
+        self._done_ms = now
         effects: list = self._ownership.send_claims(now)
         for account in self._accounts_by_name.values():
             effects += self._pump(account, now)
--- a/sequoiahook/decisions/rights/supply.py
+++ b/sequoiahook/decisions/rights/supply.py
@@ -26,7 +26,8 @@
     if not account.lending.absorb(source, ask, now):
         return []
     is_remote = source not in account.local_names
-    lents = account.lending.renew(source, ask, now)
+    ended = account.base.part if account.base.is_over else None
+    lents = account.lending.renew(source, ask, ended, now)
     tokens = ask.wanted.tokens - account.lending.unseen_tokens(source, ask)
     if not _may_lend(account, is_remote):
         account.waits = [w for w in account.waits if not _is_from(w, source)]
--- a/tests/test_rights_faults.py
+++ b/tests/test_rights_faults.py
@@ -335,11 +335,24 @@
             assert rate <= limit.rate_per_s * 1000, f"{name}: rate {rate} in force"
             assert capacity <= limit.burst * MICRO, f"{name}: capacity {capacity}"
 
+    def check_nothing_is_lost(self):
+        for name in self.oracles:
+            contract = self.eras[-1].contracts[name]
+            held = [
+                node.rights.figures(name, self.now + node.offset_ms).own
+                for node in self.nodes_by_name.values()
+            ]
+            assert sum(own.rate for own in held) == contract.rate_per_s * 1000
+            assert sum(own.capacity for own in held) == contract.burst * MICRO
+
 
 INDEX = st.integers(0, 9)
 FREEZE_MS = st.sampled_from([0, 0, 600, 980, 1020, 5000])
 
 
+HEALED_MS = 2 * SETTINGS.takeover_ms + 5000
+
+
 class RightsMachine(RuleBasedStateMachine):
     @initialize(
         seed=st.integers(0, 2**32),
@@ -457,6 +470,25 @@
             fleet.spread(node, "configure", era)
         self.run_on()
 
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            self.heal()
+            self.fleet.run(HEALED_MS, 0)
+            self.fleet.check_nothing_is_lost()
+
+    def heal(self):
+        fleet = self.fleet
+        fleet.cut.clear()
+        fleet.loss = fleet.repeats = fleet.slow_ms = 0
+        for node in self.nodes():
+            node.is_frozen = False
+            node.resumed_ms = fleet.now
+            if node.stops_ms is not None:
+                fleet.kill(node)
+                fleet.set_members(node.data_centre, removed=node.name)
+        for data_centre in fleet.views_by_data_centre:
+            fleet.boot(data_centre)
+
     @invariant()
     def amounts_are_conserved(self):
         if hasattr(self, "fleet"):
