--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -13,6 +13,7 @@
 from sequoiahook.world.view import DataCentreView
 
 SETTINGS = RightsSettings()
+USABLE_AGAIN_MS = 5000
 STARTED_MS = SETTINGS.takeover_ms + 200
 
 
@@ -46,8 +47,9 @@
             due = [entry for entry in self.pool if entry[0] <= self.now]
             self.pool = [entry for entry in self.pool if entry[0] > self.now]
             for _, source, (destination, body) in due:
-                rights = self.rights_by_name[destination]
-                self.do(destination, rights.handle(source, body, self.now))
+                rights = self.rights_by_name.get(destination)
+                if rights is not None:
+                    self.do(destination, rights.handle(source, body, self.now))
             for name, rights in self.rights_by_name.items():
                 if rights.next_wake(self.now - 1) <= self.now:
                     self.do(name, rights.tick(self.now))
@@ -57,7 +59,16 @@
         self.do(name, getattr(rights, method)(*arguments, self.now))
 
     def keeper(self):
-        return next(n for n in self.names if self.rights_by_name[n].is_keeper("c"))
+        names = self.rights_by_name
+        return next((n for n in names if names[n].is_keeper("c")), None)
+
+    def kill(self, name):
+        del self.rights_by_name[name]
+        killed_ms = self.now
+        while self.now < killed_ms + USABLE_AGAIN_MS:
+            self.run(self.now + 100)
+            for other in self.rights_by_name:
+                self.call(other, "set_alive", {name: self.now - killed_ms})
 
     def others(self):
         return [name for name in self.names if name != self.keeper()]
@@ -121,3 +132,89 @@
         assert not cluster.rights_by_name[name].may_commit(f"of {name}", cluster.now)
         cluster.call(name, "commit", f"of {name}")
     assert cluster.kinds() == [Reserved, Reserved, Lapsed, Lapsed]
+
+
+def test_a_killed_keeper_is_replaced_without_the_platform():
+    cluster = Cluster(Contract(10, 5))
+    cluster.run(STARTED_MS + 1000)
+    killed = cluster.keeper()
+    cluster.kill(killed)
+    assert cluster.keeper() not in (None, killed)
+    for name in cluster.rights_by_name:
+        cluster.call(name, "reserve", f"of {name}", "c", 50)
+    cluster.run(cluster.now + 10)
+    assert cluster.kinds() == [Reserved, Reserved]
+
+
+def test_a_planned_stop_hands_its_tokens_over_at_once():
+    cluster = Cluster(Contract(10, 5))
+    cluster.run(STARTED_MS + 1000)
+    stopping = cluster.keeper()
+    cluster.call(stopping, "hand_over")
+    cluster.run(cluster.now + 5)
+    keeper = cluster.keeper()
+    assert keeper != stopping
+    figures = cluster.rights_by_name[keeper].figures("c", cluster.now)
+    assert figures.own == (10_000, 5_000_000, 5_000_000)
+
+
+def test_more_units_than_the_burst_are_refused():
+    cluster = Cluster(Contract(10, 5))
+    cluster.run(STARTED_MS + 1000)
+    rights = cluster.rights_by_name[cluster.keeper()]
+    assert type(rights.reserve("six", "c", 9000, cluster.now, 6)[0]) is Refused
+    assert rights.reserve("five", "c", 0, cluster.now, 5) == [Reserved("five")]
+
+
+def test_what_a_dead_borrower_spent_comes_back_empty():
+    cluster = Cluster(Contract(1, 10))
+    cluster.run(STARTED_MS + 11_000)
+    keeper, other = cluster.keeper(), cluster.others()[0]
+    for number in range(9):
+        cluster.call(other, "reserve", f"r{number}", "c", 50)
+    cluster.run(cluster.now + 10)
+    for number in range(9):
+        cluster.call(other, "commit", f"r{number}")
+    cluster.pool.clear()
+    del cluster.rights_by_name[other]
+    cluster.run(cluster.now + SETTINGS.local_lease_ms + 2 * SETTINGS.margin_ms)
+    assert cluster.kinds().count(Committed) == 9
+    own = cluster.rights_by_name[keeper].figures("c", cluster.now).own
+    assert own.capacity == 10_000_000
+    assert own.tokens <= 3_000_000
+
+
+def test_a_lowered_contract_is_in_force_after_a_lease():
+    cluster = Cluster(Contract(200, 40))
+    cluster.run(STARTED_MS + 1000)
+    other = cluster.others()[0]
+    contract = {"c": Contract(2, 1)}
+    for number in range(300):
+        cluster.call(other, "reserve", f"r{number}", "c", 50)
+        cluster.run(cluster.now + 6)
+        cluster.call(other, "commit", f"r{number}")
+        if number == 100:
+            for name in cluster.names:
+                cluster.call(name, "configure", 2, contract, ["a"])
+    rates = capacities = 0
+    for rights in cluster.rights_by_name.values():
+        figures = rights.figures("c", cluster.now)
+        rates += figures.own.rate + figures.borrowed.rate
+        capacities += figures.own.capacity + figures.borrowed.capacity
+    assert rates <= 2000
+    assert capacities <= 1_000_000
+
+
+def test_a_claim_outweighs_an_older_report_of_silence():
+    cluster = Cluster(Contract(10, 5))
+    cluster.run(STARTED_MS + 1000)
+    paused = cluster.keeper()
+    rights = cluster.rights_by_name[paused]
+    cluster.kill(paused)
+    cluster.rights_by_name[paused] = rights
+    cluster.run(cluster.now + 50)
+    for name in cluster.others():
+        cluster.call(name, "set_alive", {paused: USABLE_AGAIN_MS})
+    cluster.run(cluster.now + STARTED_MS)
+    names = [n for n, r in cluster.rights_by_name.items() if r.is_keeper("c")]
+    assert names == [paused]
