Split the owner's change of hands and the estimates from the pool

Change: Ownership and Durations are their own classes; a stopped pool says that nothing can start; a request that expires is told the present wait.

--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -14,13 +14,13 @@
     Start,
     TargetReport,
 )
-from sequoiahook.decisions.pool.estimate import DurationEstimate
+from sequoiahook.decisions.pool.estimate import Durations
 from sequoiahook.decisions.pool.fair_queue import FairQueue, QueuedRequest
+from sequoiahook.decisions.pool.ownership import Ownership
 from sequoiahook.decisions.pool.runs import Run, Runs
 from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.target_set import TargetSet
-from sequoiahook.messages.pools import HandedRun, PoolHandover, PoolSummary
-from sequoiahook.world.instance import Address
+from sequoiahook.messages.pools import PoolHandover, PoolSummary
 from sequoiahook.world.target import Target
 
 __all__ = ["Pool"]
@@ -44,12 +44,8 @@
         self._queue = FairQueue()
         self._runs = Runs(settings)
         self._targets = TargetSet(settings, rng)
-        self._duration = DurationEstimate(settings.service_time_ms)
-        self._duration_by_organisation: dict[str, DurationEstimate] = {}
-        self._blocked_until = 0
-        self._view_number = 0
-        self._handover_sequence = 0
-        self._is_stopped = False
+        self._durations = Durations(settings.service_time_ms)
+        self._ownership = Ownership(self._runs)
 
     def configure(
         self, targets: Sequence[Target], warm_up_ms: int, now: int
@@ -110,27 +106,19 @@
                 the previous owner can have started anything.
             view_number: The view by which this instance owns the pool.
         """
-        self._blocked_until = max(self._blocked_until, previous_may_run_until_ms)
-        self._view_number = view_number
+        self._ownership.take_over(previous_may_run_until_ms, view_number)
         return self._advance(now)
 
     def handed_over(self, message: PoolHandover, now: int) -> list[PoolEffect]:
         """Take the previous owner's account of what it still runs."""
-        if message.view_number != self._view_number:
-            return []
-        if message.sequence <= self._handover_sequence:
-            return []
-        self._handover_sequence = message.sequence
-        self._blocked_until = now + message.blocked_ms
-        self._runs.set_inherited(
-            [(Address(run.host, run.port), now + run.left_ms) for run in message.runs]
-        )
+        self._ownership.take_handover(message, now)
         return self._advance(now)
 
     def stop(self, now: int) -> list[PoolEffect]:
         """Start nothing more, for good: another instance becomes the owner."""
-        self._is_stopped = True
-        return self._advance(now) + self._refuse_all(RefuseReason.MOVED)
+        effects = self._advance(now) + self._refuse_all(RefuseReason.MOVED)
+        self._ownership.is_stopped = True
+        return effects
 
     def handover(
         self, data_centre: str, view_number: int, sequence: int, now: int
@@ -143,15 +131,8 @@
             sequence: Higher than of the one before for this view.
             now: The time.
         """
-        runs = [HandedRun(*run.address, max(0, run.until - now)) for run in self._runs]
-        blocked_ms = max(0, self._blocked_until - now)
-        return PoolHandover(
-            self.service_name,
-            data_centre,
-            view_number,
-            sequence,
-            blocked_ms,
-            tuple(runs),
+        return self._ownership.handover(
+            self.service_name, data_centre, view_number, sequence, now
         )
 
     def submit(
@@ -182,7 +163,7 @@
             refusal = self._busy(request_id, organisation, wait_limit_ms, now)
         if refusal is not None:
             return [*effects, refusal]
-        cost_ms = self._cost_ms(organisation)
+        cost_ms = self._durations.of(organisation)
         start_by = self._start_by(deadline_at, cost_ms)
         self._queue.push(
             QueuedRequest(request_id, organisation, deadline_at, start_by, cost_ms)
@@ -216,7 +197,7 @@
         wakes = [self._queue.next_expiry(), self._runs.next_expiry()]
         if len(self._queue):
             wakes.append(self._targets.next_change(now))
-            wakes.append(self._blocked_until if self._is_blocked(now) else None)
+            wakes.append(self._ownership.next_change(now))
         return min((wake for wake in wakes if wake is not None), default=None)
 
     def queue_length(self) -> int:
@@ -225,7 +206,7 @@
 
     def free_slots(self, now: int) -> int:
         """Return how many requests could start at once."""
-        if self._is_blocked(now):
+        if self._ownership.is_blocked(now) or self._ownership.is_stopped:
             return 0
         return self._targets.free_slots(self._runs, now)
 
@@ -249,12 +230,12 @@
             self.capacity(now),
             -1 if wait_ms is None else wait_ms,
             self._targets.open_count(),
-            int(self._duration.mean_ms),
+            int(self._durations.mean_ms),
         )
 
     def service_time_ms(self) -> float:
         """Return the estimate of how long a request runs."""
-        return self._duration.mean_ms
+        return self._durations.mean_ms
 
     def wait_ms(self, organisation: str, now: int) -> int | None:
         """Return how long a new request would wait; None if no target is open."""
@@ -267,28 +248,29 @@
         if not len(self._queue) and self.free_slots(now):
             return 0
         capacity = max(1, self._targets.capacity(max(now, opens_at)))
-        work_ms = work_ahead_ms + self._duration.mean_ms
+        work_ms = work_ahead_ms + self._durations.mean_ms
         return opens_at - now + int(work_ms / capacity)
 
     def _opens_at(self, now: int) -> int | None:
-        if self._targets.capacity(now):
-            opens_at = now
-        else:
+        if self._ownership.is_stopped:
+            return None
+        opens_at = now
+        if not self._targets.capacity(now):
             opens_at = self._targets.next_change(now)
-            if opens_at is None:
-                return None
-        return max(opens_at, self._blocked_until) if self._is_blocked(now) else opens_at
+        if opens_at is None:
+            return None
+        return max(opens_at, self._ownership.next_change(now) or now)
 
     def _refusal(
         self, request_id: Hashable, organisation: str, deadline_at: int, now: int
     ) -> Refuse | None:
         settings = self._settings
-        if self._is_stopped:
+        if self._ownership.is_stopped:
             return self._refuse(request_id, RefuseReason.MOVED, 0)
         wait_ms = self.wait_ms(organisation, now)
         if wait_ms is None:
             return self._refuse(request_id, RefuseReason.NO_TARGET, 0)
-        start_by = self._start_by(deadline_at, self._cost_ms(organisation))
+        start_by = self._start_by(deadline_at, self._durations.of(organisation))
         late_ms = now + wait_ms - start_by
         if late_ms >= 0 and (wait_ms > 0 or now >= start_by):
             return self._refuse(request_id, RefuseReason.DEADLINE, late_ms)
@@ -313,35 +295,26 @@
     def _start_by(self, deadline_at: int, cost_ms: float) -> int:
         return deadline_at - max(self._settings.refuse_margin_ms, int(cost_ms))
 
-    def _cost_ms(self, organisation: str) -> float:
-        duration = self._duration_by_organisation.get(organisation, self._duration)
-        return duration.mean_ms
-
     def _learn(self, run: Run, result: TargetReport, now: int) -> None:
         duration_ms = max(0, result.duration_ms)
         self._queue.charge(run.organisation, duration_ms - run.cost_ms)
         self._targets.learn(run.target_name, run.address, result, now)
-        if not result.is_success:
-            return
-        self._duration.add(duration_ms)
-        own = self._duration_by_organisation.get(run.organisation)
-        if own is None:
-            own = DurationEstimate(self._duration.mean_ms)
-            self._duration_by_organisation[run.organisation] = own
-        own.add(duration_ms)
-
-    def _is_blocked(self, now: int) -> bool:
-        return now < self._blocked_until
+        if result.is_success:
+            self._durations.add(run.organisation, duration_ms)
 
     def _advance(self, now: int) -> list[PoolEffect]:
         self._runs.expire(now)
         effects = [
-            self._refuse(request.request_id, RefuseReason.DEADLINE, 0)
+            self._refuse(
+                request.request_id,
+                RefuseReason.DEADLINE,
+                self.wait_ms(request.organisation, now) or 0,
+            )
             for request in self._queue.pop_expired(now)
         ]
         if self._opens_at(now) is None:
             return effects + self._refuse_all(RefuseReason.NO_TARGET)
-        if self._is_blocked(now) or self._is_stopped:
+        if self._ownership.is_blocked(now):
             return effects
         while len(self._queue):
             target_name = self._targets.choose(self._runs, now)
