--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from bench.fakes import PlainBucket
 from bench.world import World
+from sequoiahook.world.contract import Contract
 
 __all__ = ["SCENARIOS", "Scenario"]
 
@@ -24,6 +26,11 @@
     """Leave the world as it is."""
 
 
+def _let_in(world: World, steering) -> None:
+    """The flood passes admission, so that only the queues stand against it."""
+    world.rights[FLOODER] = PlainBucket(Contract(10**6, 10**6))
+
+
 def _uneven(world: World, steering) -> None:
     world.callers.weights["r1-d1"] = 3.0
 
@@ -150,6 +157,7 @@
 SCENARIOS = {
     "steady": Scenario(0.7, _nothing),
     "flood": Scenario(0.7, _nothing, FLOODER, 5.0),
+    "flood-admitted": Scenario(0.7, _let_in, FLOODER, 5.0),
     "uneven": Scenario(0.6, _uneven),
     "region-dies": Scenario(0.7, _region_dies),
     "lying-reports": Scenario(0.7, _lying_reports),
