Refuse what would start in time but end late

Cause: a request could start a mean service time before its deadline, so nearly half of those at the edge ended late, and the slot time was lost. Change: the last start lies the mean and four mean deviations before the deadline.

--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -164,7 +164,7 @@
         if refusal is not None:
             return [*effects, refusal]
         cost_ms = self._durations.of(organisation)
-        start_by = self._start_by(deadline_at, cost_ms)
+        start_by = self._start_by(deadline_at)
         self._queue.push(
             QueuedRequest(request_id, organisation, deadline_at, start_by, cost_ms)
         )
@@ -270,7 +270,7 @@
         wait_ms = self.wait_ms(organisation, now)
         if wait_ms is None:
             return self._refuse(request_id, RefuseReason.NO_TARGET, 0)
-        start_by = self._start_by(deadline_at, self._durations.of(organisation))
+        start_by = self._start_by(deadline_at)
         late_ms = now + wait_ms - start_by
         if late_ms >= 0 and (wait_ms > 0 or now >= start_by):
             return self._refuse(request_id, RefuseReason.DEADLINE, late_ms)
@@ -292,8 +292,9 @@
         wait_ms = max(wait_ms, self._settings.retry_after_min_ms)
         return Refuse(request_id, reason, wait_ms)
 
-    def _start_by(self, deadline_at: int, cost_ms: float) -> int:
-        return deadline_at - max(self._settings.refuse_margin_ms, int(cost_ms))
+    def _start_by(self, deadline_at: int) -> int:
+        safe_ms = int(self._durations.safe_ms)
+        return deadline_at - max(self._settings.refuse_margin_ms, safe_ms)
 
     def _learn(self, run: Run, result: TargetReport, now: int) -> None:
         duration_ms = max(0, result.duration_ms)
