--- a/sequoiahook/decisions/pool/fair_queue.py
+++ b/sequoiahook/decisions/pool/fair_queue.py
@@ -14,6 +14,9 @@
 __all__ = ["FairQueue", "QueuedRequest"]
 
 HEAP_SLACK = 64
+DRAIN_WINDOW_MS = 1_000
+DRAIN_KNOWN_MS = 200
+PACE_TRUST = 0.8
 
 
 class QueuedRequest(NamedTuple):
@@ -41,7 +44,28 @@
         self.requests_by_id: OrderedDict[Hashable, QueuedRequest] = OrderedDict()
         self.cost_ms = 0.0
         self.tag = virtual_ms
-        self.correction_ms = 0.0
+        self.drained_ms = 0.0
+        self.drained_since: int | None = None
+
+    def drained(self, cost_ms: float, now: int) -> None:
+        """Count slot time that was served while requests waited."""
+        if self.drained_since is None:
+            self.drained_since = now
+            return
+        self.drained_ms += cost_ms
+        elapsed_ms = now - self.drained_since
+        if elapsed_ms > DRAIN_WINDOW_MS:
+            self.drained_ms /= 2
+            self.drained_since = now - elapsed_ms // 2
+
+    def own_wait_ms(self, now: int) -> float:
+        """Return the wait at the pace at which the flow was served of late."""
+        if self.drained_since is None or self.drained_ms <= 0:
+            return 0.0
+        elapsed_ms = now - self.drained_since
+        if elapsed_ms < DRAIN_KNOWN_MS:
+            return 0.0
+        return PACE_TRUST * self.cost_ms * elapsed_ms / self.drained_ms
 
 
 class FairQueue:
@@ -80,7 +104,7 @@
         entry = (request.start_by, self._count, request.request_id)
         heapq.heappush(self._expiry, entry)
 
-    def pop(self) -> QueuedRequest | None:
+    def pop(self, now: int = 0) -> QueuedRequest | None:
         """Remove and return the next request in fair order; None if there is none."""
         waiting = [pair for pair in self._flows.items() if pair[1].requests_by_id]
         if not waiting:
@@ -90,6 +114,8 @@
         request = next(iter(flow.requests_by_id.values()))
         self.remove(request.request_id)
         self.charge(organisation, request.cost_ms)
+        if flow.requests_by_id:
+            flow.drained(request.cost_ms, now)
         return request
 
     def pop_all(self) -> list[QueuedRequest]:
@@ -147,6 +173,15 @@
             ahead_ms += min(flow.cost_ms, max(0.0, earlier_ms))
         return ahead_ms
 
+    def own_wait_ms(self, organisation: str, now: int) -> float:
+        """Return the wait of a new request at the pace of late; 0 if not known.
+
+        It knows what :meth:`work_ahead_ms` cannot: requests of others that come later
+        and go first.
+        """
+        flow = self._flows.get(organisation)
+        return flow.own_wait_ms(now) if flow is not None else 0.0
+
     def work_ms(self) -> float:
         """Return the slot time of everything that is queued."""
         return sum(flow.cost_ms for flow in self._flows.values())
@@ -158,6 +193,7 @@
             flow = self._flows[organisation] = _Flow(self._virtual_ms)
         if not flow.requests_by_id:
             flow.tag = max(flow.tag, self._virtual_ms)
+            flow.drained_ms, flow.drained_since = 0.0, None
         return flow
 
     def _forget_idle(self) -> None:
--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -239,7 +239,10 @@
 
     def wait_ms(self, organisation: str, now: int) -> int | None:
         """Return how long a new request would wait; None if no target is open."""
-        return self._wait_ms(self._queue.work_ahead_ms(organisation), now)
+        wait_ms = self._wait_ms(self._queue.work_ahead_ms(organisation), now)
+        if wait_ms is None:
+            return None
+        return max(wait_ms, int(self._queue.own_wait_ms(organisation, now)))
 
     def _wait_ms(self, work_ahead_ms: float, now: int) -> int | None:
         opens_at = self._opens_at(now)
@@ -321,7 +324,8 @@
             target_name = self._targets.choose(self._runs, now)
             if target_name is None:
                 break
-            effects.append(self._start(self._queue.pop(), target_name))
+            request = self._queue.pop(now)
+            effects.append(self._start(request, target_name))
         return effects
 
     def _refuse_all(self, reason: str) -> list[PoolEffect]:
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -85,3 +85,18 @@
     assert len(queue._expiry) <= 300
     assert queue.next_expiry() == 1
     assert [r.request_id for r in queue.pop_expired(201)] == [0, 100, 200]
+
+
+def test_pace_of_late_tells_a_wait_that_the_queue_does_not_show():
+    """Others come later and go first, and leave one start in 100 ms to the flow."""
+    queue = FairQueue()
+    for number in range(20):
+        queue.push(request(number, "a"))
+    queue.push(request("b", "b"))
+    assert queue.own_wait_ms("a", 0) == 0, "nothing is known yet"
+    for now in range(0, 1_000, 100):
+        served = [queue.pop(now), queue.pop(now)]
+        assert {r.organisation for r in served} == {"a", "b"}
+        queue.push(request(("b", now), "b"))
+    assert 0.7 * 1_000 <= queue.own_wait_ms("a", 900) <= 1_100
+    assert queue.work_ahead_ms("a") <= 1_100
