Take the word of a leaving incarnation before it is followed; read the view less

Change: departures are noted for any incarnation. Only the proposer reads the view, and whoever has heard none from its peers; failed calls back off up to view_read_ms. Conclusion: a boot no longer costs a platform call for each instance.

--- a/sequoiahook/decisions/membership/agreement.py
+++ b/sequoiahook/decisions/membership/agreement.py
@@ -43,7 +43,7 @@
         self._me = me
         self._presence = presence
         self._started_at = now
-        self._views = ViewReplica(settings, me.data_centre, rng)
+        self._views = ViewReplica(settings, me.data_centre, rng, now)
         probe = presence.peers.probe
         self._tenure = Tenure(me.name, settings.takeover_ms, probe, now)
         self._unknown_since_by_name: dict[str, int] = {}
--- a/sequoiahook/decisions/membership/departures.py
+++ b/sequoiahook/decisions/membership/departures.py
@@ -16,13 +16,19 @@
 
     def correct(self, member: Member) -> Member:
         """Return a member in the latest state that is known, and remember it."""
-        run = member.instance[:2]
-        known = self._state_by_run.get(run, LIVE)
-        state = later_state(known, member.state)
-        if state != known:
-            self._remember(run, state)
+        instance = member.instance
+        state = self.note(instance.name, instance.incarnation, member.state)
         return member if state == member.state else member._replace(state=state)
 
+    def note(self, name: str, incarnation: int, state: str) -> str:
+        """Remember a state of an incarnation; return its latest one."""
+        run = (name, incarnation)
+        known = self._state_by_run.get(run, LIVE)
+        latest = later_state(known, state)
+        if latest != known:
+            self._remember(run, latest)
+        return latest
+
     def _remember(self, run: tuple[str, int], state: str) -> None:
         self._state_by_run.pop(run, None)
         self._state_by_run[run] = state
--- a/sequoiahook/decisions/membership/fleet.py
+++ b/sequoiahook/decisions/membership/fleet.py
@@ -140,9 +140,9 @@
         )
         return set(follower.apply_snapshot(snapshot._replace(rosters=rosters)))
 
-    def note_state(self, peer: Peer) -> None:
-        """Note the state of a peer by its own word."""
-        self._departures.correct(Member(peer.instance, peer.state))
+    def note_state(self, name: str, incarnation: int, state: str) -> None:
+        """Note the state of an instance by its own word."""
+        self._departures.note(name, incarnation, state)
 
     def refresh_own(self, state: str, peers: Iterable[Peer]) -> RosterChange | None:
         """Work out the own data centre's members from direct evidence.
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -287,9 +287,16 @@
         return []
 
     def _on_leaving(self, envelope: Envelope, now: int) -> list:
-        peer = self._presence.peer(envelope.source)
-        peer.note_state(envelope.body.state)
-        self._tracker.heard(peer, False)
+        name, incarnation = envelope.source, envelope.incarnation
+        state = envelope.body.state
+        self._tracker.fleet.note_state(name, incarnation, state)
+        peer = self._presence.peer(name)
+        if peer is not None and peer.instance.incarnation == incarnation:
+            peer.note_state(state)
+            self._tracker.heard(peer, False)
+        data_centre = self._tracker.fleet.data_centre_of(name)
+        if data_centre is not None:
+            self._tracker.mark_urgent(data_centre)
         return []
 
     def _start_round(self, now: int) -> list:
--- a/sequoiahook/decisions/membership/peers.py
+++ b/sequoiahook/decisions/membership/peers.py
@@ -15,8 +15,12 @@
 
 
 def later_state(first: str, second: str) -> str:
-    """Return the state that an incarnation reaches later."""
-    return max(first, second, key=STATES.index)
+    """Return the state that an incarnation reaches later; unknown ones come first."""
+    return max(first, second, key=_rank)
+
+
+def _rank(state: str) -> int:
+    return STATES.index(state) if state in STATES else -1
 
 
 class Peer:
--- a/sequoiahook/decisions/membership/presence.py
+++ b/sequoiahook/decisions/membership/presence.py
@@ -89,8 +89,12 @@
         return True
 
     def accepts(self, envelope: Envelope) -> bool:
-        """Return whether a message comes from an incarnation that is followed."""
-        if isinstance(envelope.body, Heartbeat | Announce):
+        """Return whether a message is to be taken in.
+
+        All but those that can tell of another incarnation must come from the one that
+        is followed.
+        """
+        if isinstance(envelope.body, Heartbeat | Announce | Leaving):
             return True
         peer = self.peer(envelope.source)
         return peer is not None and peer.instance.incarnation == envelope.incarnation
--- a/sequoiahook/decisions/membership/settings.py
+++ b/sequoiahook/decisions/membership/settings.py
@@ -25,7 +25,8 @@
         join_after_ms: How long a new instance is live before it is added to the view.
         remove_after_ms: Silence after which a member is removed from the view.
         forget_after_ms: Silence after which a peer outside the view is forgotten.
-        platform_retry_ms: Wait after a platform call failed; doubled by jitter.
+        platform_retry_ms: Wait after a platform call failed; doubles with each
+            further failure up to view_read_ms, and jitter up to doubles it again.
         view_read_ms: Time between two reads of the view by its proposer.
         links_per_pair: Links between two data centres.
         link_retry_ms: Wait before a link to a silent instance is tried again.
--- a/sequoiahook/decisions/membership/tracker.py
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -64,7 +64,8 @@
         if is_restarted:
             self.drop(peer)
             self.fleet.follow(peer.instance)
-        self.fleet.note_state(peer)
+        instance = peer.instance
+        self.fleet.note_state(instance.name, instance.incarnation, peer.state)
         self.mark([peer.instance.data_centre])
         self._is_urgent |= peer.state != LIVE
 
--- a/sequoiahook/decisions/membership/views.py
+++ b/sequoiahook/decisions/membership/views.py
@@ -14,6 +14,7 @@
 
 NUMBER_MAX = 2**53
 CALL_TIMEOUT_MS = 10_000
+FAILURES_MAX = 16
 
 
 def view_object(data_centre: str) -> str:
@@ -51,7 +52,11 @@
     """
 
     def __init__(
-        self, settings: MembershipSettings, data_centre: str, rng: random.Random
+        self,
+        settings: MembershipSettings,
+        data_centre: str,
+        rng: random.Random,
+        now: int,
     ):
         self.view = DataCentreView(data_centre, 0, ())
         self._settings = settings
@@ -59,7 +64,8 @@
         self._object = view_object(data_centre)
         self._is_read = False
         self._call_at: int | None = None
-        self._next_call_at = 0
+        self._next_call_at = now + settings.join_after_ms
+        self._failures = 0
 
     def adopt(self, view: DataCentreView) -> bool:
         """Take a view if its number is higher; return whether it was."""
@@ -73,6 +79,9 @@
     def tick(self, is_proposer: bool, wanted: Collection[str], now: int) -> list:
         """Return a read if one is due.
 
+        An instance that does not propose reads only while it has no view, neither
+        from its peers nor from the platform.
+
         Args:
             is_proposer: Whether this instance is the one to change the view.
             wanted: Names that the view is to have.
@@ -82,15 +91,17 @@
             self._call_at = None
         if self._call_at is not None or now < self._next_call_at:
             return []
-        is_due = is_proposer and (
-            set(wanted) != set(self.view.instances)
-            or now - self._next_call_at >= self._settings.view_read_ms
-        )
-        if self._is_read and not is_due:
+        is_due = self._is_due(wanted, now) if is_proposer else self.view.number == 0
+        if not is_due:
             return []
         self._call_at = now
         return [ReadObject(self._object)]
 
+    def _is_due(self, wanted: Collection[str], now: int) -> bool:
+        if not self._is_read or set(wanted) != set(self.view.instances):
+            return True
+        return now - self._next_call_at >= self._settings.view_read_ms
+
     def object_read(self, value: bytes | None, now: int) -> DataCentreView:
         """Take in an answer of the platform.
 
@@ -102,6 +113,7 @@
             The view that was read, whether or not it is the highest.
         """
         self._is_read = True
+        self._failures = 0
         self._finish_call(0, now)
         found = self._decode(value)
         self.adopt(found)
@@ -141,7 +153,10 @@
 
     def object_unavailable(self, now: int) -> None:
         """Note that a call failed; it may have taken effect."""
-        self._finish_call(self._settings.platform_retry_ms, now)
+        settings = self._settings
+        wait_ms = settings.platform_retry_ms << min(self._failures, FAILURES_MAX)
+        self._failures += 1
+        self._finish_call(min(wait_ms, settings.view_read_ms), now)
         self._is_read = False
 
     def _finish_call(self, wait_ms: int, now: int) -> None:
--- a/tests/membership_network.py
+++ b/tests/membership_network.py
@@ -143,12 +143,7 @@
         if node.paused_until > self.now:
             self._queue.append(arrival._replace(at=node.paused_until))
             return
-        body = envelope.body
-        if (
-            isinstance(body, Leaving)
-            and node.membership.silence_ms(envelope.source, self._local(node))
-            is not None
-        ):
+        if isinstance(envelope.body, Leaving):
             node.left_callers.add((envelope.source, envelope.incarnation))
         self._do(node, node.membership.receive(envelope, self._local(node)))
 
