--- a/sequoiahook/decisions/membership/views.py
+++ b/sequoiahook/decisions/membership/views.py
@@ -91,7 +91,7 @@
             self._call_at = None
         if self._call_at is not None or now < self._next_call_at:
             return []
-        is_due = self._is_due(wanted, now) if is_proposer else self.view.number == 0
+        is_due = self._is_due(wanted, now) if is_proposer else self._is_lost(now)
         if not is_due:
             return []
         self._call_at = now
@@ -102,6 +102,10 @@
             return True
         return now - self._next_call_at >= self._settings.view_read_ms
 
+    def _is_lost(self, now: int) -> bool:
+        patience_ms = self._settings.join_after_ms
+        return self.view.number == 0 and now - self._next_call_at >= patience_ms
+
     def object_read(self, value: bytes | None, now: int) -> DataCentreView:
         """Take in an answer of the platform.
 
