--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -5,26 +5,13 @@
 
 from sequoiahook.decisions.membership.agreement import Agreement
 from sequoiahook.decisions.membership.effects import Paused
+from sequoiahook.decisions.membership.inbox import Inbox
 from sequoiahook.decisions.membership.keepers import keeper_order
 from sequoiahook.decisions.membership.presence import Presence
 from sequoiahook.decisions.membership.settings import MembershipSettings
 from sequoiahook.decisions.membership.tracker import Tracker
 from sequoiahook.messages.base import Envelope
-from sequoiahook.messages.membership import (
-    LEAVING,
-    LEFT,
-    LIVE,
-    Announce,
-    Heartbeat,
-    Introduction,
-    Leaving,
-    Member,
-    RosterChange,
-    RosterRequest,
-    RosterSnapshot,
-    ViewAnswer,
-    ViewRequest,
-)
+from sequoiahook.messages.membership import LEAVING, LEFT, LIVE, Member
 from sequoiahook.world.instance import Instance
 from sequoiahook.world.view import DataCentreView
 
@@ -60,17 +47,7 @@
         self._last_now = now
         self._round_at = now
         self._platform_names: frozenset[str] = frozenset()
-        self._handlers = {
-            Announce: self._on_announce,
-            Heartbeat: self._on_heartbeat,
-            Introduction: self._on_introduction,
-            Leaving: self._on_leaving,
-            RosterChange: self._tracker.changed,
-            RosterRequest: self._tracker.requested,
-            RosterSnapshot: self._tracker.received,
-            ViewAnswer: self._agreement.answered,
-            ViewRequest: self._agreement.requested,
-        }
+        self._inbox = Inbox(self._presence, self._tracker, self._agreement)
         self._learn_all([Member(seed, LIVE) for seed in settings.seeds], now)
 
     @property
@@ -94,12 +71,8 @@
             Effects.
         """
         effects = self._advance(now)
-        handler = self._handlers.get(type(envelope.body))
-        if handler is None or envelope.source == self._me.name:
-            return effects
-        if not self._presence.accepts(envelope):
-            return effects
-        effects += handler(envelope, now)
+        if envelope.source != self._me.name:
+            effects += self._inbox.receive(envelope, now)
         return effects + self._tracker.refresh(now)
 
     def tick(self, now: int) -> list:
@@ -255,55 +228,11 @@
         self._agreement.start_term(now)
         return [Paused(gap_ms)]
 
-    def _on_heartbeat(self, envelope: Envelope, now: int) -> list:
-        peer = self._presence.peer(envelope.source)
-        if peer is None:
-            return [self._presence.ask_announce(envelope.source)]
-        beat = envelope.body
-        instance, since, state = peer.instance, peer.heard_since, peer.state
-        if not self._presence.peers.receive(peer, envelope.incarnation, beat, now):
-            return []
-        effects: list = []
-        is_other = peer.instance != instance
-        if not peer.is_announced:
-            effects.append(self._presence.ask_announce(envelope.source))
-        if is_other or since is None or peer.state != state:
-            self._tracker.heard(peer, is_other or since is None)
-        effects += self._tracker.compare(envelope.source, beat.roster)
-        if self._presence.is_own(peer):
-            effects += self._agreement.compare(peer, now)
-        return effects
-
-    def _on_announce(self, envelope: Envelope, now: int) -> list:
-        data_centre = envelope.body.member.instance.data_centre
-        known = self._tracker.fleet.members_by_data_centre.get(data_centre, {})
-        effects = self._presence.announced(envelope, known.values(), now)
-        self._mark_learnt()
-        return effects
-
-    def _on_introduction(self, envelope: Envelope, now: int) -> list:
-        self._presence.introduced(envelope.body.members, now)
-        self._mark_learnt()
-        return []
-
-    def _on_leaving(self, envelope: Envelope, now: int) -> list:
-        name, incarnation = envelope.source, envelope.incarnation
-        state = envelope.body.state
-        self._tracker.fleet.note_state(name, incarnation, state)
-        peer = self._presence.peer(name)
-        if peer is not None and peer.instance.incarnation == incarnation:
-            peer.note_state(state)
-            self._tracker.heard(peer, False)
-        data_centre = self._tracker.fleet.data_centre_of(name)
-        if data_centre is not None:
-            self._tracker.mark_urgent(data_centre)
-        return []
-
     def _start_round(self, now: int) -> list:
         self._round_at = now + self._settings.heartbeat_ms
         wanted = self._tracker.linking.wanted
         self._presence.forget_silent(self._own_candidates(), wanted, now)
-        self._mark_learnt()
+        self._tracker.mark(self._presence.take_changed())
         effects = self._presence.start_round(
             self.view.number, self._tracker.version_for, now
         )
@@ -332,7 +261,4 @@
         for instance, _ in entries:
             if instance.data_centre == self._me.data_centre:
                 self._presence.learn(instance, False, now)
-        self._mark_learnt()
-
-    def _mark_learnt(self) -> None:
         self._tracker.mark(self._presence.take_changed())
