Report changes of the live list, so that look-up follows departures at once

Cause: an instance that starts to leave is still a peer, so no effect told the embedder that its live list had changed. Change: LiveChanged(data_centre); the machine feeds its look-up lists by it alone.

--- a/sequoiahook/decisions/membership/__init__.py
+++ b/sequoiahook/decisions/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from sequoiahook.decisions.membership.effects import (
     LinksChanged,
+    LiveChanged,
     Paused,
     PeerDown,
     PeerUp,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "LinksChanged",
+    "LiveChanged",
     "Membership",
     "MembershipSettings",
     "Paused",
--- a/sequoiahook/decisions/membership/effects.py
+++ b/sequoiahook/decisions/membership/effects.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "LinksChanged",
+    "LiveChanged",
     "Paused",
     "PeerDown",
     "PeerUp",
@@ -83,6 +84,16 @@
     names: frozenset[str]
 
 
+class LiveChanged(NamedTuple):
+    """The live instances of a data centre have changed, or one of them leaves.
+
+    Attributes:
+        data_centre: Name of the data centre.
+    """
+
+    data_centre: str
+
+
 class Paused(NamedTuple):
     """This process did not run for longer than a lease: it holds nothing any more.
 
--- a/sequoiahook/decisions/membership/membership.py
+++ b/sequoiahook/decisions/membership/membership.py
@@ -22,7 +22,8 @@
     """Who is there, as one instance knows it.
 
     Each method that takes the time and returns a list returns effects: Send,
-    ReadObject, WriteObject, ViewChanged, PeerUp, PeerDown, LinksChanged and Paused.
+    ReadObject, WriteObject, ViewChanged, PeerUp, PeerDown, LiveChanged, LinksChanged
+    and Paused.
     A message reaches only instances that either end holds a link to.
 
     Args:
--- a/sequoiahook/decisions/membership/tracker.py
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 
 from sequoiahook.decisions.effects import Send
-from sequoiahook.decisions.membership.effects import LinksChanged, PeerDown, PeerUp
+from sequoiahook.decisions.membership.effects import (
+    LinksChanged,
+    LiveChanged,
+    PeerDown,
+    PeerUp,
+)
 from sequoiahook.decisions.membership.fleet import Fleet
 from sequoiahook.decisions.membership.linking import Linking
 from sequoiahook.decisions.membership.peers import Peer
@@ -49,6 +54,7 @@
         self._refresh_at = 0
         self._links: frozenset[str] = frozenset()
         self._up_by_data_centre: dict[str, dict[str, int]] = {}
+        self._live_by_data_centre: dict[str, dict[str, Instance]] = {}
 
     def mark(self, data_centres: Iterable[str]) -> None:
         """Note that the members of data centres may have changed."""
@@ -148,6 +154,7 @@
         others = self.fleet.members_by_data_centre if own in stale else stale
         self._link(set(others) - {own}, now)
         for data_centre in sorted(stale):
+            effects += self._report_live(data_centre)
             effects += self._report_peers(data_centre)
         return effects + self._report_links()
 
@@ -197,6 +204,13 @@
             if self._presence.is_own(peer) == is_own and peer.heard_since is not None
         ]
 
+    def _report_live(self, data_centre: str) -> list:
+        live = self.fleet.live(data_centre)
+        if live == self._live_by_data_centre.get(data_centre, {}):
+            return []
+        self._live_by_data_centre[data_centre] = live
+        return [LiveChanged(data_centre)]
+
     def _report_peers(self, data_centre: str) -> list:
         members = self.fleet.members_by_data_centre.get(data_centre, {})
         up_by_name = {
--- a/tests/membership_network.py
+++ b/tests/membership_network.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.membership import (
     LinksChanged,
+    LiveChanged,
     Membership,
     MembershipSettings,
     ReadObject,
@@ -33,6 +34,7 @@
         self.offset = offset
         self.links: frozenset[str] = frozenset()
         self.paused_until = 0
+        self.live_by_data_centre: dict[str, dict[str, Instance]] = {}
         self.left_callers: set[tuple[str, int]] = set()
         self.highest_view = 0
         self.state = LIVE
@@ -153,6 +155,9 @@
                 self._send(node, effect)
             elif isinstance(effect, LinksChanged):
                 node.links = effect.names
+            elif isinstance(effect, LiveChanged):
+                live = node.membership.live(effect.data_centre)
+                node.live_by_data_centre[effect.data_centre] = live
             elif isinstance(effect, ReadObject):
                 self._do(node, self._read(node, effect))
             elif isinstance(effect, WriteObject):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -183,9 +183,14 @@
             assert list(view.instances) in [json.loads(v)["instances"] for v in written]
 
     def check_leaving(self, node):
+        """Live lists are taken when LiveChanged says so, as look-up takes them."""
+        for data_centre in SIZES:
+            live = node.live_by_data_centre.get(data_centre, {})
+            assert live == node.membership.live(data_centre)
         for name, incarnation in node.left_callers:
             for data_centre in SIZES:
-                listed = node.membership.live(data_centre).get(name)
+                live = node.live_by_data_centre.get(data_centre, {})
+                listed = live.get(name)
                 assert listed is None or listed.incarnation != incarnation
 
     def check_keeper(self, data_centre, key):
