--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -349,6 +349,7 @@
             Watch: self._on_rollout_call,
             WriteObject: self._on_rollout_call,
             membership_effects.LinksChanged: self._on_links_changed,
+            membership_effects.LiveChanged: self._on_live_changed,
             membership_effects.Paused: self._on_paused,
             membership_effects.PeerDown: self._on_member_down,
             membership_effects.PeerUp: self._on_member_up,
@@ -569,6 +570,11 @@
                 address_by_peer[name] = instance.link_address
         return [Dial(address_by_peer)]
 
+    def _on_live_changed(self, effect: Any, now: int) -> list:
+        data_centre = effect.data_centre
+        self._lookup.set_live(data_centre, self._membership.live(data_centre))
+        return []
+
     def _on_member_up(self, effect: Any, now: int) -> list:
         note = Note("peer up", effect._asdict())
         return [note, *self._entry.peer_up(effect.name, now)]
@@ -598,7 +604,6 @@
         }
         effects: list = []
         for data_centre, instances_by_name in live_by_data_centre.items():
-            self._lookup.set_live(data_centre, instances_by_name)
             if data_centre != self.me.data_centre:
                 names = tuple(sorted(instances_by_name))
                 effects += self._set_foreign_view(data_centre, names, now)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -5,13 +5,21 @@
 import json
 import random
 
-from sequoiahook.decisions.exchange.effects import Answer, Refusal, Write
+from sequoiahook.decisions.exchange.effects import (
+    AbortTarget,
+    Answer,
+    Refusal,
+    Write,
+)
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.instance import CoreSettings, InstanceCore
 from sequoiahook.decisions.instance.effects import (
     Arrival,
     CallPlatform,
+    CloseConnection,
     Dial,
+    EmitSpan,
+    Note,
     OperatorReply,
     Transmit,
 )
@@ -24,10 +32,18 @@
     Watch,
     WriteConflict,
 )
-from sequoiahook.decisions.stopping import Exit
+from sequoiahook.decisions.stopping import CloseIdleConnections, Exit, ReportOverdue
 from sequoiahook.messages.membership import Member
 from sequoiahook.world.instance import Address, Instance
 
+IGNORED = (
+    AbortTarget,
+    CloseConnection,
+    CloseIdleConnections,
+    EmitSpan,
+    Note,
+    ReportOverdue,
+)
 TICK_MS = 20
 PLATFORM_MS = 5
 ID_FIELD = b"x-request-id"
@@ -191,6 +207,8 @@
         elif isinstance(effect, Exit):
             self.exits.append((name, effect.code))
             self.schedule(0, name, lambda: self.kill(name))
+        else:
+            assert isinstance(effect, IGNORED), effect
 
     def refresh_links(self):
         names = list(self.cores_by_name)
