Send requests only while their right holds; let a rebooted data centre use its share

Cause: (1) a reserved token was passed on with a lease of 30 s, although the loan that it came from lapses earlier, so a request that queued for longer could run under a token that its lender had taken back. (2) A data centre whose instances were all replaced while another one was away owned nothing: its first configuration counted as unsettled until the other data centre answered (seen as 429 at rest by the fuzzed fleet). Ruled out for (2): waiting for a time, since a data centre that is cut off keeps its share for as long as it is cut off. Change: (1) the hand-over carries the time for which the reservation certainly holds; one that queued for longer reserves again; leases are 2.5 s and 3 s, so that usual deadlines fit. (2) where every data centre has a part of the burst, shares rise and fall with the contract, so the first number known counts as settled; not covered are changes of the list of data centres while one is cut off and another reboots.

--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -351,6 +351,8 @@
         if ran == NOT_RUN and is_open and now < exchange.cancel_at:
             if reason in _MOVED_REASONS:
                 return self._relocate(exchange)
+            if reason == Reason.RIGHT_LAPSED:
+                return self._renew_right(exchange)
             has_other = exchange.place_index + 1 < len(exchange.places)
             if reason in _ELSEWHERE_REASONS and has_other:
                 exchange.attempt -= 1
@@ -382,6 +384,17 @@
         self._wake_at(exchange, exchange.cancel_at)
         return [Relocate(exchange.request.number)]
 
+    def _renew_right(self, exchange: OpenRequest) -> list:
+        """Reserve again, since the request queued for longer than its right held."""
+        self._forget_id(exchange)
+        exchange.attempt -= 1
+        exchange.failure = Reason.RIGHT_LAPSED
+        exchange.state = EntryState.RESERVING
+        self._wake_at(exchange, exchange.cancel_at)
+        request = exchange.request
+        effects = self._settle(exchange, NOT_RUN)
+        return [*effects, Reserve(request.number, request.organisation)]
+
     def _may_retry(
         self, exchange: OpenRequest, reason: str, ran: str, now: int
     ) -> bool:
--- a/sequoiahook/decisions/instance/settings.py
+++ b/sequoiahook/decisions/instance/settings.py
@@ -17,6 +17,12 @@
 __all__ = ["CoreSettings", "SteeringSettings"]
 
 
+LOCAL_LEASE_MS = 2_500
+"""Most of a usual deadline, so that a queued request keeps its right."""
+
+REMOTE_LEASE_MS = 3_000
+
+
 class SteeringSettings(NamedTuple):
     """Settings of the admission of callers' requests.
 
@@ -25,13 +31,11 @@
         credit_wait_ms: Longest wait for credit where no other place can run the
             request, in milliseconds.
         retry_after_ms: Advice when nothing better is known, in milliseconds.
-        reservation_lease_ms: How long a reserved right lasts, in milliseconds.
     """
 
     reserve_wait_ms: int = 250
     credit_wait_ms: int = 400
     retry_after_ms: int = 1_000
-    reservation_lease_ms: int = 30_000
 
 
 class CoreSettings(NamedTuple):
@@ -40,7 +44,9 @@
     membership: MembershipSettings = MembershipSettings()
     rollout: RolloutSettings = RolloutSettings()
     patching: PatchSettings = PatchSettings()
-    rights: RightsSettings = RightsSettings()
+    rights: RightsSettings = RightsSettings(
+        local_lease_ms=LOCAL_LEASE_MS, remote_lease_ms=REMOTE_LEASE_MS
+    )
     entry: EntrySettings = EntrySettings()
     executor: ExecutorSettings = ExecutorSettings()
     pool: PoolSettings = PoolSettings()
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -165,7 +165,7 @@
         if opened is None:
             return self.release(reservation, now)
         if opened.is_admitted:
-            lease_ms = self._settings.reservation_lease_ms
+            lease_ms = self._lease_ms(opened, reservation, now)
             return self._parts.entry.reserved(number, reservation, lease_ms, now)
         opened.reservations = reservation
         return self._place(number, opened, now)
@@ -349,9 +349,15 @@
             deadline_ms=max(0, opened.deadline_at - now),
             idempotent=arrival.method in opened.service.idempotent_methods,
             traceparent=opened.traceparent,
-            token_lease_ms=self._settings.reservation_lease_ms,
+            token_lease_ms=self._lease_ms(opened, opened.reservations, now),
         )
 
+    def _lease_ms(self, opened: _Open, reservation: int, now: int) -> int:
+        """Return for how long the request may be sent under its right."""
+        if opened.key is None:
+            return opened.service.deadline_ms
+        return self._parts.rights.lease_left_ms(str(reservation), now)
+
     def _give_up(self, number: int, status: int, cause: str, now: int = 0) -> list:
         effects = self._release_of(self._open_by_number[number], now)
         retry_after_ms = self._settings.retry_after_ms
--- a/sequoiahook/decisions/rights/account.py
+++ b/sequoiahook/decisions/rights/account.py
@@ -85,6 +85,19 @@
             return False
         return all(part.is_usable(now) for part, _ in reservation.pieces)
 
+    def lease_left_ms(self, request_id: str, now: int) -> int:
+        """Return for how long the reservation certainly holds, even if this pauses."""
+        if not self.may_commit(request_id, now):
+            return 0
+        reservation = self.reservations_by_id[request_id]
+        ends = [reservation.expires_ms, now + self.settings.local_lease_ms]
+        ends += [
+            part.expires_ms
+            for part, _ in reservation.pieces
+            if part.expires_ms is not None
+        ]
+        return max(0, min(ends) - now)
+
     def commit(self, request_id: str, now: int) -> list:
         """Spend the token of a request; see Rights.commit."""
         is_held = self.may_commit(request_id, now)
--- a/sequoiahook/decisions/rights/ownership.py
+++ b/sequoiahook/decisions/rights/ownership.py
@@ -74,7 +74,8 @@
         for name, shares in self._shares_by_name.items():
             contract = contracts_by_name.get(name)
             parts = share_out(name, contract, data_centres) if contract else {}
-            shares.configure(number, parts)
+            is_proportional = bool(contract) and contract.burst >= len(data_centres)
+            shares.configure(number, parts, is_proportional=is_proportional)
 
     def set_view(self, view: DataCentreView, now: int) -> None:
         """Take in the view of the own or another data centre."""
--- a/sequoiahook/decisions/rights/rights.py
+++ b/sequoiahook/decisions/rights/rights.py
@@ -146,6 +146,16 @@
         account = self._account_of(request_id)
         return account is not None and account.may_commit(request_id, now)
 
+    def lease_left_ms(self, request_id: str, now: int) -> int:
+        """Return for how long a request may be sent under its reservation.
+
+        A request that another instance sends must be sent within this time, counted
+        from now, since by then the token may be somebody else's.
+        """
+        self._look_at_clock(now)
+        account = self._account_of(request_id)
+        return 0 if account is None else account.lease_left_ms(request_id, now)
+
     def commit(self, request_id: str, now: int) -> list:
         """Spend the token of a request, right before the request is sent.
 
--- a/sequoiahook/decisions/rights/shares.py
+++ b/sequoiahook/decisions/rights/shares.py
@@ -80,8 +80,25 @@
         """The share of this data centre at the latest number."""
         return self._eras[-1].share(self._data_centre) if self._eras else NOTHING
 
-    def configure(self, number: int, shares: Mapping[str, Amount]) -> None:
-        """Take in a configuration; a number that is not higher is ignored."""
+    def configure(
+        self,
+        number: int,
+        shares: Mapping[str, Amount],
+        *,
+        is_proportional: bool = False,
+    ) -> None:
+        """Take in a configuration; a number that is not higher is ignored.
+
+        Args:
+            number: Number of the configuration.
+            shares: The share of each data centre.
+            is_proportional: Whether every data centre has a part of the burst. Shares
+                then rise and fall together with the contract, so those of two numbers
+                with the same data centres never sum to more than the larger contract,
+                and the first number that is known counts as settled.
+        """
+        if not self._eras and is_proportional:
+            self.settled_number = number
         if number <= self.number:
             return
         last = self._eras[-1] if self._eras else None
