--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -147,3 +147,34 @@
         running = next(iter(subject._runs)).request_id
         order += [e.request_id >= 100 for e in subject.finish(running, OK, 50)]
     assert sum(order) == 4, "a third of the starts, and not behind the flood"
+
+
+def test_last_start_leaves_time_for_a_long_run():
+    subject = pool(target("t1", slots=1))
+    for number in range(60):
+        subject.submit(number, "x", 5_000, 0)
+        duration_ms = 10 if number % 2 else 90
+        subject.finish(number, OK._replace(duration_ms=duration_ms), 0)
+    (effect,) = subject.submit("a", "x", 150, 0)
+    assert effect.reason == RefuseReason.DEADLINE, "runs of 90 ms may be longer yet"
+    assert subject.submit("b", "x", 300, 0) == [Start("b", "t1")]
+
+
+def test_stopped_pool_tells_that_nothing_can_start():
+    subject = pool(target("t1"))
+    subject.stop(0)
+    summary = subject.summary("dc1", "i1", 1, 1, 0)
+    assert (summary.free_slots, summary.wait_ms) == (0, -1)
+    (effect,) = subject.submit("a", "x", 5_000, 0)
+    assert effect.reason == RefuseReason.MOVED
+
+
+def test_wait_follows_the_pace_when_others_go_first():
+    subject = pool(target("t1", slots=1))
+    for number in range(20):
+        subject.submit(number, "a", 60_000, 0)
+    for now in range(100, 1_100, 100):
+        subject.submit(("b", now), "b", 60_000, now)
+        running = next(iter(subject._runs)).request_id
+        subject.finish(running, OK, now)
+    assert subject.wait_ms("a", 1_000) >= 2_000, "one start in 200 ms, and 15 wait"
