Hold planned shifts under their cap; learn pools' figures from the pools themselves

Cause: a planned shift moved its share of the traffic without a cap. Change: the cap is a contract among the rights whose only home is the source data centre; each move spends one unit as it leaves, and stays if there is none. Owners tell summaries, service times and shares as their pools work them out. A lost owner's work counts for its deadline and the overrun that targets may need. Tests: a shift of 50 % over 6 s stays under 5 a second and 3 at once (100 ms are allowed for the way); a data centre that reboots while the other one is gone serves.

--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -47,6 +47,7 @@
     Steering,
     SteeringParts,
     organisation_contract,
+    shift_contract,
 )
 from sequoiahook.decisions.instance.tracing import Tracing
 from sequoiahook.decisions.keys import Callers, KeyTable
@@ -530,9 +531,13 @@
             organisation_contract(organisation.name): organisation.contract
             for organisation in configuration.organisations_by_name.values()
         }
+        homes_by_name = {}
+        for shift in configuration.shifts_by_name.values():
+            contracts_by_name[shift_contract(shift.name)] = shift.cap
+            homes_by_name[shift_contract(shift.name)] = (shift.source,)
         data_centres = list(configuration.data_centres_by_name)
         return self._rights.configure(
-            configuration.number, contracts_by_name, data_centres, now
+            configuration.number, contracts_by_name, data_centres, now, homes_by_name
         )
 
     def _on_reject(self, effect: Reject, now: int) -> list:
--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -14,6 +14,7 @@
 from sequoiahook.decisions.pool.effects import PoolEffect, TargetReport
 from sequoiahook.decisions.pool.pool import Pool
 from sequoiahook.decisions.pool.settings import PoolSettings
+from sequoiahook.decisions.pool.shares import shares
 from sequoiahook.messages.membership import LIVE
 from sequoiahook.messages.ownership import (
     PoolAcceptance,
@@ -33,7 +34,6 @@
 TRANSFER_GRACE_MS = 3_000
 """Below the time after which a successor may act without a transfer."""
 
-CLOSED_WAIT_MS = -1
 SERVER_ERROR_STATUS = 500
 _FAULTS = frozenset(
     {
@@ -290,7 +290,8 @@
         """
         deadline_ms = self._configuration.services_by_name[service].deadline_ms
         since_write_ms = membership.takeover_ms - membership.lease_longest_ms
-        return max(0, deadline_ms - since_write_ms)
+        runs_ms = deadline_ms + self._pool_settings.overrun_ms
+        return max(0, runs_ms - since_write_ms)
 
     def asked(self, message: CreditAsk, now: int) -> list[Send]:
         """Answer an ask for credit; one for a pool that is not owned is dropped."""
@@ -298,7 +299,9 @@
         if owned is None:
             return []
         free_slots = owned.pool.free_slots(now) - owned.pool.queue_length()
-        return owned.lender.ask(message, free_slots, owned.pool.capacity(now), now)
+        capacity = owned.pool.capacity(now)
+        service_time_ms = int(owned.pool.service_time_ms())
+        return owned.lender.ask(message, free_slots, capacity, now, service_time_ms)
 
     def redeem(self, body: HandOver, now: int) -> bool:
         """Take the credit of a hand-over from another data centre."""
@@ -314,10 +317,16 @@
         if now < self._summary_at:
             return []
         self._summary_at = now + SUMMARY_INTERVAL_MS
-        return [
-            self._summary(service, owned.pool, now)
-            for service, owned in self._owned_by_service.items()
-        ]
+        me = self._me
+        summaries = []
+        for owned in self._owned_by_service.values():
+            self._sequence += 1
+            summaries.append(
+                owned.pool.summary(
+                    me.data_centre, me.name, me.incarnation, self._sequence, now
+                )
+            )
+        return summaries
 
     def next_wake(self) -> int | None:
         """Return when summaries are due; None if no pool is owned."""
@@ -343,29 +352,11 @@
         settings = configuration.services_by_name.get(service)
         warm_up_ms = 0 if settings is None else settings.warm_up_ms
         owned.configure(self._targets_by_service.get(service, []), warm_up_ms, now)
-        owned.pool.set_shares(
-            {
-                organisation.name: float(organisation.contract.rate_per_s)
-                for organisation in configuration.organisations_by_name.values()
-            }
-        )
-
-    def _summary(self, service: str, pool: Pool, now: int) -> PoolSummary:
-        self._sequence += 1
-        wait_ms = pool.wait_ms("", now)
-        return PoolSummary(
-            service,
-            self._me.data_centre,
-            self._me.name,
-            self._me.incarnation,
-            self._sequence,
-            0,
-            pool.free_slots(now),
-            pool.capacity(now),
-            CLOSED_WAIT_MS if wait_ms is None else wait_ms,
-            len(self._targets_by_service.get(service, ())),
-            int(pool.service_time_ms()),
-        )
+        contract_by_organisation = {
+            organisation.name: organisation.contract
+            for organisation in configuration.organisations_by_name.values()
+        }
+        owned.pool.set_shares(shares(contract_by_organisation))
 
 
 def spread_targets(
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
+from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.exchange.effects import Refusal
 from sequoiahook.decisions.exchange.entry import AdmittedRequest, EntryExchanges
 from sequoiahook.decisions.exchange.states import Reason
@@ -15,13 +16,20 @@
 from sequoiahook.decisions.membership.membership import Membership
 from sequoiahook.decisions.placement.holder import CreditHolder, PoolKey
 from sequoiahook.decisions.placement.placement import Place, Placement
+from sequoiahook.decisions.rights.effects import Reserved
 from sequoiahook.decisions.rights.rights import Rights
 from sequoiahook.messages.requests import NOT_RUN, CreditUnit, HandOver, MessageId
 from sequoiahook.wire.fields import CleanRequest, clean_request, presented_keys
 from sequoiahook.world.configuration import Configuration
 from sequoiahook.world.service import Service
 
-__all__ = ["Cause", "Steering", "SteeringParts", "organisation_contract"]
+__all__ = [
+    "Cause",
+    "Steering",
+    "SteeringParts",
+    "organisation_contract",
+    "shift_contract",
+]
 
 TRACE_FIELD = b"traceparent"
 
@@ -101,6 +109,7 @@
         self._seeking: set[int] = set()
         self._number_by_reservation: dict[int, int] = {}
         self._last_reservation = 0
+        self._pending: list[Send] = []
 
     @property
     def open_count(self) -> int:
@@ -234,7 +243,8 @@
 
     def tick(self, now: int) -> list:
         """Refuse requests that found no place in time."""
-        effects: list = []
+        effects: list = list(self._pending)
+        self._pending.clear()
         for number in sorted(self._seeking):
             if now >= self._open_by_number[number].place_by:
                 effects += self._give_up(number, 503, Cause.CREDIT, now)
@@ -304,6 +314,8 @@
         opened.places = []
         for place in places:
             name = own_owner
+            if not self._is_under_cap(place, now):
+                continue
             if place.data_centre != self._data_centre:
                 name = owner_by_pool.get(PoolKey(service, place.data_centre))
             if name is not None:
@@ -311,6 +323,22 @@
                 opened.places.append(place)
         return tuple(names)
 
+    def _is_under_cap(self, place: Place, now: int) -> bool:
+        """Spend one unit of a planned shift's cap, if the place belongs to one."""
+        if place.shift_name is None:
+            return True
+        self._last_reservation += 1
+        request_id = f"shift/{self._last_reservation}"
+        contract = shift_contract(place.shift_name)
+        rights = self._parts.rights
+        effects = rights.reserve(request_id, contract, 0, now)
+        is_reserved = Reserved(request_id) in effects
+        self._pending += [e for e in effects if isinstance(e, Send)]
+        if is_reserved:
+            committed = rights.commit(request_id, now)
+            self._pending += [e for e in committed if isinstance(e, Send)]
+        return is_reserved
+
     def prepare(self, body: HandOver, now: int) -> HandOver | None:
         """Add credit and wait limit to a hand-over; None if there is no credit."""
         position = self._parts.entry.position(body.id)
@@ -374,6 +402,11 @@
         return [Refusal(number, status, cause, NOT_RUN, retry_after_ms)]
 
 
+def shift_contract(shift: str) -> str:
+    """Return the name of the contract of a planned shift's cap among the rights."""
+    return f"shift/{shift}"
+
+
 def organisation_contract(organisation: str) -> str:
     """Return the name of an organisation's contract among the rights."""
     return f"organisation/{organisation}"
--- a/sequoiahook/decisions/rights/ownership.py
+++ b/sequoiahook/decisions/rights/ownership.py
@@ -60,6 +60,7 @@
         number: int,
         contracts_by_name: Mapping[str, Contract],
         data_centres: Sequence[str],
+        homes_by_name: Mapping[str, Sequence[str]],
     ) -> None:
         """Take in the contracts of a configuration; a lower number is ignored."""
         if number <= self._number:
@@ -73,8 +74,9 @@
             self.accounts_by_name[name].contract = contract
         for name, shares in self._shares_by_name.items():
             contract = contracts_by_name.get(name)
-            parts = share_out(name, contract, data_centres) if contract else {}
-            is_proportional = bool(contract) and contract.burst >= len(data_centres)
+            homes = homes_by_name.get(name, data_centres)
+            parts = share_out(name, contract, homes) if contract else {}
+            is_proportional = bool(contract) and contract.burst >= len(homes)
             shares.configure(number, parts, is_proportional=is_proportional)
 
     def set_view(self, view: DataCentreView, now: int) -> None:
--- a/sequoiahook/decisions/rights/rights.py
+++ b/sequoiahook/decisions/rights/rights.py
@@ -90,10 +90,22 @@
         contracts_by_name: Mapping[str, Contract],
         data_centres: Sequence[str],
         now: int,
+        homes_by_name: Mapping[str, Sequence[str]] | None = None,
     ) -> list:
-        """Take in the contracts of a configuration; a lower number is ignored."""
+        """Take in the contracts of a configuration; a lower number is ignored.
+
+        Args:
+            configuration_number: Number of the configuration.
+            contracts_by_name: Every contract.
+            data_centres: The data centres that share each contract.
+            now: The time in milliseconds.
+            homes_by_name: Fewer data centres for some contracts, because nobody else
+                uses them.
+        """
         self._look_at_clock(now)
-        self._ownership.configure(configuration_number, contracts_by_name, data_centres)
+        self._ownership.configure(
+            configuration_number, contracts_by_name, data_centres, homes_by_name or {}
+        )
         return self._pump_all(now)
 
     def set_view(self, view: DataCentreView, now: int) -> list:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -190,3 +190,45 @@
 
 TestCore = CoreMachine.TestCase
 TestCore.settings = settings(max_examples=12, stateful_step_count=20)
+
+
+def moved_times(fleet):
+    runs = fleet.targets_by_name["desk-b"].runs
+    return sorted(at for _, _, at, _ in runs)
+
+
+def test_a_planned_shift_moves_its_share_under_its_cap():
+    cap_per_s, cap_burst = 5, 3
+    shift = {
+        "service": "desk",
+        "source": "dc-a",
+        "destination": "dc-b",
+        "share_percent": 50,
+        "cap": {"rate_per_s": cap_per_s, "burst": cap_burst},
+    }
+    fleet = Fleet(NAMES, {**DOCUMENT, "shifts_by_name": {"move": shift}}, 1)
+    fleet.run(START_MS)
+    for _ in range(100):
+        fleet.request("a-1", "GET", b"/desk/x", KEY)
+        fleet.request("a-2", "GET", b"/desk/x", KEY)
+        fleet.run(60)
+    times = moved_times(fleet)
+    assert len(times) >= cap_per_s * 6 * 2 // 3
+    for first, start in enumerate(times):
+        for last in range(first, len(times)):
+            allowed = cap_burst + cap_per_s * (times[last] - start + 100) / 1000
+            assert last - first + 1 <= allowed, (start, times[last])
+
+
+def test_a_data_centre_that_reboots_alone_serves_its_share():
+    fleet = Fleet(NAMES, DOCUMENT, 1)
+    fleet.run(START_MS)
+    for name in NAMES:
+        fleet.kill(name)
+    fleet.run(1_000)
+    for name in ("b-1", "b-2"):
+        fleet.boot(name)
+    fleet.run(START_MS)
+    request_id = fleet.request("b-1", "GET", b"/desk/x", KEY)
+    fleet.run(2_000)
+    assert isinstance(fleet.answers_by_id[request_id], Answer)
