--- a/sequoiahook/daemons/instance.py
+++ b/sequoiahook/daemons/instance.py
@@ -75,6 +75,9 @@
 LIST_IDLE_MS = 1_000
 LIST_WAIT_MS = 20_000
 LIST_CONNECTIONS = 8
+TICK_BATCH_MS = 5
+"""Inputs that come within this time are looked at together for what is due."""
+
 LOOKUP_PATH = b"/sequoiahook/lookup"
 OPERATOR_BODY_BYTES_MAX = 16 * 1024 * 1024
 
@@ -261,6 +264,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(1, due_at - now) / MS_PER_S):
                     await self._wake.wait()
+            await asyncio.sleep(TICK_BATCH_MS / MS_PER_S)
             due_at = min(due_at, self._core.next_wake(self._clock.now()))
 
     async def _follow_list(self) -> None:
--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -89,8 +89,8 @@
 
 __all__ = ["InstanceCore"]
 
-TICK_MS = 50
-VIEW_REFRESH_MS = 100
+TICK_MS = 250
+VIEW_REFRESH_MS = 500
 HTTP_UNAVAILABLE = 503
 
 
@@ -578,6 +578,7 @@
     def _on_live_changed(self, effect: Any, now: int) -> list:
         data_centre = effect.data_centre
         self._lookup.set_live(data_centre, self._membership.live(data_centre))
+        self._refresh_at = now
         return []
 
     def _on_member_up(self, effect: Any, now: int) -> list:
@@ -596,6 +597,7 @@
         return [Note("paused", effect._asdict()), *self._owner.paused(now)]
 
     def _on_view_changed(self, effect: Any, now: int) -> list:
+        self._refresh_at = now
         fields = {"number": effect.view.number, "members": effect.view.instances}
         return [Note("view", fields), *self._rights.set_view(effect.view, now)]
 
