Tell the next owner of a pool which inherited requests have ended

Cause: in a planned stop of two instances in a row, requests were refused as cancelled: the successor counted the previous owner's requests until their deadline and overrun (3 s) and had no free slot. Ruled out: counting them for less, which could overload a target. Change: the previous owner sends its account again as each request ends.

--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -249,6 +249,7 @@
             status=str(result.status),
         )
         effects = self._executor.target_result(request_id, result, now)
+        effects += self._owner.follow_up(now)
         return self._carry([*spans, *effects], now)
 
     def platform_answer(self, ticket: int, answer: CallAnswer, now: int) -> list:
@@ -302,6 +303,7 @@
         effects += self._steering.tick(now)
         effects += self._entry.tick(now)
         effects += self._executor.tick(now)
+        effects += self._owner.follow_up(now)
         effects += self._holder.tick(self._placement.owner_by_pool(now), now)
         for summary in self._owner.summaries(now):
             effects += self._spread(summary, self.me.name, now)
@@ -425,6 +427,9 @@
             return self._spread(body, envelope.source, now)
         if isinstance(body, pool_messages.CreditAsk):
             return self._owner.asked(body, now)
+        if isinstance(body, pool_messages.PoolHandover):
+            self._owner.followed_up(body, now)
+            return self._executor.tick(now)
         if self._holder.granted(body, now):
             return self._steering.credit_changed(now)
         return []
--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -80,6 +80,10 @@
         self._pending += self.pool.take_over(now, now, handover.view_number)
         self._pending += self.pool.handed_over(handover, now)
 
+    def update_transfer(self, handover: PoolHandover, now: int) -> None:
+        """Take in that requests of the previous owner have ended."""
+        self._pending += self.pool.handed_over(handover, now)
+
     def submit(
         self,
         request_id: MessageId,
@@ -127,6 +131,17 @@
     )
 
 
+class _Moved:
+    """A pool that was transferred while requests of this instance run in it."""
+
+    def __init__(self, pool: Pool, successor: str, transfer: PoolTransfer):
+        self.pool = pool
+        self.successor = successor
+        self.offer_id = transfer.offer_id
+        self.sequence = transfer.handover.sequence
+        self.running = len(transfer.handover.runs)
+
+
 class PoolOwner:
     """Takes on the pools that fall to this instance, and drops those that do not.
 
@@ -156,6 +171,7 @@
         self._configuration: Configuration | None = None
         self._summary_at = 0
         self._sequence = 0
+        self._moved: list[_Moved] = []
         self._transfers = Transfers(rng.getrandbits(OFFER_ID_BITS))
 
     @property
@@ -274,8 +290,32 @@
         effects = self._drop(body.service, now)
         handover = owned.pool.handover(self._me.data_centre, body.offer_id, 1, now)
         transfer = PoolTransfer(body.service, body.offer_id, handover)
+        if handover.runs:
+            self._moved.append(_Moved(owned.pool, source, transfer))
         return [*effects, *self._transfers.transfer(source, transfer)]
 
+    def follow_up(self, now: int) -> list[Send]:
+        """Tell the next owners of transferred pools which requests have ended."""
+        effects: list[Send] = []
+        for moved in list(self._moved):
+            handover = moved.pool.handover(
+                self._me.data_centre, moved.offer_id, moved.sequence + 1, now
+            )
+            if len(handover.runs) == moved.running:
+                continue
+            moved.sequence += 1
+            moved.running = len(handover.runs)
+            effects.append(Send(moved.successor, handover))
+            if not moved.running:
+                self._moved.remove(moved)
+        return effects
+
+    def followed_up(self, body: PoolHandover, now: int) -> None:
+        """Take the previous owner's word of which of its requests have ended."""
+        owned = self._owned_by_service.get(body.service)
+        if owned is not None:
+            owned.update_transfer(body, now)
+
     def _drop(self, service: str, now: int) -> list:
         """Own a pool no longer: what is queued is refused, what runs may finish."""
         del self._owned_by_service[service]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -232,3 +232,24 @@
     request_id = fleet.request("b-1", "GET", b"/desk/x", KEY)
     fleet.run(2_000)
     assert isinstance(fleet.answers_by_id[request_id], Answer)
+
+
+def test_a_planned_stop_delays_no_request_by_the_runs_it_leaves_behind():
+    fleet = Fleet(NAMES, DOCUMENT, 3)
+    fleet.run(START_MS)
+    owner = next(
+        name
+        for name in ("a-1", "a-2")
+        if "desk" in fleet.cores_by_name[name]._owner.owned_by_service
+    )
+    (other,) = {"a-1", "a-2"} - {owner}
+    fleet.targets_by_name["desk-a"].service_ms = 100
+    asked = []
+    for turn in range(40):
+        asked.append(fleet.request(other, "POST", b"/desk/x", KEY))
+        fleet.run(50)
+        if turn == 10:
+            fleet.stop(owner)
+    fleet.run(2_000)
+    late = [name for name in asked if not isinstance(fleet.answers_by_id[name], Answer)]
+    assert not late, [fleet.answers_by_id[name] for name in late]
