--- a/sequoiahook/decisions/rights/account.py
+++ b/sequoiahook/decisions/rights/account.py
@@ -4,12 +4,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.effects import Send
 from sequoiahook.decisions.rights.base import Base
 from sequoiahook.decisions.rights.borrowing import Borrowing
 from sequoiahook.decisions.rights.demand import Demand
 from sequoiahook.decisions.rights.effects import Committed, Lapsed, Refused, Reserved
 from sequoiahook.decisions.rights.lending import Lending
+from sequoiahook.decisions.rights.outlook import FOREVER_MS, Outlook
 from sequoiahook.decisions.rights.part import Part
 from sequoiahook.decisions.rights.settings import RightsSettings
 from sequoiahook.decisions.rights.waits import AskWait, LocalWait
@@ -18,9 +20,6 @@
 
 __all__ = ["Account", "Reservation"]
 
-FOREVER_MS = 3_600_000
-"""Stands for a wait that no refill ends."""
-
 
 class Reservation(NamedTuple):
     """A token that is held for a request.
@@ -67,14 +66,16 @@
             part.refill(now)
         return parts
 
-    def reserve(self, request_id: str, wait_ms: int, now: int) -> list:
-        """Ask for a token for a request; see Rights.reserve."""
+    def reserve(self, request_id: str, wait_ms: int, units: int, now: int) -> list:
+        """Ask for tokens for a request; see Rights.reserve."""
         if request_id in self.reservations_by_id:
             return [Reserved(request_id)]
         if any(self._is_of(wait, request_id) for wait in self.waits):
             return []
-        self.demand.note(MICRO, now)
-        self.waits.append(LocalWait(request_id, MICRO, now + wait_ms))
+        if units > self.contract.burst:
+            return [Refused(request_id, FOREVER_MS)]
+        self.demand.note(units * MICRO, now)
+        self.waits.append(LocalWait(request_id, units * MICRO, now + wait_ms))
         return []
 
     def may_commit(self, request_id: str, now: int) -> bool:
@@ -105,9 +106,9 @@
                 self._end(request_id, 0, now)
         self.base.adjust(now)
 
-    def take_token(self, request_id: str, now: int) -> bool:
-        """Reserve a token for a request if the parts have a whole one."""
-        pieces = self._pieces(self.parts(now))
+    def take_tokens(self, request_id: str, tokens: int, now: int) -> bool:
+        """Reserve tokens for a request if the parts have them together."""
+        pieces = self._pieces(self.parts(now), tokens)
         if not pieces:
             return False
         for part, amount in pieces:
@@ -119,16 +120,21 @@
 
     def refuse(self, now: int) -> list:
         """Refuse what waits in vain, and return the effects."""
+        if not self.waits:
+            return []
         effects: list = []
         waits = []
-        needed = 0
+        before = 0
+        outlook = self._outlook(now)
         for wait in self.waits:
-            earliest_ms = self._earliest_ms(needed + MICRO, now)
+            is_local = isinstance(wait, LocalWait)
+            needed = before + (wait.tokens if is_local else MICRO)
+            earliest_ms = outlook.earliest_ms(needed)
             if wait.deadline_ms <= now or now + earliest_ms > wait.deadline_ms:
-                effects.append(self._refusal(wait, needed + MICRO, now))
+                effects.append(self._refusal(wait, outlook.retry_after_ms(needed)))
             else:
                 waits.append(wait)
-                needed += wait.tokens
+                before += wait.tokens
         self.waits = waits
         return effects
 
@@ -151,6 +157,20 @@
         self.waits = [wait for wait in self.waits if isinstance(wait, LocalWait)]
         return self.base.give_up(lapses_ms, now)
 
+    def held(self, now: int) -> Amount:
+        """Return the share and the loans, at hand or lent on."""
+        held = self.base.total
+        for part in self.borrowing.usable_parts(now):
+            held = held.plus(part.amount).plus(self.lending.outstanding(part))
+        return held
+
+    def local_demand(self, now: int) -> int:
+        """Return the use here and, for a keeper, in its data centre."""
+        demand = self.demand.rate(now)
+        if self.is_keeper:
+            demand += self.lending.demand(self.local_names, now)
+        return demand
+
     def in_use(self) -> Iterable[Part]:
         """Return the parts that reservations were taken from."""
         for reservation in self.reservations_by_id.values():
@@ -160,12 +180,12 @@
     def _is_of(self, wait: LocalWait | AskWait, request_id: str) -> bool:
         return isinstance(wait, LocalWait) and wait.request_id == request_id
 
-    def _pieces(self, parts: list[Part]) -> tuple[tuple[Part, int], ...]:
+    def _pieces(self, parts: list[Part], tokens: int) -> tuple[tuple[Part, int], ...]:
         for part in parts:
-            if part.tokens >= MICRO:
-                return ((part, MICRO),)
+            if part.tokens >= tokens:
+                return ((part, tokens),)
         pieces = []
-        missing = MICRO
+        missing = tokens
         for part in parts:
             amount = min(missing, part.tokens)
             if amount:
@@ -182,32 +202,23 @@
                 part.give(Amount(0, amount, amount * token_share), now)
         self.base.adjust(now)
 
-    def _earliest_ms(self, needed: int, now: int) -> int:
-        rate = self.contract.rate_per_s * MICRO // 1000
-        over_burst = needed - self.contract.burst * MICRO
-        bound_ms = max(0, -(-over_burst // rate))
-        dry_ms = [
-            self.borrowing.dry_until_by_lender.get(lender, now) - now
-            for lender in self.lenders
-        ]
-        return max(bound_ms, min([self._refill_ms(needed, now), *dry_ms]))
-
-    def _refill_ms(self, needed: int, now: int) -> int:
+    def _outlook(self, now: int) -> Outlook:
         parts = self.parts(now)
         lent = self.lending.outstanding(self.base.part)
-        missing = needed - sum(part.tokens for part in parts) - lent.capacity
-        if missing <= 0:
-            return 0
-        rate = sum(part.rate for part in parts) + lent.rate
-        if rate == 0:
-            return FOREVER_MS if self.base.is_full(now) or not self.is_keeper else 0
-        return -(-missing // rate)
-
-    def _refusal(self, wait: LocalWait | AskWait, needed: int, now: int):
-        rate = self.contract.rate_per_s * MICRO // 1000
-        retry_after_ms = max(1, -(-needed // rate), self._earliest_ms(needed, now))
-        retry_after_ms = min(retry_after_ms, FOREVER_MS)
+        dry_until = self.borrowing.dry_until_by_lender
+        dry_ms = [dry_until.get(lender, now) - now for lender in self.lenders]
+        is_starting = self.is_keeper and not self.base.is_full(now)
+        return Outlook(
+            self.contract.rate_per_s * MICRO // MS_PER_S,
+            self.contract.burst * MICRO,
+            sum(part.tokens for part in parts) + lent.capacity,
+            sum(part.rate for part in parts) + lent.rate,
+            0 if is_starting else min(dry_ms, default=FOREVER_MS),
+        )
+
+    def _refusal(self, wait: LocalWait | AskWait, retry_after_ms: int):
         if isinstance(wait, LocalWait):
             return Refused(wait.request_id, retry_after_ms)
+        retry_after_ms = min(retry_after_ms, self.settings.local_lease_ms // 2)
         body = RightsRefusal(self.name, wait.ask.sequence, retry_after_ms)
         return Send(wait.borrower, body)
--- a/sequoiahook/decisions/rights/keepership.py
+++ b/sequoiahook/decisions/rights/keepership.py
@@ -36,6 +36,8 @@
         self._rng = rng
         self._views_by_data_centre: dict[str, DataCentreView] = {}
         self._silent: frozenset[str] = frozenset()
+        self._quiet: frozenset[str] = frozenset()
+        self._heard_ms_by_name: dict[str, int] = {}
         self._leaving: set[str] = set()
         self._claim_id = 0
         self._is_claimed = True
@@ -43,7 +45,8 @@
         self._answered: set[str] = set()
         self._lapses_ms = 0
         self._floor_ms: int | None = None
-        self.is_leaving = False
+        self._is_leaving = False
+        self._keeper_by_contract: dict[tuple[str, str], str | None] = {}
 
     @property
     def view(self) -> DataCentreView:
@@ -57,6 +60,11 @@
         """Data centres with a known view."""
         return self._views_by_data_centre
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this instance is stopping."""
+        return self._is_leaving
+
     @property
     def is_claimed(self) -> bool:
         """Whether every peer has answered the latest claim."""
@@ -69,8 +77,12 @@
 
     def keeper(self, contract: str, data_centre: str) -> str | None:
         """Return the instance that keeps a contract in a data centre."""
-        view = self._views_by_data_centre.get(data_centre)
-        return rendezvous.winner(contract, self._eligible(view)) if view else None
+        key = (contract, data_centre)
+        if key not in self._keeper_by_contract:
+            view = self._views_by_data_centre.get(data_centre)
+            names = self._eligible(view) if view else ()
+            self._keeper_by_contract[key] = rendezvous.winner(contract, names)
+        return self._keeper_by_contract[key]
 
     def would_keep(self, contract: str, claimant: str) -> bool:
         """Return whether a peer that is evidently alive keeps a contract."""
@@ -87,6 +99,7 @@
         if old is not None and view.number <= old.number:
             return False
         self._views_by_data_centre[view.data_centre] = view
+        self._keeper_by_contract.clear()
         if view.data_centre != self._data_centre:
             return False
         self._leaving &= set(view.instances)
@@ -97,26 +110,48 @@
             self._floor_ms = now + self._settings.takeover_ms
         return True
 
-    def set_silent(self, silent_ms_by_name: Mapping[str, int]) -> bool:
+    def note_heard(self, name: str, now: int) -> None:
+        """Note a message of an instance, which may come before its heartbeat."""
+        self._heard_ms_by_name[name] = now
+        if name in self._quiet or name in self._silent:
+            self._quiet -= {name}
+            self._silent -= {name}
+            self._keeper_by_contract.clear()
+
+    def set_silent(self, silent_ms_by_name: Mapping[str, int], now: int) -> bool:
         """Take in how long instances have been silent.
 
         Returns:
             Whether an instance fell silent or is heard from again.
         """
-        silent = frozenset(
-            name
+        silent_ms_by_name = {
+            name: min(
+                silent_ms, now - self._heard_ms_by_name.get(name, now - silent_ms)
+            )
             for name, silent_ms in silent_ms_by_name.items()
-            if silent_ms >= self._settings.takeover_ms and name != self._name
-        )
-        is_changed = silent != self._silent
+        }
+        quiet = self._longer_than(silent_ms_by_name, self._settings.quiet_ms)
+        silent = self._longer_than(silent_ms_by_name, self._settings.takeover_ms)
+        is_changed = (quiet, silent) != (self._quiet, self._silent)
+        self._quiet = quiet
         self._silent = silent
+        if is_changed:
+            self._keeper_by_contract.clear()
         return is_changed
 
-    def note_leaving(self, name: str) -> bool:
-        """Note that a peer stops; return whether that is news."""
-        is_news = name not in self._leaving
+    def is_quiet(self, name: str) -> bool:
+        """Return whether an instance was not heard from for a while."""
+        return name in self._quiet
+
+    def leave(self) -> None:
+        """Stop being a keeper."""
+        self._is_leaving = True
+        self._keeper_by_contract.clear()
+
+    def note_leaving(self, name: str) -> None:
+        """Note that a peer stops."""
         self._leaving.add(name)
-        return is_news
+        self._keeper_by_contract.clear()
 
     def pause(self, now: int) -> None:
         """Trust nothing of what was known about keepers before a pause."""
@@ -149,6 +184,7 @@
         self._answered.add(source)
         if not answer.is_leaving:
             self._leaving.discard(source)
+            self._keeper_by_contract.clear()
         lapse_ms = answer.lapse_ms
         if lapse_ms:
             lapses_ms = now + lapse_ms + self._settings.margin_ms
@@ -168,10 +204,19 @@
         names = set(self.view.instances) - self._silent - {self._name}
         return sorted(names)
 
+    def _longer_than(
+        self, silent_ms_by_name: Mapping[str, int], limit_ms: int
+    ) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, silent_ms in silent_ms_by_name.items()
+            if silent_ms >= limit_ms and name != self._name
+        )
+
     def _eligible(self, view: DataCentreView) -> list[str]:
         away = self._silent | self._leaving
         names = [name for name in view.instances if name not in away]
-        if self.is_leaving:
+        if self._is_leaving:
             names = [name for name in names if name != self._name]
         return names
 
--- a/sequoiahook/decisions/rights/settings.py
+++ b/sequoiahook/decisions/rights/settings.py
@@ -15,6 +15,7 @@
         margin_ms: Added by lenders for drift between clocks during a lease.
         view_spread_ms: Longest time in which a running instance learns of a new view
             and is heard from by its peers.
+        quiet_ms: Silence after which an instance is not asked for loans.
         local_retry_ms: When an ask inside a data centre is repeated.
         remote_retry_ms: When an ask between data centres is repeated.
         reservation_lease_ms: When a reservation that nobody reports counts as spent.
@@ -23,24 +24,29 @@
         demand_ms: Time constant of the average use.
         local_ahead_ms: How far ahead of its use an instance keeps tokens.
         remote_ahead_ms: How far ahead of its use a keeper keeps tokens.
+        lent_burst_ms: How much of its use a loan of a rate has capacity for.
         return_delay_ms: How long returns of small parts of a burst are gathered.
-        lent_rate_percent: Part of its average use that a borrower wants as a rate.
+        certain_deviations: A borrower wants a rate of its average use in a second,
+            less this many standard deviations of random arrivals; the rest of its use
+            it covers by tokens, which are pooled at the keepers.
     """
 
     local_lease_ms: int = 1000
     remote_lease_ms: int = 1500
     margin_ms: int = 100
     view_spread_ms: int = 1000
+    quiet_ms: int = 500
     local_retry_ms: int = 100
     remote_retry_ms: int = 400
     reservation_lease_ms: int = 30_000
     kept_percent: int = 25
     idle_ms: int = 250
     demand_ms: int = 1000
-    local_ahead_ms: int = 20
-    remote_ahead_ms: int = 200
+    local_ahead_ms: int = 10
+    remote_ahead_ms: int = 60
+    lent_burst_ms: int = 40
     return_delay_ms: int = 20
-    lent_rate_percent: int = 90
+    certain_deviations: int = 5
 
     @property
     def takeover_ms(self) -> int:
