Mend what reading the documentation against the code showed

Causes and changes: (1) a key withdrawn from a request that waited for credit released its right at time 0, which the rights took for a pause, so every other organisation of that instance lost its rights for seconds; the time is passed now and has no default. (2) Look-up named only instances of the asked data centre; it names the nearest others as fallbacks. (3) The settings field lease_ms had no effect; it is gone. (4) Changing the rate of an organisation opened all services to it. (5) A shift from a data centre to itself was accepted. (6) The span of a target named the entry as its parent. Measures are kept for each organisation as well.

--- a/sequoiahook/changes.py
+++ b/sequoiahook/changes.py
@@ -66,8 +66,13 @@
 def create_organisation(
     name: str, contract: Contract, services: tuple[str, ...]
 ) -> Changes:
-    """Add an organisation without keys, or set the contract of one that exists."""
-    organisation = {**contract._asdict(), "services": list(services)}
+    """Add an organisation without keys, or set the contract of one that exists.
+
+    Without services those of an organisation that exists stay as they are.
+    """
+    organisation: Changes = {**contract._asdict()}
+    if services:
+        organisation["services"] = list(services)
     return {"organisations_by_name": {name: organisation}}
 
 
--- a/sequoiahook/daemons/settings.py
+++ b/sequoiahook/daemons/settings.py
@@ -15,9 +15,6 @@
 BODY_BYTES_MAX = 6 * MIB
 LOOKUP_LIFETIME_MS_DEFAULT = 2_000
 LOOKUP_LIFETIME_MS_MAX = 600_000
-LEASE_MS_DEFAULT = 1_500
-LEASE_MS_MIN = 300
-LEASE_MS_MAX = 30_000
 
 
 class PlatformSettings(NamedTuple):
@@ -61,7 +58,6 @@
         seeds: Instances to contact first.
         body_bytes_max: Largest request or response body, in bytes.
         lookup_lifetime_ms: How long callers may use a look-up answer.
-        lease_ms: Longest lease of a right or a credit.
     """
 
     name: str
@@ -75,7 +71,6 @@
     seeds: tuple[Seed, ...]
     body_bytes_max: int
     lookup_lifetime_ms: int
-    lease_ms: int
 
 
 def read_instance_settings(document: Any) -> InstanceSettings:
@@ -104,9 +99,6 @@
             high=LOOKUP_LIFETIME_MS_MAX,
             default=LOOKUP_LIFETIME_MS_DEFAULT,
         ),
-        root.integer(
-            "lease_ms", low=LEASE_MS_MIN, high=LEASE_MS_MAX, default=LEASE_MS_DEFAULT
-        ),
     )
     root.finish()
     return settings
--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -154,6 +154,7 @@
         self._view_numbers: dict[str, DataCentreView] = {}
         self._refresh_at = now
         self._arrived_at_by_number: dict[int, int] = {}
+        self._traceparents_by_id: dict[MessageId, str] = {}
         self._inner_handlers = self._handlers()
         self._departures = {
             Answer: self._on_answer,
@@ -406,7 +407,9 @@
                 return self._executor.refuse(
                     envelope.source, body.id, Reason.NO_CREDIT, now
                 )
-            self._tracing.start(("execute", body.id), "execute", body.traceparent, now)
+            self._traceparents_by_id[body.id] = self._tracing.start(
+                ("execute", body.id), "execute", body.traceparent, now
+            )
         if isinstance(body, request_messages.Outcome | request_messages.StampGrant):
             return self._entry.received(envelope.source, body, now)
         return self._executor.received(envelope.source, body, now)
@@ -464,6 +467,7 @@
             envelope = envelope._replace(body=prepared)
         if isinstance(effect.body, request_messages.Outcome):
             outcome = effect.body
+            self._traceparents_by_id.pop(outcome.id, None)
             spans = self._tracing.end(("execute", outcome.id), now, ran=outcome.ran)
         if effect.destination == self.me.name:
             return [*spans, *self._take(envelope, now)]
@@ -517,13 +521,14 @@
         keys = KeyTable(configuration)
         before = self._steering.keys
         effects: list = [Note("configuration in force", {"number": effect.number})]
-        effects += self._steering.configure(configuration, keys)
+        effects += self._steering.configure(configuration, keys, now)
         effects += self._executor.configured(keys, now)
         self._placement.configure(configuration)
         self._owner.configure(configuration, now)
         effects += self._owner.refresh(self._membership, now)
         effects += self._configure_rights(configuration, now)
         self._lookup.set_services(_data_centres_by_service(configuration))
+        self._lookup.set_data_centres(self._placement.nearest())
         for name in keys.withdrawn_since(before) if before is not None else ():
             effects += [
                 CloseConnection(connection_id)
@@ -552,7 +557,8 @@
 
     def _on_write(self, effect: Write, now: int) -> tuple[Write, list]:
         key = ("target", effect.request_id)
-        traceparent = self._tracing.start(key, "target", effect.traceparent, now)
+        cause = self._traceparents_by_id.get(effect.request_id, effect.traceparent)
+        traceparent = self._tracing.start(key, "target", cause, now)
         return effect._replace(traceparent=traceparent), []
 
     def _on_answer(self, effect: Answer, now: int) -> tuple[Answer, list]:
@@ -560,6 +566,9 @@
 
     def _on_refusal(self, effect: Refusal, now: int) -> tuple[Refusal, list]:
         self.measures.count(f"refused: {effect.cause}")
+        organisation = self._steering.organisation(effect.number)
+        if organisation:
+            self.measures.count(f"refused of {organisation}: {effect.cause}")
         return effect, self._finish(effect.number, effect.cause, now)
 
     def _finish(self, number: int, end: str, now: int) -> list:
@@ -567,8 +576,11 @@
         arrived_at = self._arrived_at_by_number.pop(number, None)
         if arrived_at is None:
             return []
+        organisation = self._steering.organisation(number)
         self._steering.answered(number)
         self.measures.record_ms("request", now - arrived_at)
+        if organisation:
+            self.measures.record_ms(f"request of {organisation}", now - arrived_at)
         spans = self._tracing.end(("entry", number), now, end=end)
         return [*spans, *self._stopping.finish_work(now)]
 
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -121,7 +121,7 @@
         """The keys of the configuration in force."""
         return self._keys
 
-    def configure(self, configuration: Configuration, keys: KeyTable) -> list:
+    def configure(self, configuration: Configuration, keys: KeyTable, now: int) -> list:
         """Take the configuration in force; what waits with a lost key is refused."""
         self._configuration = configuration
         self._routes = Routes(configuration)
@@ -129,7 +129,7 @@
         effects: list = []
         for number, opened in list(self._open_by_number.items()):
             if not opened.is_admitted and not self._is_allowed(opened):
-                effects += self._give_up(number, 401, Reason.KEY_WITHDRAWN)
+                effects += self._give_up(number, 401, Reason.KEY_WITHDRAWN, now)
         return effects
 
     def arrive(self, arrival: Arrival, now: int) -> list:
@@ -229,6 +229,12 @@
         opened = self._open_by_number.pop(number, None)
         return None if opened is None else opened.arrival
 
+    def organisation(self, number: int) -> str:
+        """Return whose request it is; empty for an open route or one not open."""
+        opened = self._open_by_number.get(number)
+        key = None if opened is None else opened.key
+        return "" if key is None else key.organisation
+
     def arrived_at(self, number: int) -> int | None:
         """Return when a request arrived; None if it is not open."""
         opened = self._open_by_number.get(number)
@@ -386,7 +392,7 @@
             return opened.service.deadline_ms
         return self._parts.rights.lease_left_ms(str(reservation), now)
 
-    def _give_up(self, number: int, status: int, cause: str, now: int = 0) -> list:
+    def _give_up(self, number: int, status: int, cause: str, now: int) -> list:
         effects = self._release_of(self._open_by_number[number], now)
         retry_after_ms = self._settings.retry_after_ms
         return effects + self._refuse(number, status, cause, retry_after_ms)
--- a/sequoiahook/decisions/lookup/lookup.py
+++ b/sequoiahook/decisions/lookup/lookup.py
@@ -40,6 +40,7 @@
         self._settings = settings
         self._rng = rng
         self._table = BlockTable()
+        self._data_centres_without_block: tuple[str, ...] = settings.data_centres
         self._preferences: Sequence[tuple[str, ...]] = ()
         self._data_centres_by_service: dict[str, frozenset[str]] = {}
         self._address_by_name_by_data_centre: dict[str, dict[str, Address]] = {}
@@ -59,6 +60,10 @@
         self._table = table
         self._preferences = tuple(preferences)
 
+    def set_data_centres(self, names: Sequence[str]) -> None:
+        """Set the data centres for callers that no block holds, the nearest first."""
+        self._data_centres_without_block = tuple(names)
+
     def set_services(self, by_service: Mapping[str, Collection[str]]) -> None:
         """Set which data centres have targets of each service."""
         self._data_centres_by_service = {
@@ -112,7 +117,7 @@
     def _data_centres(self, client_address: str, service: str) -> Sequence[str]:
         bits, address = parse_address(client_address)
         index = self._table.find(bits, address)
-        data_centres: Sequence[str] = self._settings.data_centres
+        data_centres: Sequence[str] = self._data_centres_without_block
         if index is not None and index < len(self._preferences):
             data_centres = self._preferences[index]
         having = self._data_centres_by_service.get(service)
--- a/sequoiahook/decisions/placement/placement.py
+++ b/sequoiahook/decisions/placement/placement.py
@@ -91,6 +91,11 @@
         """Take the summary of a pool."""
         self._summaries.add(message, now)
 
+    def nearest(self) -> tuple[str, ...]:
+        """Return the data centres that can be reached, the own one first."""
+        delays = self._delay_by_data_centre
+        return tuple(sorted(delays, key=lambda name: (delays[name], name)))
+
     def delay_ms(self, data_centre: str) -> int:
         """Return the one-way delay to a data centre, in milliseconds."""
         return self._delay_by_data_centre[data_centre]
--- a/sequoiahook/world/configuration.py
+++ b/sequoiahook/world/configuration.py
@@ -95,6 +95,8 @@
         _check_known(root, f"{place}.service", shift.service, services)
         _check_known(root, f"{place}.source", shift.source, data_centres)
         _check_known(root, f"{place}.destination", shift.destination, data_centres)
+        if shift.source == shift.destination:
+            root.report(f"{place}.destination", "is also the source")
 
 
 def _check_regions(root: Section, configuration: Configuration) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -253,3 +253,31 @@
     fleet.run(2_000)
     late = [name for name in asked if not isinstance(fleet.answers_by_id[name], Answer)]
     assert not late, [fleet.answers_by_id[name] for name in late]
+
+
+def test_a_withdrawn_key_costs_other_organisations_nothing():
+    others = [f"other-{index}" for index in range(6)]
+    organisations = dict(DOCUMENT["organisations_by_name"])
+    for name in others:
+        organisations[name] = {
+            "rate_per_s": RATE_PER_S,
+            "burst": BURST,
+            "keys_by_name": {"first": {"digest": key_digest(f"key of {name}")}},
+        }
+    fleet = Fleet(NAMES, {**DOCUMENT, "organisations_by_name": organisations}, 5)
+    fleet.run(START_MS)
+    fleet.cut({PAIR})
+    fleet.run(5_000)
+    waiting = fleet.request("a-1", "GET", b"/vault/x", KEY)
+    fleet.run(10)
+    withdrawn = {"keys_by_name": {"first": {"withdrawn": True}}}
+    fleet.patch("a-1", 1, {"organisations_by_name": {"one": withdrawn}})
+    fleet.run(300)
+    asked = [
+        fleet.request("a-1", "GET", b"/desk/x", f"key of {name}") for name in others
+    ]
+    fleet.run(1_000)
+    assert fleet.answers_by_id[waiting].status == 401
+    for request_id in asked:
+        answer = fleet.answers_by_id[request_id]
+        assert isinstance(answer, Answer), answer
