--- a/sequoiahook/decisions/pool/pool.py
+++ b/sequoiahook/decisions/pool/pool.py
@@ -25,6 +25,9 @@
 
 __all__ = ["Pool"]
 
+ESTIMATE_STALE_MS = 1_000
+"""Without a success for this long, the next one replaces what was learned."""
+
 
 class Pool:
     """Decides where and when each request of one service runs in one data centre.
@@ -46,6 +49,7 @@
         self._targets = TargetSet(settings, rng)
         self._durations = Durations(settings.service_time_ms)
         self._ownership = Ownership(self._runs)
+        self._learned_at = 0
 
     def configure(
         self, targets: Sequence[Target], warm_up_ms: int, now: int
@@ -164,7 +168,8 @@
         if refusal is not None:
             return [*effects, refusal]
         cost_ms = self._durations.of(organisation)
-        start_by = self._start_by(deadline_at)
+        wait_ms = self.wait_ms(organisation, now)
+        start_by = self._start_by(deadline_at, wait_ms, now)
         self._queue.push(
             QueuedRequest(request_id, organisation, deadline_at, start_by, cost_ms)
         )
@@ -273,7 +278,7 @@
         wait_ms = self.wait_ms(organisation, now)
         if wait_ms is None:
             return self._refuse(request_id, RefuseReason.NO_TARGET, 0)
-        start_by = self._start_by(deadline_at)
+        start_by = self._start_by(deadline_at, wait_ms, now)
         late_ms = now + wait_ms - start_by
         if late_ms >= 0 and (wait_ms > 0 or now >= start_by):
             return self._refuse(request_id, RefuseReason.DEADLINE, late_ms)
@@ -295,8 +300,16 @@
         wait_ms = max(wait_ms, self._settings.retry_after_min_ms)
         return Refuse(request_id, reason, wait_ms)
 
-    def _start_by(self, deadline_at: int) -> int:
-        safe_ms = int(self._durations.safe_ms)
+    def _start_by(self, deadline_at: int, wait_ms: int | None, now: int) -> int:
+        """Return when a request must be started at the latest.
+
+        With a slot free and nothing learned for a while it is started whatever the
+        estimate says: one above the deadline would refuse every request, and would
+        never be corrected.
+        """
+        is_stale = now - self._learned_at >= ESTIMATE_STALE_MS
+        is_trial = is_stale and wait_ms == 0
+        safe_ms = 0 if is_trial else int(self._durations.safe_ms)
         return deadline_at - max(self._settings.refuse_margin_ms, safe_ms)
 
     def _learn(self, run: Run, result: TargetReport, now: int) -> None:
@@ -304,7 +317,10 @@
         self._queue.charge(run.organisation, duration_ms - run.cost_ms)
         self._targets.learn(run.target_name, run.address, result, now)
         if result.is_success:
+            if now - self._learned_at >= ESTIMATE_STALE_MS:
+                self._durations = Durations(max(1, duration_ms))
             self._durations.add(run.organisation, duration_ms)
+            self._learned_at = now
 
     def _advance(self, now: int) -> list[PoolEffect]:
         self._runs.expire(now)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -178,3 +178,13 @@
         running = next(iter(subject._runs)).request_id
         subject.finish(running, OK, now)
     assert subject.wait_ms("a", 1_000) >= 2_000, "one start in 200 ms, and 15 wait"
+
+
+def test_an_estimate_above_the_deadline_is_corrected():
+    subject = pool(target("t1", 1))
+    for number in range(50):
+        subject.submit(number, "one", number * 1_000 + 500, number * 1_000)
+        report = TargetReport(True, False, 900, False)
+        subject.finish(number, report, number * 1_000 + 900)
+    effects = subject.submit("later", "one", 100_500, 100_000)
+    assert effects == [Start("later", "t1")]
