--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -280,12 +280,7 @@
 def test_a_planned_stop_delays_no_request_by_the_runs_it_leaves_behind():
     fleet = Fleet(NAMES, DOCUMENT, 3)
     fleet.run(START_MS)
-    owner = next(
-        name
-        for name in ("a-1", "a-2")
-        if "desk" in fleet.cores_by_name[name]._owner.owned_by_service
-    )
-    (other,) = {"a-1", "a-2"} - {owner}
+    owner, other = owner_and_other(fleet)
     fleet.targets_by_name["desk-a"].service_ms = 100
     asked = []
     for turn in range(40):
@@ -324,3 +319,42 @@
     for request_id in asked:
         answer = fleet.answers_by_id[request_id]
         assert isinstance(answer, Answer), answer
+
+
+def owner_and_other(fleet):
+    names = ("a-1", "a-2")
+    owned = [
+        n for n in names if "desk" in fleet.cores_by_name[n]._owner.owned_by_service
+    ]
+    (other,) = set(names) - set(owned)
+    return owned[0], other
+
+
+def test_a_transferred_pool_counts_what_still_runs():
+    fleet = Fleet(NAMES, DOCUMENT, 7)
+    fleet.run(START_MS)
+    owner, other = owner_and_other(fleet)
+    target = fleet.targets_by_name["desk-a"]
+    target.service_ms = 1_000
+    for _ in range(SLOTS):
+        fleet.request(owner, "POST", b"/desk/x", KEY)
+    fleet.run(30)
+    assert target.running == SLOTS
+    fleet.stop(owner)
+    for _ in range(20):
+        fleet.request(other, "POST", b"/desk/x", KEY)
+        fleet.run(20)
+    assert target.peak <= SLOTS
+
+
+def test_a_hand_over_from_elsewhere_without_credit_is_refused():
+    fleet = Fleet(NAMES, DOCUMENT, 7)
+    fleet.run(START_MS)
+    core = fleet.cores_by_name["a-1"]
+    core._steering.prepare = lambda body, now: body
+    request_ids = [fleet.request("a-1", "GET", b"/vault/x", KEY) for _ in range(3)]
+    fleet.run(2_000)
+    for request_id in request_ids:
+        answer = fleet.answers_by_id[request_id]
+        assert answer.cause == "no credit for the data centre", answer
+    assert not fleet.targets_by_name["vault-b"].runs
