Use one kind of caller in the demonstration and in the tests

The demonstration had its own load threads beside the callers of the tests, and the tests their own cache of look-ups. Both use standins.callers, which keeps a look-up for the lifetime that it names.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -10,7 +10,7 @@
 
 from standins.fleet import http_call
 
-__all__ = ["CallerResult", "Callers"]
+__all__ = ["CallerResult", "Callers", "LookedUpPorts"]
 
 HTTP_OK = 200
 
@@ -109,3 +109,29 @@
             document.get("error", ""),
             document.get("request_id", ""),
         )
+
+
+class LookedUpPorts:
+    """Ports of the instances that a look-up named, kept for its lifetime.
+
+    Args:
+        port: Caller port of the instance that is asked.
+        service: The service to look up.
+    """
+
+    def __init__(self, port: int, service: str):
+        self._port = port
+        self._service = service
+        self._lock = threading.Lock()
+        self._expires_at = 0.0
+        self._ports: list[int] = []
+
+    def __call__(self) -> list[int]:
+        """Return the ports, looked up again if their lifetime is over."""
+        with self._lock:
+            if time.monotonic() >= self._expires_at:
+                target = f"/sequoiahook/lookup?service={self._service}"
+                document = http_call(self._port, "GET", target).document
+                self._ports = [entry["port"] for entry in document["instances"]]
+                self._expires_at = time.monotonic() + document["lifetime_ms"] / 1000
+            return self._ports
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -2,13 +2,14 @@
 
 import http.client
 import json
+import subprocess
 import sys
-import threading
 import time
 from collections.abc import Callable
 from typing import Any
 
 from sequoiahook.world.organisation import key_digest
+from standins.callers import Callers, LookedUpPorts
 from standins.fleet import Fleet, http_call, wait_for
 
 __all__ = ["main"]
@@ -17,9 +18,17 @@
 SECOND_KEY = "demo-key-to-be-withdrawn"
 IN_FORCE_S = 5
 SERVED_S = 25
+EXIT_S = 20
 LOAD_THREADS = 4
 LOAD_S = 3.0
 HTTP_OK = 200
+DEMO_ERRORS = (
+    AssertionError,
+    OSError,
+    TimeoutError,
+    http.client.HTTPException,
+    subprocess.TimeoutExpired,
+)
 HTTP_UNAUTHORIZED = 401
 STALE_EXIT = 3
 INSTANCES = {"a-1": "dc-a", "a-2": "dc-a", "b-1": "dc-b", "b-2": "dc-b"}
@@ -37,7 +46,7 @@
         """Run one step; it passes if its action raises nothing."""
         try:
             figure = action()
-        except (AssertionError, OSError, TimeoutError, http.client.HTTPException) as e:
+        except DEMO_ERRORS as e:
             self.failed += 1
             print(f"FAILED  {name}: {e!r}", flush=True)
         else:
@@ -131,23 +140,19 @@
         return f"refused {_ms_since(started)} ms after the command began"
 
     def _graceful_stop(self) -> str:
-        load = Load(self._fleet, KEY)
-        load.start()
-        time.sleep(LOAD_S / 3)
-        result = self._fleet.command("a-2", "stop")
-        _expect(result.returncode == 0, result.stderr)
-        self._fleet.list_instance("a-2", "leaving")
-        process = self._fleet.processes_by_name["a-2"]
-        code = wait_for(
-            lambda: [process.poll()] if process.poll() is not None else 0,
-            "the instance exits",
-            20,
-        )[0]
-        time.sleep(LOAD_S / 3)
-        load.stop()
+        port = self._fleet.instances_by_name["a-1"].caller_port
+        ports = LookedUpPorts(port, "register")
+        with Callers(ports, "GET", "/register/load", KEY, LOAD_THREADS) as callers:
+            time.sleep(LOAD_S / 3)
+            result = self._fleet.command("a-2", "stop")
+            _expect(result.returncode == 0, result.stderr)
+            self._fleet.list_instance("a-2", "leaving")
+            code = self._fleet.processes_by_name["a-2"].wait(EXIT_S)
+            time.sleep(LOAD_S / 3)
+        cut = [entry for entry in callers.results if entry.status != HTTP_OK]
         _expect(code == 0, f"exit code {code}")
-        _expect(not load.failures, load.failures[:3])
-        return f"{load.answered} requests answered, 0 cut, exit code {code}"
+        _expect(not cut, cut[:3])
+        return f"{callers.answered} requests answered, 0 cut, exit code {code}"
 
     def _get(self, name: str, path: str, key: str = KEY) -> Any:
         port = self._fleet.instances_by_name[name].caller_port
@@ -167,59 +172,6 @@
         wait_for(in_force, f"number {number} in force", IN_FORCE_S)
 
 
-class Load:
-    """Callers that look up instances and send requests until they are stopped."""
-
-    def __init__(self, fleet: Fleet, key: str):
-        self.answered = 0
-        self.failures: list[str] = []
-        self._fleet = fleet
-        self._key = key
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(index,))
-            for index in range(LOAD_THREADS)
-        ]
-
-    def start(self) -> None:
-        """Start the callers."""
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Stop the callers and wait for them."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _run(self, index: int) -> None:
-        instances: list[dict[str, Any]] = []
-        expires_at = 0.0
-        while not self._stopped.is_set():
-            try:
-                if time.monotonic() >= expires_at:
-                    answer = self._look_up()
-                    instances = answer["instances"]
-                    expires_at = time.monotonic() + answer["lifetime_ms"] / 1000
-                port = instances[index % len(instances)]["port"]
-                self._request(port)
-            except (OSError, http.client.HTTPException) as error:
-                self.failures.append(repr(error))
-            time.sleep(0.02)
-
-    def _look_up(self) -> dict[str, Any]:
-        port = self._fleet.instances_by_name["a-1"].caller_port
-        return http_call(port, "GET", "/sequoiahook/lookup?service=register").document
-
-    def _request(self, port: int) -> None:
-        headers = {"authorization": f"Bearer {self._key}"}
-        answer = http_call(port, "GET", "/register/load", headers=headers)
-        if answer.status == HTTP_OK:
-            self.answered += 1
-        else:
-            self.failures.append(f"status {answer.status}: {answer.body[:200]!r}")
-
-
 def configuration(port_by_target: dict[str, int]) -> dict[str, Any]:
     """Return the configuration of the demonstration, as a patch against number 0."""
     targets = {
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sequoiahook.world.organisation import key_digest
-from standins.callers import Callers
+from standins.callers import Callers, LookedUpPorts
 from standins.fleet import Fleet, http_call, wait_for
 
 IN_FORCE_S = 5
@@ -309,12 +309,7 @@
 
 
 def test_planned_stops_in_a_row_cut_nothing(world):
-    def ports():
-        port = world.ports("b-1")[0]
-        answer = http_call(port, "GET", "/sequoiahook/lookup?service=desk")
-        return [entry["port"] for entry in answer.document["instances"]]
-
-    lookups = _CachedPorts(ports)
+    lookups = LookedUpPorts(world.ports("b-1")[0], "desk")
     world.control(service_ms=50)
     with Callers(lookups, "POST", "/desk/stop", BIG_KEY, 6) as calls:
         time.sleep(1)
@@ -333,23 +328,6 @@
     assert not bad, bad[:3]
 
 
-class _CachedPorts:
-    """Ports of the last look-up, for as long as a caller may cache them."""
-
-    def __init__(self, look_up):
-        self._look_up = look_up
-        self._lock = threading.Lock()
-        self._expires_at = 0.0
-        self._ports = []
-
-    def __call__(self):
-        with self._lock:
-            if time.monotonic() >= self._expires_at:
-                self._ports = self._look_up()
-                self._expires_at = time.monotonic() + 1.5
-            return self._ports
-
-
 def _ask(connection, key):
     headers = {"authorization": f"Bearer {key}"}
     try:
