--- a/sequoiahook/cli/instances.py
+++ b/sequoiahook/cli/instances.py
@@ -10,11 +10,13 @@
 )
 from sequoiahook.cli.output import Result, table
 from sequoiahook.daemons.settings import read_instance_settings
+from sequoiahook.decisions.configuration.merge import merge
+from sequoiahook.options import Section
 from sequoiahook.world.configuration import read_configuration
 
 __all__ = ["check", "measures", "serve", "stop"]
 
-KINDS = ("settings", "configuration")
+KINDS = ("settings", "configuration", "patch")
 
 
 def serve(settings: str, *, log_level: str = "INFO") -> Result:
@@ -32,20 +34,24 @@
     return Result(ExitCode.OK, {"stopped": checked.name}, f"{checked.name} stopped")
 
 
-def check(file: str, *, kind: str = "settings") -> Result:
+def check(file: str, *, kind: str = "settings", base: str = "") -> Result:
     """Check a file offline and show every finding with its place.
 
     Exits with 4 if there are findings.
 
     Args:
         file: JSON file to check.
-        kind: ``settings`` of an instance or a whole ``configuration``.
+        kind: ``settings`` of an instance, a whole ``configuration``, or a ``patch``.
+        base: JSON file with the configuration that a patch changes; empty without one.
     """
     document = read_document(file)
     if kind == "settings":
         read_instance_settings(document)
     elif kind == "configuration":
         read_configuration(0, document)
+    elif kind == "patch":
+        Section(document).require()
+        read_configuration(0, merge(read_document(base) if base else {}, document))
     else:
         text = f"kind must be one of {', '.join(KINDS)}"
         return Result(ExitCode.USAGE, {"error": text}, text)
--- a/sequoiahook/options.py
+++ b/sequoiahook/options.py
@@ -151,6 +151,15 @@
             result[name] = read(name, outer._child(value, f"{outer.place}.{name}"))
         return result
 
+    def require(self) -> None:
+        """Stop here if there is any finding.
+
+        Raises:
+            CheckError: If there is any finding.
+        """
+        if self.findings:
+            raise CheckError(self.findings)
+
     def finish(self) -> None:
         """Report unknown fields of this section and all nested ones.
 
@@ -158,8 +167,7 @@
             CheckError: If there is any finding.
         """
         self._report_unknown()
-        if self.findings:
-            raise CheckError(self.findings)
+        self.require()
 
     def _child(self, value: Any, place: str) -> "Section":
         child = Section(value, place, self.findings)
