Remove accessors and a random source that nothing uses

The admission kept a random source, the time of arrival and a count that no part asks for, the pools' owner a list of services. Behaviour is unchanged.

--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -147,7 +147,6 @@
                 self._callers,
                 self._tracing,
             ),
-            rng,
         )
         self._lookup = Lookup(settings.lookup, rng)
         self._stopping = Stopping(settings.stopping)
--- a/sequoiahook/decisions/instance/pools.py
+++ b/sequoiahook/decisions/instance/pools.py
@@ -174,11 +174,6 @@
         self._moved: list[_Moved] = []
         self._transfers = Transfers(rng.getrandbits(OFFER_ID_BITS))
 
-    @property
-    def services(self) -> list[str]:
-        """Services that have targets in the data centre, in order of name."""
-        return sorted(self._targets_by_service)
-
     @property
     def owned_by_service(self) -> dict[str, OwnedPool]:
         """The pools that this instance owns."""
--- a/sequoiahook/decisions/instance/steering.py
+++ b/sequoiahook/decisions/instance/steering.py
@@ -1,6 +1,5 @@
 """Admission of callers' requests: key, right, place, then hand-over."""
 
-from random import Random
 from typing import NamedTuple
 
 from sequoiahook.decisions.effects import Send
@@ -88,7 +87,6 @@
         settings: Waits and advice.
         data_centre: Data centre of this instance.
         parts: The parts that it asks.
-        rng: Source of the spread of advice.
     """
 
     def __init__(
@@ -96,12 +94,10 @@
         settings: SteeringSettings,
         data_centre: str,
         parts: SteeringParts,
-        rng: Random,
     ):
         self._settings = settings
         self._data_centre = data_centre
         self._parts = parts
-        self._rng = rng
         self._configuration: Configuration | None = None
         self._routes: Routes | None = None
         self._keys: KeyTable | None = None
@@ -111,11 +107,6 @@
         self._last_reservation = 0
         self._pending: list[Send] = []
 
-    @property
-    def open_count(self) -> int:
-        """Number of requests without an answer."""
-        return len(self._open_by_number)
-
     @property
     def keys(self) -> KeyTable | None:
         """The keys of the configuration in force."""
@@ -235,11 +226,6 @@
         key = None if opened is None else opened.key
         return "" if key is None else key.organisation
 
-    def arrived_at(self, number: int) -> int | None:
-        """Return when a request arrived; None if it is not open."""
-        opened = self._open_by_number.get(number)
-        return None if opened is None else opened.arrived_at
-
     def credit_changed(self, now: int) -> list:
         """Try again to place requests that wait for credit."""
         effects: list = []
