--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -26,11 +26,14 @@
         kind: The kind.
         wait_ms: How long a watch waits for a change.
         retry_ms: Pause after a call that failed.
+        gather_ms: Pause after a change, so that changes that come together cost one
+            call.
     """
 
     kind: Kind
     wait_ms: int
     retry_ms: int
+    gather_ms: int
 
 
 class Observer(Protocol):
@@ -95,6 +98,8 @@
         self._regain()
         self._revision = changes.revision
         self._observer.changed(changes, asked_at)
+        if changes.changes:
+            await asyncio.sleep(self._settings.gather_ms / MS_PER_S)
 
     def _lose(self, error: PlatformError) -> None:
         if not self._is_lost:
--- a/sequoiahook/daemons/direct/front.py
+++ b/sequoiahook/daemons/direct/front.py
@@ -7,12 +7,14 @@
 
 from sequoiahook.clock import Clock
 from sequoiahook.daemons.caller_http import CallerAnswer, CallerRequest
+from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.target_http import TargetClient, TargetRequest
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.requests import (
     Attempt,
     Cause,
     Deliver,
+    Hold,
     IncomingRequest,
     OpenRequest,
     Refuse,
@@ -50,6 +52,7 @@
         core: The decisions.
         targets: The client towards targets.
         dialect: How requests and answers are written.
+        reporter: Exchanges tokens with other instances.
         clock: The time.
         measures: Counters and latencies.
     """
@@ -59,6 +62,7 @@
         core: DirectCore,
         targets: TargetClient,
         dialect: Dialect,
+        reporter: Reporter,
         clock: Clock,
         measures: Measures,
     ):
@@ -67,6 +71,7 @@
         self._core = core
         self._targets = targets
         self._dialect = dialect
+        self._reporter = reporter
         self._clock = clock
         self._measures = measures
 
@@ -92,10 +97,16 @@
         if isinstance(admitted, Refuse):
             self._log_end(incoming, None, admitted, arrived_at)
             return self._dialect.refusal(incoming.id, admitted)
-        step = self._core.attempts.next_step(admitted, self._clock.now())
-        while isinstance(step, Attempt):
-            result = await self._exchange(step, arrived_at)
-            step = self._core.attempts.ended(step, result, self._clock.now())
+        attempts = self._core.attempts
+        step = attempts.next_step(admitted, self._clock.now())
+        self._reporter.send_asks()
+        while isinstance(step, Attempt | Hold):
+            if isinstance(step, Hold):
+                await self._reporter.wait_for_tokens(step.longest_ms)
+                step = attempts.next_step(admitted, self._clock.now())
+            else:
+                result = await self._exchange(step, arrived_at)
+                step = attempts.ended(step, result, self._clock.now())
         self._log_end(incoming, admitted, step, arrived_at)
         if isinstance(step, Deliver):
             result = step.result
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -50,7 +50,7 @@
 INCARNATION_BITS = 53
 STOP_TICK_MS = 50
 CONNECT_TIMEOUT_MS = 300
-"""Time to open a connection to a target; the longest way takes 110 ms there and back."""
+"""Time to open a connection to a target; the longest way and back takes 110 ms."""
 
 TARGET_IDLE_MS = 3_000
 """Targets keep idle connections for some 10 s by default, at times for less."""
@@ -128,14 +128,19 @@
         )
         self._stopping = Stopping(_stopping_settings(settings))
         self._stop_at: int | None = None
+        self._reporter = Reporter(settings, self.core, self._clock)
         self._front = Front(
-            self.core, self._targets, parts.dialect, self._clock, self.measures
+            self.core,
+            self._targets,
+            parts.dialect,
+            self._reporter,
+            self._clock,
+            self.measures,
         )
         self._callers = _server(settings.caller_address, self._handle_caller)
         self._checks = _server(settings.readiness_address, self._handle_check)
         self._lookups = _server(settings.lookup_address, self._handle_lookup)
         self._metrics = _server(settings.metrics_address, self._handle_metrics)
-        self._reporter = Reporter(settings, self.core, self._clock)
         self._registration = Registration(parts.store, me, settings.durations)
         self._exited: asyncio.Future[int] | None = None
 
@@ -205,7 +210,12 @@
         ]
         followers = [
             Follower(
-                FollowerSettings(kind, wait_ms, durations.store_retry_ms),
+                FollowerSettings(
+                    kind,
+                    wait_ms,
+                    durations.store_retry_ms,
+                    durations.store_gather_ms,
+                ),
                 self._parts.store,
                 clock,
                 observer,
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -1,6 +1,7 @@
 """The task that exchanges reports with other instances over UDP."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import logbook
@@ -9,8 +10,12 @@
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.errors import CodecError
-from sequoiahook.wire.reports import DATAGRAM_BYTES_MAX, decode_report, encode_report
-from sequoiahook.world.instance import Address
+from sequoiahook.messages.reports import Datagram, TokenGrant
+from sequoiahook.wire.datagrams import (
+    DATAGRAM_BYTES_MAX,
+    decode_datagram,
+    encode_datagram,
+)
 
 __all__ = ["Reporter"]
 
@@ -45,6 +50,7 @@
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
         self._is_bad_seen = False
+        self._tokens_came = asyncio.Event()
 
     async def start(self) -> None:
         """Begin to listen.
@@ -75,32 +81,51 @@
             log.info("target gone", extra={"target": gone})
         if not self.secret:
             return
+        self.send_asks()
         for name, instance in self._core.peers.instances_by_name.items():
             is_near = instance.region == self._core.me.region
             if is_near or includes_far:
-                report = self._core.report_for(name, now)
-                self._send_to(instance.report_address, report)
+                self._send_to(name, self._core.report_for(name, now))
 
     def close(self) -> None:
         """Stop to listen."""
         if self._transport is not None:
             self._transport.close()
 
-    def _send_to(self, address: Address, report) -> None:
-        datagram = encode_report(report, self.secret)
-        if len(datagram) <= DATAGRAM_BYTES_MAX:
-            self._transport.sendto(datagram, address)
+    def send_asks(self) -> None:
+        """Ask peers for tokens where buckets run low."""
+        for name, ask in self._core.quota.take_asks():
+            self._send_to(name, self._core.datagram(ask))
+
+    async def wait_for_tokens(self, longest_ms: int) -> None:
+        """Wait until a peer has sent tokens, but not for longer than a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest_ms / MS_PER_S):
+                await self._tokens_came.wait()
+
+    def _send_to(self, name: str, datagram: Datagram) -> None:
+        instance = self._core.peers.instances_by_name.get(name)
+        if instance is None or not self.secret:
+            return
+        data = encode_datagram(datagram, self.secret)
+        if len(data) <= DATAGRAM_BYTES_MAX:
+            self._transport.sendto(data, instance.report_address)
         else:
-            log.error("report too large", extra={"bytes": len(datagram)})
+            log.error("datagram too large", extra={"bytes": len(data)})
 
-    def _receive(self, datagram: bytes) -> None:
+    def _receive(self, data: bytes) -> None:
         if not self.secret:
             return
         try:
-            report = decode_report(datagram, self.secret)
+            datagram = decode_datagram(data, self.secret)
         except CodecError as error:
             if not self._is_bad_seen:
-                log.warn("report refused", extra={"error": str(error)})
+                log.warn("datagram refused", extra={"error": str(error)})
             self._is_bad_seen = True
             return
-        self._core.take_report(report, self._clock.now())
+        answer = self._core.take(datagram, self._clock.now())
+        if answer is not None:
+            self._send_to(datagram.sender, answer)
+        if isinstance(datagram.body, TokenGrant):
+            self._tokens_came.set()
+            self._tokens_came.clear()
--- a/sequoiahook/daemons/direct/settings.py
+++ b/sequoiahook/daemons/direct/settings.py
@@ -38,6 +38,8 @@
         evacuation_wait_ms: How long a watch of the evacuations waits.
         instance_wait_ms: How long a watch of the instances waits.
         store_retry_ms: Pause after a call of the store that failed.
+        store_gather_ms: Pause after a change in the store, so that changes that come
+            together cost one call.
         report_near_ms: Time between reports to instances of the own region.
         report_far_ms: Time between reports to instances of other regions.
         silent_ms: Silence after which an instance counts as gone.
@@ -53,8 +55,9 @@
     evacuation_wait_ms: int = 4_000
     instance_wait_ms: int = 8_000
     store_retry_ms: int = 150
-    report_near_ms: int = 100
-    report_far_ms: int = 300
+    store_gather_ms: int = 300
+    report_near_ms: int = 200
+    report_far_ms: int = 400
     silent_ms: int = 2_500
     forget_ms: int = 30_000
     lookup_lifetime_ms: int = 1_500
--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.direct.quota import Quota
 from sequoiahook.decisions.direct.requests import (
     Cause,
+    Hold,
     IncomingRequest,
     OpenRequest,
     Refuse,
@@ -27,10 +28,13 @@
         boot_retry_ms: When to come back to an instance without a configuration.
         stale_retry_ms: When to come back to one whose configuration is too old; the
             caller then finds another instance.
+        hold_parts: A request waits at most this fraction (a third) of its aim for
+            tokens of a peer.
     """
 
     boot_retry_ms: int = 200
     stale_retry_ms: int = 50
+    hold_parts: int = 3
 
 
 class Admission:
@@ -100,13 +104,27 @@
         verdict = self.check_key(incoming.key, now)
         return verdict if isinstance(verdict, Refuse) else None
 
-    def spend(self, request: OpenRequest, now: int) -> Refuse | None:
+    def spend(self, request: OpenRequest, now: int) -> Refuse | Hold | None:
         """Take a token for a request that is about to be sent for the first time."""
         if request.key_name is None:
             return None
-        self._quota.ask(request.organisation)
+        if not request.was_held:
+            self._quota.ask(request.organisation)
         wait_ms = self._quota.take(request.organisation, now)
-        return Refuse(Status.TOO_MANY, Cause.OVER_RATE, wait_ms) if wait_ms else None
+        if not wait_ms:
+            return None
+        hold_ms = self._hold_ms(request, now)
+        if hold_ms and not request.was_held:
+            request.was_held = True
+            return Hold(hold_ms)
+        return Refuse(Status.TOO_MANY, Cause.OVER_RATE, wait_ms)
+
+    def _hold_ms(self, request: OpenRequest, now: int) -> int:
+        """Return for how long a request waits for tokens of a peer; 0 for not at all."""
+        if self._quota.can_borrow(request.organisation, now) is None:
+            return 0
+        part_ms = request.route.aim_ms // self._settings.hold_parts
+        return min(part_ms, max(0, request.deadline_at - now) // 2)
 
     def refund(self, request: OpenRequest) -> None:
         """Give the token of a request back that no target ran."""
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -9,6 +9,7 @@
     AttemptRecord,
     Cause,
     Deliver,
+    Hold,
     OpenRequest,
     Refuse,
     Status,
@@ -23,6 +24,8 @@
 
 HTTP_FAILURE_FROM = 500
 
+Step = Attempt | Deliver | Hold | Refuse
+
 
 class AttemptsSettings(NamedTuple):
     """Limits of attempts.
@@ -65,7 +68,7 @@
         self._book = book
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
-    def next_step(self, request: OpenRequest, now: int) -> Attempt | Deliver | Refuse:
+    def next_step(self, request: OpenRequest, now: int) -> Step:
         """Return the next attempt, or the end of the request."""
         left_ms = request.deadline_at - now
         if left_ms < self._settings.useful_ms:
@@ -94,9 +97,7 @@
             return False
         return self._admission.is_still_allowed(attempt.request, now) is None
 
-    def ended(
-        self, attempt: Attempt, result: TargetResult, now: int
-    ) -> Attempt | Deliver | Refuse:
+    def ended(self, attempt: Attempt, result: TargetResult, now: int) -> Step:
         """Take the end of an attempt and return the next step."""
         request = attempt.request
         self._learn(attempt, result, now)
@@ -121,21 +122,21 @@
         if result.stage.ran == NOT_RUN and not attempt.request.may_have_run:
             self._admission.refund(attempt.request)
 
-    def _answered(
-        self, request: OpenRequest, result: TargetResult, now: int
-    ) -> Attempt | Deliver | Refuse:
+    def _answered(self, request: OpenRequest, result: TargetResult, now: int) -> Step:
         is_failure = result.status >= HTTP_FAILURE_FROM
         if not is_failure or not request.route.is_idempotent:
             return Deliver(result)
         request.last_failure = result
         return self.next_step(request, now)
 
-    def _spend(self, request: OpenRequest, now: int) -> Deliver | Refuse | None:
+    def _spend(self, request: OpenRequest, now: int) -> Deliver | Hold | Refuse | None:
         """Take what an attempt costs; return the end of the request without it."""
         budget = self._budget(request.service, now)
         if not request.records:
-            budget.first_attempt()
-            return self._admission.spend(request, now)
+            refusal = self._admission.spend(request, now)
+            if refusal is None:
+                budget.first_attempt()
+            return refusal
         if request.arrival_count and not budget.take(now):
             return self._end(request, Cause.BUDGET, now)
         return None
--- /dev/null
+++ b/sequoiahook/decisions/direct/bucket.py
@@ -0,0 +1,78 @@
+"""Token buckets with a share of a contract, and the demand that shares follow."""
+
+from sequoiahook.clock import MS_PER_S
+from sequoiahook.world.contract import Contract
+
+__all__ = ["Bucket", "Demand"]
+
+RATE_MIN = 0.001
+"""Tokens a second that a bucket without a share is counted with in advice."""
+
+
+class Demand:
+    """Arrivals a second, averaged exponentially."""
+
+    def __init__(self):
+        self.per_s = 0.0
+        self._counted = 0
+        self._since: int | None = None
+
+    def add(self) -> None:
+        """Count an arrival."""
+        self._counted += 1
+
+    def update(self, window_ms: int, now: int) -> None:
+        """Take the arrivals since the last call into the average."""
+        if self._since is None:
+            self._since = now
+            return
+        elapsed_ms = now - self._since
+        if elapsed_ms <= 0:
+            return
+        weight = min(1.0, elapsed_ms / window_ms)
+        self.per_s += weight * (self._counted * MS_PER_S / elapsed_ms - self.per_s)
+        self._counted = 0
+        self._since = now
+
+
+class Bucket:
+    """Tokens of one organisation on one instance; it starts empty.
+
+    Attributes:
+        share: Part of the contract's rate and burst.
+        tokens: Requests that may be sent now.
+    """
+
+    def __init__(self):
+        self.share = 0.0
+        self.tokens = 0.0
+        self._refilled_at: int | None = None
+
+    def refill(self, contract: Contract, now: int) -> None:
+        """Add what the rate gave since the last call."""
+        if self._refilled_at is not None and now > self._refilled_at:
+            elapsed_ms = now - self._refilled_at
+            gain = self.share * contract.rate_per_s * elapsed_ms / MS_PER_S
+            self.tokens = min(self._capacity(contract), self.tokens + gain)
+        self._refilled_at = now
+
+    def take(self) -> bool:
+        """Take a token; return whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def put(self, tokens: int, contract: Contract) -> None:
+        """Add tokens up to the capacity."""
+        capacity = max(self.tokens, self._capacity(contract))
+        self.tokens = min(capacity, self.tokens + tokens)
+
+    def next_token_ms(self, contract: Contract) -> int:
+        """Return when there is a whole token, by the rate alone."""
+        rate = max(self.share * contract.rate_per_s, RATE_MIN)
+        return max(1, int((1.0 - self.tokens) / rate * MS_PER_S))
+
+    def _capacity(self, contract: Contract) -> float:
+        # A capacity under one token would refuse every request of a small share.
+        return max(1.0, self.share * contract.burst)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -10,7 +10,7 @@
 from sequoiahook.decisions.direct.placing import Placing, PlacingSettings
 from sequoiahook.decisions.direct.quota import Quota, QuotaSettings
 from sequoiahook.decisions.direct.target_book import ListSettings, TargetBook
-from sequoiahook.messages.reports import Report
+from sequoiahook.messages.reports import Datagram, Report, TokenAsk, TokenGrant
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
 
@@ -125,13 +125,9 @@
         self.quota.update(now)
         return self.targets.tick(now)
 
-    def report_for(self, peer: str, now: int) -> Report:
+    def report_for(self, peer: str, now: int) -> Datagram:
         """Return what a peer should be told."""
-        self._sequence += 1
-        return Report(
-            self.me.name,
-            self.me.incarnation,
-            self._sequence,
+        report = Report(
             self.is_leaving,
             self.is_serving(now),
             self.configuration_number,
@@ -140,19 +136,31 @@
                 for target_id, state in self.targets.states_by_id.items()
                 if state.open_count
             },
-            self.quota.demands(),
-            self.quota.grants_for(peer),
+            self.quota.table_for(peer),
         )
+        return self.datagram(report)
 
-    def take_report(self, report: Report, now: int) -> None:
-        """Take in what a peer tells."""
-        if not self.peers.heard(report, now):
-            return
-        self.quota.heard(
-            report.sender,
-            report.demand_by_organisation,
-            report.grant_by_organisation,
-        )
+    def datagram(self, body: Report | TokenAsk | TokenGrant) -> Datagram:
+        """Return a message with its sender and the next sequence."""
+        self._sequence += 1
+        return Datagram(self.me.name, self.me.incarnation, self._sequence, body)
+
+    def take(self, datagram: Datagram, now: int) -> Datagram | None:
+        """Take in what a peer tells; return the answer to it, if there is one."""
+        if not self.peers.accept(datagram, now):
+            return None
+        body = datagram.body
+        if isinstance(body, Report):
+            self._take_report(datagram.sender, body, now)
+        elif isinstance(body, TokenGrant):
+            self.quota.borrowed(body, now)
+        else:
+            grant = self.quota.lend(body, now)
+            return None if grant is None else self.datagram(grant)
+        return None
+
+    def _take_report(self, sender: str, report: Report, now: int) -> None:
+        self.peers.reported(sender, report)
+        self.quota.heard(sender, report.quota, now)
         for target_id, state in self.targets.states_by_id.items():
-            open_count = report.open_by_target.get(target_id, 0)
-            state.note_peer(report.sender, open_count, now)
+            state.note_peer(sender, report.open_by_target.get(target_id, 0), now)
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from sequoiahook.messages.reports import Report
+from sequoiahook.messages.reports import Datagram, Report
 from sequoiahook.world.instance import Address, LiveInstance
 
 __all__ = ["PeerSettings", "Peers"]
@@ -64,27 +64,28 @@
         for name in self.instances_by_name:
             self._listed_at_by_name.setdefault(name, now)
 
-    def heard(self, report: Report, now: int) -> bool:
-        """Take in a report; return whether it is news."""
-        if report.sender == self._me.name:
+    def accept(self, datagram: Datagram, now: int) -> bool:
+        """Return whether a datagram is news: no repeat, and not of a past run."""
+        sender = datagram.sender
+        if sender == self._me.name or datagram.incarnation in self._past_incarnations:
             return False
-        if report.incarnation in self._past_incarnations:
-            return False
-        last = self._heard_by_name.get(report.sender)
-        if last is not None and last.incarnation == report.incarnation:
-            if report.sequence <= last.sequence:
-                return False
-        elif last is not None:
+        last = self._heard_by_name.get(sender)
+        if last is not None and last.incarnation != datagram.incarnation:
             self._past_incarnations.add(last.incarnation)
-        self._heard_by_name[report.sender] = _Heard(
-            report.incarnation,
-            report.sequence,
-            report.is_leaving,
-            report.is_serving,
-            now,
-        )
+            last = None
+        if last is not None and datagram.sequence <= last.sequence:
+            return False
+        if last is None:
+            last = _Heard(datagram.incarnation, 0, False, False, now)
+        self._heard_by_name[sender] = last._replace(sequence=datagram.sequence, at=now)
         return True
 
+    def reported(self, sender: str, report: Report) -> None:
+        """Take in what a peer says of itself."""
+        self._heard_by_name[sender] = self._heard_by_name[sender]._replace(
+            is_leaving=report.is_leaving, is_serving=report.is_serving
+        )
+
     def is_heard(self, name: str, now: int) -> bool:
         """Return whether a peer was heard from recently."""
         heard = self._heard_by_name.get(name)
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -1,4 +1,4 @@
-"""Rates of organisations over all instances, as shares that every peer has granted.
+"""Rates of organisations over all instances: shares that every peer has granted.
 
 Each instance tells its peers how much each organisation asks of it. Each peer keeps a
 table of these demands and grants every instance the part that its demand has in the
@@ -7,15 +7,22 @@
 heard of a change. A member that cannot be heard has the last word that it said: the
 share of an instance cannot grow without it, on either side of a partition.
 
-The load that this answers: callers that move between instances and organisations that
+A share of a small rate is a small bucket, which a few requests in a row empty. An
+instance whose bucket runs low asks a peer with tokens to spare for some. The peer takes
+them out of its own bucket before it sends them, and the receiver never holds more than
+its own capacity, so the sum of all tokens stays within the burst.
+
+The load that this answers: callers that move between instances, and organisations that
 ask for several times their rate. It trades some refusals, while a member is away, for
-never being over the rate.
+staying within the rate.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
+from zlib import crc32
 
-from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.bucket import Bucket, Demand
+from sequoiahook.messages.reports import QuotaTable, TokenAsk, TokenGrant
 from sequoiahook.world.contract import Contract
 
 __all__ = ["PERMILLE", "Quota", "QuotaSettings"]
@@ -32,53 +39,24 @@
             that each instance is always counted with.
         silent_ms: Time after the start until a member that has never been heard counts
             as granting an equal part of half the rate.
+        low_tokens: Tokens below which an instance asks a peer for more.
+        ask_tokens: Tokens that it asks for.
+        ask_retry_ms: Time between two asks for the same organisation.
+        spare_ms: Time for which a peer's word of its tokens is used.
     """
 
-    demand_window_ms: int = 1_000
-    floor_permille: int = 100
+    demand_window_ms: int = 3_000
+    floor_permille: int = 300
     silent_ms: int = 600
+    low_tokens: float = 2.0
+    ask_tokens: int = 3
+    ask_retry_ms: int = 20
+    spare_ms: int = 1_500
 
 
-class _Demand:
-    """Arrivals a second, averaged exponentially."""
-
-    def __init__(self):
-        self.per_s = 0.0
-        self._counted = 0
-        self._since: int | None = None
-
-    def add(self) -> None:
-        self._counted += 1
-
-    def update(self, window_ms: int, now: int) -> None:
-        if self._since is None:
-            self._since = now
-            return
-        elapsed_ms = now - self._since
-        if elapsed_ms <= 0:
-            return
-        weight = min(1.0, elapsed_ms / window_ms)
-        self.per_s += weight * (self._counted * MS_PER_S / elapsed_ms - self.per_s)
-        self._counted = 0
-        self._since = now
-
-
-class _Bucket:
-    """Tokens of one organisation on this instance; it starts empty."""
-
-    def __init__(self):
-        self.share = 0.0
-        self.tokens = 0.0
-        self.refilled_at: int | None = None
-
-    def refill(self, contract: Contract, now: int) -> None:
-        if self.refilled_at is not None and now > self.refilled_at:
-            elapsed_ms = now - self.refilled_at
-            gain = self.share * contract.rate_per_s * elapsed_ms / MS_PER_S
-            # A capacity under one token would refuse every request of a small share.
-            capacity = max(1.0, self.share * contract.burst)
-            self.tokens = min(capacity, self.tokens + gain)
-        self.refilled_at = now
+class _Spare(NamedTuple):
+    tokens_by_name: dict[str, int]
+    heard_at: int
 
 
 class Quota:
@@ -96,25 +74,35 @@
         self._started_at = now
         self._members: frozenset[str] = frozenset({name})
         self._contracts_by_name: dict[str, Contract] = {}
-        self._demands_by_name: dict[str, _Demand] = {}
-        self._buckets_by_name: dict[str, _Bucket] = {}
-        self._table: dict[str, dict[str, float]] = {}
-        self._granted_by_peer: dict[str, dict[str, float]] = {}
+        self._names: tuple[str, ...] = ()
+        self._digest = 0
+        self._demands_by_name: dict[str, Demand] = {}
+        self._buckets_by_name: dict[str, Bucket] = {}
+        self._demands_by_member: dict[str, dict[str, float]] = {}
+        self._grants_by_member: dict[str, dict[str, float]] = {}
+        self._spares_by_member: dict[str, _Spare] = {}
+        self._asked_at_by_name: dict[str, int] = {}
+        self._asks: list[tuple[str, TokenAsk]] = []
 
     def configure(self, contracts_by_name: Mapping[str, Contract]) -> None:
         """Take in the contracts; an organisation without one is not limited."""
         self._contracts_by_name = dict(contracts_by_name)
+        self._names = tuple(sorted(contracts_by_name))
+        self._digest = crc32("\0".join(self._names).encode())
         for name in contracts_by_name:
-            self._demands_by_name.setdefault(name, _Demand())
-            self._buckets_by_name.setdefault(name, _Bucket())
+            self._demands_by_name.setdefault(name, Demand())
+            self._buckets_by_name.setdefault(name, Bucket())
 
     def set_members(self, names: Iterable[str]) -> None:
         """Take in who the instances are; this one is always among them."""
         self._members = frozenset(names) | {self._name}
-        for name in set(self._table) - self._members:
-            del self._table[name]
-        for name in set(self._granted_by_peer) - self._members:
-            del self._granted_by_peer[name]
+        for table in (
+            self._demands_by_member,
+            self._grants_by_member,
+            self._spares_by_member,
+        ):
+            for name in set(table) - self._members:
+                del table[name]
 
     def ask(self, organisation: str) -> None:
         """Count a request of an organisation as demand, whether or not it is sent."""
@@ -134,11 +122,14 @@
             return 0
         bucket = self._buckets_by_name[organisation]
         bucket.refill(contract, now)
-        if bucket.tokens >= 1.0:
-            bucket.tokens -= 1.0
-            return 0
-        rate = max(bucket.share * contract.rate_per_s, 1 / MS_PER_S)
-        return max(1, int((1.0 - bucket.tokens) / rate * MS_PER_S))
+        is_taken = bucket.take()
+        if bucket.tokens < self._settings.low_tokens:
+            self._ask_peer(organisation, now)
+        return 0 if is_taken else bucket.next_token_ms(contract)
+
+    def can_borrow(self, organisation: str, now: int) -> str | None:
+        """Return the member that may have tokens to spare; None if none is known."""
+        return self._richest(organisation, now)
 
     def give_back(self, organisation: str) -> None:
         """Return the token of a request that no target ran."""
@@ -146,6 +137,32 @@
         if bucket is not None and organisation in self._contracts_by_name:
             bucket.tokens += 1.0
 
+    def take_asks(self) -> list[tuple[str, TokenAsk]]:
+        """Return the asks to be sent, each with the member that it goes to."""
+        asks, self._asks = self._asks, []
+        return asks
+
+    def lend(self, ask: TokenAsk, now: int) -> TokenGrant | None:
+        """Take tokens out of the own bucket for a peer that asks."""
+        contract = self._contracts_by_name.get(ask.organisation)
+        if contract is None:
+            return None
+        bucket = self._buckets_by_name[ask.organisation]
+        bucket.refill(contract, now)
+        tokens = min(ask.tokens, int(bucket.tokens / 2))
+        if tokens < 1:
+            return None
+        bucket.tokens -= tokens
+        return TokenGrant(ask.organisation, tokens)
+
+    def borrowed(self, grant: TokenGrant, now: int) -> None:
+        """Take in tokens of a peer, up to the own capacity."""
+        contract = self._contracts_by_name.get(grant.organisation)
+        if contract is not None:
+            bucket = self._buckets_by_name[grant.organisation]
+            bucket.refill(contract, now)
+            bucket.put(grant.tokens, contract)
+
     def share(self, organisation: str) -> float:
         """Return the part of the rate that this instance uses at present."""
         bucket = self._buckets_by_name.get(organisation)
@@ -155,33 +172,60 @@
         """Average the demand and bring the shares up to date."""
         for demand in self._demands_by_name.values():
             demand.update(self._settings.demand_window_ms, now)
-        self._table[self._name] = self._own_demands()
+        self._demands_by_member[self._name] = self._own_demands()
         for name, contract in self._contracts_by_name.items():
             bucket = self._buckets_by_name[name]
             bucket.refill(contract, now)
             bucket.share = self._granted_share(name, now)
 
-    def demands(self) -> dict[str, int]:
-        """Return the demand of each organisation here, in thousandths a second."""
+    def table_for(self, peer: str) -> QuotaTable:
+        """Return what a peer should know: demands here, its parts, tokens to spare."""
         own = self._own_demands()
-        return {name: int(per_s * PERMILLE) for name, per_s in own.items()}
-
-    def grants_for(self, peer: str) -> dict[str, int]:
-        """Return the part of each rate that a peer may use, in thousandths."""
-        return {
-            name: int(self._part_of(peer, name) * PERMILLE)
-            for name in self._contracts_by_name
-        }
-
-    def heard(
-        self, peer: str, demands: Mapping[str, int], grants: Mapping[str, int]
-    ) -> None:
-        """Take in what a peer demands, and what it grants to this instance."""
-        if peer not in self._members:
+        names = self._names
+        return QuotaTable(
+            self._digest,
+            tuple(int(own[name] * PERMILLE) for name in names),
+            tuple(int(self._part_of(peer, name) * PERMILLE) for name in names),
+            tuple(int(self._buckets_by_name[name].tokens) for name in names),
+        )
+
+    def heard(self, peer: str, table: QuotaTable, now: int) -> None:
+        """Take in the table of a peer; one for other organisations is ignored."""
+        if peer not in self._members or table.digest != self._digest:
+            return
+        if any(len(part) != len(self._names) for part in table[1:]):
+            return
+        self._demands_by_member[peer] = self._fractions(table.demands)
+        self._grants_by_member[peer] = self._fractions(table.grants)
+        spare = dict(zip(self._names, table.spares, strict=True))
+        self._spares_by_member[peer] = _Spare(spare, now)
+
+    def _fractions(self, values: Sequence[int]) -> dict[str, float]:
+        pairs = zip(self._names, values, strict=True)
+        return {name: value / PERMILLE for name, value in pairs}
+
+    def _ask_peer(self, organisation: str, now: int) -> None:
+        asked_at = self._asked_at_by_name.get(organisation)
+        retry_ms = self._settings.ask_retry_ms
+        if asked_at is not None and now - asked_at < retry_ms:
+            return
+        member = self._richest(organisation, now)
+        if member is None:
             return
-        self._table[peer] = {name: value / PERMILLE for name, value in demands.items()}
-        granted = self._granted_by_peer.setdefault(peer, {})
-        granted.update({name: value / PERMILLE for name, value in grants.items()})
+        self._asked_at_by_name[organisation] = now
+        tokens = self._settings.ask_tokens
+        spares = self._spares_by_member[member].tokens_by_name
+        spares[organisation] -= tokens
+        self._asks.append((member, TokenAsk(organisation, tokens)))
+
+    def _richest(self, organisation: str, now: int) -> str | None:
+        oldest = now - self._settings.spare_ms
+        best, most = None, 1
+        for member, spare in self._spares_by_member.items():
+            tokens = spare.tokens_by_name.get(organisation, 0)
+            if spare.heard_at >= oldest and tokens > most:
+                best, most = member, tokens
+        return best
 
     def _own_demands(self) -> dict[str, float]:
         demands = {}
@@ -196,16 +240,17 @@
 
     def _part_of(self, member: str, organisation: str) -> float:
         floor = self._floor(self._contracts_by_name[organisation])
+        tables = self._demands_by_member
         total = sum(
-            self._table.get(name, {}).get(organisation, floor) for name in self._members
+            tables.get(name, {}).get(organisation, floor) for name in self._members
         )
-        own = self._table.get(member, {}).get(organisation, floor)
+        own = tables.get(member, {}).get(organisation, floor)
         return own / total if total > 0 else 0.0
 
     def _granted_share(self, organisation: str, now: int) -> float:
         share = self._part_of(self._name, organisation)
         for member in self._members - {self._name}:
-            granted = self._granted_by_peer.get(member, {}).get(organisation)
+            granted = self._grants_by_member.get(member, {}).get(organisation)
             if granted is None:
                 granted = self._share_without(now)
             share = min(share, granted)
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -13,6 +13,7 @@
     "AttemptRecord",
     "Cause",
     "Deliver",
+    "Hold",
     "IncomingRequest",
     "OpenRequest",
     "Refuse",
@@ -137,6 +138,7 @@
         self.arrival_count = 0
         self.records: list[AttemptRecord] = []
         self.last_failure: TargetResult | None = None
+        self.was_held = False
 
     @property
     def organisation(self) -> str:
@@ -173,6 +175,16 @@
     result: TargetResult
 
 
+class Hold(NamedTuple):
+    """The request waits for tokens that a peer was asked for.
+
+    Attributes:
+        longest_ms: How long it waits at most.
+    """
+
+    longest_ms: int
+
+
 class Refuse(NamedTuple):
     """The caller gets an answer of the instance itself.
 
