Give each object one owner, at home as far as the region carries it

Objects are numbered by route and used by the callers of one region, but the owner was chosen by the number alone and in every region, and a short queue at home was enough to wake a second owner. Now the owner is chosen by route and number; a region that cannot carry its callers leaves a fixed part of its objects to others.

--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -120,8 +120,8 @@
         return Refuse(Status.TOO_MANY, Cause.OVER_RATE, wait_ms)
 
     def _hold_ms(self, request: OpenRequest, now: int) -> int:
-        """Return for how long a request waits for tokens of a peer; 0 for not at all."""
-        if self._quota.can_borrow(request.organisation, now) is None:
+        """Return for how long a request waits for tokens; 0 if none can come."""
+        if not self._quota.can_borrow(request.organisation, now):
             return 0
         part_ms = request.route.aim_ms // self._settings.hold_parts
         return min(part_ms, max(0, request.deadline_at - now) // 2)
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -136,6 +136,9 @@
             refusal = self._admission.spend(request, now)
             if refusal is None:
                 budget.first_attempt()
+                self._placing.home_shares.note_request(
+                    request.service, self._placing.usual_ms(request.route)
+                )
             return refusal
         if request.arrival_count and not budget.take(now):
             return self._end(request, Cause.BUDGET, now)
@@ -162,6 +165,8 @@
         is_back = state.ended(result.stage, now)
         if is_back:
             state.chill(self._service(attempt.request.service).cold_ms, now)
+        if result.connect_ms is not None:
+            self._placing.note_way(state.record.region, result.connect_ms)
         if result.open_count is not None:
             state.note_load(result.open_count, now)
         if result.stage is Stage.NOTHING_WRITTEN:
@@ -170,8 +175,14 @@
         is_failure = not is_answer or result.status >= HTTP_FAILURE_FROM
         state.note_failure(is_failure, now)
         if is_answer and not is_failure and not state.is_cold(now):
+            request = attempt.request
             self._placing.note_answer(
-                attempt.request.route, state, attempt.busy, result.duration_ms, now
+                request.route,
+                request.incoming.object_key,
+                state,
+                attempt.busy,
+                result.duration_ms,
+                now,
             )
 
     def _end(
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -69,6 +69,7 @@
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
         self._sequence = 0
+        self._loads_by_peer: dict[str, dict[str, int]] = {}
 
     @property
     def configuration_number(self) -> int:
@@ -100,7 +101,8 @@
         """Take in the platform's list of instances."""
         self.peers.set_instances(instances_by_name, now)
         names = self.peers.instances_by_name
-        self.quota.set_members(names)
+        near = [n for n, i in names.items() if i.region == self.me.region]
+        self.quota.set_members(names, near)
         self.placing.instances_in_region = self.peers.count_in(self.me.region)
         self.attempts.retry_burst = max(1, self._retry_slack // (len(names) + 1))
 
@@ -123,6 +125,7 @@
     def tick(self, now: int) -> list[str]:
         """Do what is due; return the ids of targets that are now taken as gone."""
         self.quota.update(now)
+        self._decide_home_shares(now)
         return self.targets.tick(now)
 
     def report_for(self, peer: str, now: int) -> Datagram:
@@ -136,6 +139,8 @@
                 for target_id, state in self.targets.states_by_id.items()
                 if state.open_count
             },
+            self.placing.home_shares.loads(),
+            dict(self.placing.home_shares.permille_by_service),
             self.quota.table_for(peer),
         )
         return self.datagram(report)
@@ -159,8 +164,37 @@
             return None if grant is None else self.datagram(grant)
         return None
 
+    def _decide_home_shares(self, now: int) -> None:
+        shares = self.placing.home_shares
+        shares.update(now)
+        if self._decider(now) != self.me.name:
+            return
+        loads = shares.loads()
+        for name in self._near_peers(now):
+            for service, load in self._loads_by_peer.get(name, {}).items():
+                loads[service] = loads.get(service, 0) + load
+        slots = {
+            service: self.placing.slots_by_region(service)[self.me.region]
+            for service in shares.permille_by_service
+        }
+        shares.decide(loads, slots, now)
+
+    def _decider(self, now: int) -> str:
+        """Return the instance that decides for the region."""
+        return min([self.me.name, *self._near_peers(now)])
+
+    def _near_peers(self, now: int) -> list[str]:
+        return [
+            name
+            for name, instance in self.peers.instances_by_name.items()
+            if instance.region == self.me.region and self.peers.is_heard(name, now)
+        ]
+
     def _take_report(self, sender: str, report: Report, now: int) -> None:
         self.peers.reported(sender, report)
         self.quota.heard(sender, report.quota, now)
+        self._loads_by_peer[sender] = report.load_by_service
+        if sender == self._decider(now):
+            self.placing.home_shares.adopt(report.home_by_service)
         for target_id, state in self.targets.states_by_id.items():
             state.note_peer(sender, report.open_by_target.get(target_id, 0), now)
--- /dev/null
+++ b/sequoiahook/decisions/direct/home_share.py
@@ -0,0 +1,132 @@
+"""Which part of a region's objects is owned by targets of the region itself.
+
+A region whose targets cannot carry the requests of its own callers leaves part of the
+objects to other regions for good, instead of sending single requests away when its
+targets are full: an object that has one owner is known there.
+
+One instance of the region decides, the first by name of those that are heard, and tells
+the others in its reports. Two that decide for a moment do no harm but some answers from
+targets that do not know the object.
+
+The load that this answers: traffic that is divided over regions otherwise than the
+targets are. It trades a longer way for targets that know their objects and have room.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+__all__ = ["PERMILLE", "HomeShareSettings", "HomeShares"]
+
+PERMILLE = 1000
+
+
+class HomeShareSettings(NamedTuple):
+    """Settings of the shares.
+
+    Attributes:
+        load_percent: Load that the targets of a region should have at most, in
+            hundredths of their slots; a queue forms where more than two thirds are
+            taken on average.
+        start_percent: Slots that a region is taken to need before its load is known,
+            in hundredths of an equal part of all slots.
+        step_permille: Largest change in one step; several of them within two seconds
+            stay below the part of requests that may change region.
+        step_ms: Time between two steps.
+        load_window_ms: Time over which load is averaged.
+    """
+
+    load_percent: int = 65
+    start_percent: int = 60
+    step_permille: int = 50
+    step_ms: int = 1_000
+    load_window_ms: int = 3_000
+
+
+class HomeShares:
+    """Shares of the own region by service, in thousandths.
+
+    Args:
+        settings: The settings.
+    """
+
+    def __init__(self, settings: HomeShareSettings):
+        self.permille_by_service: dict[str, int] = {}
+        self._settings = settings
+        self._work_ms_by_service: dict[str, float] = {}
+        self._slots_by_service: dict[str, float] = {}
+        self._updated_at: int | None = None
+        self._stepped_at: int | None = None
+
+    def note_request(self, service: str, work_ms: float) -> None:
+        """Count the usual work of a request towards the load of this instance."""
+        works = self._work_ms_by_service
+        works[service] = works.get(service, 0.0) + work_ms
+
+    def update(self, now: int) -> None:
+        """Average the load of this instance."""
+        if self._updated_at is not None and now > self._updated_at:
+            elapsed_ms = now - self._updated_at
+            weight = min(1.0, elapsed_ms / self._settings.load_window_ms)
+            for service in set(self._work_ms_by_service) | set(self._slots_by_service):
+                slots = self._work_ms_by_service.get(service, 0.0) / elapsed_ms
+                last = self._slots_by_service.get(service, 0.0)
+                self._slots_by_service[service] = last + weight * (slots - last)
+        self._work_ms_by_service.clear()
+        self._updated_at = now
+
+    def loads(self) -> dict[str, int]:
+        """Return the load of this instance by service, in thousandths of a slot."""
+        return {
+            service: int(slots * PERMILLE)
+            for service, slots in self._slots_by_service.items()
+        }
+
+    def share(self, service: str, own_slots: int, all_slots: int, regions: int) -> int:
+        """Return the share of a service.
+
+        Args:
+            service: Name of the service.
+            own_slots: Slots of its targets in the region.
+            all_slots: Slots of its targets in all regions.
+            regions: How many regions there are.
+        """
+        permille = self.permille_by_service.get(service)
+        if permille is None:
+            needed = all_slots * self._settings.start_percent / 100 / max(1, regions)
+            permille = PERMILLE
+            if needed > own_slots:
+                permille = int(PERMILLE * own_slots / needed)
+            self.permille_by_service[service] = permille
+        return permille
+
+    def adopt(self, permille_by_service: Mapping[str, int]) -> None:
+        """Take over what the deciding instance of the region says."""
+        self.permille_by_service.update(permille_by_service)
+
+    def decide(
+        self,
+        load_by_service: Mapping[str, int],
+        slots_by_service: Mapping[str, int],
+        now: int,
+    ) -> None:
+        """Move the shares one step towards what the load asks for.
+
+        Args:
+            load_by_service: Load of all instances of the region, in thousandths of a
+                slot.
+            slots_by_service: Slots of the region's targets.
+            now: The time in milliseconds.
+        """
+        step_ms = self._settings.step_ms
+        if self._stepped_at is not None and now - self._stepped_at < step_ms:
+            return
+        self._stepped_at = now
+        for service, share in self.permille_by_service.items():
+            room = slots_by_service.get(service, 0) * self._settings.load_percent * 10
+            load = max(1, load_by_service.get(service, 0))
+            wanted = min(PERMILLE, room * PERMILLE // load)
+            step = self._settings.step_permille
+            # Small differences are left alone, since each step moves objects.
+            if abs(wanted - share) >= 2 * step or wanted == PERMILLE:
+                share += max(-step, min(step, wanted - share))
+            self.permille_by_service[service] = share
--- a/sequoiahook/decisions/direct/placing.py
+++ b/sequoiahook/decisions/direct/placing.py
@@ -1,25 +1,32 @@
 """Which target gets a request, or when to come back if none should.
 
 A target that has recently handled an object handles it about three times as fast, so
-each object has one owner in each region: the winner by rendezvous hashing over the
-targets there. A request goes to the owner that is expected to answer first, counting
-the way to other regions and what each owner has in its queue. An owner that already
-has its limit gets nothing more: a request that is refused at once with a time to come
-back to, or that another region's owner takes, serves more callers than one that waits
-beyond its aim or runs where nothing of its object is known.
-
-The load that this answers: more requests than a region can run, with the traffic
-unevenly divided over regions. It trades a longer way for a shorter queue, and some
-refusals of less urgent requests for answers in time to the others.
+each object has one owner: a target of the callers' own region for the share of objects
+that the region can carry, else one of another region, by rendezvous hashing. A request
+goes to the target that is expected to answer first, counting the way, the queue and
+whether the target knows the object. A target that does not is used only while it has
+slots free, and one that has its limit gets nothing more: a request that is refused at
+once with a time to come back to serves more callers than one that waits beyond its aim
+or takes three times its work from a target that is busy.
+
+The load that this answers: more requests than the targets can run, and owners that are
+slow, full or gone. It trades some refusals of less urgent requests for answers in time
+to the others.
 """
 
 from collections.abc import Sequence
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.home_share import HomeShares, HomeShareSettings
+from sequoiahook.decisions.direct.object_homes import (
+    KnownObjects,
+    position,
+    region_order,
+    target_order,
+)
 from sequoiahook.decisions.direct.target_book import TargetBook
 from sequoiahook.decisions.direct.target_state import TargetState
-from sequoiahook.decisions.rendezvous import order
 from sequoiahook.world.routing import Route, TargetService
 
 __all__ = ["Demand", "Place", "Placing", "PlacingSettings"]
@@ -42,7 +49,10 @@
             its route's aim.
         usual_step: Weight of one answer in the usual work of a route.
         failing_share: Part of failures from which on a target is avoided.
-        way_ms_by_region: Time to another region and back.
+        way_ms: Time to another region and back until connections tell it.
+        way_step: Weight of one connection in the time to a region and back.
+        known_ms: For how long a target is taken to know an object after an answer.
+        home: Settings of the share of objects that the own region owns.
     """
 
     limit_percent: int = 150
@@ -52,7 +62,10 @@
     usual_percent: int = 35
     usual_step: float = 0.05
     failing_share: float = 0.2
-    way_ms_by_region: int = 80
+    way_ms: int = 80
+    way_step: float = 0.1
+    known_ms: int = 10_000
+    home: HomeShareSettings = HomeShareSettings()
 
 
 class Demand(NamedTuple):
@@ -117,7 +130,10 @@
         self._region = region
         self._regions = (region, *(name for name in regions if name != region))
         self._book = book
+        self.home_shares = HomeShares(settings.home)
         self._usual_ms_by_route: dict[str, float] = {}
+        self._way_ms_by_region: dict[str, float] = {}
+        self._known = KnownObjects(settings.known_ms, CACHE_MAX)
         self._orders_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._ordered_version = -1
 
@@ -145,18 +161,46 @@
             return usual_ms
         return route.aim_ms * self._settings.usual_percent / PERCENT
 
+    def note_way(self, region: str, connect_ms: int) -> None:
+        """Learn from how long a connection to a region took to open."""
+        last = self._way_ms_by_region.get(region, float(connect_ms))
+        step = self._settings.way_step
+        self._way_ms_by_region[region] = last + step * (connect_ms - last)
+
+    def slots_by_region(self, service: str) -> dict[str, int]:
+        """Return the slots of a service's targets that may have new work."""
+        return {
+            region: sum(
+                state.record.slots for state in self._book.group(service, region)
+            )
+            for region in self._regions
+        }
+
     def note_answer(
-        self, route: Route, state: TargetState, busy: int, elapsed_ms: int, now: int
+        self,
+        route: Route,
+        object_key: str,
+        state: TargetState,
+        busy: int,
+        elapsed_ms: int,
+        now: int,
     ) -> None:
         """Learn from how long an answer took.
 
         Args:
             route: Route of the request.
+            object_key: The object that it concerned; empty if it named none.
             state: The target.
             busy: What the target had when the request was sent.
             elapsed_ms: Time from the first byte written to the end of the answer.
             now: The time in milliseconds.
         """
+        is_known = self._known.is_known(
+            _full_key(route, object_key), state.record.id, now
+        )
+        self._known.note(_full_key(route, object_key), state.record.id, now)
+        if object_key and not is_known:
+            return
         work_ms = max(1, elapsed_ms - self._way_ms(state))
         usual_ms = self.usual_ms(route)
         queue = self._queue_factor(state, busy)
@@ -169,32 +213,54 @@
         self._usual_ms_by_route[route.name] = usual_ms
 
     def _candidates(self, demand: Demand, now: int) -> list[Place]:
-        places = []
-        for region in self._regions:
-            if demand.regions and region not in demand.regions:
-                continue
+        """Return where the request could go: the owner first, then others."""
+        places: list[Place] = []
+        for region in self._region_order(demand):
             usable = self._usable(demand, region, now)
-            if not usable:
-                continue
-            places.append(self._place(usable[0], demand, 1.0, now))
-            is_only_region = len(demand.regions) == 1
-            if len(usable) > 1 and (is_only_region or not demand.object_key):
-                factor = self._settings.unknown_factor if demand.object_key else 1.0
-                places.append(self._place(usable[1], demand, factor, now))
+            for state in usable[: 1 if places else 2]:
+                place = self._place(state, demand, is_owner=not places, now=now)
+                if place is not None:
+                    places.append(place)
         return places
 
+    def _region_order(self, demand: Demand) -> list[str]:
+        """Return the regions that may run a request; that of the owner first."""
+        allowed = [
+            r for r in self._regions if not demand.regions or r in demand.regions
+        ]
+        if not demand.object_key or self._region not in allowed:
+            return allowed
+        service = demand.service.name
+        slots_by_region = self.slots_by_region(service)
+        share = self.home_shares.share(
+            service,
+            slots_by_region[self._region],
+            sum(slots_by_region.values()),
+            len(self._regions),
+        )
+        key = _full_key(demand.route, demand.object_key)
+        if position(key) < share:
+            return allowed
+        others = {r: slots_by_region[r] for r in allowed if r != self._region}
+        return [*region_order(key, others), self._region]
+
     def _usable(self, demand: Demand, region: str, now: int) -> list[TargetState]:
-        """Return the first two targets in order that may have the request."""
+        """Return the first two targets in order that may have the request.
+
+        Cold ones come last, since an answer of theirs takes long.
+        """
         found: list[TargetState] = []
+        cold: list[TargetState] = []
         for state in self._ordered(demand, region):
             if state.record.id in demand.tried or not state.may_send(now):
                 continue
-            if state.is_cold(now) and not self._bears(state, demand, region, now):
-                continue
-            found.append(state)
+            if not state.is_cold(now):
+                found.append(state)
+            elif self._bears(state, demand, region, now):
+                cold.append(state)
             if len(found) == 2:
                 break
-        return found
+        return (found or cold)[:2]
 
     def _bears(self, state: TargetState, demand: Demand, region: str, now: int) -> bool:
         """Return whether a cold target bears another request of this instance.
@@ -215,21 +281,33 @@
         if self._ordered_version != self._book.version:
             self._orders_by_key.clear()
             self._ordered_version = self._book.version
-        key = (demand.service.name, region, demand.object_key)
+        key = (
+            demand.service.name,
+            region,
+            _full_key(demand.route, demand.object_key),
+        )
         states = self._orders_by_key.get(key)
         if states is None:
             if len(self._orders_by_key) >= CACHE_MAX:
                 self._orders_by_key.clear()
             by_id = {state.record.id: state for state in group}
-            states = [by_id[name] for name in order(demand.object_key, by_id)]
+            full_key = _full_key(demand.route, demand.object_key)
+            states = [by_id[name] for name in target_order(full_key, list(by_id))]
             self._orders_by_key[key] = states
         return states
 
     def _place(
-        self, state: TargetState, demand: Demand, factor: float, now: int
-    ) -> Place:
+        self, state: TargetState, demand: Demand, *, is_owner: bool, now: int
+    ) -> Place | None:
+        """Return what is expected of a target; None if it should not be used."""
         busy = state.busy(now)
-        work_ms = self.usual_ms(demand.route) * factor * state.slowness(now)
+        work_ms = self.usual_ms(demand.route) * state.slowness(now)
+        key = _full_key(demand.route, demand.object_key)
+        is_known = self._known.is_known(key, state.record.id, now)
+        if demand.object_key and not is_owner and not is_known:
+            if busy >= state.record.slots:
+                return None
+            work_ms *= self._settings.unknown_factor
         expected_ms = work_ms * self._queue_factor(state, busy) + self._way_ms(state)
         failures = state.failures(now)
         if failures > self._settings.failing_share:
@@ -241,8 +319,10 @@
         return 1 + max(0, busy + 1 - slots) / slots
 
     def _way_ms(self, state: TargetState) -> int:
-        is_near = state.record.region == self._region
-        return 0 if is_near else self._settings.way_ms_by_region
+        region = state.record.region
+        if region == self._region:
+            return 0
+        return int(self._way_ms_by_region.get(region, self._settings.way_ms))
 
     def _limit(self, state: TargetState, priority: int) -> float:
         settings = self._settings
@@ -264,3 +344,8 @@
 
     def _pause_ms(self, demand: Demand) -> int:
         return max(1, int(self.usual_ms(demand.route)))
+
+
+def _full_key(route: Route, object_key: str) -> str:
+    """Return the name of an object; routes number theirs independently."""
+    return f"{route.name}/{object_key}" if object_key else ""
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -28,6 +28,8 @@
 __all__ = ["PERMILLE", "Quota", "QuotaSettings"]
 
 PERMILLE = 1000
+LENDABLE_FROM = 2
+"""Whole tokens from which on a member lends half of them."""
 
 
 class QuotaSettings(NamedTuple):
@@ -42,15 +44,19 @@
         low_tokens: Tokens below which an instance asks a peer for more.
         ask_tokens: Tokens that it asks for.
         ask_retry_ms: Time between two asks for the same organisation.
+        ask_members: Members that are asked at the same time.
+        answer_ms: Time within which an answer comes; the longest way takes 110 ms.
         spare_ms: Time for which a peer's word of its tokens is used.
     """
 
-    demand_window_ms: int = 3_000
-    floor_permille: int = 300
+    demand_window_ms: int = 4_000
+    floor_permille: int = 500
     silent_ms: int = 600
     low_tokens: float = 2.0
-    ask_tokens: int = 3
+    ask_tokens: int = 1
     ask_retry_ms: int = 20
+    ask_members: int = 2
+    answer_ms: int = 130
     spare_ms: int = 1_500
 
 
@@ -73,6 +79,7 @@
         self._name = name
         self._started_at = now
         self._members: frozenset[str] = frozenset({name})
+        self._near: frozenset[str] = frozenset()
         self._contracts_by_name: dict[str, Contract] = {}
         self._names: tuple[str, ...] = ()
         self._digest = 0
@@ -93,9 +100,15 @@
             self._demands_by_name.setdefault(name, Demand())
             self._buckets_by_name.setdefault(name, Bucket())
 
-    def set_members(self, names: Iterable[str]) -> None:
-        """Take in who the instances are; this one is always among them."""
+    def set_members(self, names: Iterable[str], near: Iterable[str] = ()) -> None:
+        """Take in who the instances are; this one is always among them.
+
+        Args:
+            names: All instances.
+            near: Those whose answers come soon; they are asked first.
+        """
         self._members = frozenset(names) | {self._name}
+        self._near = frozenset(near)
         for table in (
             self._demands_by_member,
             self._grants_by_member,
@@ -127,9 +140,11 @@
             self._ask_peer(organisation, now)
         return 0 if is_taken else bucket.next_token_ms(contract)
 
-    def can_borrow(self, organisation: str, now: int) -> str | None:
-        """Return the member that may have tokens to spare; None if none is known."""
-        return self._richest(organisation, now)
+    def can_borrow(self, organisation: str, now: int) -> bool:
+        """Return whether tokens may come, asked for already or to be asked for."""
+        asked_at = self._asked_at_by_name.get(organisation)
+        is_asked = asked_at is not None and now - asked_at <= self._settings.answer_ms
+        return is_asked or bool(self._richest(organisation, now))
 
     def give_back(self, organisation: str) -> None:
         """Return the token of a request that no target ran."""
@@ -149,9 +164,9 @@
             return None
         bucket = self._buckets_by_name[ask.organisation]
         bucket.refill(contract, now)
-        tokens = min(ask.tokens, int(bucket.tokens / 2))
-        if tokens < 1:
+        if bucket.tokens < LENDABLE_FROM:
             return None
+        tokens = min(ask.tokens, int(bucket.tokens / 2))
         bucket.tokens -= tokens
         return TokenGrant(ask.organisation, tokens)
 
@@ -209,23 +224,26 @@
         retry_ms = self._settings.ask_retry_ms
         if asked_at is not None and now - asked_at < retry_ms:
             return
-        member = self._richest(organisation, now)
-        if member is None:
-            return
-        self._asked_at_by_name[organisation] = now
+        members = self._richest(organisation, now)
+        if members:
+            self._asked_at_by_name[organisation] = now
         tokens = self._settings.ask_tokens
-        spares = self._spares_by_member[member].tokens_by_name
-        spares[organisation] -= tokens
-        self._asks.append((member, TokenAsk(organisation, tokens)))
+        for member in members:
+            # Counted as gone until the member's next word, asked for or not.
+            self._spares_by_member[member].tokens_by_name[organisation] -= tokens
+            self._asks.append((member, TokenAsk(organisation, tokens)))
 
-    def _richest(self, organisation: str, now: int) -> str | None:
+    def _richest(self, organisation: str, now: int) -> list[str]:
+        """Return members with tokens to spare: near ones first, then the richest."""
         oldest = now - self._settings.spare_ms
-        best, most = None, 1
-        for member, spare in self._spares_by_member.items():
-            tokens = spare.tokens_by_name.get(organisation, 0)
-            if spare.heard_at >= oldest and tokens > most:
-                best, most = member, tokens
-        return best
+        tokens_by_member = {
+            member: spare.tokens_by_name.get(organisation, 0)
+            for member, spare in self._spares_by_member.items()
+            if spare.heard_at >= oldest
+        }
+        rich = [m for m, t in tokens_by_member.items() if t >= LENDABLE_FROM]
+        rich.sort(key=lambda m: (m in self._near, tokens_by_member[m]), reverse=True)
+        return rich[: self._settings.ask_members]
 
     def _own_demands(self) -> dict[str, float]:
         demands = {}
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -36,6 +36,10 @@
         is_serving: Whether the sender can serve callers.
         configuration_number: Configuration in force at the sender.
         open_by_target: Requests that the sender has open at targets, by target id.
+        load_by_service: Load that callers bring to the sender, in thousandths of a
+            target's slot.
+        home_by_service: Share of objects that the sender's region owns, in
+            thousandths; counts if the sender decides for the region.
         quota: What it tells of the rates.
     """
 
@@ -43,6 +47,8 @@
     is_serving: bool
     configuration_number: int
     open_by_target: dict[str, int]
+    load_by_service: dict[str, int]
+    home_by_service: dict[str, int]
     quota: QuotaTable
 
 
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -57,9 +57,10 @@
     quota = QuotaTable(*body.quota)
     _require(type(body.is_leaving) is bool and type(body.is_serving) is bool)
     _require(_are_ints((body.configuration_number, quota.digest)))
-    _require(isinstance(body.open_by_target, dict))
-    _require(all(type(name) is str for name in body.open_by_target))
-    _require(_are_ints(body.open_by_target.values()))
+    for table in (body.open_by_target, body.load_by_service, body.home_by_service):
+        _require(isinstance(table, dict))
+        _require(all(type(name) is str for name in table))
+        _require(_are_ints(table.values()))
     _require(all(_are_ints(values) for values in quota[1:]))
     return body._replace(quota=quota)
 
--- /dev/null
+++ b/tests/test_direct_quota.py
@@ -0,0 +1,212 @@
+"""Rates over all instances: the bound under delay, loss, cuts and restarts."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.quota import Quota, QuotaSettings
+from sequoiahook.messages.reports import QuotaTable, TokenAsk
+from sequoiahook.world.contract import Contract
+
+STEP_MS = 20
+REPORT_MS = 200
+WINDOW_MS = 5_000
+HOLD_MS = 130
+EXCESS = 0.1
+SLACK = 20
+
+
+class Fleet:
+    """Instances that exchange their tables over a network with delay, loss and cuts.
+
+    The oracle only counts what was sent, in every window that ends at a sending.
+    """
+
+    def __init__(self, count, contract, rng, loss=0.0):
+        self.contract = contract
+        self.rng = rng
+        self.loss = loss
+        self.now = 0
+        self.names = [f"n{index}" for index in range(count)]
+        self.quotas = {}
+        self.cut = set()
+        self.mail = []
+        self.sent_at = []
+        self.asked = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        quota = Quota(QuotaSettings(), name, self.now)
+        quota.configure({"o": self.contract})
+        near = [peer for peer in self.names if self.region(peer) == self.region(name)]
+        quota.set_members(self.names, near)
+        self.quotas[name] = quota
+
+    def post(self, source, destination, act):
+        is_apart = (source in self.cut) != (destination in self.cut)
+        if not is_apart and self.rng.random() >= self.loss:
+            is_near = self.region(source) == self.region(destination)
+            delay_ms = 1 if is_near else self.rng.choice((35, 55))
+            self.mail.append((self.now + delay_ms, act))
+
+    def region(self, name):
+        return self.names.index(name) * 3 // len(self.names)
+
+    def step(self, rate_by_name):
+        self.now += STEP_MS
+        due = [act for at, act in self.mail if at <= self.now]
+        self.mail = [(at, act) for at, act in self.mail if at > self.now]
+        for act in due:
+            act()
+        for index, name in enumerate(self.names):
+            if (self.now // STEP_MS + index) % (REPORT_MS // STEP_MS) == 0:
+                self.report(name)
+            self.ask_for(name, rate_by_name.get(name, 0.0))
+
+    def report(self, name):
+        quota = self.quotas[name]
+        quota.update(self.now)
+        for peer in self.names:
+            if peer != name:
+                table = quota.table_for(peer)
+                self.post(
+                    name,
+                    peer,
+                    lambda peer=peer, table=table: self.quotas[peer].heard(
+                        name, table, self.now
+                    ),
+                )
+
+    def ask_for(self, name, rate):
+        expected = rate * STEP_MS / MS_PER_S
+        arrivals = int(expected) + (self.rng.random() < expected % 1)
+        quota = self.quotas[name]
+        for _ in range(arrivals):
+            quota.ask("o")
+            self.asked += 1
+            if not self.take(quota) and quota.can_borrow("o", self.now):
+                self.mail.append((self.now + HOLD_MS, lambda: self.take(quota)))
+            for peer, ask in quota.take_asks():
+                self.post(name, peer, lambda p=peer, a=ask: self.lend(p, name, a))
+
+    def take(self, quota):
+        is_taken = quota.take("o", self.now) == 0
+        if is_taken:
+            self.sent_at.append(self.now)
+        return is_taken
+
+    def lend(self, lender, borrower, ask):
+        grant = self.quotas[lender].lend(ask, self.now)
+        if grant is not None:
+            self.post(
+                lender,
+                borrower,
+                lambda: self.quotas[borrower].borrowed(grant, self.now),
+            )
+
+    def most_in_a_window(self):
+        most, start = 0, 0
+        for end, at in enumerate(self.sent_at):
+            while self.sent_at[start] <= at - WINDOW_MS:
+                start += 1
+            most = max(most, end - start + 1)
+        return most
+
+    def bound(self):
+        allowed = self.contract.rate_per_s * WINDOW_MS / MS_PER_S + self.contract.burst
+        return allowed * (1 + EXCESS) + SLACK
+
+
+@settings(deadline=None, max_examples=15)
+@given(
+    seed=st.integers(0, 1 << 32),
+    rate=st.integers(5, 200),
+    count=st.integers(2, 12),
+    loss=st.sampled_from((0.0, 0.1)),
+    data=st.data(),
+)
+def test_no_window_is_over_the_bound(seed, rate, count, loss, data):
+    rng = random.Random(seed)
+    fleet = Fleet(count, Contract(rate, rate), rng, loss)
+    for _ in range(data.draw(st.integers(3, 6))):
+        act = data.draw(st.sampled_from(("shift", "cut", "heal", "restart", "herd")))
+        if act == "cut":
+            fleet.cut = set(rng.sample(fleet.names, rng.randint(1, count - 1)))
+        elif act == "heal":
+            fleet.cut = set()
+        elif act == "restart":
+            fleet.start(rng.choice(fleet.names))
+        elif act == "herd":
+            for name in fleet.names:
+                fleet.start(name)
+        demand = {name: rng.choice((0.0, 0.5, 3.0)) * rate for name in fleet.names}
+        for _ in range(3_000 // STEP_MS):
+            fleet.step(demand)
+    assert fleet.most_in_a_window() <= fleet.bound()
+
+
+def test_a_small_rate_is_refused_less_than_half_as_often_as_with_fixed_shares():
+    fleet = Fleet(11, Contract(25, 25), random.Random(5))
+    alone = [Fleet(1, Contract(25, 25), random.Random(i)) for i in range(11)]
+    for instance in alone:
+        instance.quotas["n0"].configure({"o": Contract(25 // 11, 25 // 11)})
+    for _ in range(3_000 // STEP_MS):
+        fleet.step({})
+        for instance in alone:
+            instance.step({})
+    for _ in range(20_000 // STEP_MS):
+        fleet.step({name: 16 / 11 for name in fleet.names})
+        for instance in alone:
+            instance.step({"n0": 16 / 11})
+    assert fleet.asked > 250
+    refused = 1 - len(fleet.sent_at) / fleet.asked
+    asked_alone = sum(instance.asked for instance in alone)
+    refused_alone = 1 - sum(len(i.sent_at) for i in alone) / asked_alone
+    assert refused < refused_alone / 2
+
+
+def test_one_instance_may_use_most_of_a_rate_that_only_it_needs():
+    fleet = Fleet(11, Contract(100, 100), random.Random(5))
+    for _ in range(5_000 // STEP_MS):
+        fleet.step({"n0": 100.0})
+    before = len(fleet.sent_at)
+    for _ in range(5_000 // STEP_MS):
+        fleet.step({"n0": 100.0})
+    assert len(fleet.sent_at) - before >= 0.7 * 100 * 5
+
+
+def test_a_share_does_not_grow_without_a_member_that_is_cut_off():
+    fleet = Fleet(2, Contract(100, 10), random.Random(5))
+    for _ in range(3_000 // STEP_MS):
+        fleet.step({"n0": 30.0, "n1": 30.0})
+    share = fleet.quotas["n0"].share("o")
+    fleet.cut = {"n1"}
+    for _ in range(3_000 // STEP_MS):
+        fleet.step({"n0": 300.0, "n1": 300.0})
+    assert fleet.quotas["n0"].share("o") <= share * 1.1
+    assert fleet.quotas["n1"].share("o") <= (1 - share) * 1.1
+
+
+def test_a_table_for_other_organisations_is_ignored():
+    quota = Quota(QuotaSettings(), "me", 0)
+    quota.configure({"o": Contract(10, 10)})
+    quota.set_members(["peer"])
+    quota.heard("peer", QuotaTable(1, (1,), (1_000,), (5,)), 0)
+    quota.update(1_000)
+    assert quota.share("o") <= 0.25
+
+
+def test_lent_tokens_leave_the_lender():
+    quota = Quota(QuotaSettings(), "me", 0)
+    quota.configure({"o": Contract(10, 10)})
+    quota.update(0)
+    quota.update(1_000)
+    quota.update(2_000)
+    grant = quota.lend(TokenAsk("o", 3), 2_000)
+    assert grant.tokens == 3
+    taken = 0
+    while quota.take("o", 2_000) == 0:
+        taken += 1
+    assert taken == 7
