--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -1,6 +1,7 @@
 """Following the objects of one kind in the platform's store."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 import logbook
@@ -10,7 +11,7 @@
     Changes,
     Kind,
     Listing,
-    ObjectStore,
+    ObjectSource,
 )
 from sequoiahook.errors import HistoryGoneError, PlatformError
 
@@ -39,11 +40,11 @@
 class Observer(Protocol):
     """Who is told of the objects."""
 
-    def listed(self, listing: Listing, asked_at: int) -> None:
-        """Take in all objects, as they were after a time."""
+    def listed(self, listing: Listing, as_of: int) -> None:
+        """Take in all objects, as they were at a time."""
 
-    def changed(self, changes: Changes, asked_at: int) -> None:
-        """Take in changes; without any, all is as it was at a time."""
+    def changed(self, changes: Changes, as_of: int) -> None:
+        """Take in all changes until a time."""
 
     def regained(self) -> None:
         """Note that the store answers again after it did not."""
@@ -54,22 +55,22 @@
 
     Args:
         settings: How the kind is followed.
-        store: The store.
+        source: Where the objects are followed.
         clock: The time.
-        observer: Who is told.
+        observers: Who is told, in order.
     """
 
     def __init__(
         self,
         settings: FollowerSettings,
-        store: ObjectStore,
+        source: ObjectSource,
         clock: Clock,
-        observer: Observer,
+        observers: Sequence[Observer],
     ):
         self._settings = settings
-        self._store = store
+        self._source = source
         self._clock = clock
-        self._observer = observer
+        self._observers = observers
         self._revision: int | None = None
         self._is_lost = False
 
@@ -89,18 +90,26 @@
         asked_at = self._clock.now()
         kind = self._settings.kind
         if self._revision is None:
-            listing = await self._store.list(kind)
+            listing = await self._source.list_objects(kind)
             self._regain()
             self._revision = listing.revision
-            self._observer.listed(listing, asked_at)
+            as_of = self._as_of(listing.age_ms, asked_at)
+            for observer in self._observers:
+                observer.listed(listing, as_of)
             return
-        changes = await self._store.watch(kind, self._revision, self._settings.wait_ms)
+        wait_ms = self._settings.wait_ms
+        changes = await self._source.watch(kind, self._revision, wait_ms)
         self._regain()
         self._revision = changes.revision
-        self._observer.changed(changes, asked_at)
+        as_of = self._as_of(changes.age_ms, asked_at)
+        for observer in self._observers:
+            observer.changed(changes, as_of)
         if changes.changes:
             await asyncio.sleep(self._settings.gather_ms / MS_PER_S)
 
+    def _as_of(self, age_ms: int | None, asked_at: int) -> int:
+        return asked_at if age_ms is None else self._clock.now() - age_ms
+
     def _lose(self, error: PlatformError) -> None:
         if not self._is_lost:
             fields = {"kind": self._settings.kind.value, "error": str(error)}
@@ -111,4 +120,5 @@
         if self._is_lost:
             log.info("store regained", extra={"kind": self._settings.kind.value})
             self._is_lost = False
-            self._observer.regained()
+            for observer in self._observers:
+                observer.regained()
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -25,8 +25,10 @@
     TargetObserver,
 )
 from sequoiahook.daemons.direct.registering import Registration
+from sequoiahook.daemons.direct.relay import Relay
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
+from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
 from sequoiahook.decisions.direct.attempts import AttemptsSettings
 from sequoiahook.decisions.direct.core import DirectCore, DirectCoreSettings
@@ -142,6 +144,10 @@
         self._lookups = _server(settings.lookup_address, self._handle_lookup)
         self._metrics = _server(settings.metrics_address, self._handle_metrics)
         self._registration = Registration(parts.store, me, settings.durations)
+        self._relay = Relay(
+            me, parts.store, self._clock, self._follow_from, self._avoid
+        )
+        self._links: Links | None = None
         self._exited: asyncio.Future[int] | None = None
 
     async def run(self) -> int:
@@ -169,6 +175,9 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             self._reporter.close()
+            self._relay.close()
+            if self._links is not None:
+                await self._links.stop()
             self._targets.close()
             self._parts.store.close()
 
@@ -216,9 +225,9 @@
                     durations.store_retry_ms,
                     durations.store_gather_ms,
                 ),
-                self._parts.store,
+                self._relay,
                 clock,
-                observer,
+                (observer, self._relay.observer(kind)),
             ).run()
             for kind, wait_ms, observer in observers
         ]
@@ -231,9 +240,27 @@
         ]
 
     async def _join_reports(self) -> None:
-        self._reporter.secret = await self._registration.secret()
+        secret = await self._registration.secret()
+        self._reporter.secret = secret.encode("ascii")
+        self._links = Links(
+            LinksSettings(
+                self.settings.name,
+                self.core.me.incarnation,
+                secret,
+                self.settings.report_address,
+            ),
+            self._relay.on_link_event,
+        )
+        await self._links.start()
+        self._relay.use(self._links)
         await asyncio.Event().wait()
 
+    def _follow_from(self) -> LiveInstance | None:
+        return self.core.follow_from(self._clock.now())
+
+    def _avoid(self, peer: str) -> None:
+        self.core.avoid(peer, self._clock.now())
+
     async def _tick_stop(self) -> None:
         while True:
             await asyncio.sleep(STOP_TICK_MS / MS_PER_S)
--- a/sequoiahook/daemons/direct/object_store.py
+++ b/sequoiahook/daemons/direct/object_store.py
@@ -3,7 +3,15 @@
 from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
-__all__ = ["Change", "Changes", "Kind", "Listing", "ObjectStore", "StoredObject"]
+__all__ = [
+    "Change",
+    "Changes",
+    "Kind",
+    "Listing",
+    "ObjectSource",
+    "ObjectStore",
+    "StoredObject",
+]
 
 
 class Kind(Enum):
@@ -24,12 +32,14 @@
         revision: Revision of its last change.
         value: Its content as a type of the product; None if it cannot be used.
         problem: Why it cannot be used; empty if it can.
+        document: The whole object as the store wrote it.
     """
 
     name: str
     revision: int
     value: Any
     problem: str = ""
+    document: Any = None
 
 
 class Listing(NamedTuple):
@@ -38,10 +48,12 @@
     Attributes:
         objects_by_name: The objects.
         revision: Revision of the store for which this holds.
+        age_ms: Time since this held for certain; None if it held after the call began.
     """
 
     objects_by_name: dict[str, StoredObject]
     revision: int
+    age_ms: int | None = None
 
 
 class Change(NamedTuple):
@@ -57,20 +69,23 @@
     Attributes:
         changes: The changes; empty if there was none in time.
         revision: Where to go on.
+        age_ms: Time since there were no further changes for certain; None if that was
+            so after the call began.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    age_ms: int | None = None
 
 
-class ObjectStore(Protocol):
-    """The platform's store of objects.
+class ObjectSource(Protocol):
+    """Where objects are followed.
 
     Each call raises PlatformUnavailableError if it had no effect, and
     PlatformAnswerLostError if that is not known.
     """
 
-    async def list(self, kind: Kind) -> Listing:
+    async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
@@ -80,6 +95,13 @@
             HistoryGoneError: If the store no longer knows.
         """
 
+
+class ObjectStore(ObjectSource, Protocol):
+    """The platform's store of objects."""
+
+    def read(self, kind: Kind, document: Any) -> StoredObject:
+        """Decode an object as the store wrote it."""
+
     async def create(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Create an object.
 
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -36,33 +36,33 @@
         self.values_by_name: dict[str, Any] = {}
         self.revision_by_name: dict[str, int] = {}
 
-    def listed(self, listing: Listing, asked_at: int) -> None:
+    def listed(self, listing: Listing, as_of: int) -> None:
         """Take in all objects."""
         self.values_by_name.clear()
         self.revision_by_name.clear()
         for found in listing.objects_by_name.values():
             self._keep(Change(found, is_deleted=False))
         self._log(f"listed {len(self.values_by_name)}", listing.revision)
-        self.apply_all(asked_at)
+        self.apply_all(as_of)
 
-    def changed(self, changes: Changes, asked_at: int) -> None:
+    def changed(self, changes: Changes, as_of: int) -> None:
         """Take in changes."""
         for change in changes.changes:
             self._keep(change)
             self.apply_one(change)
         if changes.changes:
-            self.apply_changes(asked_at)
+            self.apply_changes(as_of)
 
     def regained(self) -> None:
         """Note that the store answers again."""
 
-    def apply_all(self, asked_at: int) -> None:
+    def apply_all(self, as_of: int) -> None:
         """Bring a whole list into force."""
 
     def apply_one(self, change: Change) -> None:
         """Bring one change into force."""
 
-    def apply_changes(self, asked_at: int) -> None:
+    def apply_changes(self, as_of: int) -> None:
         """Bring changes into force that were kept before."""
 
     def _keep(self, change: Change) -> None:
@@ -103,22 +103,22 @@
         super().__init__(core, clock)
         self._configured = configured
 
-    def changed(self, changes: Changes, asked_at: int) -> None:
+    def changed(self, changes: Changes, as_of: int) -> None:
         """Take in changes; an answer without any confirms the configuration."""
-        super().changed(changes, asked_at)
-        self.core.freshness.confirm(asked_at)
+        super().changed(changes, as_of)
+        self.core.freshness.confirm(as_of)
 
-    def apply_all(self, asked_at: int) -> None:
+    def apply_all(self, as_of: int) -> None:
         """Put the configuration into force, if there is one."""
         for configuration in self.values_by_name.values():
             if self.core.configure(configuration):
                 self._log(f"configuration {configuration.number} in force", 0)
                 self._configured(configuration)
-        self.core.freshness.confirm(asked_at)
+        self.core.freshness.confirm(as_of)
 
-    def apply_changes(self, asked_at: int) -> None:
+    def apply_changes(self, as_of: int) -> None:
         """Put the configuration into force, if there is one."""
-        self.apply_all(asked_at)
+        self.apply_all(as_of)
 
 
 class TargetObserver(_TableObserver):
@@ -130,7 +130,7 @@
         """Note that entries may be missing because the store was away."""
         self.core.targets.platform_regained(self.clock.now())
 
-    def apply_all(self, asked_at: int) -> None:
+    def apply_all(self, as_of: int) -> None:
         """Take in the whole list."""
         self.core.targets.replace(self.values_by_name, self.clock.now())
 
@@ -159,14 +159,14 @@
 
     kind = Kind.EVACUATIONS
 
-    def apply_all(self, asked_at: int) -> None:
+    def apply_all(self, as_of: int) -> None:
         """Take in all evacuations."""
         self.core.evacuate(self.values_by_name, self.clock.now())
 
-    def apply_changes(self, asked_at: int) -> None:
+    def apply_changes(self, as_of: int) -> None:
         """Take in all evacuations."""
         self._log(f"evacuated {sorted(self.values_by_name)}", 0)
-        self.apply_all(asked_at)
+        self.apply_all(as_of)
 
 
 class InstanceObserver(_TableObserver):
@@ -184,14 +184,14 @@
         super().__init__(core, clock)
         self._missing = missing
 
-    def apply_all(self, asked_at: int) -> None:
+    def apply_all(self, as_of: int) -> None:
         """Take in all instances."""
         self.core.set_instances(self.values_by_name, self.clock.now())
         own = self.values_by_name.get(self.core.me.name)
         if own is None or own.incarnation != self.core.me.incarnation:
             self._missing()
 
-    def apply_changes(self, asked_at: int) -> None:
+    def apply_changes(self, as_of: int) -> None:
         """Take in all instances."""
         self._log(f"instances {len(self.values_by_name)}", 0)
-        self.apply_all(asked_at)
+        self.apply_all(as_of)
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -48,16 +48,16 @@
             await self._put(Kind.INSTANCES, self._me.name, self._me)
             log.info("entry written", extra={"name": self._me.name})
 
-    async def secret(self) -> bytes:
+    async def secret(self) -> str:
         """Return the secret of the fleet; the first instance makes it."""
         while True:
             try:
-                listing = await self._store.list(Kind.SECRETS)
+                listing = await self._store.list_objects(Kind.SECRETS)
                 found = listing.objects_by_name.get(SECRET_NAME)
                 if found is None:
                     value = secrets.token_hex(SECRET_BYTES)
                     found = await self._store.create(Kind.SECRETS, SECRET_NAME, value)
-                return str(found.value).encode("ascii")
+                return str(found.value)
             except PlatformError as error:
                 log.debug("secret not read", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
--- /dev/null
+++ b/sequoiahook/daemons/direct/relay.py
@@ -0,0 +1,256 @@
+"""Sharing what one instance of a region follows in the platform's store.
+
+The store prices each call, so few instances of a region follow it themselves. The
+others ask the first of them over a link, with the same calls. An answer says how old
+its sender's knowledge is; the way there and back counts as age as well, so a link that
+is slow, or a process that was suspended, never makes knowledge look younger than it is.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import logbook
+
+from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.daemons.direct.object_store import (
+    Change,
+    Changes,
+    Kind,
+    Listing,
+    ObjectStore,
+    StoredObject,
+)
+from sequoiahook.daemons.links import (
+    LinkEvent,
+    Links,
+    PeerDown,
+    Received,
+    SendFailed,
+)
+from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
+from sequoiahook.errors import HistoryGoneError, PlatformUnavailableError
+from sequoiahook.messages.base import Envelope
+from sequoiahook.messages.relay import StoreAnswer, StoreAsk
+from sequoiahook.world.instance import LiveInstance
+
+__all__ = ["Relay"]
+
+ANSWER_MARGIN_MS = 500
+"""Time for the way of an ask and its answer inside a region, which takes some 2 ms."""
+
+LIST_REVISION = -1
+AGE_UNKNOWN = -1
+HISTORY_GONE = "history gone"
+NOT_FOLLOWED = "not followed here"
+
+log = logbook.Logger("relay")
+
+
+class _CacheObserver:
+    """Keeps a cache up to date with what a follower sees."""
+
+    def __init__(self, cache: StoreCache, tell: Callable[[], None]):
+        self._cache = cache
+        self._tell = tell
+
+    def listed(self, listing: Listing, as_of: int) -> None:
+        objects = tuple(
+            CachedObject(found.name, found.document)
+            for found in listing.objects_by_name.values()
+        )
+        self._cache.listed(objects, listing.revision, as_of)
+        self._tell()
+
+    def changed(self, changes: Changes, as_of: int) -> None:
+        objects = tuple(
+            CachedObject(change.object.name, change.object.document, change.is_deleted)
+            for change in changes.changes
+        )
+        self._cache.changed(objects, changes.revision, as_of)
+        if objects:
+            self._tell()
+
+    def regained(self) -> None:
+        """The cache keeps what it has while the store is away."""
+
+
+class Relay:
+    """Asks the following instance of the region, and answers peers that ask.
+
+    Args:
+        me: This instance.
+        store: The store itself.
+        clock: The time.
+        choose: Returns the peer to ask; None to go to the store itself.
+        avoid: Called with a peer that did not answer.
+    """
+
+    def __init__(
+        self,
+        me: LiveInstance,
+        store: ObjectStore,
+        clock: Clock,
+        choose: Callable[[], LiveInstance | None],
+        avoid: Callable[[str], None],
+    ):
+        self._me = me
+        self._store = store
+        self._clock = clock
+        self._choose = choose
+        self._avoid = avoid
+        self._links: Links | None = None
+        self._caches_by_kind = {kind: StoreCache() for kind in Kind}
+        self._changed_by_kind = {kind: asyncio.Event() for kind in Kind}
+        self._tickets = itertools.count(1)
+        self._answers_by_ticket: dict[int, asyncio.Future] = {}
+        self._tickets_by_peer: dict[str, set[int]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def use(self, links: Links) -> None:
+        """Take the links over which peers are asked."""
+        self._links = links
+
+    def observer(self, kind: Kind) -> _CacheObserver:
+        """Return who has to be told of what is followed."""
+        return _CacheObserver(
+            self._caches_by_kind[kind], self._changed_by_kind[kind].set
+        )
+
+    async def list_objects(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        peer = self._peer()
+        if peer is None:
+            return await self._store.list_objects(kind)
+        answer, age_ms = await self._ask(peer, kind, LIST_REVISION, 0)
+        found = [change.object for change in self._read(kind, answer.content)]
+        objects_by_name = {stored.name: stored for stored in found}
+        return Listing(objects_by_name, answer.revision, age_ms)
+
+    async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
+        """Return what changed after a revision, as soon as there is a change."""
+        peer = self._peer()
+        if peer is None:
+            return await self._store.watch(kind, revision, wait_ms)
+        answer, age_ms = await self._ask(peer, kind, revision, wait_ms)
+        changes = tuple(self._read(kind, answer.content))
+        return Changes(changes, answer.revision, age_ms)
+
+    def on_link_event(self, event: LinkEvent) -> None:
+        """Take in what happens on the links."""
+        if isinstance(event, PeerDown):
+            for ticket in self._tickets_by_peer.pop(event.name, ()):
+                self._resolve(ticket, None)
+        elif isinstance(event, SendFailed):
+            if isinstance(event.envelope.body, StoreAsk):
+                self._resolve(event.envelope.body.ticket, None)
+        elif isinstance(event, Received):
+            body = event.envelope.body
+            if isinstance(body, StoreAnswer):
+                self._resolve(body.ticket, body)
+            elif isinstance(body, StoreAsk):
+                task = asyncio.create_task(self._answer(event.peer, body))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Stop to answer."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _peer(self) -> LiveInstance | None:
+        if self._links is None:
+            return None
+        peer = self._choose()
+        wanted = {} if peer is None else {peer.name: peer.report_address}
+        self._links.want(wanted)
+        if peer is None or not self._links.is_connected(peer.name):
+            return None
+        return peer
+
+    async def _ask(
+        self, peer: LiveInstance, kind: Kind, revision: int, wait_ms: int
+    ) -> tuple[StoreAnswer, int]:
+        asked_at = self._clock.now()
+        ticket = next(self._tickets)
+        answered = asyncio.get_running_loop().create_future()
+        self._answers_by_ticket[ticket] = answered
+        self._tickets_by_peer.setdefault(peer.name, set()).add(ticket)
+        self._send(peer.name, StoreAsk(ticket, kind.value, revision, wait_ms))
+        try:
+            async with asyncio.timeout((wait_ms + ANSWER_MARGIN_MS) / MS_PER_S):
+                answer = await answered
+        except TimeoutError:
+            answer = None
+        finally:
+            del self._answers_by_ticket[ticket]
+            self._tickets_by_peer.get(peer.name, set()).discard(ticket)
+        if answer is not None and answer.problem == HISTORY_GONE:
+            raise HistoryGoneError(f"{kind.value} at {peer.name}")
+        if answer is None or answer.problem:
+            self._avoid(peer.name)
+            cause = "no answer" if answer is None else answer.problem
+            raise PlatformUnavailableError(f"{peer.name}: {cause}")
+        way_ms = self._clock.now() - asked_at - answer.held_ms
+        return answer, answer.age_ms + max(0, way_ms)
+
+    def _resolve(self, ticket: int, answer: StoreAnswer | None) -> None:
+        future = self._answers_by_ticket.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def _answer(self, peer: str, ask: StoreAsk) -> None:
+        kind = Kind(ask.kind)
+        cache = self._caches_by_kind[kind]
+        came_at = self._clock.now()
+        if cache.revision is None or cache.confirmed_at is None:
+            self._send(peer, StoreAnswer(ask.ticket, NOT_FOLLOWED, 0, b"", 0, 0))
+            return
+        if ask.revision == LIST_REVISION:
+            objects: Any = cache.all_objects()
+        else:
+            objects = cache.changes_after(ask.revision)
+            if objects == () and ask.wait_ms > 0:
+                await self._wait_for_change(kind, ask.wait_ms)
+                objects = cache.changes_after(ask.revision)
+        now = self._clock.now()
+        if objects is None:
+            gone = StoreAnswer(ask.ticket, HISTORY_GONE, 0, b"", 0, now - came_at)
+            self._send(peer, gone)
+            return
+        answer = StoreAnswer(
+            ask.ticket,
+            "",
+            cache.revision,
+            cbor2.dumps([tuple(found) for found in objects]),
+            now - cache.confirmed_at,
+            now - came_at,
+        )
+        self._send(peer, answer)
+
+    async def _wait_for_change(self, kind: Kind, wait_ms: int) -> None:
+        event = self._changed_by_kind[kind]
+        event.clear()
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_S):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    def _send(self, peer: str, body: StoreAsk | StoreAnswer) -> None:
+        if self._links is not None:
+            me = self._me
+            self._links.send(peer, Envelope(me.name, me.incarnation, 0, peer, body))
+
+    def _read(self, kind: Kind, content: bytes) -> list[Change]:
+        try:
+            entries = [CachedObject(*entry) for entry in cbor2.loads(content)]
+        except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+            raise PlatformUnavailableError(f"unreadable answer: {error}") from error
+        return [self._read_entry(kind, entry) for entry in entries]
+
+    def _read_entry(self, kind: Kind, entry: CachedObject) -> Change:
+        stored: StoredObject = self._store.read(kind, entry.document)
+        return Change(stored, bool(entry.is_deleted))
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -10,12 +10,21 @@
 from sequoiahook.decisions.direct.placing import Placing, PlacingSettings
 from sequoiahook.decisions.direct.quota import Quota, QuotaSettings
 from sequoiahook.decisions.direct.target_book import ListSettings, TargetBook
+from sequoiahook.decisions.rendezvous import order
 from sequoiahook.messages.reports import Datagram, Report, TokenAsk, TokenGrant
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
 
 __all__ = ["DirectCore", "DirectCoreSettings"]
 
+FOLLOWING = "platform"
+AGE_UNKNOWN = -1
+FOLLOWED_AGE_MS = 2_000
+"""A peer that follows the platform has an answer that is younger than two waits."""
+
+AVOID_MS = 3_000
+"""Time for which a peer that did not answer is passed over."""
+
 
 class DirectCoreSettings(NamedTuple):
     """Settings of all parts.
@@ -69,6 +78,7 @@
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
         self._sequence = 0
+        self._avoided_until_by_peer: dict[str, int] = {}
         self._loads_by_peer: dict[str, dict[str, int]] = {}
 
     @property
@@ -130,10 +140,12 @@
 
     def report_for(self, peer: str, now: int) -> Datagram:
         """Return what a peer should be told."""
+        age_ms = self.freshness.age_ms(now)
         report = Report(
             self.is_leaving,
             self.is_serving(now),
             self.configuration_number,
+            AGE_UNKNOWN if age_ms is None else age_ms,
             {
                 target_id: state.open_count
                 for target_id, state in self.targets.states_by_id.items()
@@ -164,6 +176,28 @@
             return None if grant is None else self.datagram(grant)
         return None
 
+    def follow_from(self, now: int) -> LiveInstance | None:
+        """Return the peer that follows the platform for this one; None if none does.
+
+        The first instance of the region that is fresh follows the platform itself; one
+        that does not answer is passed over for a while.
+        """
+        names = [self.me.name, *self._near_peers(now)]
+        for name in order(FOLLOWING, names):
+            if name == self.me.name:
+                return None
+            if now >= self._avoided_until_by_peer.get(name, 0) and self._follows(name):
+                return self.peers.instances_by_name[name]
+        return None
+
+    def avoid(self, peer: str, now: int) -> None:
+        """Do not follow the platform through a peer for a while."""
+        self._avoided_until_by_peer[peer] = now + AVOID_MS
+
+    def _follows(self, name: str) -> bool:
+        age_ms = self.peers.configuration_age_ms(name)
+        return age_ms is not None and age_ms <= FOLLOWED_AGE_MS
+
     def _decide_home_shares(self, now: int) -> None:
         shares = self.placing.home_shares
         shares.update(now)
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -32,6 +32,7 @@
     sequence: int
     is_leaving: bool
     is_serving: bool
+    configuration_age_ms: int
     at: int
 
 
@@ -76,14 +77,16 @@
         if last is not None and datagram.sequence <= last.sequence:
             return False
         if last is None:
-            last = _Heard(datagram.incarnation, 0, False, False, now)
+            last = _Heard(datagram.incarnation, 0, False, False, -1, now)
         self._heard_by_name[sender] = last._replace(sequence=datagram.sequence, at=now)
         return True
 
     def reported(self, sender: str, report: Report) -> None:
         """Take in what a peer says of itself."""
         self._heard_by_name[sender] = self._heard_by_name[sender]._replace(
-            is_leaving=report.is_leaving, is_serving=report.is_serving
+            is_leaving=report.is_leaving,
+            is_serving=report.is_serving,
+            configuration_age_ms=report.configuration_age_ms,
         )
 
     def is_heard(self, name: str, now: int) -> bool:
@@ -91,6 +94,13 @@
         heard = self._heard_by_name.get(name)
         return heard is not None and now - heard.at <= self._settings.silent_ms
 
+    def configuration_age_ms(self, name: str) -> int | None:
+        """Return how old a peer's configuration was; None if that is of no use."""
+        heard = self._heard_by_name.get(name)
+        if heard is None or heard.is_leaving or heard.configuration_age_ms < 0:
+            return None
+        return heard.configuration_age_ms
+
     def count_in(self, region: str) -> int:
         """Return how many instances a region has, this one included."""
         others = self.instances_by_name.values()
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -35,6 +35,7 @@
         is_leaving: Whether the sender is about to stop.
         is_serving: Whether the sender can serve callers.
         configuration_number: Configuration in force at the sender.
+        configuration_age_ms: Time since the platform confirmed it; negative if never.
         open_by_target: Requests that the sender has open at targets, by target id.
         load_by_service: Load that callers bring to the sender, in thousandths of a
             target's slot.
@@ -46,6 +47,7 @@
     is_leaving: bool
     is_serving: bool
     configuration_number: int
+    configuration_age_ms: int
     open_by_target: dict[str, int]
     load_by_service: dict[str, int]
     home_by_service: dict[str, int]
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -79,7 +79,7 @@
             )
         )
 
-    async def list(self, kind: Kind) -> Listing:
+    async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind, page by page."""
         objects_by_name: dict[str, StoredObject] = {}
         revision = None
@@ -90,7 +90,7 @@
             # what changed meanwhile.
             revision = _field(page, "at", int) if revision is None else revision
             for item in _field(page, "items", list):
-                found = self._read(kind, item)
+                found = self.read(kind, item)
                 objects_by_name[found.name] = found
             if not page.get("has_more") or not page["items"]:
                 return Listing(objects_by_name, revision)
@@ -102,7 +102,7 @@
         answer = await self._call("GET", path, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
         changes = tuple(
             Change(
-                self._read(kind, _field(event, "object", dict)),
+                self.read(kind, _field(event, "object", dict)),
                 bool(event.get("deleted")),
             )
             for event in _field(answer, "events", list)
@@ -112,12 +112,12 @@
     async def create(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Create an object."""
         body = {"metadata": {"name": name}, "spec": _write(kind, value)}
-        return self._read(kind, await self._call("POST", _path(kind), body))
+        return self.read(kind, await self._call("POST", _path(kind), body))
 
     async def replace(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Replace the content of an object."""
         body = {"metadata": {"name": name}, "spec": _write(kind, value)}
-        return self._read(kind, await self._call("PUT", _path(kind, name), body))
+        return self.read(kind, await self._call("PUT", _path(kind, name), body))
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Delete an object if it still has a revision."""
@@ -146,7 +146,8 @@
             raise PlatformAnswerLostError(f"{method} {path}: {error}") from error
         return _document(response, f"{method} {path}")
 
-    def _read(self, kind: Kind, item: Any) -> StoredObject:
+    def read(self, kind: Kind, item: Any) -> StoredObject:
+        """Decode an object as the store wrote it."""
         metadata = item.get("metadata") if isinstance(item, Mapping) else None
         if not isinstance(metadata, Mapping):
             raise PlatformError(f"an object of kind {kind.value} has no metadata")
@@ -155,8 +156,8 @@
         try:
             value = self._read_value(kind, name, item)
         except CheckError as error:
-            return StoredObject(name, revision, None, str(error))
-        return StoredObject(name, revision, value)
+            return StoredObject(name, revision, None, str(error), item)
+        return StoredObject(name, revision, value, document=item)
 
     def _read_value(self, kind: Kind, name: str, item: Mapping) -> Any:
         match kind:
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -56,7 +56,8 @@
         return body
     quota = QuotaTable(*body.quota)
     _require(type(body.is_leaving) is bool and type(body.is_serving) is bool)
-    _require(_are_ints((body.configuration_number, quota.digest)))
+    numbers = (body.configuration_number, body.configuration_age_ms, quota.digest)
+    _require(_are_ints(numbers))
     for table in (body.open_by_target, body.load_by_service, body.home_by_service):
         _require(isinstance(table, dict))
         _require(all(type(name) is str for name in table))
