--- a/sequoiahook/daemons/line_writer.py
+++ b/sequoiahook/daemons/line_writer.py
@@ -8,6 +8,9 @@
 
 __all__ = ["LineWriter", "LineWriterSettings"]
 
+CHUNK_BYTES_MAX = 4_096
+"""PIPE_BUF on Linux: writes to a pipe up to this size are not mixed with others."""
+
 
 class LineWriterSettings(NamedTuple):
     """Bounds on the volume.
@@ -56,23 +59,32 @@
     def flush(self) -> None:
         """Write what the descriptor takes at once."""
         while self._held:
-            data = b"".join(self._held)
+            chunk = self._next_chunk()
             try:
-                written = os.write(self._descriptor, data)
+                written = os.write(self._descriptor, chunk)
             except (BlockingIOError, InterruptedError):
+                self._held.appendleft(chunk)
                 return
             except OSError:
                 # Nobody reads any more; logging must not end the process.
-                self.dropped += len(self._held)
+                self.dropped += len(self._held) + 1
                 self._held.clear()
                 self._held_bytes = 0
                 return
-            self._held.clear()
             self._held_bytes -= written
-            if written < len(data):
-                self._held.append(data[written:])
+            if written < len(chunk):
+                self._held.appendleft(chunk[written:])
                 return
 
+    def _next_chunk(self) -> bytes:
+        """Take whole lines that fit into one atomic write to a pipe; one at least."""
+        lines = [self._held.popleft()]
+        size = len(lines[0])
+        while self._held and size + len(self._held[0]) <= CHUNK_BYTES_MAX:
+            lines.append(self._held.popleft())
+            size += len(lines[-1])
+        return b"".join(lines)
+
     def take_dropped(self) -> int:
         """Return how many lines were dropped since the last call."""
         dropped, self.dropped = self.dropped, 0
--- /dev/null
+++ b/tests/test_direct_attempts.py
@@ -0,0 +1,178 @@
+"""Each request ends once, truthfully, within its attempts and the retry budget."""
+
+from hypothesis import given, strategies as st
+
+from sequoiahook.decisions.direct.core import DirectCore, DirectCoreSettings
+from sequoiahook.decisions.direct.requests import Attempt, Deliver, OpenRequest, Refuse
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from tests.direct_parts import (
+    KEY,
+    a_configuration,
+    a_request,
+    a_route,
+    a_target,
+    an_instance,
+    an_organisation,
+)
+
+PROMISES_NOT_RUN = (429, 503, 401, 404)
+NEVER_RUNS = (
+    Stage.CONNECT_REFUSED,
+    Stage.CONNECT_TIMEOUT,
+    Stage.NOTHING_WRITTEN,
+    Stage.SHED,
+)
+SETTINGS = DirectCoreSettings(regions=("north", "south"), retry_slack=60)
+
+results = st.one_of(
+    st.sampled_from([TargetResult(stage) for stage in Stage if stage.name != "SHED"]),
+    st.just(TargetResult(Stage.SHED, status=503)),
+    st.sampled_from([200, 404, 500, 503]).map(
+        lambda status: TargetResult(Stage.ANSWERED, status=status)
+    ),
+)
+
+
+def a_core(route=None, organisations=(), targets=4, now=0):
+    core = DirectCore(SETTINGS, an_instance("me"), now)
+    core.configure(a_configuration(1, (route or a_route(),), organisations))
+    core.targets.replace({f"t{i}": a_target(f"t{i}") for i in range(targets)}, now)
+    core.freshness.confirm(now)
+    return core
+
+
+def is_run(result):
+    """Whether a target may have run the request; the oracle's own reading."""
+    return result.stage not in NEVER_RUNS
+
+
+@given(
+    is_idempotent=st.booleans(),
+    attempts_max=st.integers(1, 3),
+    outcomes=st.lists(results, min_size=8, max_size=8),
+    pause_ms=st.integers(0, 900),
+)
+def test_an_end_is_true(is_idempotent, attempts_max, outcomes, pause_ms):
+    route = a_route(is_idempotent=is_idempotent, attempts_max=attempts_max)
+    core = a_core(route)
+    now = 0
+    request = core.admission.admit(a_request(), now)
+    step = core.attempts.next_step(request, now)
+    sent_to, runs = [], 0
+    for result in outcomes:
+        if not isinstance(step, Attempt):
+            break
+        assert runs == 0 or is_idempotent
+        sent_to.append(step.state.record.id)
+        runs += is_run(result)
+        now += pause_ms
+        core.freshness.confirm(now)
+        step = core.attempts.ended(step, result, now)
+    assert not isinstance(step, Attempt)
+    assert len(set(sent_to)) == len(sent_to)
+    assert runs <= attempts_max
+    if isinstance(step, Deliver):
+        assert step.result in outcomes
+        assert step.result.stage is Stage.ANSWERED
+    elif step.status in PROMISES_NOT_RUN:
+        assert runs == 0
+    else:
+        assert runs > 0
+    assert all(s.open_count == 0 for s in core.targets.states_by_id.values())
+
+
+def test_a_refusal_that_says_not_run_says_when_to_come_back():
+    core = a_core(targets=0)
+    request = core.admission.admit(a_request(), 0)
+    refusal = core.attempts.next_step(request, 0)
+    assert refusal.status == 503
+    assert refusal.retry_after_ms > 0
+
+
+def test_repeats_stay_within_the_budget_of_the_fleet():
+    core = a_core()
+    names = {f"p{i}": an_instance(f"p{i}") for i in range(9)}
+    core.set_instances(names, 0)
+    shed = TargetResult(Stage.SHED, status=503)
+    first, repeats = 0, 0
+    for number in range(400):
+        now = number * 10
+        core.freshness.confirm(now)
+        request = core.admission.admit(a_request(object_key=str(number)), now)
+        step = core.attempts.next_step(request, now)
+        while isinstance(step, Attempt):
+            repeats += len(request.records) > 1
+            first += len(request.records) == 1
+            step = core.attempts.ended(step, shed, now)
+    share = SETTINGS.attempts.retry_percent / 100
+    assert 0 < repeats <= share * first + SETTINGS.retry_slack / 10
+
+
+def test_a_key_that_is_withdrawn_while_a_request_waits_stops_it():
+    core = a_core()
+    request = core.admission.admit(a_request(), 0)
+    step = core.attempts.next_step(request, 0)
+    core.configure(
+        a_configuration(2, organisations=(an_organisation(key="another-key-then"),))
+    )
+    assert not core.attempts.may_write(step, 1)
+    end = core.attempts.ended(step, TargetResult(Stage.NOTHING_WRITTEN), 1)
+    assert (end.status, end.cause) == (401, "key unknown")
+
+
+def test_a_stale_configuration_admits_no_key_but_open_routes():
+    core = a_core()
+    late = 5_000
+    refusal = core.admission.admit(a_request(), late)
+    assert isinstance(refusal, Refuse)
+    assert refusal.status == 503
+    open_core = a_core(a_route(is_open=True))
+    assert isinstance(open_core.admission.admit(a_request(key=""), late), OpenRequest)
+
+
+def test_a_target_that_left_the_list_gets_nothing_that_was_meant_for_it():
+    core = a_core(targets=1)
+    request = core.admission.admit(a_request(), 0)
+    step = core.attempts.next_step(request, 0)
+    core.targets.remove("t0", 1)
+    assert not core.attempts.may_write(step, 1)
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    core = a_core()
+    assert core.configure(a_configuration(5))
+    assert not core.configure(a_configuration(4))
+    assert core.configuration_number == 5
+
+
+def test_both_homes_bind():
+    core = a_core(
+        a_route(regions=("north", "south")),
+        (an_organisation(regions=("south",)),),
+    )
+    assert core.admission.admit(a_request(), 0).regions == ("south",)
+    apart = a_core(a_route(regions=("north",)), (an_organisation(regions=("south",)),))
+    refusal = apart.admission.admit(a_request(), 0)
+    assert refusal.status == 503
+
+
+def test_a_token_comes_back_when_no_target_ran_the_request():
+    organisations = (an_organisation(rate_per_s=10, burst=10),)
+    core = a_core(organisations=organisations)
+    for now in (0, 1_000, 2_000):
+        core.tick(now)
+    core.freshness.confirm(2_000)
+    refused = TargetResult(Stage.CONNECT_REFUSED)
+    for number in range(40):
+        request = core.admission.admit(a_request(id=str(number)), 2_000)
+        step = core.attempts.next_step(request, 2_000)
+        while isinstance(step, Attempt):
+            step = core.attempts.ended(step, refused, 2_000)
+        assert step.status == 503, number
+
+
+def test_statuses_of_unknown_routes_and_keys():
+    core = a_core()
+    assert core.admission.admit(a_request(host="b.example"), 0).status == 404
+    assert core.admission.admit(a_request(key=""), 0).status == 401
+    assert core.admission.admit(a_request(key=KEY + "x"), 0).status == 401
--- /dev/null
+++ b/tests/test_direct_relay.py
@@ -0,0 +1,100 @@
+"""What a follower of the store tells its peers, and how old it says that it is."""
+
+from hypothesis import given, strategies as st
+
+from sequoiahook.decisions.direct.core import FOLLOWED_AGE_MS, DirectCore
+from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
+from sequoiahook.messages.reports import Datagram
+from tests.direct_parts import an_instance
+from tests.test_direct_attempts import SETTINGS
+from tests.test_direct_peers import REPORT
+
+batches = st.lists(
+    st.lists(
+        st.builds(
+            CachedObject,
+            st.sampled_from("abc"),
+            st.integers(),
+            st.booleans(),
+        ),
+        max_size=3,
+    ).map(tuple),
+    max_size=8,
+)
+
+
+def apply(objects, table):
+    for found in objects:
+        if found.is_deleted:
+            table.pop(found.name, None)
+        else:
+            table[found.name] = found.document
+
+
+@given(batches, st.data())
+def test_changes_after_a_revision_lead_to_the_present_state(changes, data):
+    cache = StoreCache()
+    cache.listed((CachedObject("a", 0),), 10, 0)
+    state = {"a": 0}
+    states_by_revision = {10: dict(state)}
+    for index, objects in enumerate(changes):
+        revision = 11 + index
+        cache.changed(objects, revision, index)
+        apply(objects, state)
+        states_by_revision[revision] = dict(state)
+    start = data.draw(st.sampled_from(sorted(states_by_revision)))
+    follower = dict(states_by_revision[start])
+    apply(cache.changes_after(start), follower)
+    assert follower == state
+    assert {o.name: o.document for o in cache.all_objects()} == state
+
+
+def test_unknown_history_is_not_made_up():
+    cache = StoreCache()
+    assert cache.changes_after(5) is None
+    cache.listed((), 10, 0)
+    assert cache.changes_after(9) is None
+    assert cache.changes_after(11) is None
+    assert cache.changes_after(10) == ()
+
+
+def hear(core, name, age_ms, now, sequence):
+    report = REPORT._replace(configuration_age_ms=age_ms)
+    core.take(Datagram(name, 1, sequence, report), now)
+
+
+def test_the_platform_is_followed_through_one_fresh_instance_of_the_region():
+    names = [f"n{i}" for i in range(5)]
+    cores = {name: DirectCore(SETTINGS, an_instance(name), 0) for name in names}
+    instances = {name: an_instance(name) for name in names}
+    for name, core in cores.items():
+        core.set_instances(instances, 0)
+        for other in names:
+            if other != name:
+                hear(core, other, 100, 0, 1)
+    sources = {name: core.follow_from(0) for name, core in cores.items()}
+    themselves = [name for name, source in sources.items() if source is None]
+    assert len(themselves) == 1
+    followed = {source.name for source in sources.values() if source is not None}
+    assert followed == set(themselves)
+
+
+def test_one_whose_knowledge_is_old_is_passed_by():
+    core = DirectCore(SETTINGS, an_instance("me"), 0)
+    core.set_instances({"n1": an_instance("n1"), "n2": an_instance("n2")}, 0)
+    for name in ("n1", "n2"):
+        hear(core, name, FOLLOWED_AGE_MS + 1, 0, 1)
+    assert core.follow_from(0) is None
+
+
+def test_one_that_did_not_answer_is_passed_by_for_a_while():
+    core = DirectCore(SETTINGS, an_instance("me"), 0)
+    for number in range(20):
+        core.set_instances({f"n{number}": an_instance(f"n{number}")}, 0)
+        hear(core, f"n{number}", 0, 0, 1)
+        source = core.follow_from(0)
+        if source is not None:
+            core.avoid(source.name, 0)
+            assert core.follow_from(1) is None
+            return
+    raise AssertionError("no peer came first in twenty draws")
--- /dev/null
+++ b/tests/test_direct_routes.py
@@ -0,0 +1,61 @@
+"""Routes by host and longest prefix, and splits that keep their weights."""
+
+from collections import Counter
+
+from hypothesis import given, strategies as st
+
+from sequoiahook.decisions.direct.route_table import RouteTable
+from sequoiahook.decisions.direct.splits import Splits
+from sequoiahook.world.routing import ServiceShare
+from tests.direct_parts import a_route
+
+SEGMENTS = st.sampled_from(("a", "b", "aa", ""))
+PREFIXES = st.lists(SEGMENTS, max_size=3).map(
+    lambda parts: "/" + "".join(part + "/" for part in parts)
+)
+PATHS = st.lists(SEGMENTS, min_size=1, max_size=5).map(
+    lambda parts: "/" + "/".join(parts)
+)
+
+
+def longest_match(routes, host, path):
+    matching = [r for r in routes if r.host == host and path.startswith(r.path_prefix)]
+    return max(matching, key=lambda route: len(route.path_prefix), default=None)
+
+
+@given(
+    places=st.lists(st.tuples(st.sampled_from("xy"), PREFIXES), unique=True),
+    host=st.sampled_from("xyz"),
+    path=PATHS,
+)
+def test_the_longest_prefix_of_the_host_wins(places, host, path):
+    routes = [
+        a_route(name=f"{place}{prefix}", host=place, path_prefix=prefix)
+        for place, prefix in places
+    ]
+    assert RouteTable(routes).find(host, path) == longest_match(routes, host, path)
+
+
+def test_a_host_may_bear_a_port_and_any_case():
+    route = a_route(host="a.example", path_prefix="/")
+    assert RouteTable([route]).find("A.Example:8080", "/x") == route
+
+
+@given(st.lists(st.integers(1, 100), min_size=1, max_size=5), st.integers(1, 300))
+def test_any_run_of_requests_has_the_shares_of_the_weights(weights, count):
+    shares = tuple(ServiceShare(f"s{i}", weight) for i, weight in enumerate(weights))
+    route = a_route(shares=shares)
+    splits = Splits()
+    counts = Counter(splits.service_for(route) for _ in range(count))
+    for share in shares:
+        expected = count * share.weight / sum(weights)
+        assert abs(counts[share.service] - expected) <= len(weights)
+
+
+def test_changed_weights_take_effect_at_once():
+    splits = Splits()
+    before = a_route(shares=(ServiceShare("s", 1), ServiceShare("t", 1)))
+    for _ in range(3):
+        splits.service_for(before)
+    after = a_route(shares=(ServiceShare("t", 1),))
+    assert splits.service_for(after) == "t"
