Test the whole path on the users' platform with processes; settle shares before serving

Found by these tests: a restarted instance answered 429 with 1,000 s to come back before its share was known; it now counts as serving only once its shares are. A single spoilt answer suspended its target; only a connection that cannot be opened does that now.

--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -111,7 +111,7 @@
     def apply_all(self, as_of: int) -> None:
         """Put the configuration into force, if there is one."""
         for configuration in self.values_by_name.values():
-            if self.core.configure(configuration):
+            if self.core.configure(configuration, self.clock.now()):
                 self._log(f"configuration {configuration.number} in force", 0)
                 self._configured(configuration)
         self.core.freshness.confirm(as_of)
@@ -138,16 +138,17 @@
         """Take in one target."""
         found = change.object
         now = self.clock.now()
-        before = self.core.targets.states_by_id.get(found.name)
+        state = self.core.targets.states_by_id.get(found.name)
+        before = None if state is None else state.record
         if change.is_deleted or found.value is None:
             self.core.targets.remove(found.name, now)
             self._log_target(found.name, "removed", found.revision)
             return
         self.core.targets.put(found.value, now)
-        is_news = before is None or before.record.is_draining != found.value.is_draining
+        is_news = before is None or before.is_draining != found.value.is_draining
         if is_news:
-            state = "draining" if found.value.is_draining else "ready"
-            self._log_target(found.name, state, found.revision)
+            word = "draining" if found.value.is_draining else "ready"
+            self._log_target(found.name, word, found.revision)
 
     def _log_target(self, target_id: str, state: str, revision: int) -> None:
         fields = {"target": target_id, "state": state, "revision": revision}
--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -30,11 +30,14 @@
             caller then finds another instance.
         hold_parts: A request waits at most this fraction (a third) of its aim for
             tokens of a peer.
+        token_parts: A request waits at most this fraction (an eighth) of its aim for
+            a token of the own rate.
     """
 
     boot_retry_ms: int = 200
     stale_retry_ms: int = 50
     hold_parts: int = 3
+    token_parts: int = 8
 
 
 class Admission:
@@ -113,18 +116,21 @@
         wait_ms = self._quota.take(request.organisation, now)
         if not wait_ms:
             return None
-        hold_ms = self._hold_ms(request, now)
+        hold_ms = self._hold_ms(request, wait_ms, now)
         if hold_ms and not request.was_held:
             request.was_held = True
             return Hold(hold_ms)
         return Refuse(Status.TOO_MANY, Cause.OVER_RATE, wait_ms)
 
-    def _hold_ms(self, request: OpenRequest, now: int) -> int:
-        """Return for how long a request waits for tokens; 0 if none can come."""
+    def _hold_ms(self, request: OpenRequest, wait_ms: int, now: int) -> int:
+        """Return for how long a request waits for tokens; 0 if none come soon."""
+        settings = self._settings
+        left_ms = max(0, request.deadline_at - now) // 2
+        if wait_ms <= request.route.aim_ms // settings.token_parts:
+            return min(wait_ms, left_ms)
         if not self._quota.can_borrow(request.organisation, now):
             return 0
-        part_ms = request.route.aim_ms // self._settings.hold_parts
-        return min(part_ms, max(0, request.deadline_at - now) // 2)
+        return min(request.route.aim_ms // settings.hold_parts, left_ms)
 
     def refund(self, request: OpenRequest) -> None:
         """Give the token of a request back that no target ran."""
--- a/sequoiahook/decisions/direct/bucket.py
+++ b/sequoiahook/decisions/direct/bucket.py
@@ -5,8 +5,8 @@
 
 __all__ = ["Bucket", "Demand"]
 
-RATE_MIN = 0.001
-"""Tokens a second that a bucket without a share is counted with in advice."""
+RATE_MIN = 1.0
+"""Tokens a second that a bucket is counted with at least in advice: shares change."""
 
 
 class Demand:
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -87,7 +87,7 @@
         configuration = self.admission.configuration
         return 0 if configuration is None else configuration.number
 
-    def configure(self, configuration: RoutingConfiguration) -> bool:
+    def configure(self, configuration: RoutingConfiguration, now: int) -> bool:
         """Put a configuration into force unless it is older than the present one.
 
         Returns:
@@ -96,6 +96,7 @@
         if configuration.number <= self.configuration_number:
             return False
         self.admission.configure(configuration)
+        self.quota.update(now)
         return True
 
     def evacuate(self, data_centres: Iterable[str], now: int) -> None:
@@ -120,8 +121,9 @@
         """Return whether callers can be served."""
         if self.admission.configuration is None or not self.targets.states_by_id:
             return False
-        has_keys = bool(self.admission.configuration.organisations_by_name)
-        return not has_keys or self.freshness.allows_keys(now)
+        if not self.admission.configuration.organisations_by_name:
+            return True
+        return self.freshness.allows_keys(now) and self.quota.is_settled
 
     def is_ready(self, now: int) -> bool:
         """Return whether the instance should get callers."""
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -68,6 +68,9 @@
 class Quota:
     """What each organisation may still send through this instance.
 
+    Attributes:
+        is_settled: Whether the shares are known, as far as members can be heard.
+
     Args:
         settings: The settings.
         name: Name of this instance.
@@ -77,6 +80,7 @@
     def __init__(self, settings: QuotaSettings, name: str, now: int):
         self._settings = settings
         self._name = name
+        self.is_settled = False
         self._started_at = now
         self._members: frozenset[str] = frozenset({name})
         self._near: frozenset[str] = frozenset()
@@ -192,6 +196,10 @@
             bucket = self._buckets_by_name[name]
             bucket.refill(contract, now)
             bucket.share = self._granted_share(name, now)
+        is_silence_over = now - self._started_at >= self._settings.silent_ms
+        others = self._members - {self._name}
+        has_all = others <= self._grants_by_member.keys()
+        self.is_settled = self.is_settled or has_all or is_silence_over
 
     def table_for(self, peer: str) -> QuotaTable:
         """Return what a peer should know: demands here, its parts, tokens to spare."""
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -25,7 +25,7 @@
     """
 
     suspension: SuspensionSettings = SuspensionSettings(
-        initial_ms=400, maximum_ms=3_000, grace_ms=0
+        initial_ms=400, maximum_ms=3_000, is_silence_final=True
     )
     slowness_weight: float = 0.25
     failure_weight: float = 0.2
--- a/sequoiahook/decisions/exchange/retry.py
+++ b/sequoiahook/decisions/exchange/retry.py
@@ -106,12 +106,15 @@
         factor_percent: Growth of each further one; 200 doubles it.
         maximum_ms: Longest suspension, in milliseconds.
         grace_ms: How long failures that may pass are put up with, in milliseconds.
+        is_silence_final: Whether a connection that does not open in time suspends at
+            once, like one that is refused.
     """
 
     initial_ms: int = 250
     factor_percent: int = 200
     maximum_ms: int = 10_000
     grace_ms: int = 500
+    is_silence_final: bool = False
 
 
 class TargetMode(Enum):
@@ -169,11 +172,15 @@
         self._is_trial_out = False
         if stage is Stage.ANSWERED:
             self._recover()
-        elif stage in _SUSPENDING or (stage in _TEMPORARY and is_on_trial):
+        elif self._is_final(stage) or (stage in _TEMPORARY and is_on_trial):
             self._suspend(now)
         elif stage in _TEMPORARY:
             self._fail(now)
 
+    def _is_final(self, stage: Stage) -> bool:
+        is_silent = stage is Stage.CONNECT_TIMEOUT
+        return stage in _SUSPENDING or (is_silent and self._settings.is_silence_final)
+
     @property
     def retry_at(self) -> int | None:
         """When a suspension ends; None if the target is not suspended."""
--- a/tests/test_direct_attempts.py
+++ b/tests/test_direct_attempts.py
@@ -35,7 +35,7 @@
 
 def a_core(route=None, organisations=(), targets=4, now=0):
     core = DirectCore(SETTINGS, an_instance("me"), now)
-    core.configure(a_configuration(1, (route or a_route(),), organisations))
+    core.configure(a_configuration(1, (route or a_route(),), organisations), now)
     core.targets.replace({f"t{i}": a_target(f"t{i}") for i in range(targets)}, now)
     core.freshness.confirm(now)
     return core
@@ -112,9 +112,8 @@
     core = a_core()
     request = core.admission.admit(a_request(), 0)
     step = core.attempts.next_step(request, 0)
-    core.configure(
-        a_configuration(2, organisations=(an_organisation(key="another-key-then"),))
-    )
+    others = (an_organisation(key="another-key-then"),)
+    core.configure(a_configuration(2, organisations=others), 0)
     assert not core.attempts.may_write(step, 1)
     end = core.attempts.ended(step, TargetResult(Stage.NOTHING_WRITTEN), 1)
     assert (end.status, end.cause) == (401, "key unknown")
@@ -140,8 +139,8 @@
 
 def test_an_older_configuration_never_replaces_a_newer_one():
     core = a_core()
-    assert core.configure(a_configuration(5))
-    assert not core.configure(a_configuration(4))
+    assert core.configure(a_configuration(5), 0)
+    assert not core.configure(a_configuration(4), 0)
     assert core.configuration_number == 5
 
 
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,141 @@
+"""Documents of the users' platform: decoded once, refused with their place."""
+
+import copy
+import json
+
+import pytest
+
+from sequoiahook.daemons.direct.object_store import Kind
+from sequoiahook.errors import CheckError
+from sequoiahook.platform.configuration import read_routing
+from sequoiahook.platform.entries import (
+    instance_document,
+    read_instance_entry,
+    read_target_entry,
+)
+from sequoiahook.platform.settings import read_settings
+from sequoiahook.platform.store import StoreClient
+from sequoiahook.world.instance import Address
+from sequoiahook.world.organisation import key_digest
+from sequoiahook.world.routing import ServiceShare
+from standins.platform_documents import (
+    configuration_document,
+    settings_text,
+    target_object,
+)
+from tests.direct_parts import an_instance
+
+REGIONS = {"north-a": "north"}
+
+
+def findings(read, *arguments):
+    with pytest.raises(CheckError) as caught:
+        read(*arguments)
+    return {finding.place for finding in caught.value.findings}
+
+
+def settings_file(tmp_path, **changes):
+    path = tmp_path / "node.toml"
+    path.write_text(settings_text(**changes))
+    return str(path)
+
+
+def test_settings(tmp_path):
+    settings = read_settings(settings_file(tmp_path, name="n1", zone="north-a"))
+    assert settings.direct.name == "n1"
+    assert settings.direct.region == "north"
+    assert settings.direct.bounds.withdrawal_ms == 5_000
+    assert settings.direct.bounds.stop_ms == 6_000
+    assert settings.direct.bounds.retry_ratio == 0.2
+    assert settings.direct.regions == ("north", "south")
+
+
+def test_settings_that_are_broken_name_each_place(tmp_path):
+    path = tmp_path / "node.toml"
+    text = settings_text(name="n1", zone="north-a")
+    text = text.replace('front = "127.0.0.1:', 'front = "127')
+    path.write_text(text.replace("grace_s=6", "grace_s=six"))
+    assert findings(read_settings, str(path)) == {"$.listen.front", "$.bounds"}
+    path.write_text("= broken")
+    assert findings(read_settings, str(path)) == {str(path)}
+    assert findings(read_settings, str(tmp_path / "none")) == {str(tmp_path / "none")}
+
+
+def test_a_configuration():
+    found = read_routing(configuration_document(version=12))
+    assert found.number == 12
+    route = found.routes_by_name["look"]
+    assert route.is_idempotent
+    assert route.shares == (ServiceShare("desk", 1),)
+    assert found.routes_by_name["split"].shares == (
+        ServiceShare("desk", 90),
+        ServiceShare("vault", 10),
+    )
+    assert not found.routes_by_name["split"].is_idempotent
+    one = found.organisations_by_name["one"]
+    digests = {key.digest for key in one.keys_by_name.values()}
+    assert digests == {key_digest("key-one-a"), key_digest("key-one-b")}
+    assert found.services_by_name["desk"].cold_ms == 3_000
+
+
+def test_a_configuration_that_is_broken_names_each_place():
+    document = configuration_document(version=12)
+    document["version"] = "xyz"
+    document["routes"]["look"]["timeout_ms"] = "soon"
+    del document["routes"]["split"]["traffic_split"]
+    assert findings(read_routing, document) == {
+        "config/main.version",
+        "config/main.routes.look.timeout_ms",
+        "config/main.routes.split.service",
+    }
+
+
+def test_a_target():
+    found = read_target_entry("i-1", target_object("i-1", born=7), REGIONS)
+    assert found.id == "i-1"
+    assert found.born == 7
+    assert found.region == "north"
+    assert found.address == Address("127.0.0.1", 9)
+    assert not found.is_draining
+
+
+@pytest.mark.parametrize(
+    ("place", "value"),
+    [
+        ("spec.address", None),
+        ("spec.address", "nowhere"),
+        ("spec.address", "10.0.0.1:99999"),
+        ("spec.info", []),
+        ("spec.info.slots", "4"),
+        ("spec.info.slots", 0),
+        ("spec.info.zone", "elsewhere"),
+        ("spec.status.state", "sleeping"),
+        ("spec.status.cold_remaining_ms", 1.5),
+        ("spec.born", "x"),
+        ("spec", "text"),
+    ],
+)
+def test_an_entry_that_cannot_be_used_names_no_target(place, value):
+    document = copy.deepcopy(target_object("i-1", born=7))
+    section = document
+    *path, last = place.split(".")
+    for name in path:
+        section = section[name]
+    section[last] = value
+    places = findings(read_target_entry, "i-1", document, REGIONS)
+    assert any(found.startswith(f"servers/i-1.{place}") for found in places)
+
+
+def test_one_bad_entry_leaves_the_others(tmp_path):
+    store = StoreClient(read_settings(settings_file(tmp_path, zone="north-a")))
+    good = store.read(Kind.TARGETS, target_object("i-1"))
+    bad = store.read(Kind.TARGETS, {"metadata": {"name": "i-2"}, "spec": 5})
+    assert good.value.id == "i-1"
+    assert bad.value is None
+    assert "servers/i-2" in bad.problem
+
+
+def test_an_entry_of_an_instance_reads_as_it_was_written():
+    instance = an_instance("n1")
+    document = json.loads(json.dumps({"spec": instance_document(instance)}))
+    assert read_instance_entry("n1", document) == instance
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,327 @@
+"""The whole path on the users' platform, as processes, with faults from outside."""
+
+import http.client
+import signal
+import threading
+import time
+
+import pytest
+
+from standins.fleet import wait_for
+from standins.platform_documents import PORTS
+from standins.platform_fleet import PlatformFleet, Request, call
+
+TARGETS = ("i-1", "i-2", "i-3")
+WITHDRAWAL_S = 5
+DRAIN_S = 2.5
+STOP_S = 6
+
+
+@pytest.fixture(scope="module")
+def shared():
+    with PlatformFleet() as fleet:
+        start(fleet, "n1", "n2")
+        yield fleet
+
+
+@pytest.fixture
+def fleet(shared):
+    for target_id in TARGETS:
+        shared.target(target_id, faults={})
+    yield shared
+    shared.store(faults={})
+    for target_id in TARGETS:
+        shared.target(target_id, faults={})
+
+
+def start(fleet, *names):
+    fleet.configure(1)
+    for target_id in TARGETS:
+        fleet.start_target(target_id)
+    for name in names:
+        fleet.start_instance(name)
+    fleet.wait_ready(*names)
+    wait_for(lambda: fleet.looked_up(names[0]) == set(names), "all are named")
+
+
+def runs_of(fleet, request_id):
+    return [run for run in fleet.runs() if run["id"] == request_id]
+
+
+def served_version(fleet, name):
+    return f"sequoiahook_configuration_number {name}" in fleet.metrics("n1")
+
+
+def test_a_request_reaches_a_target_for_its_organisation_without_its_key(fleet):
+    request = Request("/look/a?b=c", id="whole", headers=(("Tenant", "another"),))
+    reply = call(fleet.callers("n1"), request)
+    assert reply.status == 200
+    assert reply.headers["server-stamp"].startswith("stamp-i-")
+    assert reply.headers["request-id"] == "whole"
+    (run,) = runs_of(fleet, "whole")
+    assert run["path"] == "/look/a?b=c"
+    assert run["organisation"] == "one"
+    headers = [
+        fleet.target(target_id)["headers"]
+        for target_id in TARGETS
+        if fleet.target(target_id)["headers"].get("request-id") == "whole"
+    ]
+    assert "key-one-a" not in str(headers)
+    assert 0 < int(headers[0]["deadline-ms"]) <= 2_000
+    assert headers[0]["host"] == "a.example"
+
+
+def test_bodies_go_on_whole_with_a_length_or_in_chunks(fleet):
+    body = b"x" * 100_000
+    plain = Request("/write/1", "POST", id="plain", body=body)
+    assert call(fleet.callers("n1"), plain).status == 200
+    assert runs_of(fleet, "plain")[0]["bytes"] == len(body)
+    connection = http.client.HTTPConnection(*fleet.callers("n1"), timeout=10)
+    fields = Request(id="chunked").fields()
+    parts = [b"y" * 10_000] * 5
+    connection.request("POST", "/write/1", iter(parts), fields, encode_chunked=True)
+    assert connection.getresponse().status == 200
+    connection.close()
+    assert runs_of(fleet, "chunked")[0]["bytes"] == 50_000
+
+
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [
+        (Request("/nowhere/1"), 404),
+        (Request("/look"), 404),
+        (Request(key=""), 401),
+        (Request(key="key-of-nobody"), 401),
+        (Request("/open/1", key=""), 200),
+        (Request(key="key-one-b"), 200),
+    ],
+)
+def test_statuses(fleet, request_, status):
+    assert call(fleet.callers("n1"), request_).status == status
+
+
+@pytest.mark.parametrize(
+    ("how", "safe", "unsafe"),
+    [
+        ("", {200}, {200}),
+        ("shed", {503}, {503}),
+        ("fail", {500}, {500}),
+        ("lose", {502}, {502}),
+        ("truncate", {502}, {502}),
+        ("foreign", {502}, {502}),
+        ("extra", {200}, {200}),
+        ("unframed", {200}, {200}),
+        ("reset", {502}, {502}),
+    ],
+)
+def test_what_targets_do_wrong_reaches_callers_truly(fleet, how, safe, unsafe):
+    for target_id in TARGETS:
+        fleet.target(target_id, faults={"how": how})
+    for path, method, allowed in (
+        ("/look/1", "GET", safe),
+        ("/write/1", "POST", unsafe),
+    ):
+        for number in range(3):
+            request_id = f"{how}-{method}-{number}"
+            reply = call(fleet.callers("n1"), Request(path, method, id=request_id))
+            assert reply.status in allowed
+            runs = len(runs_of(fleet, request_id))
+            if method == "POST":
+                assert runs == (0 if how == "shed" else 1)
+            if reply.status == 503:
+                assert runs == 0
+                assert float(reply.headers["retry-after"]) > 0
+            if reply.status == 200:
+                assert reply.body.endswith(f"ran {path}".encode())
+            if reply.status in (502, 503):
+                assert "server-stamp" not in reply.headers
+
+
+def test_a_leaving_target_gets_nothing_and_others_take_over(fleet):
+    fleet.enter_target("i-1", state="draining", sequence=2)
+    try:
+        wait_for(
+            lambda: any(
+                line["event"] == "target" and line.get("state") == "draining"
+                for line in fleet.log("n1")
+            ),
+            "the drain is known",
+            DRAIN_S,
+        )
+        before = len(fleet.target("i-1")["runs"])
+        for number in range(20):
+            cookie = (("Cookie", f"Affinity-Key={number}"),)
+            reply = call(fleet.callers("n1"), Request(headers=cookie))
+            assert reply.status == 200
+        assert len(fleet.target("i-1")["runs"]) == before
+    finally:
+        fleet.enter_target("i-1", sequence=3)
+
+
+def test_a_bad_configuration_is_named_and_the_last_good_one_stays(fleet):
+    fleet.store(put=[("config", "main", {"version": "000000ff", "routes": 5})])
+    wait_for(
+        lambda: any("config/main.routes" in str(line) for line in fleet.log("n1")),
+        "the finding is logged",
+    )
+    assert call(fleet.callers("n1"), Request()).status == 200
+    fleet.configure(2)
+    wait_for(lambda: served_version(fleet, 2), "the next one is in force")
+
+
+def test_broken_settings_change_nothing(fleet):
+    fleet.write_settings("n1", "= broken")
+    fleet.signal("n1", signal.SIGHUP)
+    wait_for(
+        lambda: any("settings refused" in line["event"] for line in fleet.log("n1")),
+        "the finding is logged",
+    )
+    assert call(fleet.callers("n1"), Request()).status == 200
+    fleet.write_settings("n1")
+    wait_for(
+        lambda: any(line["event"] == "reload" for line in fleet.log("n1")),
+        "the file is read again without a signal",
+    )
+
+
+def test_a_store_that_forgot_its_history_is_listed_again(fleet):
+    fleet.store(forget=True)
+    fleet.configure(3)
+    wait_for(lambda: served_version(fleet, 3), "the configuration is in force")
+
+
+def test_the_request_id_leads_to_the_decisions(fleet):
+    call(fleet.callers("n1"), Request(id="explained"))
+    (line,) = wait_for(
+        lambda: [x for x in fleet.log("n1") if x.get("request") == "explained"],
+        "the line is written",
+    )
+    assert line["status"] == 200
+    assert line["organisation"] == "one"
+    assert line["configuration_age_ms"] is not None
+    ((target_id, region, *_),) = line["attempts"]
+    assert target_id in TARGETS
+    assert region == "north"
+    metrics = fleet.metrics("n1")
+    assert 'sequoiahook_latency{name="request",figure="p99_ms"}' in metrics
+
+
+def test_a_withdrawn_key_stops_for_connected_callers_also_without_the_store():
+    with PlatformFleet() as fleet:
+        start(fleet, "n1")
+        connection = http.client.HTTPConnection(*fleet.callers("n1"), timeout=10)
+        assert call(None, Request(), connection).status == 200
+        fleet.store(faults={"is_silent": True})
+        cut_at = time.monotonic()
+        document = {"api_keys": ["key-one-b"], "rate_per_s": 0, "burst": 0}
+        fleet.configure(2, one=document)
+        last_served = 0.0
+        while time.monotonic() - cut_at < WITHDRAWAL_S + 0.5:
+            reply = call(fleet.callers("n1"), Request())
+            if reply.status == 200:
+                last_served = time.monotonic() - cut_at
+        assert last_served < WITHDRAWAL_S
+        assert not fleet.is_ready("n1")
+        fleet.store(faults={})
+        fleet.wait_ready("n1")
+        assert call(fleet.callers("n1"), Request()).status == 401
+        assert call(fleet.callers("n1"), Request(key="key-one-b")).status == 200
+        connection.close()
+
+
+class Caller(threading.Thread):
+    """Calls the instances that a look-up names until it is told to stop."""
+
+    def __init__(self, fleet, number, done):
+        super().__init__()
+        self.fleet = fleet
+        self.number = number
+        self.done = done
+        self.failures = []
+
+    def run(self):
+        while not self.done.is_set():
+            for name in sorted(self.fleet.looked_up("n2")):
+                self.call(name)
+
+    def call(self, name):
+        try:
+            reply = call(self.fleet.callers(name), Request(id=f"c{self.number}"))
+        except ConnectionRefusedError as error:
+            if name != "n1":
+                self.failures.append(repr(error))
+        except (OSError, http.client.HTTPException) as error:
+            self.failures.append(repr(error))
+        else:
+            if reply.status not in (200, 503):
+                self.failures.append(reply.status)
+
+
+def test_a_planned_stop_cuts_nothing_and_ends_in_time():
+    with PlatformFleet() as fleet:
+        start(fleet, "n1", "n2")
+        for target_id in TARGETS:
+            fleet.target(target_id, faults={"work_ms": 300})
+        done = threading.Event()
+        callers = [Caller(fleet, number, done) for number in range(4)]
+        for caller in callers:
+            caller.start()
+        fleet.signal("n1", signal.SIGTERM)
+        began = time.monotonic()
+        wait_for(lambda: not fleet.is_ready("n1"), "not ready any more")
+        wait_for(lambda: fleet.looked_up("n2") == {"n2"}, "n1 is not named")
+        assert fleet.wait_end("n1") == 0
+        assert time.monotonic() - began < STOP_S
+        done.set()
+        for caller in callers:
+            caller.join()
+        assert [caller.failures for caller in callers] == [[]] * 4
+
+
+def test_instances_that_die_are_not_named_and_come_back_with_all_they_need():
+    with PlatformFleet() as fleet:
+        start(fleet, "n1", "n2")
+        fleet.signal("n2", signal.SIGKILL)
+        fleet.wait_end("n2")
+        wait_for(lambda: fleet.looked_up("n1") == {"n1"}, "n2 is not named")
+        fleet.store(faults={"loses_writes": True})
+        fleet.start_instance("n2")
+        wait_for(lambda: fleet.looked_up("n2"), "n2 answers look-ups")
+        fleet.store(faults={})
+        fleet.wait_ready("n2")
+        wait_for(lambda: fleet.looked_up("n1") == {"n1", "n2"}, "n2 is named")
+        for name in ("n1", "n2"):
+            fleet.signal(name, signal.SIGKILL)
+            fleet.wait_end(name)
+            fleet.start_instance(name)
+        fleet.wait_ready("n1", "n2")
+        assert call(fleet.callers("n2"), Request()).status == 200
+
+
+def test_one_instance_follows_the_store_for_the_region():
+    with PlatformFleet() as fleet:
+        start(fleet, "n1", "n2", "n3")
+
+        def calls():
+            return fleet.store()["calls"]["GET"]
+
+        def fetched(seconds):
+            before = calls()
+            time.sleep(seconds)
+            return calls() - before
+
+        wait_for(lambda: fetched(1) <= 6, "one follower's calls for three instances")
+        fleet.configure(2)
+        for name in ("n1", "n2", "n3"):
+            wait_for(
+                lambda name=name: "configuration_number 2" in fleet.metrics(name),
+                f"{name} has the configuration",
+            )
+
+
+def test_strangers_get_nothing_from_the_ports_between_instances(fleet):
+    host = fleet.callers("n1").host
+    connection = http.client.HTTPConnection(host, PORTS.internal, timeout=5)
+    connection.request("GET", "/")
+    assert connection.getresponse().status != 200
+    connection.close()
