Keep new connections during a planned stop; leave the fleet's list at its end

Found by the test of a planned stop, once in two runs: while an instance announced its close, a new connection whose request had not come yet was closed at once. It now waits for the request.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -183,9 +183,11 @@
         return event
 
     async def _wait_idle(self) -> None:
-        idle_s = 0 if self._must_end() else self._settings.idle_timeout_ms / MS_PER_S
+        # While the server only announces its close, a new connection is waited for: its
+        # request is on the way.
+        idle_ms = 0 if self.is_last_request else self._settings.idle_timeout_ms
         try:
-            async with asyncio.timeout(idle_s) as self._idle_timer:
+            async with asyncio.timeout(idle_ms / MS_PER_S) as self._idle_timer:
                 await self._receive()
         except TimeoutError:
             await self._receive_at_hand()
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -1,6 +1,7 @@
 """The daemon of an instance that sends to targets itself: its sockets and tasks."""
 
 import asyncio
+import contextlib
 import secrets
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -51,6 +52,12 @@
 
 INCARNATION_BITS = 53
 STOP_TICK_MS = 50
+WITHDRAW_MS = 200
+"""Part of the time between the signal and the kill that the last call may take."""
+
+LINGER_MS = 150
+"""Time for requests on connections that were opened just before the last one."""
+
 CONNECT_TIMEOUT_MS = 300
 """Time to open a connection to a target; the longest way and back takes 110 ms."""
 
@@ -174,6 +181,8 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            if self._stop_at is not None:
+                await self._withdraw()
             self._reporter.close()
             self._relay.close()
             if self._links is not None:
@@ -181,6 +190,11 @@
             self._targets.close()
             self._parts.store.close()
 
+    async def _withdraw(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAW_MS / MS_PER_S):
+                await self._registration.withdraw()
+
     def stop(self) -> None:
         """Start a graceful stop; a second call shortens its waits."""
         now = self._clock.now()
@@ -297,6 +311,8 @@
             self._callers.stop_listening()
 
     async def _close_callers(self) -> None:
+        self._callers.stop_listening()
+        await asyncio.sleep(LINGER_MS / MS_PER_S)
         await self._callers.close_gracefully()
         self._carry(self._stopping.connections_closed(self._clock.now()))
 
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-from typing import Any
 
 import logbook
 
@@ -33,6 +32,7 @@
         self._store = store
         self._me = me
         self._retry_s = durations.store_retry_ms / MS_PER_S
+        self._revision = 0
         self._asked = asyncio.Event()
         self._asked.set()
 
@@ -45,8 +45,18 @@
         while True:
             await self._asked.wait()
             self._asked.clear()
-            await self._put(Kind.INSTANCES, self._me.name, self._me)
-            log.info("entry written", extra={"name": self._me.name})
+            self._revision = await self._put()
+            log.info("entry written", extra={"revision": self._revision})
+
+    async def withdraw(self) -> None:
+        """Delete the entry, as the instance has ended its work; try once.
+
+        The others then no longer count with it; otherwise they would for a while.
+        """
+        try:
+            await self._store.delete(Kind.INSTANCES, self._me.name, self._revision)
+        except PlatformError as error:
+            log.info("entry not deleted", extra={"error": str(error)})
 
     async def secret(self) -> str:
         """Return the secret of the fleet; the first instance makes it."""
@@ -62,14 +72,14 @@
                 log.debug("secret not read", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
 
-    async def _put(self, kind: Kind, name: str, value: Any) -> None:
+    async def _put(self) -> int:
+        kind, name, me = Kind.INSTANCES, self._me.name, self._me
         while True:
             try:
                 try:
-                    await self._store.create(kind, name, value)
+                    return (await self._store.create(kind, name, me)).revision
                 except VersionConflictError:
-                    await self._store.replace(kind, name, value)
-                return
+                    return (await self._store.replace(kind, name, me)).revision
             except PlatformError as error:
                 log.debug("entry not written", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -113,7 +113,7 @@
         self.peers.set_instances(instances_by_name, now)
         names = self.peers.instances_by_name
         near = [n for n, i in names.items() if i.region == self.me.region]
-        self.quota.set_members(names, near)
+        self.quota.set_members(names, now, near)
         self.placing.instances_in_region = self.peers.count_in(self.me.region)
         self.attempts.retry_burst = max(1, self._retry_slack // (len(names) + 1))
 
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -83,6 +83,8 @@
         self.is_settled = False
         self._started_at = now
         self._members: frozenset[str] = frozenset({name})
+        self._has_members = False
+        self._newcomers: set[str] = set()
         self._near: frozenset[str] = frozenset()
         self._contracts_by_name: dict[str, Contract] = {}
         self._names: tuple[str, ...] = ()
@@ -104,14 +106,20 @@
             self._demands_by_name.setdefault(name, Demand())
             self._buckets_by_name.setdefault(name, Bucket())
 
-    def set_members(self, names: Iterable[str], near: Iterable[str] = ()) -> None:
+    def set_members(
+        self, names: Iterable[str], now: int, near: Iterable[str] = ()
+    ) -> None:
         """Take in who the instances are; this one is always among them.
 
         Args:
             names: All instances.
+            now: The time in milliseconds.
             near: Those whose answers come soon; they are asked first.
         """
-        self._members = frozenset(names) | {self._name}
+        members = frozenset(names) | {self._name}
+        if now - self._started_at >= self._settings.silent_ms:
+            self._newcomers |= members - self._members
+        self._members = members
         self._near = frozenset(near)
         for table in (
             self._demands_by_member,
@@ -120,6 +128,8 @@
         ):
             for name in set(table) - self._members:
                 del table[name]
+        self._has_members = True
+        self.update(now)
 
     def ask(self, organisation: str) -> None:
         """Count a request of an organisation as demand, whether or not it is sent."""
@@ -199,7 +209,7 @@
         is_silence_over = now - self._started_at >= self._settings.silent_ms
         others = self._members - {self._name}
         has_all = others <= self._grants_by_member.keys()
-        self.is_settled = self.is_settled or has_all or is_silence_over
+        self.is_settled = (has_all and self._has_members) or is_silence_over
 
     def table_for(self, peer: str) -> QuotaTable:
         """Return what a peer should know: demands here, its parts, tokens to spare."""
@@ -218,10 +228,13 @@
             return
         if any(len(part) != len(self._names) for part in table[1:]):
             return
+        is_first = peer not in self._grants_by_member
         self._demands_by_member[peer] = self._fractions(table.demands)
         self._grants_by_member[peer] = self._fractions(table.grants)
         spare = dict(zip(self._names, table.spares, strict=True))
         self._spares_by_member[peer] = _Spare(spare, now)
+        if is_first:
+            self.update(now)
 
     def _fractions(self, values: Sequence[int]) -> dict[str, float]:
         pairs = zip(self._names, values, strict=True)
@@ -277,6 +290,9 @@
         share = self._part_of(self._name, organisation)
         for member in self._members - {self._name}:
             granted = self._grants_by_member.get(member, {}).get(organisation)
+            if granted is None and member in self._newcomers:
+                # It is counted in the table, and it uses nothing that is not granted.
+                continue
             if granted is None:
                 granted = self._share_without(now)
             share = min(share, granted)
--- a/tests/test_direct_quota.py
+++ b/tests/test_direct_quota.py
@@ -41,7 +41,7 @@
         quota = Quota(QuotaSettings(), name, self.now)
         quota.configure({"o": self.contract})
         near = [peer for peer in self.names if self.region(peer) == self.region(name)]
-        quota.set_members(self.names, near)
+        quota.set_members(self.names, self.now, near)
         self.quotas[name] = quota
 
     def post(self, source, destination, act):
@@ -192,7 +192,7 @@
 def test_a_table_for_other_organisations_is_ignored():
     quota = Quota(QuotaSettings(), "me", 0)
     quota.configure({"o": Contract(10, 10)})
-    quota.set_members(["peer"])
+    quota.set_members(["peer"], 0)
     quota.heard("peer", QuotaTable(1, (1,), (1_000,), (5,)), 0)
     quota.update(1_000)
     assert quota.share("o") <= 0.25
@@ -210,3 +210,26 @@
     while quota.take("o", 2_000) == 0:
         taken += 1
     assert taken == 7
+
+
+def test_a_newcomer_does_not_stop_the_others():
+    quota = Quota(QuotaSettings(), "me", 0)
+    quota.configure({"o": Contract(100, 100)})
+    quota.update(0)
+    quota.update(5_000)
+    quota.set_members(["new"], 5_000)
+    quota.update(5_200)
+    assert quota.share("o") >= 0.5
+    assert quota.take("o", 5_200) == 0
+
+
+def test_one_that_has_just_started_is_not_settled_before_it_has_heard_the_others():
+    quota = Quota(QuotaSettings(), "me", 0)
+    quota.configure({"o": Contract(100, 100)})
+    quota.update(0)
+    assert not quota.is_settled
+    quota.set_members([], 50)
+    assert quota.is_settled
+    quota.set_members(["other"], 100)
+    assert not quota.is_settled
+    assert quota.share("o") == 0
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -249,9 +249,9 @@
             reply = call(self.fleet.callers(name), Request(id=f"c{self.number}"))
         except ConnectionRefusedError as error:
             if name != "n1":
-                self.failures.append(repr(error))
+                self.failures.append((name, time.monotonic(), repr(error)))
         except (OSError, http.client.HTTPException) as error:
-            self.failures.append(repr(error))
+            self.failures.append((name, time.monotonic(), repr(error)))
         else:
             if reply.status not in (200, 503):
                 self.failures.append(reply.status)
