--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -1,6 +1,7 @@
 """The daemon of an instance that sends to targets itself: its sockets and tasks."""
 
 import asyncio
+import contextlib
 import secrets
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -25,8 +26,10 @@
     TargetObserver,
 )
 from sequoiahook.daemons.direct.registering import Registration
+from sequoiahook.daemons.direct.relay import Relay
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
+from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
 from sequoiahook.decisions.direct.attempts import AttemptsSettings
 from sequoiahook.decisions.direct.core import DirectCore, DirectCoreSettings
@@ -49,6 +52,12 @@
 
 INCARNATION_BITS = 53
 STOP_TICK_MS = 50
+WITHDRAW_MS = 200
+"""Part of the time between the signal and the kill that the last call may take."""
+
+LINGER_MS = 150
+"""Time for requests on connections that were opened just before the last one."""
+
 CONNECT_TIMEOUT_MS = 300
 """Time to open a connection to a target; the longest way and back takes 110 ms."""
 
@@ -142,6 +151,10 @@
         self._lookups = _server(settings.lookup_address, self._handle_lookup)
         self._metrics = _server(settings.metrics_address, self._handle_metrics)
         self._registration = Registration(parts.store, me, settings.durations)
+        self._relay = Relay(
+            me, parts.store, self._clock, self._follow_from, self._avoid
+        )
+        self._links: Links | None = None
         self._exited: asyncio.Future[int] | None = None
 
     async def run(self) -> int:
@@ -168,10 +181,20 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            if self._stop_at is not None:
+                await self._withdraw()
             self._reporter.close()
+            self._relay.close()
+            if self._links is not None:
+                await self._links.stop()
             self._targets.close()
             self._parts.store.close()
 
+    async def _withdraw(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAW_MS / MS_PER_S):
+                await self._registration.withdraw()
+
     def stop(self) -> None:
         """Start a graceful stop; a second call shortens its waits."""
         now = self._clock.now()
@@ -216,9 +239,9 @@
                     durations.store_retry_ms,
                     durations.store_gather_ms,
                 ),
-                self._parts.store,
+                self._relay,
                 clock,
-                observer,
+                (observer, self._relay.observer(kind)),
             ).run()
             for kind, wait_ms, observer in observers
         ]
@@ -231,9 +254,27 @@
         ]
 
     async def _join_reports(self) -> None:
-        self._reporter.secret = await self._registration.secret()
+        secret = await self._registration.secret()
+        self._reporter.secret = secret.encode("ascii")
+        self._links = Links(
+            LinksSettings(
+                self.settings.name,
+                self.core.me.incarnation,
+                secret,
+                self.settings.report_address,
+            ),
+            self._relay.on_link_event,
+        )
+        await self._links.start()
+        self._relay.use(self._links)
         await asyncio.Event().wait()
 
+    def _follow_from(self) -> LiveInstance | None:
+        return self.core.follow_from(self._clock.now())
+
+    def _avoid(self, peer: str) -> None:
+        self.core.avoid(peer, self._clock.now())
+
     async def _tick_stop(self) -> None:
         while True:
             await asyncio.sleep(STOP_TICK_MS / MS_PER_S)
@@ -270,6 +311,8 @@
             self._callers.stop_listening()
 
     async def _close_callers(self) -> None:
+        self._callers.stop_listening()
+        await asyncio.sleep(LINGER_MS / MS_PER_S)
         await self._callers.close_gracefully()
         self._carry(self._stopping.connections_closed(self._clock.now()))
 
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -40,6 +40,9 @@
 CALL_TIMEOUT_MS = 1_000
 """An answer takes 4 ms by the sheet; a slow store takes up to 60 times as long."""
 
+WATCH_MARGIN_MS = 600
+"""Added to the wait of a watch: one that is silent for longer has lost its store."""
+
 CONNECT_TIMEOUT_MS = 500
 CONNECTIONS_MAX = 8
 ANSWER_BYTES_FACTOR = 2
@@ -79,7 +82,7 @@
             )
         )
 
-    async def list(self, kind: Kind) -> Listing:
+    async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind, page by page."""
         objects_by_name: dict[str, StoredObject] = {}
         revision = None
@@ -90,7 +93,7 @@
             # what changed meanwhile.
             revision = _field(page, "at", int) if revision is None else revision
             for item in _field(page, "items", list):
-                found = self._read(kind, item)
+                found = self.read(kind, item)
                 objects_by_name[found.name] = found
             if not page.get("has_more") or not page["items"]:
                 return Listing(objects_by_name, revision)
@@ -99,10 +102,10 @@
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return what changed after a revision."""
         path = f"{_path(kind)}?watch={revision}&wait_ms={wait_ms}"
-        answer = await self._call("GET", path, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
+        answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
         changes = tuple(
             Change(
-                self._read(kind, _field(event, "object", dict)),
+                self.read(kind, _field(event, "object", dict)),
                 bool(event.get("deleted")),
             )
             for event in _field(answer, "events", list)
@@ -112,12 +115,12 @@
     async def create(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Create an object."""
         body = {"metadata": {"name": name}, "spec": _write(kind, value)}
-        return self._read(kind, await self._call("POST", _path(kind), body))
+        return self.read(kind, await self._call("POST", _path(kind), body))
 
     async def replace(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Replace the content of an object."""
         body = {"metadata": {"name": name}, "spec": _write(kind, value)}
-        return self._read(kind, await self._call("PUT", _path(kind, name), body))
+        return self.read(kind, await self._call("PUT", _path(kind, name), body))
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Delete an object if it still has a revision."""
@@ -146,7 +149,8 @@
             raise PlatformAnswerLostError(f"{method} {path}: {error}") from error
         return _document(response, f"{method} {path}")
 
-    def _read(self, kind: Kind, item: Any) -> StoredObject:
+    def read(self, kind: Kind, item: Any) -> StoredObject:
+        """Decode an object as the store wrote it."""
         metadata = item.get("metadata") if isinstance(item, Mapping) else None
         if not isinstance(metadata, Mapping):
             raise PlatformError(f"an object of kind {kind.value} has no metadata")
@@ -155,8 +159,8 @@
         try:
             value = self._read_value(kind, name, item)
         except CheckError as error:
-            return StoredObject(name, revision, None, str(error))
-        return StoredObject(name, revision, value)
+            return StoredObject(name, revision, None, str(error), item)
+        return StoredObject(name, revision, value, document=item)
 
     def _read_value(self, kind: Kind, name: str, item: Mapping) -> Any:
         match kind:
