--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -120,7 +120,8 @@
         if hold_ms and not request.was_held:
             request.was_held = True
             return Hold(hold_ms)
-        return Refuse(Status.TOO_MANY, Cause.OVER_RATE, wait_ms)
+        advice_ms = self._quota.advise_ms(request.organisation, now)
+        return Refuse(Status.TOO_MANY, Cause.OVER_RATE, advice_ms)
 
     def _hold_ms(self, request: OpenRequest, wait_ms: int, now: int) -> int:
         """Return for how long a request waits for tokens; 0 if none come soon."""
--- a/sequoiahook/decisions/direct/bucket.py
+++ b/sequoiahook/decisions/direct/bucket.py
@@ -8,6 +8,9 @@
 RATE_MIN = 1.0
 """Tokens a second that a bucket is counted with at least in advice: shares change."""
 
+ADVICE_MS_MAX = 30_000
+"""No caller waits for longer."""
+
 
 class Demand:
     """Arrivals a second, averaged exponentially."""
@@ -47,6 +50,7 @@
         self.share = 0.0
         self.tokens = 0.0
         self._refilled_at: int | None = None
+        self._advised_at = 0.0
 
     def refill(self, contract: Contract, now: int) -> None:
         """Add what the rate gave since the last call."""
@@ -70,9 +74,24 @@
 
     def next_token_ms(self, contract: Contract) -> int:
         """Return when there is a whole token, by the rate alone."""
-        rate = max(self.share * contract.rate_per_s, RATE_MIN)
+        rate = self._rate(contract)
         return max(1, int((1.0 - self.tokens) / rate * MS_PER_S))
 
+    def advise_ms(self, contract: Contract, now: int) -> int:
+        """Return when to come back, behind all who were told before.
+
+        Each refused request is told the time of a token of its own. Where more is asked
+        than the rate allows, these times soon lie beyond what callers wait, so that they
+        do not come back only to be refused again.
+        """
+        soonest_at = now + self.next_token_ms(contract)
+        gap_ms = MS_PER_S / self._rate(contract)
+        self._advised_at = max(float(soonest_at), self._advised_at + gap_ms)
+        return min(ADVICE_MS_MAX, int(self._advised_at - now))
+
+    def _rate(self, contract: Contract) -> float:
+        return max(self.share * contract.rate_per_s, RATE_MIN)
+
     def _capacity(self, contract: Contract) -> float:
         # A capacity under one token would refuse every request of a small share.
         return max(1.0, self.share * contract.burst)
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -154,6 +154,11 @@
             self._ask_peer(organisation, now)
         return 0 if is_taken else bucket.next_token_ms(contract)
 
+    def advise_ms(self, organisation: str, now: int) -> int:
+        """Return when a request that is refused now should come back."""
+        contract = self._contracts_by_name[organisation]
+        return self._buckets_by_name[organisation].advise_ms(contract, now)
+
     def can_borrow(self, organisation: str, now: int) -> bool:
         """Return whether tokens may come, asked for already or to be asked for."""
         asked_at = self._asked_at_by_name.get(organisation)
--- a/tests/test_direct_quota.py
+++ b/tests/test_direct_quota.py
@@ -233,3 +233,17 @@
     quota.set_members(["other"], 100)
     assert not quota.is_settled
     assert quota.share("o") == 0
+
+
+def test_callers_over_the_rate_are_told_different_times():
+    quota = Quota(QuotaSettings(), "me", 0)
+    quota.configure({"o": Contract(10, 10)})
+    quota.update(0)
+    quota.update(5_000)
+    while quota.take("o", 5_000) == 0:
+        pass
+    advices = [quota.advise_ms("o", 5_000) for _ in range(20)]
+    assert advices == sorted(advices)
+    assert advices[0] <= 100
+    assert advices[-1] - advices[0] == 19 * 100
+    assert quota.advise_ms("o", 60_000) <= 100
