--- a/sequoiahook/decisions/direct/bucket.py
+++ b/sequoiahook/decisions/direct/bucket.py
@@ -80,9 +80,9 @@
     def advise_ms(self, contract: Contract, now: int) -> int:
         """Return when to come back, behind all who were told before.
 
-        Each refused request is told the time of a token of its own. Where more is asked
-        than the rate allows, these times soon lie beyond what callers wait, so that they
-        do not come back only to be refused again.
+        Each refused request is told the time of a token of its own. Where more is
+        asked than the rate allows, these times soon lie beyond what callers wait, so
+        that they do not come back only to be refused again.
         """
         soonest_at = now + self.next_token_ms(contract)
         gap_ms = MS_PER_S / self._rate(contract)
--- a/sequoiahook/decisions/direct/placing.py
+++ b/sequoiahook/decisions/direct/placing.py
@@ -39,9 +39,10 @@
     """Figures of the choice of a target.
 
     Attributes:
-        limit_percent: Requests that a target has at most, in hundredths of its slots,
-            for the least urgent requests.
-        limit_step_percent: How much more the target may have for each higher rank.
+        limit_percent: Requests that a target has at most, in hundredths of its slots.
+        patience_percent: Expected time to an answer, in hundredths of the route's aim,
+            up to which the least urgent requests queue at a target without free slots.
+        patience_step_percent: How much more it is for each higher rank.
         ranks: How many ranks are told apart.
         unknown_factor: How many times longer a target takes for an object that it has
             not handled recently.
@@ -55,8 +56,9 @@
         home: Settings of the share of objects that the own region owns.
     """
 
-    limit_percent: int = 150
-    limit_step_percent: int = 50
+    limit_percent: int = 300
+    patience_percent: int = 90
+    patience_step_percent: int = 25
     ranks: int = 3
     unknown_factor: float = 3.0
     usual_percent: int = 35
@@ -324,23 +326,27 @@
             return 0
         return int(self._way_ms_by_region.get(region, self._settings.way_ms))
 
-    def _limit(self, state: TargetState, priority: int) -> float:
+    def _patience_ms(self, demand: Demand) -> float:
+        """Return up to which expected time a request may queue for a slot."""
         settings = self._settings
-        rank = max(0, settings.ranks - 1 - priority)
-        percent = settings.limit_percent + rank * settings.limit_step_percent
-        return state.record.slots * percent / PERCENT
+        rank = max(0, settings.ranks - 1 - demand.priority)
+        percent = settings.patience_percent + rank * settings.patience_step_percent
+        return demand.route.aim_ms * percent / PERCENT
 
     def _has_room(self, place: Place, demand: Demand) -> bool:
-        return place.busy < self._limit(place.state, demand.priority)
+        slots = place.state.record.slots
+        if place.busy < slots:
+            return True
+        if place.busy >= slots * self._settings.limit_percent // PERCENT:
+            return False
+        return place.expected_ms <= self._patience_ms(demand)
 
     def _room_in_ms(self, place: Place, demand: Demand, now: int) -> int:
         """Return when the target is expected to have room for one more request."""
         state = place.state
-        over = place.busy + 1 - self._limit(state, demand.priority)
+        over_ms = int(place.expected_ms - self._patience_ms(demand))
         work_ms = self.usual_ms(demand.route) * state.slowness(now)
-        return max(
-            self._pause_ms(demand), int(over * work_ms / max(1, state.record.slots))
-        )
+        return max(int(work_ms / max(1, state.record.slots)), over_ms)
 
     def _pause_ms(self, demand: Demand) -> int:
         return max(1, int(self.usual_ms(demand.route)))
