--- a/sequoiahook/daemons/direct/front.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -24,7 +24,7 @@
 from sequoiahook.measures import Measures
 from sequoiahook.messages.requests import Fields
 
-__all__ = ["Dialect", "Front"]
+__all__ = ["CallerHandler", "Dialect"]
 
 STOPPING_RETRY_MS = 20
 """Another instance takes the request at once."""
@@ -45,7 +45,7 @@
         """Encode an answer of the instance itself."""
 
 
-class Front:
+class CallerHandler:
     """Answers requests of callers.
 
     Args:
--- /dev/null
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -0,0 +1,45 @@
+"""The settings of the decisions, made from those of an instance."""
+
+from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
+from sequoiahook.decisions.direct.attempts import AttemptsSettings
+from sequoiahook.decisions.direct.core import DirectCoreSettings
+from sequoiahook.decisions.direct.freshness import FreshnessSettings
+from sequoiahook.decisions.direct.peers import PeerSettings
+from sequoiahook.decisions.stopping import StoppingSettings
+
+__all__ = ["LOOKUP_COPIES", "core_settings", "freshness_settings", "stopping_settings"]
+
+LOOKUP_COPIES = 3
+"""Some callers keep a look-up answer for three times its lifetime."""
+
+RETRY_SHARE = 0.75
+"""Part of the allowed repeats that is used: windows do not end with requests."""
+
+PERCENT = 100
+
+
+def freshness_settings(bounds: Bounds) -> FreshnessSettings:
+    return FreshnessSettings(withdrawal_ms=bounds.withdrawal_ms)
+
+
+def core_settings(settings: DirectSettings) -> DirectCoreSettings:
+    bounds, durations = settings.bounds, settings.durations
+    return DirectCoreSettings(
+        regions=settings.regions,
+        retry_slack=int(bounds.retry_slack * RETRY_SHARE),
+        attempts=AttemptsSettings(
+            retry_percent=int(bounds.retry_ratio * RETRY_SHARE * PERCENT)
+        ),
+        freshness=freshness_settings(bounds),
+        peers=PeerSettings(durations.silent_ms, durations.forget_ms),
+    )
+
+
+def stopping_settings(settings: DirectSettings) -> StoppingSettings:
+    durations = settings.durations
+    return StoppingSettings(
+        hand_over_ms=0,
+        lookup_lifetime_ms=LOOKUP_COPIES * durations.lookup_lifetime_ms,
+        lookup_margin_ms=0,
+        deadline_longest_ms=settings.bounds.stop_ms,
+    )
--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -118,7 +118,7 @@
     def _lose(self, error: PlatformError) -> None:
         if not self._is_lost:
             fields = {"kind": self._settings.kind.value, "error": str(error)}
-            log.warn("store lost", extra=fields)
+            log.warning("store lost", extra=fields)
             for observer in self._observers:
                 observer.lost()
         self._is_lost = True
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -15,8 +15,14 @@
     CallerServer,
     CallerServerSettings,
 )
+from sequoiahook.daemons.direct.caller_handler import CallerHandler, Dialect
+from sequoiahook.daemons.direct.core_settings import (
+    LOOKUP_COPIES,
+    core_settings,
+    freshness_settings,
+    stopping_settings,
+)
 from sequoiahook.daemons.direct.following import Follower, FollowerSettings, Observer
-from sequoiahook.daemons.direct.front import Dialect, Front
 from sequoiahook.daemons.direct.metrics import metrics_answer
 from sequoiahook.daemons.direct.object_store import Kind, ObjectStore
 from sequoiahook.daemons.direct.observers import (
@@ -31,18 +37,15 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
-from sequoiahook.decisions.direct.attempts import AttemptsSettings
-from sequoiahook.decisions.direct.core import DirectCore, DirectCoreSettings
-from sequoiahook.decisions.direct.freshness import FreshnessSettings
-from sequoiahook.decisions.direct.peers import PeerSettings
+from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.stopping import (
     AnnounceLeaving,
     CloseIdleConnections,
     Exit,
     Stage,
     Stopping,
-    StoppingSettings,
 )
+from sequoiahook.errors import PlatformError
 from sequoiahook.measures import Measures
 from sequoiahook.wire.target_dialect import TargetDialect
 from sequoiahook.world.instance import Address, LiveInstance
@@ -55,6 +58,7 @@
 WITHDRAW_MS = 200
 """Part of the time between the signal and the kill that the last call may take."""
 
+FORGET_CHECK_MS = 5_000
 LINGER_MS = 150
 """Time for requests on connections that were opened just before the last one."""
 
@@ -64,14 +68,6 @@
 TARGET_IDLE_MS = 3_000
 """Targets keep idle connections for some 10 s by default, at times for less."""
 
-LOOKUP_COPIES = 3
-"""Some callers keep a look-up answer for three times its lifetime."""
-
-RETRY_SHARE = 0.75
-"""Part of the allowed repeats that is used: windows do not end with requests."""
-
-PERCENT = 100
-
 log = logbook.Logger("instance")
 
 
@@ -128,17 +124,17 @@
             settings.report_address,
         )
         now = self._clock.now()
-        self.core = DirectCore(_core_settings(settings), me, now)
+        self.core = DirectCore(core_settings(settings), me, now)
         self._targets = TargetClient(
             TargetClientSettings(
                 connect_timeout_ms=CONNECT_TIMEOUT_MS, idle_ms=TARGET_IDLE_MS
             ),
             parts.target_dialect,
         )
-        self._stopping = Stopping(_stopping_settings(settings))
+        self._stopping = Stopping(stopping_settings(settings))
         self._stop_at: int | None = None
         self._reporter = Reporter(settings, self.core, self._clock)
-        self._front = Front(
+        self._handler = CallerHandler(
             self.core,
             self._targets,
             parts.dialect,
@@ -151,6 +147,9 @@
         self._lookups = _server(settings.lookup_address, self._handle_lookup)
         self._metrics = _server(settings.metrics_address, self._handle_metrics)
         self._registration = Registration(parts.store, me, settings.durations)
+        self._instances = InstanceObserver(
+            self.core, self._clock, self._registration.ask
+        )
         self._relay = Relay(
             me, parts.store, self._clock, self._follow_from, self._avoid
         )
@@ -200,13 +199,13 @@
         now = self._clock.now()
         if self._stop_at is None:
             self._stop_at = now
-            log.info("stop", extra={"open": self._front.open_count})
+            log.info("stop", extra={"open": self._handler.open_count})
         self._carry(self._stopping.signal(now))
         self._carry(self._stopping.handed_over(now))
 
     def reload(self, bounds: Bounds) -> None:
         """Take in bounds of a settings file that changed."""
-        self.core.freshness.settings = _freshness_settings(bounds)
+        self.core.freshness.settings = freshness_settings(bounds)
         self.settings = self.settings._replace(bounds=bounds)
         log.info("reload", extra=bounds._asdict())
 
@@ -228,7 +227,7 @@
             (
                 Kind.INSTANCES,
                 durations.instance_wait_ms,
-                InstanceObserver(core, clock, self._registration.ask),
+                self._instances,
             ),
         ]
         followers = [
@@ -251,6 +250,7 @@
             self._join_reports(),
             self._reporter.run(),
             self._tick_stop(),
+            self._forget_peers(),
         ]
 
     async def _join_reports(self) -> None:
@@ -275,6 +275,21 @@
     def _avoid(self, peer: str) -> None:
         self.core.avoid(peer, self._clock.now())
 
+    async def _forget_peers(self) -> None:
+        """Delete entries of instances that have been silent for long."""
+        kind = Kind.INSTANCES
+        while True:
+            await asyncio.sleep(FORGET_CHECK_MS / MS_PER_S)
+            for name in self.core.forgotten(self._clock.now()):
+                revision = self._instances.revision_by_name.get(name)
+                if revision is None:
+                    continue
+                try:
+                    await self._parts.store.delete(kind, name, revision)
+                    log.info("entry deleted", extra={"name": name})
+                except PlatformError as error:
+                    log.info("entry not deleted", extra={"error": str(error)})
+
     async def _tick_stop(self) -> None:
         while True:
             await asyncio.sleep(STOP_TICK_MS / MS_PER_S)
@@ -293,8 +308,8 @@
         lifetime_ms = self.settings.durations.lookup_lifetime_ms
         if now - self._stop_at < LOOKUP_COPIES * lifetime_ms // 2:
             return False
-        is_idle = now - self._front.last_request_at >= lifetime_ms
-        return is_idle and self._front.open_count == 0
+        is_idle = now - self._handler.last_request_at >= lifetime_ms
+        return is_idle and self._handler.open_count == 0
 
     def _carry(self, effects: list) -> None:
         for effect in effects:
@@ -305,7 +320,7 @@
             elif isinstance(effect, CloseIdleConnections):
                 asyncio.get_running_loop().create_task(self._close_callers())
             elif isinstance(effect, Exit) and not self._exited.done():
-                log.info("exit", extra={"open": self._front.open_count})
+                log.info("exit", extra={"open": self._handler.open_count})
                 self._exited.set_result(effect.code)
         if self._stopping.stage >= Stage.FINISHING:
             self._callers.stop_listening()
@@ -339,9 +354,9 @@
 
     async def _handle_caller(self, request: CallerRequest) -> CallerAnswer:
         if not self._stopping.start_work():
-            return self._front.refuse_stopping(request)
+            return self._handler.refuse_stopping(request)
         try:
-            return await self._front.handle(request)
+            return await self._handler.handle(request)
         finally:
             self._carry(self._stopping.finish_work(self._clock.now()))
 
@@ -368,30 +383,3 @@
     address: Address, handler: Callable[[CallerRequest], Awaitable[CallerAnswer]]
 ) -> CallerServer:
     return CallerServer(CallerServerSettings(*address), handler)
-
-
-def _freshness_settings(bounds: Bounds) -> FreshnessSettings:
-    return FreshnessSettings(withdrawal_ms=bounds.withdrawal_ms)
-
-
-def _core_settings(settings: DirectSettings) -> DirectCoreSettings:
-    bounds, durations = settings.bounds, settings.durations
-    return DirectCoreSettings(
-        regions=settings.regions,
-        retry_slack=int(bounds.retry_slack * RETRY_SHARE),
-        attempts=AttemptsSettings(
-            retry_percent=int(bounds.retry_ratio * RETRY_SHARE * PERCENT)
-        ),
-        freshness=_freshness_settings(bounds),
-        peers=PeerSettings(durations.silent_ms, durations.forget_ms),
-    )
-
-
-def _stopping_settings(settings: DirectSettings) -> StoppingSettings:
-    durations = settings.durations
-    return StoppingSettings(
-        hand_over_ms=0,
-        lookup_lifetime_ms=LOOKUP_COPIES * durations.lookup_lifetime_ms,
-        lookup_margin_ms=0,
-        deadline_longest_ms=settings.bounds.stop_ms,
-    )
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -71,7 +71,7 @@
     def _keep(self, change: Change) -> None:
         found = change.object
         if found.problem:
-            log.warn(
+            log.warning(
                 "object ignored",
                 extra={"kind": self.kind.value, "problem": found.problem[:500]},
             )
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -120,7 +120,7 @@
             datagram = decode_datagram(data, self.secret)
         except CodecError as error:
             if not self._is_bad_seen:
-                log.warn("datagram refused", extra={"error": str(error)})
+                log.warning("datagram refused", extra={"error": str(error)})
             self._is_bad_seen = True
             return
         answer = self._core.take(datagram, self._clock.now())
--- a/sequoiahook/daemons/instance.py
+++ b/sequoiahook/daemons/instance.py
@@ -148,7 +148,7 @@
             Note: lambda e: log.info(e.event, extra=e.fields),
             OperatorReply: self._reply,
             Refusal: self._refuse,
-            ReportOverdue: lambda e: log.warn("overdue", extra=e._asdict()),
+            ReportOverdue: lambda e: log.warning("overdue", extra=e._asdict()),
             Transmit: lambda e: self._links.send(e.peer, e.envelope),
             Write: self._write,
         }
@@ -277,7 +277,7 @@
             try:
                 found = await self._platform.instances(version, LIST_WAIT_MS)
             except (PlatformError, CheckError) as error:
-                log.warn("list of instances", extra={"error": str(error)})
+                log.warning("list of instances", extra={"error": str(error)})
                 await asyncio.sleep(LIST_IDLE_MS / MS_PER_S)
                 continue
             if found is not None:
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -227,7 +227,7 @@
             ):
                 link = await self._challenge(connection)
         except (TimeoutError, ConnectionClosed, CodecError, LinkError) as error:
-            log.warn("stranger on a link", extra={"error": str(error)})
+            log.warning("stranger on a link", extra={"error": str(error)})
             await connection.close(1008)
             return
         await self._run(link)
@@ -317,7 +317,7 @@
             try:
                 envelope = decode_envelope(_binary(frame))
             except CodecError as error:
-                log.warn(
+                log.warning(
                     "malformed frame", extra={"peer": link.name, "error": str(error)}
                 )
                 await link.connection.close(1007)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -178,6 +178,14 @@
             return None if grant is None else self.datagram(grant)
         return None
 
+    def forgotten(self, now: int) -> list[str]:
+        """Return the peers of the region whose entries this instance should delete."""
+        if self._decider(now) != self.me.name:
+            return []
+        instances = self.peers.instances_by_name
+        names = self.peers.forgotten(now)
+        return [name for name in names if instances[name].region == self.me.region]
+
     def follow_from(self, now: int) -> LiveInstance | None:
         """Return the peer that follows the platform for this one; None if none does.
 
--- a/sequoiahook/platform/__main__.py
+++ b/sequoiahook/platform/__main__.py
@@ -71,7 +71,7 @@
         await asyncio.sleep(FLUSH_MS / MS_PER_S)
         dropped = writer.take_dropped()
         if dropped:
-            log.warn("lines dropped", extra={"count": dropped})
+            log.warning("lines dropped", extra={"count": dropped})
         writer.flush()
 
 
@@ -105,7 +105,7 @@
         try:
             found = Path(self._path).stat()
         except OSError as error:
-            log.warn("settings not readable", extra={"error": str(error)})
+            log.warning("settings not readable", extra={"error": str(error)})
             return (0, 0)
         return (found.st_mtime_ns, found.st_size)
 
--- a/sequoiahook/platform/entries.py
+++ b/sequoiahook/platform/entries.py
@@ -41,7 +41,8 @@
     address = _address(spec, "address")
     record = LiveTarget(
         id=target_id,
-        born=spec.integer("born", low=0, high=INCARNATION_MAX, default=0),
+        # The Unix time of the start; runs are told apart by it.
+        started=spec.integer("born", low=0, high=INCARNATION_MAX, default=0),
         service=info.string("service"),
         data_centre=data_centre,
         region=region_by_data_centre.get(data_centre, ""),
--- a/sequoiahook/world/target.py
+++ b/sequoiahook/world/target.py
@@ -52,7 +52,7 @@
 
     Attributes:
         id: Name of this run of the target.
-        born: Start of this run, as the target tells it; only compared for equality.
+        started: Start of this run, as the target tells it; only compared for equality.
         service: Name of its service.
         data_centre: Name of the data centre that it stands in.
         region: Region of that data centre.
@@ -63,7 +63,7 @@
     """
 
     id: str
-    born: int
+    started: int
     service: str
     data_centre: str
     region: str
--- a/tests/direct_parts.py
+++ b/tests/direct_parts.py
@@ -43,7 +43,7 @@
 def a_target(target_id, **changes):
     target = LiveTarget(
         id=target_id,
-        born=1,
+        started=1,
         service="s",
         data_centre="north-a",
         region="north",
