--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -19,10 +19,12 @@
 
 
 def freshness_settings(bounds: Bounds) -> FreshnessSettings:
+    """Return the bounds on the age of the configuration."""
     return FreshnessSettings(withdrawal_ms=bounds.withdrawal_ms)
 
 
 def core_settings(settings: DirectSettings) -> DirectCoreSettings:
+    """Return the settings of all decisions."""
     bounds, durations = settings.bounds, settings.durations
     return DirectCoreSettings(
         regions=settings.regions,
@@ -36,6 +38,7 @@
 
 
 def stopping_settings(settings: DirectSettings) -> StoppingSettings:
+    """Return the bounds of the stages of a planned stop."""
     durations = settings.durations
     return StoppingSettings(
         hand_over_ms=0,
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -59,6 +59,8 @@
 """Part of the time between the signal and the kill that the last call may take."""
 
 FORGET_CHECK_MS = 5_000
+"""How often entries of silent instances are looked for."""
+
 LINGER_MS = 150
 """Time for requests on connections that were opened just before the last one."""
 
