Work out the totals of demand once an update; report less often in larger fleets

They are now sent as often as an instance of a fleet of 12 sends them. Below 12 instances nothing changes.

--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Reporter"]
 
+SMALL_FLEET = 12
+"""Instances up to which reports are sent as often as the settings say."""
+
 log = logbook.Logger("reports")
 
 
@@ -72,7 +75,15 @@
         while True:
             self.send(includes_far=round_number % far_every == 0)
             round_number += 1
-            await asyncio.sleep(durations.report_near_ms / MS_PER_S)
+            await asyncio.sleep(durations.report_near_ms * self._spread() / MS_PER_S)
+
+    def _spread(self) -> float:
+        """Return how many times rarer reports are than in a small fleet.
+
+        Their number grows with the square of the instances; so it grows linearly.
+        """
+        count = len(self._core.peers.instances_by_name) + 1
+        return max(1.0, count / SMALL_FLEET)
 
     def send(self, *, includes_far: bool) -> None:
         """Send a report to each instance, at once."""
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -88,6 +88,7 @@
         self._near: frozenset[str] = frozenset()
         self._contracts_by_name: dict[str, Contract] = {}
         self._names: tuple[str, ...] = ()
+        self._totals_by_name: dict[str, float] = {}
         self._digest = 0
         self._demands_by_name: dict[str, Demand] = {}
         self._buckets_by_name: dict[str, Bucket] = {}
@@ -207,6 +208,7 @@
         for demand in self._demands_by_name.values():
             demand.update(self._settings.demand_window_ms, now)
         self._demands_by_member[self._name] = self._own_demands()
+        self._totals_by_name = {name: self._total(name) for name in self._names}
         for name, contract in self._contracts_by_name.items():
             bucket = self._buckets_by_name[name]
             bucket.refill(contract, now)
@@ -282,14 +284,19 @@
         part = self._settings.floor_permille / PERMILLE
         return part * contract.rate_per_s / len(self._members)
 
-    def _part_of(self, member: str, organisation: str) -> float:
+    def _total(self, organisation: str) -> float:
         floor = self._floor(self._contracts_by_name[organisation])
         tables = self._demands_by_member
-        total = sum(
+        return sum(
             tables.get(name, {}).get(organisation, floor) for name in self._members
         )
-        own = tables.get(member, {}).get(organisation, floor)
-        return own / total if total > 0 else 0.0
+
+    def _part_of(self, member: str, organisation: str) -> float:
+        """Return a member's part of all demand, as of the last update."""
+        total = self._totals_by_name.get(organisation, 0.0)
+        floor = self._floor(self._contracts_by_name[organisation])
+        demand = self._demands_by_member.get(member, {}).get(organisation, floor)
+        return min(1.0, demand / total) if total > 0 else 0.0
 
     def _granted_share(self, organisation: str, now: int) -> float:
         share = self._part_of(self._name, organisation)
