--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -92,6 +92,23 @@
     assert serve(use).count(b"x-path: /a") == 1
 
 
+def test_a_new_connection_is_waited_for_while_the_close_is_only_announced():
+    async def use(server):
+        server.announce_close()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        while server.connection_count == 0:
+            await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        writer.write(GET)
+        answer = await reader.read()
+        writer.close()
+        assert b"200" in answer.splitlines()[0]
+        assert b"connection: close" in answer.lower()
+
+    serve(use)
+
+
 def test_bodies_of_all_connections_together_are_bounded():
     post = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
 
