Do not answer over the rate before the share of the rate is known

Found once in eight runs of test_bodies_go_on_whole: 429 with a second to come back, just after the start. Cause: an instance that was alone for a moment counted as settled, and its share fell to nothing when another one appeared, until that one's first table came. Such a request now waits for the table, and else gets 503.

--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -25,7 +25,8 @@
     """Durations of the admission.
 
     Attributes:
-        boot_retry_ms: When to come back to an instance without a configuration.
+        boot_retry_ms: When to come back to an instance without a configuration, or
+            without a share in the rates.
         stale_retry_ms: When to come back to one whose configuration is too old; the
             caller then finds another instance.
         hold_parts: A request waits at most this fraction (a third) of its aim for
@@ -120,6 +121,9 @@
         if hold_ms and not request.was_held:
             request.was_held = True
             return Hold(hold_ms)
+        if not self._quota.is_settled:
+            retry_ms = self._settings.boot_retry_ms
+            return Refuse(Status.UNAVAILABLE, Cause.NO_SHARE, retry_ms)
         advice_ms = self._quota.advise_ms(request.organisation, now)
         return Refuse(Status.TOO_MANY, Cause.OVER_RATE, advice_ms)
 
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -161,7 +161,9 @@
         return self._buckets_by_name[organisation].advise_ms(contract, now)
 
     def can_borrow(self, organisation: str, now: int) -> bool:
-        """Return whether tokens may come, asked for already or to be asked for."""
+        """Return whether tokens may come soon: from a member, or with the own share."""
+        if not self.is_settled:
+            return True
         asked_at = self._asked_at_by_name.get(organisation)
         is_asked = asked_at is not None and now - asked_at <= self._settings.answer_ms
         return is_asked or bool(self._richest(organisation, now))
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -46,6 +46,7 @@
     NO_CONFIGURATION = "no configuration yet"
     NO_KEY = "key missing"
     NO_ROUTE = "no route"
+    NO_SHARE = "share of the rate not known yet"
     OVER_RATE = "organisation is over its rate"
     STALE = "configuration too old to admit keys"
     STOPPING = "instance is stopping"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,7 +9,6 @@
 import json
 import os
 import secrets
-import select
 import signal
 import subprocess
 import sys
@@ -20,12 +19,12 @@
 from typing import Any, NamedTuple
 
 from sequoiahook.world.organisation import key_digest
+from standins.processes import end_process, start_process
 
 __all__ = ["Fleet", "HttpReply", "InstanceProcess", "http_call", "wait_for"]
 
 LOOPBACK = "127.0.0.1"
 READY_TIMEOUT_S = 15
-END_TIMEOUT_S = 10
 POLL_S = 0.02
 
 
@@ -140,7 +139,7 @@
 
     def __exit__(self, *_: object) -> None:
         for process in self.processes_by_name.values():
-            self._end(process)
+            end_process(process)
         self._folder.cleanup()
 
     def start_target(self, name: str, slots: int, *options: str) -> int:
@@ -249,26 +248,9 @@
         }
 
     def _start(self, name: str, arguments: list[str]) -> dict[str, Any]:
-        with (self.path / f"{name}.log").open("ab") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=subprocess.PIPE,
-                stderr=log,
-            )
+        process, ready = start_process(arguments, self.path / f"{name}.log")
         self.processes_by_name[name] = process
-        readable, _, _ = select.select([process.stdout], [], [], READY_TIMEOUT_S)
-        line = process.stdout.readline() if readable else b""
-        if not line:
-            raise RuntimeError(f"{name} did not start: {self.log(name)[-2000:]}")
-        return json.loads(line)
-
-    @staticmethod
-    def _end(process: subprocess.Popen) -> None:
-        if process.poll() is None:
-            process.kill()
-        process.wait(END_TIMEOUT_S)
-        process.stdout.close()
+        return ready
 
 
 def _address(port: int) -> dict[str, Any]:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -8,7 +8,6 @@
 import json
 import os
 import random
-import select
 import signal
 import subprocess
 import sys
@@ -25,11 +24,11 @@
     settings_text,
     target_object,
 )
+from standins.processes import end_process, start_process
 
 __all__ = ["PlatformFleet", "Request", "call"]
 
 LOOPBACK = "127.0.0.1"
-START_TIMEOUT_S = 15
 END_TIMEOUT_S = 10
 
 
@@ -103,7 +102,7 @@
 
     def __exit__(self, *_: object) -> None:
         for process in self.processes_by_name.values():
-            _end(process)
+            end_process(process)
         self._folder.cleanup()
 
     def start_store(self, port: int = 0) -> None:
@@ -232,26 +231,8 @@
     def _settings_path(self, name: str) -> Path:
         return self.path / f"{name}.toml"
 
-    def _start(self, name: str, module: str, *arguments: str) -> int:
-        with (self.path / f"{name}.log").open("ab") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=subprocess.PIPE,
-                stderr=log,
-            )
+    def _start(self, name: str, *arguments: str) -> int:
+        log_path = self.path / f"{name}.log"
+        process, ready = start_process(list(arguments), log_path)
         self.processes_by_name[name] = process
-        readable, _, _ = select.select([process.stdout], [], [], START_TIMEOUT_S)
-        line = process.stdout.readline() if readable else b""
-        if not line:
-            log_text = (self.path / f"{name}.log").read_text(errors="replace")
-            raise RuntimeError(f"{name} did not start: {log_text[-2000:]}")
-        return json.loads(line)["port"]
-
-
-def _end(process: subprocess.Popen) -> None:
-    if process.poll() is None:
-        process.kill()
-    process.wait(END_TIMEOUT_S)
-    if process.stdout is not None:
-        process.stdout.close()
+        return ready["port"]
--- a/tests/test_direct_attempts.py
+++ b/tests/test_direct_attempts.py
@@ -3,7 +3,14 @@
 from hypothesis import given, strategies as st
 
 from sequoiahook.decisions.direct.core import DirectCore, DirectCoreSettings
-from sequoiahook.decisions.direct.requests import Attempt, Deliver, OpenRequest, Refuse
+from sequoiahook.decisions.direct.requests import (
+    Attempt,
+    Cause,
+    Deliver,
+    Hold,
+    OpenRequest,
+    Refuse,
+)
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from tests.direct_parts import (
     KEY,
@@ -175,3 +182,13 @@
     assert core.admission.admit(a_request(host="b.example"), 0).status == 404
     assert core.admission.admit(a_request(key=""), 0).status == 401
     assert core.admission.admit(a_request(key=KEY + "x"), 0).status == 401
+
+
+def test_an_instance_that_does_not_know_its_share_yet_does_not_say_over_the_rate():
+    core = a_core(organisations=(an_organisation(rate_per_s=10, burst=10),))
+    core.set_instances({"other": an_instance("other")}, 0)
+    request = core.admission.admit(a_request(), 0)
+    assert isinstance(core.attempts.next_step(request, 0), Hold)
+    refusal = core.attempts.next_step(request, 100)
+    assert (refusal.status, refusal.cause) == (503, Cause.NO_SHARE)
+    assert 0 < refusal.retry_after_ms < 1_000
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -42,6 +42,7 @@
         fleet.start_instance(name)
     fleet.wait_ready(*names)
     wait_for(lambda: fleet.looked_up(names[0]) == set(names), "all are named")
+    fleet.wait_ready(*names)
 
 
 def runs_of(fleet, request_id):
