--- a/sequoiahook/decisions/direct/placing.py
+++ b/sequoiahook/decisions/direct/placing.py
@@ -43,6 +43,8 @@
         patience_percent: Expected time to an answer, in hundredths of the route's aim,
             up to which the least urgent requests queue at a target without free slots.
         patience_step_percent: How much more it is for each higher rank.
+        bound_percent: How much more it is for a request that may run in one region
+            only: others find room elsewhere.
         ranks: How many ranks are told apart.
         unknown_factor: How many times longer a target takes for an object that it has
             not handled recently.
@@ -59,6 +61,7 @@
     limit_percent: int = 300
     patience_percent: int = 90
     patience_step_percent: int = 25
+    bound_percent: int = 100
     ranks: int = 3
     unknown_factor: float = 3.0
     usual_percent: int = 35
@@ -307,7 +310,7 @@
         key = _full_key(demand.route, demand.object_key)
         is_known = self._known.is_known(key, state.record.id, now)
         if demand.object_key and not is_owner and not is_known:
-            if busy >= state.record.slots:
+            if busy >= state.record.slots and not _is_bound(demand):
                 return None
             work_ms *= self._settings.unknown_factor
         expected_ms = work_ms * self._queue_factor(state, busy) + self._way_ms(state)
@@ -331,6 +334,8 @@
         settings = self._settings
         rank = max(0, settings.ranks - 1 - demand.priority)
         percent = settings.patience_percent + rank * settings.patience_step_percent
+        if _is_bound(demand):
+            percent += settings.bound_percent
         return demand.route.aim_ms * percent / PERCENT
 
     def _has_room(self, place: Place, demand: Demand) -> bool:
@@ -352,6 +357,11 @@
         return max(1, int(self.usual_ms(demand.route)))
 
 
+def _is_bound(demand: Demand) -> bool:
+    """Return whether a request may run in one region only."""
+    return len(demand.regions) == 1
+
+
 def _full_key(route: Route, object_key: str) -> str:
     """Return the name of an object; routes number theirs independently."""
     return f"{route.name}/{object_key}" if object_key else ""
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -224,3 +224,17 @@
     least_busy = play_least_busy(targets, per_s)
     assert product.refused > 0
     assert product.in_aim > least_busy.in_aim
+
+
+def test_requests_that_have_one_region_only_are_not_crowded_out_by_others():
+    """Callers of a small region fill its targets; some of them may go nowhere else."""
+    targets = a_fleet(1) + a_fleet(6, "south", "s", data_centre="south-a")
+    placing, book = placing_over(targets)
+    placing.home_shares.permille_by_service["s"] = 1_000
+    near = book.states_by_id["n0"]
+    free = a_demand(priority=2)
+    while placing.choose(free, 0).state is near:
+        near.sent(0)
+    assert placing.choose(free, 0).state.record.region == "south"
+    bound = free._replace(regions=("north",))
+    assert placing.choose(bound, 0).state is near
