--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -73,23 +73,29 @@
 
 
 class WatchfulReader(asyncio.StreamReader):
-    """A reader that notes bytes which come while no exchange waits for any.
+    """A reader that counts the bytes which nobody has read yet.
+
+    On a connection without an exchange such bytes belong to no request.
 
     Attributes:
-        is_idle: Whether no exchange uses the connection.
-        is_spoiled: Whether bytes came meanwhile; they belong to no request.
+        unread_bytes: How many there are.
     """
 
     def __init__(self, limit: int):
         super().__init__(limit=limit)
-        self.is_idle = False
-        self.is_spoiled = False
+        self.unread_bytes = 0
 
     def feed_data(self, data: bytes) -> None:
         """Take bytes of the target."""
-        self.is_spoiled = self.is_spoiled or self.is_idle
+        self.unread_bytes += len(data)
         super().feed_data(data)
 
+    async def read(self, n: int = -1) -> bytes:
+        """Return bytes of the target, as soon as there are any."""
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
 
 class IdleConnection(NamedTuple):
     """A kept-alive connection that carries no exchange.
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -67,8 +67,7 @@
         while kept:
             idle = kept.pop()
             is_open = not idle.reader.at_eof() and not idle.writer.is_closing()
-            if now_ms() <= idle.until_ms and is_open and not idle.reader.is_spoiled:
-                idle.reader.is_idle = False
+            if now_ms() <= idle.until_ms and is_open and not idle.reader.unread_bytes:
                 return idle
             idle.writer.close()
         return None
@@ -80,7 +79,6 @@
         kept = self._idle_by_address.setdefault(exchange.request.address, [])
         self._drop_old(kept)
         if exchange.can_keep and len(kept) < self.settings.idle_max:
-            exchange.reader.is_idle = True
             until_ms = now_ms() + exchange.idle_ms
             kept.append(IdleConnection(exchange.reader, exchange.writer, until_ms))
         else:
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sequoiahook.daemons.target_exchange import WatchfulReader
 from sequoiahook.daemons.target_http import (
     TargetClient,
     TargetClientSettings,
@@ -136,3 +137,15 @@
         server.close()
 
     asyncio.run(run())
+
+
+def test_bytes_after_an_answer_are_noticed_whenever_they_come():
+    async def run():
+        reader = WatchfulReader(1024)
+        reader.feed_data(b"answer")
+        assert await reader.read(1024) == b"answer"
+        assert reader.unread_bytes == 0
+        reader.feed_data(b"second answer")
+        assert reader.unread_bytes > 0
+
+    asyncio.run(run())
