Read addresses of the platform in one place; drop a pass-through and a dead constant

The settings file and the store's entries each had a reader of HOST:PORT; the stricter one of the entries now serves both. Object owners call rendezvous.order itself.

--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -41,7 +41,6 @@
 """Time for the way of an ask and its answer inside a region, which takes some 2 ms."""
 
 LIST_REVISION = -1
-AGE_UNKNOWN = -1
 HISTORY_GONE = "history gone"
 NOT_FOLLOWED = "not followed here"
 
--- a/sequoiahook/decisions/direct/object_homes.py
+++ b/sequoiahook/decisions/direct/object_homes.py
@@ -2,11 +2,9 @@
 
 import hashlib
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
-from sequoiahook.decisions.rendezvous import order
-
-__all__ = ["KnownObjects", "position", "region_order", "target_order"]
+__all__ = ["KnownObjects", "position", "region_order"]
 
 POSITION_BITS = 64
 PERMILLE = 1000
@@ -32,11 +30,6 @@
     )
 
 
-def target_order(key: str, target_ids: Sequence[str]) -> list[str]:
-    """Return the targets of one region in the order in which they own an object."""
-    return order(key, target_ids)
-
-
 def _fraction(text: str) -> float:
     digest = hashlib.blake2b(text.encode(), digest_size=POSITION_BITS // 8).digest()
     # Never 0 or 1, so that its logarithm is a finite negative number.
--- a/sequoiahook/decisions/direct/placing.py
+++ b/sequoiahook/decisions/direct/placing.py
@@ -23,10 +23,10 @@
     KnownObjects,
     position,
     region_order,
-    target_order,
 )
 from sequoiahook.decisions.direct.target_book import TargetBook
 from sequoiahook.decisions.direct.target_state import TargetState
+from sequoiahook.decisions.rendezvous import order
 from sequoiahook.world.routing import Route, TargetService
 
 __all__ = ["Demand", "Place", "Placing", "PlacingSettings"]
@@ -297,7 +297,7 @@
                 self._orders_by_key.clear()
             by_id = {state.record.id: state for state in group}
             full_key = _full_key(demand.route, demand.object_key)
-            states = [by_id[name] for name in target_order(full_key, list(by_id))]
+            states = [by_id[name] for name in order(full_key, by_id)]
             self._orders_by_key[key] = states
         return states
 
--- /dev/null
+++ b/sequoiahook/platform/addresses.py
@@ -0,0 +1,18 @@
+"""Addresses as the platform writes them."""
+
+from sequoiahook.options import Section
+from sequoiahook.world.instance import Address
+
+__all__ = ["read_host_port"]
+
+PORT_MAX = 65535
+
+
+def read_host_port(section: Section, key: str) -> Address:
+    """Read a text HOST:PORT; what is wrong with it becomes a finding."""
+    host, _, port = section.string(key).rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= PORT_MAX
+    if not host or not is_port:
+        section.report(key, "must be HOST:PORT")
+        return Address("", 0)
+    return Address(host, int(port))
--- a/sequoiahook/platform/entries.py
+++ b/sequoiahook/platform/entries.py
@@ -4,12 +4,12 @@
 from typing import Any
 
 from sequoiahook.options import Section
-from sequoiahook.world.instance import Address, LiveInstance
+from sequoiahook.platform.addresses import read_host_port
+from sequoiahook.world.instance import LiveInstance
 from sequoiahook.world.target import LiveTarget
 
 __all__ = ["instance_document", "read_instance_entry", "read_target_entry"]
 
-PORT_MAX = 65535
 SLOTS_MAX = 100_000
 MS_MAX = 1 << 40
 INCARNATION_MAX = 1 << 63
@@ -38,7 +38,7 @@
     data_centre = info.string("zone")
     if data_centre not in region_by_data_centre:
         info.report("zone", "is not a known data centre")
-    address = _address(spec, "address")
+    address = read_host_port(spec, "address")
     record = LiveTarget(
         id=target_id,
         # The Unix time of the start; runs are told apart by it.
@@ -86,17 +86,8 @@
         spec.integer("incarnation", low=0, high=INCARNATION_MAX),
         spec.string("data_centre"),
         spec.string("region"),
-        _address(spec, "caller_address"),
-        _address(spec, "report_address"),
+        read_host_port(spec, "caller_address"),
+        read_host_port(spec, "report_address"),
     )
     root.require()
     return entry
-
-
-def _address(section: Section, key: str) -> Address:
-    host, _, port = section.string(key).rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= PORT_MAX
-    if not host or not is_port:
-        section.report(key, "must be HOST:PORT")
-        return Address("", 0)
-    return Address(host, int(port))
--- a/sequoiahook/platform/settings.py
+++ b/sequoiahook/platform/settings.py
@@ -8,12 +8,12 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.errors import CheckError, Finding
 from sequoiahook.options import Section
+from sequoiahook.platform.addresses import read_host_port
 from sequoiahook.world.instance import Address
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
 SETTINGS_VARIABLE = "SEQUOIAHOOK_BOOT"
-PORT_MAX = 65535
 METRICS_PORT = 9464
 """The port that deploy/system.toml names; the settings file has none for it."""
 
@@ -62,17 +62,17 @@
         region=root.string("region"),
         region_by_data_centre=region_by_data_centre,
         # "front" is where callers send requests.
-        caller_address=_address(listen, "front"),
-        readiness_address=_address(listen, "readiness_address"),
+        caller_address=read_host_port(listen, "front"),
+        readiness_address=read_host_port(listen, "readiness_address"),
         # "directory" is where callers look up which instances to use.
-        lookup_address=_address(listen, "directory"),
+        lookup_address=read_host_port(listen, "directory"),
         report_address=Address(host, ports[0]),
         metrics_address=Address(host, METRICS_PORT),
         bounds=_read_bounds(root),
     )
     return PlatformSettings(
         direct,
-        _address(store, "address"),
+        read_host_port(store, "address"),
         store.integer("value_bytes", low=1, high=1 << 30, default=1 << 20),
     )
 
@@ -120,15 +120,6 @@
         return default
 
 
-def _address(section: Section, key: str) -> Address:
-    text = section.string(key)
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= PORT_MAX:
-        section.report(key, "must be HOST:PORT")
-        return Address("", 0)
-    return Address(host, int(port))
-
-
 def _texts(root: Section, key: str) -> dict[str, str]:
     value: Any = root.raw(key)
     if not isinstance(value, dict) or not all(
