--- /dev/null
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -0,0 +1,60 @@
+"""Log lines on decisions about the regions in which requests run."""
+
+import logbook
+
+from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.core import DirectCore
+
+__all__ = ["DecisionLog"]
+
+SUMMARY_INTERVAL_MS = MS_PER_S
+"""Shortest time between two summaries, which bounds their number."""
+
+log = logbook.Logger("regions")
+
+
+class DecisionLog:
+    """Logs changes of a region's shares, disturbances, and counts of requests.
+
+    Args:
+        core: The decisions.
+    """
+
+    def __init__(self, core: DirectCore):
+        self._core = core
+        self._selector = core.selector
+        self._disturbance = core.selector.disturbance.last
+        self._summarised_at = 0
+
+    def write(self, now: int) -> None:
+        """Log what changed since the last call."""
+        for step in self._selector.home_shares.pop_steps():
+            log.info("share of the region changed", extra=step._asdict())
+        if now - self._summarised_at >= SUMMARY_INTERVAL_MS:
+            self._summarised_at = now
+            self._write_disturbance(now)
+            self._write_summary(now)
+
+    def _write_disturbance(self, now: int) -> None:
+        last = self._selector.disturbance.last
+        if last != self._disturbance:
+            self._disturbance = last
+            fields = last._asdict() | {"age_ms": now - last.at}
+            del fields["at"]
+            log.info("disturbance", extra=fields)
+
+    def _write_summary(self, now: int) -> None:
+        counts = self._selector.summary.pop()
+        if counts is None:
+            return
+        shares = self._selector.home_shares
+        updated_at = shares.updated_at
+        fields = counts._asdict() | {
+            "share_by_service": dict(shares.permille_by_service),
+            "share_age_ms": None if updated_at is None else now - updated_at,
+            "moved_ratio": round(self._selector.moved_ratio(now), 3),
+            "is_starting": self._selector.is_starting(now),
+            "disturbance_age_ms": now - self._selector.disturbance.last.at,
+            "configuration": self._core.configuration_number,
+        }
+        log.info("requests by region", extra=fields)
--- a/sequoiahook/daemons/direct/metrics.py
+++ b/sequoiahook/daemons/direct/metrics.py
@@ -2,6 +2,7 @@
 
 from sequoiahook.daemons.caller_http import CallerAnswer
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.home_share import PERMILLE
 from sequoiahook.metrics import Metrics
 
 __all__ = ["metrics_answer"]
@@ -31,6 +32,11 @@
         f"sequoiahook_targets {len(core.targets.states_by_id)}",
         f"sequoiahook_instances {len(core.peers.instances_by_name) + 1}",
     ]
+    lines += [
+        f'sequoiahook_region_share{{service="{service}"}} {share / PERMILLE:.3f}'
+        for service, share in core.selector.home_shares.permille_by_service.items()
+    ]
+    lines.append(f"sequoiahook_moved_ratio {core.selector.moved_ratio(now):.3f}")
     for state in core.targets.states_by_id.values():
         label = f'target="{state.record.id}"'
         lines.append(f"sequoiahook_target_busy{{{label}}} {state.in_flight(now)}")
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -152,13 +152,14 @@
 
     def on_store_lost(self) -> None:
         """Record a disturbance, as targets may leave unnoticed without the store."""
-        self.core.selector.disturbance.record_event(self.clock.now())
+        disturbance = self.core.selector.disturbance
+        disturbance.record_event("store unavailable", self.clock.now())
 
     def on_store_regained(self) -> None:
         """Record that entries may be missing because the store was unavailable."""
         now = self.clock.now()
         self.core.targets.on_platform_recovered(now)
-        self.core.selector.disturbance.record_event(now)
+        self.core.selector.disturbance.record_event("store available again", now)
 
     def apply_all(self, as_of: int) -> None:
         """Replace all targets."""
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -6,6 +6,7 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.daemons.direct.decision_log import DecisionLog
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.fleet import OutgoingDatagram
@@ -66,6 +67,7 @@
         self._is_refusal_logged = False
         self._is_serving_scheduled = False
         self._role = ("", False)
+        self._decision_log = DecisionLog(core)
         self._futures_by_organisation: dict[str, set[asyncio.Future]] = {}
 
     async def start(self) -> None:
@@ -108,6 +110,7 @@
         for target_id in self._core.tick(now):
             log.info("target expired", extra={"target": target_id})
         self._log_role(now)
+        self._decision_log.write(now)
         self.send_token_requests()
         self._send_all(self._core.reports(now, includes_far=includes_far))
 
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -163,6 +163,7 @@
                 now - request.arrived_at,
                 placement.expected_ms,
                 placement.in_flight,
+                placement.placed_by,
             )
         )
         return Attempt(request, state, placement.in_flight, remaining_ms)
--- a/sequoiahook/decisions/direct/disturbance.py
+++ b/sequoiahook/decisions/direct/disturbance.py
@@ -5,13 +5,36 @@
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
-__all__ = ["Disturbance"]
+__all__ = ["Disturbance", "DisturbanceEvent"]
+
+NAMES_MAX = 5
+"""Most names that an event holds for the log."""
+
+
+class DisturbanceEvent(NamedTuple):
+    """The cause of a disturbance, for logs.
+
+    Attributes:
+        kind: Kind of the names, or what happened.
+        at: Time in milliseconds.
+        lost: The first names that were lost.
+        returned: The first names that returned.
+    """
+
+    kind: str
+    at: int
+    lost: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
 
 
 class Disturbance:
     """Records when targets or instances leave, fail or recover.
 
+    Attributes:
+        last: The last disturbance.
+
     Args:
         duration_ms: Time for which a disturbance is recent.
         now: The time in milliseconds; the start counts as a disturbance.
@@ -19,13 +42,13 @@
 
     def __init__(self, duration_ms: int, now: int):
         self._duration_ms = duration_ms
-        self._disturbed_at = now
+        self.last = DisturbanceEvent("start", now)
         self._lost: set[str] = set()
         self._present_by_kind: dict[str, frozenset[str]] = {}
 
-    def record_event(self, now: int) -> None:
+    def record_event(self, kind: str, now: int) -> None:
         """Record a disturbance."""
-        self._disturbed_at = now
+        self.last = DisturbanceEvent(kind, now)
 
     def update(self, kind: str, present: Iterable[str], now: int) -> None:
         """Compare the names that are present with those of the last call.
@@ -41,10 +64,16 @@
         lost = self._present_by_kind.get(kind, names) - names
         returned = self._lost & names
         if lost or returned:
-            self.record_event(now)
+            self.last = DisturbanceEvent(
+                kind, now, _first_names(lost), _first_names(returned)
+            )
         self._lost = (self._lost | lost) - returned
         self._present_by_kind[kind] = names
 
     def is_recent(self, now: int) -> bool:
         """Return whether the last disturbance is recent."""
-        return now - self._disturbed_at < self._duration_ms
+        return now - self.last.at < self._duration_ms
+
+
+def _first_names(names: Iterable[str]) -> tuple[str, ...]:
+    return tuple(sorted(names)[:NAMES_MAX])
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -337,7 +337,7 @@
         )
         near = self._near_views(now)
         if report.group in near and report.group == min([self.groups.own_name, *near]):
-            self._components.selector.home_shares.adopt(report.home_by_service)
+            self._components.selector.home_shares.adopt(report.home_by_service, now)
         return []
 
     def _apply_digest(self, sender: str, digest: GroupDigest, now: int) -> None:
@@ -350,7 +350,7 @@
         self._components.targets.record_open_counts(
             OTHER_GROUPS, digest.open_by_target, now
         )
-        self._components.selector.home_shares.adopt(digest.home_by_service)
+        self._components.selector.home_shares.adopt(digest.home_by_service, now)
 
     def _apply_token_message(
         self, sender: str, body: TokenRequest | TokenGrant | TokenDenial, now: int
--- a/sequoiahook/decisions/direct/home_share.py
+++ b/sequoiahook/decisions/direct/home_share.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ["PERMILLE", "HomeShareSettings", "HomeShares", "TargetUse"]
+__all__ = ["PERMILLE", "HomeShareSettings", "HomeShares", "ShareStep", "TargetUse"]
 
 PERMILLE = 1000
 
@@ -70,15 +70,43 @@
 NO_USE = TargetUse(0.0, 0.0)
 
 
+class ShareStep(NamedTuple):
+    """A change of a share and its inputs, for logs.
+
+    Attributes:
+        service: Name of the service.
+        share: Share before the change, in thousandths.
+        new_share: Share after it.
+        intended: Share that fits the load.
+        load: Load reported by the region's instances, in thousandths of a slot.
+        measured_load: Load derived from the requests at the region's targets.
+        capacity: Intended highest load of the region's targets.
+    """
+
+    service: str
+    share: int
+    new_share: int
+    intended: int
+    load: int
+    measured_load: int
+    capacity: int
+
+
 class HomeShares:
     """Shares of the own region by service, in thousandths.
 
+    Attributes:
+        permille_by_service: The shares.
+        updated_at: When the shares were last decided or received; None before that.
+
     Args:
         settings: Settings of the shares.
     """
 
     def __init__(self, settings: HomeShareSettings):
         self.permille_by_service: dict[str, int] = {}
+        self.updated_at: int | None = None
+        self._steps: list[ShareStep] = []
         self._settings = settings
         self._work_ms_by_service: dict[str, float] = {}
         self._load_slots_by_service: dict[str, float] = {}
@@ -149,9 +177,15 @@
             self.permille_by_service[service] = permille
         return permille
 
-    def adopt(self, permille_by_service: Mapping[str, int]) -> None:
+    def adopt(self, permille_by_service: Mapping[str, int], now: int) -> None:
         """Apply the shares that the deciding instance of the region reported."""
         self.permille_by_service.update(permille_by_service)
+        self.updated_at = now
+
+    def pop_steps(self) -> list[ShareStep]:
+        """Return the changes that this instance decided since the last call."""
+        steps, self._steps = self._steps, []
+        return steps
 
     def decide(
         self,
@@ -176,21 +210,36 @@
         if self._stepped_at is not None and now - self._stepped_at < step_interval_ms:
             return
         self._stepped_at = now
+        self.updated_at = now
         for service, share in self.permille_by_service.items():
             capacity = slots_by_service.get(service, 0) * self._load_max_permille(
                 service
             )
-            load = max(
-                1, load_by_service.get(service, 0), self._measured_load(service, share)
-            )
-            intended = min(PERMILLE, capacity * PERMILLE // load)
+            load = load_by_service.get(service, 0)
+            measured_load = self._measured_load(service, share)
+            intended = min(PERMILLE, capacity * PERMILLE // max(1, load, measured_load))
             # Small differences are ignored, since each step moves objects.
             if (
                 abs(intended - share) >= settings.change_min_permille
                 or intended == PERMILLE
             ):
-                share += max(-step, min(step, intended - share))
-            self.permille_by_service[service] = share
+                new_share = share + max(-step, min(step, intended - share))
+                self._set(
+                    ShareStep(
+                        service,
+                        share,
+                        new_share,
+                        intended,
+                        load,
+                        measured_load,
+                        capacity,
+                    )
+                )
+
+    def _set(self, step: ShareStep) -> None:
+        if step.new_share != step.share:
+            self.permille_by_service[step.service] = step.new_share
+            self._steps.append(step)
 
     def _measured_load(self, service: str, share: int) -> int:
         """Return the load in thousandths of a slot, from requests at own targets.
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -94,6 +94,7 @@
         at_ms: Start of the attempt, relative to the arrival of the request.
         expected_ms: Expected response time.
         in_flight: Requests known to be queued or running at the target.
+        placed_by: What determined the region.
         stage: Stage at which the exchange ended; empty while it runs.
         status: HTTP status; 0 without an answer.
         duration_ms: Duration of the exchange.
@@ -104,6 +105,7 @@
     at_ms: int
     expected_ms: int
     in_flight: int
+    placed_by: str = ""
     stage: str = ""
     status: int = 0
     duration_ms: int = 0
--- a/sequoiahook/decisions/direct/shift_limit.py
+++ b/sequoiahook/decisions/direct/shift_limit.py
@@ -70,6 +70,11 @@
         allowed = self._settings.moved_ratio_max * (self._total + 1)
         return self._moved + 1 <= max(1.0, allowed)
 
+    def moved_ratio(self, now: int) -> float:
+        """Return the ratio of requests in the window that ran in another region."""
+        self._expire(now)
+        return self._moved / max(1, self._total)
+
     def _expire(self, now: int) -> None:
         expired_until = now - self._settings.window_ms
         while self._slices and self._slices[0].begins_at <= expired_until:
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -30,6 +30,7 @@
     TargetUse,
 )
 from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
+from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Cause
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
@@ -113,6 +114,7 @@
         retry_after_ms: Time after which the caller should retry if there is no target.
         cause: Reason why there is no target.
         is_moved: Whether the target is in another region than the object's owner.
+        placed_by: What determined the region; one of `PlacedBy`.
     """
 
     state: TargetState | None
@@ -121,6 +123,7 @@
     retry_after_ms: int = 0
     cause: str = ""
     is_moved: bool = False
+    placed_by: str = ""
 
 
 class TargetSelector:
@@ -128,6 +131,7 @@
 
     Attributes:
         region_instance_count: Instances in the region of this one, itself included.
+        summary: Counts of requests by region, for logs.
 
     Args:
         settings: Settings of target selection.
@@ -146,6 +150,7 @@
         now: int = 0,
     ):
         self.region_instance_count = 1
+        self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
         self._settings = settings
         self._region = region
@@ -161,6 +166,12 @@
 
     def choose(self, query: TargetQuery, now: int) -> Placement:
         """Return the target of a request, or the cause of a refusal."""
+        placement = self._choose(query, now)
+        if placement.state is None:
+            self.summary.record_refused(placement.cause)
+        return placement
+
+    def _choose(self, query: TargetQuery, now: int) -> Placement:
         candidates = self._candidates(query, now)
         if not candidates:
             return Placement(
@@ -204,6 +215,11 @@
         if self._first_sent_at is None:
             self._first_sent_at = now
         self._shift.record_request(now, is_moved=placement.is_moved)
+        self.summary.record_sent(placement.state.record.region, placement.placed_by)
+
+    def moved_ratio(self, now: int) -> float:
+        """Return the ratio of recent requests that ran outside their owner's region."""
+        return self._shift.moved_ratio(now)
 
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
@@ -266,9 +282,23 @@
                     state, query, is_owner=not candidates, now=now
                 )
                 if placement is not None:
-                    candidates.append(placement._replace(is_moved=index > 0))
+                    candidates.append(
+                        placement._replace(
+                            is_moved=index > 0,
+                            placed_by=self._placed_by(region, query, index),
+                        )
+                    )
         return candidates
 
+    def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
+        if index > 0:
+            return PlacedBy.OVERFLOW
+        if region == self._region:
+            return PlacedBy.HOME
+        if query.regions and self._region not in query.regions:
+            return PlacedBy.REQUIRED_REGIONS
+        return PlacedBy.SHARE
+
     def _region_order(self, query: TargetQuery) -> list[str]:
         """Return the regions that may run a request, the owner's first."""
         allowed = [r for r in self._regions if not query.regions or r in query.regions]
--- /dev/null
+++ b/tests/region_simulation.py
@@ -0,0 +1,335 @@
+"""Simulation of the instances of one region, its targets and those of other regions.
+
+The instances are whole cores without I/O that exchange reports. Targets keep the
+objects that they handled last in a cache, queue some requests and shed the rest.
+Callers repeat a refused request once, after the retry-after time.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter, OrderedDict
+from typing import NamedTuple
+
+from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.direct.core_settings import core_settings
+from sequoiahook.daemons.direct.settings import DirectSettings
+from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.requests import Attempt, Deliver, Refuse
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.world.instance import Address
+from tests.direct_parts import (
+    a_configuration,
+    a_request,
+    a_route,
+    a_service,
+    a_target,
+    an_instance,
+)
+
+OWN_REGION = "north"
+REGIONS = ("east", "north", "south")
+WINDOW_MS = 2_000
+REPORT_MS = 200
+REPORT_DELAY_MS = 1
+ROUND_TRIP_MS = 110
+CACHED_WORK_RATIO = 0.3
+CACHE_SIZE = 13
+QUEUE_SIZE = 18
+RETRY_WAIT_MAX_MS = 2_500
+DEADLINE_MS = 8_000
+GOAL_MS = 1_275
+ADDRESS = Address("127.0.0.1", 0)
+OK = TargetResult(Stage.ANSWERED, status=200)
+SHED = TargetResult(Stage.SHED, status=503)
+
+
+class Load(NamedTuple):
+    """The requests of one route.
+
+    Attributes:
+        name: Name of the route.
+        service: Service that runs them.
+        per_s: Requests a second.
+        work_ms: Mean work at a target that does not have the object cached.
+        object_count: Number of objects that the requests concern.
+        regions: Regions in which they may run; empty means all.
+    """
+
+    name: str = "view"
+    service: str = "desk"
+    per_s: float = 330.0
+    work_ms: int = 1_680
+    object_count: int = 270
+    regions: tuple[str, ...] = ()
+
+
+class Run(NamedTuple):
+    """A request that a target accepted.
+
+    Attributes:
+        at: Time in milliseconds at which it was sent.
+        region: Region of the target.
+        route: Name of its route.
+    """
+
+    at: int
+    region: str
+    route: str
+
+
+class SimulatedTarget:
+    """Runs requests one after the other in each slot.
+
+    Args:
+        record: The target as listed.
+    """
+
+    def __init__(self, record):
+        self.record = record
+        self.is_reachable = True
+        self._free_at = [0.0] * record.slots
+        self._cache = OrderedDict()
+
+    def run(self, key, work_ms, now):
+        """Return the time at which the work is done; None if the target sheds it."""
+        if sum(at > now for at in self._free_at) == len(self._free_at):
+            wait_ms = min(self._free_at) - now
+            if wait_ms > QUEUE_SIZE / len(self._free_at) * work_ms:
+                return None
+        if key in self._cache:
+            work_ms *= CACHED_WORK_RATIO
+        self._cache[key] = True
+        self._cache.move_to_end(key)
+        if len(self._cache) > CACHE_SIZE:
+            self._cache.popitem(last=False)
+        done = max(now, heapq.heappop(self._free_at)) + work_ms
+        heapq.heappush(self._free_at, done)
+        return done
+
+
+class RegionSimulation:
+    """The instances of one region under load.
+
+    Args:
+        targets_by_region: Number of targets of each service, by region.
+        loads: The routes and their requests.
+        seed: Seed of arrivals, objects and work.
+        instance_count: Number of instances of the region.
+        slots: Slots of each target.
+    """
+
+    def __init__(
+        self, targets_by_region, loads, seed=1, instance_count=3, slots=6, **bounds
+    ):
+        self.now = 0
+        self.runs, self.refusals, self.sent = [], [], 0
+        self.late = 0
+        self.loads = list(loads)
+        self._rng = random.Random(seed)
+        self._events = []
+        self._order = itertools.count()
+        self._number = 0
+        self.instances = {
+            f"north-{i}": an_instance(f"north-{i}", data_centre="north-a")
+            for i in range(instance_count)
+        }
+        self.targets = {}
+        services = {load.service for load in self.loads}
+        for service, (region, count) in itertools.product(
+            sorted(services), sorted(targets_by_region.items())
+        ):
+            for i in range(count):
+                self._add(f"{service}-{region}-{i}", service, region, slots)
+        settings = DirectSettings(
+            "north-0",
+            "north-a",
+            OWN_REGION,
+            {f"{region}-a": region for region in REGIONS},
+            *[ADDRESS] * 5,
+        )
+        self._settings = core_settings(settings)
+        self.cores = {}
+        for index, name in enumerate(self.instances):
+            self.start(name)
+            self._at(index * REPORT_MS // instance_count, self._report, name)
+        self.configure()
+
+    def start(self, name):
+        """Start an instance, or restart it without its state."""
+        instance = self.instances[name]._replace(incarnation=self._rng.getrandbits(32))
+        core = DirectCore(self._settings, instance, self.now)
+        core.set_instances(self.instances, self.now)
+        core.targets.replace(self._listed(), self.now)
+        self.cores[name] = core
+        if self._number:
+            core.configure(self._configuration(), self.now)
+
+    def configure(self):
+        """Put a configuration that fits the present loads in force at once."""
+        self._number += 1
+        for core in self.cores.values():
+            core.configure(self._configuration(), self.now)
+
+    def add_targets(self, service, region, names, slots=6):
+        """List new targets."""
+        for name in names:
+            self._add(name, service, region, slots)
+        self._list_targets()
+
+    def remove_targets(self, names):
+        """Remove targets from the list; those that they run are finished."""
+        for name in names:
+            del self.targets[name]
+        self._list_targets()
+
+    def idle(self, duration_ms):
+        """Advance the simulation without arrivals."""
+        self._advance(self.now + duration_ms, lambda: math.inf)
+
+    def run(self, duration_ms):
+        """Advance the simulation with arrivals at the rates of the loads."""
+        total = sum(load.per_s for load in self.loads)
+        self._advance(
+            self.now + duration_ms, lambda: self._rng.expovariate(total) * MS_PER_S
+        )
+
+    def _advance(self, end, next_gap_ms):
+        arrives_at = self.now + next_gap_ms()
+        while True:
+            at = min(arrives_at, self._events[0][0])
+            if at >= end:
+                break
+            self.now = int(at)
+            if at == arrives_at:
+                rates = [load.per_s for load in self.loads]
+                load = self._rng.choices(self.loads, rates)[0]
+                self.sent += 1
+                self._arrive(load, str(self._rng.randrange(load.object_count)), 1)
+                arrives_at += next_gap_ms()
+            else:
+                _, _, action, arguments = heapq.heappop(self._events)
+                action(*arguments)
+        self.now = end
+
+    def largest_change(self, since, step_ms=100):
+        """Return the largest change between adjacent windows, and when it came.
+
+        It is the fraction of the requests that ran in another region than they would
+        have with the distribution of the window before.
+
+        Args:
+            since: Start of the first window in milliseconds.
+            step_ms: Distance between the compared alignments.
+        """
+        largest = (0.0, since)
+        last = self.runs[-1].at
+        for middle in range(since + WINDOW_MS, last - WINDOW_MS + 1, step_ms):
+            before = self._ratios(middle - WINDOW_MS, middle)
+            after = self._ratios(middle, middle + WINDOW_MS)
+            regions = before.keys() | after.keys()
+            change = sum(abs(after[r] - before[r]) for r in regions) / 2
+            largest = max(largest, (change, middle))
+        return largest
+
+    def _ratios(self, begin, end):
+        counts = Counter(run.region for run in self.runs if begin <= run.at < end)
+        total = max(1, sum(counts.values()))
+        return Counter({region: count / total for region, count in counts.items()})
+
+    def _add(self, name, service, region, slots):
+        self.targets[name] = SimulatedTarget(
+            a_target(
+                name,
+                service=service,
+                region=region,
+                data_centre=f"{region}-a",
+                slots=slots,
+            )
+        )
+
+    def _listed(self):
+        return {name: target.record for name, target in self.targets.items()}
+
+    def _list_targets(self):
+        for core in self.cores.values():
+            core.targets.replace(self._listed(), self.now)
+
+    def _configuration(self):
+        routes = tuple(
+            a_route(
+                name=load.name,
+                path_prefix=f"/{load.name}/",
+                latency_goal_ms=GOAL_MS,
+                timeout_ms=6_000,
+                is_open=True,
+                shares=(a_route().shares[0]._replace(service=load.service),),
+                regions=load.regions,
+            )
+            for load in self.loads
+        )
+        services = tuple(
+            a_service(name=name) for name in sorted({x.service for x in self.loads})
+        )
+        return a_configuration(self._number, routes, services=services)
+
+    def _at(self, at, action, *arguments):
+        heapq.heappush(self._events, (at, next(self._order), action, arguments))
+
+    def _report(self, name):
+        core = self.cores[name]
+        core.tick(self.now)
+        for outgoing in core.reports(self.now, includes_far=True):
+            self._at(self.now + REPORT_DELAY_MS, self._deliver, *outgoing)
+        self._at(self.now + REPORT_MS, self._report, name)
+
+    def _deliver(self, name, datagram):
+        self.cores[name].receive(datagram, self.now)
+
+    def _arrive(self, load, key, retries_left):
+        core = self.cores[self._rng.choice(list(self.cores))]
+        incoming = a_request(
+            target_path=f"/{load.name}/1", object_key=key, deadline_ms=DEADLINE_MS
+        )
+        request = core.admission.admit(incoming, self.now)
+        step = core.attempts.next_step(request, self.now)
+        self._follow(core, step, (load, key, retries_left), self.now)
+
+    def _follow(self, core, step, arrival, arrived_at):
+        load, key, retries_left = arrival
+        if isinstance(step, Attempt):
+            self._send(core, step, arrival, arrived_at)
+        elif isinstance(step, Deliver):
+            self.late += self.now - arrived_at > GOAL_MS
+        elif isinstance(step, Refuse):
+            self.refusals.append((self.now, step))
+            if retries_left and 0 < step.retry_after_ms <= RETRY_WAIT_MAX_MS:
+                again_at = self.now + step.retry_after_ms
+                self._at(again_at, self._arrive, load, key, retries_left - 1)
+
+    def _send(self, core, attempt, arrival, arrived_at):
+        load, key, _ = arrival
+        record = attempt.state.record
+        region = record.region
+        way_ms = 0 if region == OWN_REGION else ROUND_TRIP_MS / 2
+        target = self.targets.get(record.id)
+        work_ms = load.work_ms * self._rng.uniform(0.85, 1.15)
+        reached_at = self.now + way_ms
+        done = (
+            target.run((load.name, key), work_ms, reached_at)
+            if target is not None and target.is_reachable
+            else None
+        )
+        if done is None:
+            result = SHED if target is not None else TargetResult(Stage.CONNECT_REFUSED)
+            end = reached_at + way_ms
+        else:
+            self.runs.append(Run(self.now, region, load.name))
+            end = done + way_ms
+            result = OK._replace(duration_ms=math.ceil(end - self.now))
+        self._at(math.ceil(end), self._end, core, attempt, result, arrival, arrived_at)
+
+    def _end(self, core, attempt, result, arrival, arrived_at):
+        step = core.attempts.on_ended(attempt, result, self.now)
+        self._follow(core, step, arrival, arrived_at)
