Limit changes of region from the first request on

Cause: the startup period of 4 s, counted by each instance from its own first request, had no limit on requests that leave their owner's region and a step of the region's share of 20 % a second. A restarted instance that decides for its region had both again. The start also counted as a failure. Change: no startup period. The initial share, from the slots of the regions, holds from the first request on and moves at the ordinary rate. The test that called the start a disturbance asserts the opposite now.

--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -53,7 +53,6 @@
             "share_by_service": dict(shares.permille_by_service),
             "share_age_ms": None if updated_at is None else now - updated_at,
             "moved_ratio": round(self._selector.moved_ratio(now), 3),
-            "is_starting": self._selector.is_starting(now),
             "disturbance_age_ms": now - self._selector.disturbance.last.at,
             "configuration": self._core.configuration_number,
         }
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -236,9 +236,4 @@
             for service in shares.permille_by_service
         }
         loads_by_service = self.fleet.region_loads(now)
-        shares.decide(
-            loads_by_service,
-            slots_by_service,
-            now,
-            is_fast=self.selector.is_starting(now),
-        )
+        shares.decide(loads_by_service, slots_by_service, now)
--- a/sequoiahook/decisions/direct/disturbance.py
+++ b/sequoiahook/decisions/direct/disturbance.py
@@ -37,12 +37,12 @@
 
     Args:
         duration_ms: Time for which a disturbance is recent.
-        now: The time in milliseconds; the start counts as a disturbance.
+        now: The time in milliseconds; the start is not a disturbance.
     """
 
     def __init__(self, duration_ms: int, now: int):
         self._duration_ms = duration_ms
-        self.last = DisturbanceEvent("start", now)
+        self.last = DisturbanceEvent("start", now - duration_ms)
         self._lost: set[str] = set()
         self._present_by_kind: dict[str, frozenset[str]] = {}
 
--- a/sequoiahook/decisions/direct/home_share.py
+++ b/sequoiahook/decisions/direct/home_share.py
@@ -31,7 +31,6 @@
             known, as a percentage of an equal part of all slots.
         step_permille: Largest change in one step. The steps within two seconds together
             stay below the ratio of requests that may change region.
-        fast_step_permille: Largest change in one step during the startup period.
         change_min_permille: Smallest difference for which a share is changed.
         step_interval_ms: Time between two steps.
         load_window_ms: Period over which the load is averaged.
@@ -41,7 +40,6 @@
     load_max_percent: int = 65
     initial_load_percent: int = 60
     step_permille: int = 50
-    fast_step_permille: int = 200
     change_min_permille: int = 100
     step_interval_ms: int = 1_000
     load_window_ms: int = 3_000
@@ -192,8 +190,6 @@
         load_by_service: Mapping[str, int],
         slots_by_service: Mapping[str, int],
         now: int,
-        *,
-        is_fast: bool = False,
     ) -> None:
         """Change the shares by one step towards the values that fit the load.
 
@@ -202,10 +198,9 @@
                 slot.
             slots_by_service: Slots of the region's targets.
             now: The time in milliseconds.
-            is_fast: Whether to use the larger step of the startup period.
         """
         settings = self._settings
-        step = settings.fast_step_permille if is_fast else settings.step_permille
+        step = settings.step_permille
         step_interval_ms = settings.step_interval_ms
         if self._stepped_at is not None and now - self._stepped_at < step_interval_ms:
             return
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -63,8 +63,6 @@
         disturbance_ms: Period after a failure in which requests may change region
             without limit. The platform's own bounds apply again four seconds after a
             failure.
-        startup_ms: Period after the first request in which requests may change region
-            without limit, since the shares of regions do not fit the load yet.
         check_interval_ms: Time between two checks of which targets are usable.
     """
 
@@ -78,7 +76,6 @@
     home: HomeShareSettings = HomeShareSettings()
     shift: ShiftSettings = ShiftSettings()
     disturbance_ms: int = 6_000
-    startup_ms: int = 4_000
     check_interval_ms: int = 400
 
 
@@ -159,7 +156,6 @@
         self.home_shares = HomeShares(settings.home)
         self._shift = ShiftLimit(settings.shift)
         self.disturbance = Disturbance(settings.disturbance_ms, now)
-        self._first_sent_at: int | None = None
         self._checked_at = now - settings.check_interval_ms
         self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._rankings_version = -1
@@ -198,22 +194,11 @@
         return best
 
     def may_move_freely(self, now: int) -> bool:
-        """Return whether requests may change region without limit.
-
-        This holds after a failure and shortly after the first request.
-        """
-        return self.is_starting(now) or self.disturbance.is_recent(now)
-
-    def is_starting(self, now: int) -> bool:
-        """Return whether the startup period after the first request is not over."""
-        if self._first_sent_at is None:
-            return True
-        return now - self._first_sent_at < self._settings.startup_ms
+        """Return whether requests may change region without limit, after a failure."""
+        return self.disturbance.is_recent(now)
 
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
-        if self._first_sent_at is None:
-            self._first_sent_at = now
         self._shift.record_request(now, is_moved=placement.is_moved)
         self.summary.record_sent(placement.state.record.region, placement.placed_by)
 
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -131,8 +131,7 @@
     shares = selector.home_shares
     shares.update(int(now), {"s": selector.target_use("s", int(now))})
     slots = {"s": selector.slots_by_region("s")["north"]}
-    is_fast = selector.is_starting(int(now))
-    shares.decide(shares.loads(), slots, int(now), is_fast=is_fast)
+    shares.decide(shares.loads(), slots, int(now))
 
 
 def test_steep_load_changes_move_few_requests_at_a_time():
@@ -182,10 +181,10 @@
         history.append((now, is_moved))
 
 
-def test_failure_and_return_are_disturbances_but_joining_is_not():
+def test_failure_and_return_are_disturbances_but_start_and_joining_are_not():
     disturbance = Disturbance(1_000, 0)
     disturbance.update("target", "ab", 0)
-    assert disturbance.is_recent(999)
+    assert not disturbance.is_recent(0)
     disturbance.update("target", "abc", 2_000)
     assert not disturbance.is_recent(2_000)
     disturbance.update("target", "ac", 3_000)
