Keep the region's shares when the instance that decides them restarts

Cause: a restarted instance that is first by name set the shares from slots again, and all instances of the region adopted them. Change: shares set from slots are provisional until one step has passed. They are replaced by those that any instance of the region reports, and are not reported themselves.

--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -304,7 +304,7 @@
         return loads
 
     def _home_permille(self) -> dict[str, int]:
-        return dict(self._components.selector.home_shares.permille_by_service)
+        return self._components.selector.home_shares.known()
 
     def _apply_member_report(self, sender: str, report: MemberReport, now: int) -> None:
         if sender not in self.groups.members:
@@ -335,11 +335,19 @@
         self._components.targets.record_open_counts(
             report.group, report.open_by_target, now
         )
-        near = self._near_views(now)
-        if report.group in near and report.group == min([self.groups.own_name, *near]):
-            self._components.selector.home_shares.adopt(report.home_by_service, now)
+        self._apply_home_shares(report, now)
         return []
 
+    def _apply_home_shares(self, report: GroupReport, now: int) -> None:
+        near = self._near_views(now)
+        if report.group not in near:
+            return
+        shares = self._components.selector.home_shares
+        if report.group == min([self.groups.own_name, *near]):
+            shares.adopt(report.home_by_service, now)
+        else:
+            shares.adopt_unknown(report.home_by_service, now)
+
     def _apply_digest(self, sender: str, digest: GroupDigest, now: int) -> None:
         if sender != self.groups.vote:
             return
--- a/sequoiahook/decisions/direct/home_share.py
+++ b/sequoiahook/decisions/direct/home_share.py
@@ -6,7 +6,9 @@
 
 One instance of the region decides, the first by name of those that report, and sends
 the shares to the others in its reports. If two decide for a moment, some requests go to
-targets that have not handled their objects recently; there is no other harm.
+targets that have not handled their objects recently; there is no other harm. An
+instance that starts uses shares set from slots provisionally, until it receives those
+of any instance of the region.
 
 This covers traffic that is distributed over the regions differently from the targets.
 It accepts longer round trips for targets that have cached objects and free slots.
@@ -104,6 +106,7 @@
     def __init__(self, settings: HomeShareSettings):
         self.permille_by_service: dict[str, int] = {}
         self.updated_at: int | None = None
+        self._provisional_since_by_service: dict[str, int] = {}
         self._steps: list[ShareStep] = []
         self._settings = settings
         self._work_ms_by_service: dict[str, float] = {}
@@ -155,7 +158,9 @@
             for service, slots in self._load_slots_by_service.items()
         }
 
-    def share(self, service: str, own_slots: int, all_slots: int, regions: int) -> int:
+    def share(
+        self, service: str, own_slots: int, all_slots: int, regions: int, now: int
+    ) -> int:
         """Return the share of a service in thousandths, set from slots at first use.
 
         Args:
@@ -163,6 +168,7 @@
             own_slots: Slots of its targets in the region.
             all_slots: Slots of its targets in all regions.
             regions: Number of regions.
+            now: The time in milliseconds.
         """
         permille = self.permille_by_service.get(service)
         if permille is None:
@@ -173,13 +179,31 @@
             if needed_slots > own_slots:
                 permille = int(PERMILLE * own_slots / needed_slots)
             self.permille_by_service[service] = permille
+            self._provisional_since_by_service[service] = now
         return permille
 
+    def known(self) -> dict[str, int]:
+        """Return the shares that were decided or received."""
+        return {
+            service: permille
+            for service, permille in self.permille_by_service.items()
+            if service not in self._provisional_since_by_service
+        }
+
     def adopt(self, permille_by_service: Mapping[str, int], now: int) -> None:
         """Apply the shares that the deciding instance of the region reported."""
         self.permille_by_service.update(permille_by_service)
+        for service in permille_by_service:
+            self._provisional_since_by_service.pop(service, None)
         self.updated_at = now
 
+    def adopt_unknown(self, permille_by_service: Mapping[str, int], now: int) -> None:
+        """Apply the shares of another instance to services without a known share."""
+        known = self.known()
+        unknown = {s: p for s, p in permille_by_service.items() if s not in known}
+        if unknown:
+            self.adopt(unknown, now)
+
     def pop_steps(self) -> list[ShareStep]:
         """Return the changes that this instance decided since the last call."""
         steps, self._steps = self._steps, []
@@ -206,7 +230,8 @@
             return
         self._stepped_at = now
         self.updated_at = now
-        for service, share in self.permille_by_service.items():
+        self._confirm_provisional(now)
+        for service, share in self.known().items():
             capacity = slots_by_service.get(service, 0) * self._load_max_permille(
                 service
             )
@@ -231,6 +256,13 @@
                     )
                 )
 
+    def _confirm_provisional(self, now: int) -> None:
+        """Keep provisional shares that no instance has replaced for one step."""
+        latest = now - self._settings.step_interval_ms
+        for service, since in list(self._provisional_since_by_service.items()):
+            if since <= latest:
+                del self._provisional_since_by_service[service]
+
     def _set(self, step: ShareStep) -> None:
         if step.new_share != step.share:
             self.permille_by_service[step.service] = step.new_share
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -260,7 +260,7 @@
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        for index, region in enumerate(self._region_order(query)):
+        for index, region in enumerate(self._region_order(query, now)):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
@@ -284,7 +284,7 @@
             return PlacedBy.REQUIRED_REGIONS
         return PlacedBy.SHARE
 
-    def _region_order(self, query: TargetQuery) -> list[str]:
+    def _region_order(self, query: TargetQuery, now: int) -> list[str]:
         """Return the regions that may run a request, the owner's first."""
         allowed = [r for r in self._regions if not query.regions or r in query.regions]
         if not query.object_key or self._region not in allowed:
@@ -296,6 +296,7 @@
             slots_by_region[self._region],
             sum(slots_by_region.values()),
             len(self._regions),
+            now,
         )
         key = qualified_key(query.route, query.object_key)
         if hash_permille(key) < share:
--- a/tests/test_region_shift.py
+++ b/tests/test_region_shift.py
@@ -52,6 +52,18 @@
     assert_gradual(world, since)
 
 
+def test_restarted_instance_does_not_reset_the_shares_of_its_region():
+    world, _ = simulation(1)
+    before = world.cores["north-0"].selector.home_shares.permille_by_service["desk"]
+    world.start("north-0")
+    world.run(400)
+    shares = {
+        core.selector.home_shares.permille_by_service["desk"]
+        for core in world.cores.values()
+    }
+    assert max(abs(share - before) for share in shares) <= 1_000 * SHIFT_MAX / 2
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_limit_applies_again_after_the_loss_of_few_targets(seed):
     """Most of the requests that left the region did so for the load, not the loss."""
