Extend the limit of moved requests by what was lost, and end it gradually

Cause: any lost or returned target, instance or store lifted the limit for 6 s on every instance. Requests that the load had sent to other regions meanwhile returned together when it applied again. In a fleet of 90 instances something small is lost often. Change: the limit is extended by four times the ratio of its slots that a region lost within 6 s; an extension in use ends at 15 % of the allowed shift a second. Planned departures, lost instances and outages of the store no longer extend it. The test of disturbances is replaced by tests of losses, returns, joining, planned departures and the end of an extension; log line renamed.

--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -37,6 +37,9 @@
 of the allowed shift covers requests that arrive unevenly.
 """
 
+EXTENSION_END_FRACTION = 0.15
+"""Fraction of the allowed shift by which an extension of that part ends each second."""
+
 HOME_STEP_FRACTION = 0.28
 """Fraction of the allowed shift by which a region's share may move each second."""
 
@@ -67,7 +70,10 @@
     step_permille = max(1, int(bounds.shift_share * HOME_STEP_FRACTION * PERMILLE))
     return TargetSelectionSettings(
         home=HomeShareSettings(step_permille=step_permille),
-        shift=ShiftSettings(moved_ratio_max=bounds.shift_share * MOVED_FRACTION),
+        shift=ShiftSettings(
+            moved_ratio_max=bounds.shift_share * MOVED_FRACTION,
+            end_ratio_per_s=bounds.shift_share * EXTENSION_END_FRACTION,
+        ),
     )
 
 
--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -14,7 +14,7 @@
 
 
 class DecisionLog:
-    """Logs changes of a region's shares, disturbances, and counts of requests.
+    """Logs changes of a region's shares, lost targets, and counts of requests.
 
     Args:
         core: The decisions.
@@ -23,7 +23,7 @@
     def __init__(self, core: DirectCore):
         self._core = core
         self._selector = core.selector
-        self._disturbance = core.selector.disturbance.last
+        self._lost_event = core.selector.lost_capacity.last_event
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -32,16 +32,21 @@
             log.info("share of the region changed", extra=step._asdict())
         if now - self._summarised_at >= SUMMARY_INTERVAL_MS:
             self._summarised_at = now
-            self._write_disturbance(now)
+            self._write_lost(now)
             self._write_summary(now)
 
-    def _write_disturbance(self, now: int) -> None:
-        last = self._selector.disturbance.last
-        if last != self._disturbance:
-            self._disturbance = last
-            fields = last._asdict() | {"age_ms": now - last.at}
-            del fields["at"]
-            log.info("disturbance", extra=fields)
+    def _write_lost(self, now: int) -> None:
+        event = self._selector.lost_capacity.last_event
+        if event is None or event == self._lost_event:
+            return
+        self._lost_event = event
+        fields = {
+            "lost": event.lost,
+            "returned": event.returned,
+            "age_ms": now - event.at,
+            "lost_ratio": round(self._selector.lost_capacity.ratio(now), 3),
+        }
+        log.info("targets lost or returned", extra=fields)
 
     def _write_summary(self, now: int) -> None:
         counts = self._selector.summary.pop()
@@ -53,7 +58,7 @@
             "share_by_service": dict(shares.permille_by_service),
             "share_age_ms": None if updated_at is None else now - updated_at,
             "moved_ratio": round(self._selector.moved_ratio(now), 3),
-            "disturbance_age_ms": now - self._selector.disturbance.last.at,
+            "moved_ratio_max": round(self._selector.moved_ratio_max, 3),
             "configuration": self._core.configuration_number,
         }
         log.info("requests by region", extra=fields)
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -150,16 +150,9 @@
 
     kind = Kind.TARGETS
 
-    def on_store_lost(self) -> None:
-        """Record a disturbance, as targets may leave unnoticed without the store."""
-        disturbance = self.core.selector.disturbance
-        disturbance.record_event("store unavailable", self.clock.now())
-
     def on_store_regained(self) -> None:
         """Record that entries may be missing because the store was unavailable."""
-        now = self.clock.now()
-        self.core.targets.on_platform_recovered(now)
-        self.core.selector.disturbance.record_event("store available again", now)
+        self.core.targets.on_platform_recovered(self.clock.now())
 
     def apply_all(self, as_of: int) -> None:
         """Replace all targets."""
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -153,7 +153,6 @@
         self.fleet.tick(now)
         self.rates.update(now)
         self.selector.tick(now)
-        self.selector.disturbance.update("instance", self.peers.active(now), now)
         self._decide_home_shares(now)
         return self.targets.tick(now)
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -18,7 +18,6 @@
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
-from sequoiahook.decisions.direct.disturbance import Disturbance
 from sequoiahook.decisions.direct.estimates import (
     Estimates,
     EstimateSettings,
@@ -29,6 +28,11 @@
     HomeShareSettings,
     TargetUse,
 )
+from sequoiahook.decisions.direct.lost_capacity import (
+    LostCapacity,
+    LostCapacitySettings,
+    TargetSlots,
+)
 from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Cause
@@ -60,9 +64,7 @@
         estimates: Settings of the response time estimates.
         home: Settings of the share of objects that the own region owns.
         shift: Limit on requests that run outside the region of their object's owner.
-        disturbance_ms: Period after a failure in which requests may change region
-            without limit. The platform's own bounds apply again four seconds after a
-            failure.
+        lost_capacity: Settings of the lost capacity, which extends that limit.
         check_interval_ms: Time between two checks of which targets are usable.
     """
 
@@ -75,7 +77,7 @@
     estimates: EstimateSettings = EstimateSettings()
     home: HomeShareSettings = HomeShareSettings()
     shift: ShiftSettings = ShiftSettings()
-    disturbance_ms: int = 6_000
+    lost_capacity: LostCapacitySettings = LostCapacitySettings()
     check_interval_ms: int = 400
 
 
@@ -155,7 +157,7 @@
         self._targets = targets
         self.home_shares = HomeShares(settings.home)
         self._shift = ShiftLimit(settings.shift)
-        self.disturbance = Disturbance(settings.disturbance_ms, now)
+        self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
         self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._rankings_version = -1
@@ -193,10 +195,6 @@
             return Placement(None, retry_after_ms=retry_after_ms, cause=Cause.TOO_LATE)
         return best
 
-    def may_move_freely(self, now: int) -> bool:
-        """Return whether requests may change region without limit, after a failure."""
-        return self.disturbance.is_recent(now)
-
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
         self._shift.record_request(now, is_moved=placement.is_moved)
@@ -206,17 +204,26 @@
         """Return the ratio of recent requests that ran outside their owner's region."""
         return self._shift.moved_ratio(now)
 
+    @property
+    def moved_ratio_max(self) -> float:
+        """Highest allowed ratio of requests that run outside their owner's region."""
+        return self._shift.moved_ratio_max
+
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
         if now - self._checked_at < self._settings.check_interval_ms:
             return
         self._checked_at = now
-        usable_ids = (
-            target_id
-            for target_id, state in self._targets.states_by_id.items()
-            if self._targets.is_usable(target_id) and state.may_send(now)
-        )
-        self.disturbance.update("target", usable_ids, now)
+        usable_by_id: dict[str, TargetSlots] = {}
+        leaving_ids: list[str] = []
+        for target_id, state in self._targets.states_by_id.items():
+            record = state.record
+            if not self._targets.is_usable(target_id):
+                leaving_ids.append(target_id)
+            elif state.may_send(now):
+                usable_by_id[target_id] = TargetSlots(record.region, record.slots)
+        self.lost_capacity.update(usable_by_id, leaving_ids, now)
+        self._shift.extend(self.lost_capacity.ratio(now), now)
 
     def target_use(self, service: str, now: int) -> TargetUse:
         """Return the use of a service's targets, in this region and overall."""
@@ -252,8 +259,8 @@
             now: The time in milliseconds.
         """
         best = _fastest(fitting)
-        is_unlimited = candidates[0].is_moved or self.may_move_freely(now)
-        if not best.is_moved or is_unlimited or self._shift.may_move(now):
+        has_owner = not candidates[0].is_moved
+        if not best.is_moved or not has_owner or self._shift.may_move(now):
             return best
         return _fastest([placement for placement in fitting if not placement.is_moved])
 
--- a/tests/test_direct_region_log.py
+++ b/tests/test_direct_region_log.py
@@ -70,13 +70,13 @@
     assert 2 <= len(summaries) <= 3
 
 
-def test_lost_target_is_logged_as_disturbance():
+def test_lost_target_is_logged():
     core = a_core()
     decision_log = DecisionLog(core)
     core.tick(5_000)
     core.targets.remove("north-1", 5_100)
     core.tick(5_500)
     [(message, fields)] = lines_of(decision_log, 7_000)
-    assert message == "disturbance"
+    assert message == "targets lost or returned"
     assert fields["lost"] == ("north-1",)
     assert fields["age_ms"] == 1_500
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -11,7 +11,11 @@
 
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
-from sequoiahook.decisions.direct.disturbance import Disturbance
+from sequoiahook.decisions.direct.lost_capacity import (
+    LostCapacity,
+    LostCapacitySettings,
+    TargetSlots,
+)
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
 from sequoiahook.decisions.direct.target_registry import (
     TargetRegistry,
@@ -181,16 +185,55 @@
         history.append((now, is_moved))
 
 
-def test_failure_and_return_are_disturbances_but_start_and_joining_are_not():
-    disturbance = Disturbance(1_000, 0)
-    disturbance.update("target", "ab", 0)
-    assert not disturbance.is_recent(0)
-    disturbance.update("target", "abc", 2_000)
-    assert not disturbance.is_recent(2_000)
-    disturbance.update("target", "ac", 3_000)
-    assert disturbance.is_recent(3_999)
-    assert not disturbance.is_recent(4_000)
-    disturbance.update("target", "abc", 5_000)
-    assert disturbance.is_recent(5_000)
-    disturbance.update("instance", "x", 7_000)
-    assert not disturbance.is_recent(7_000)
+NINE = {f"t{i}": TargetSlots("north", 4) for i in range(9)}
+
+
+def without(*names):
+    return {name: slots for name, slots in NINE.items() if name not in names}
+
+
+def test_losses_and_returns_count_in_proportion_and_only_while_recent():
+    capacity = LostCapacity(LostCapacitySettings(recent_ms=1_000))
+    capacity.update(NINE, (), 0)
+    assert capacity.ratio(0) == 0
+    capacity.update(without("t0", "t1", "t2"), (), 3_000)
+    assert capacity.ratio(3_999) == 3 / 9
+    assert capacity.ratio(4_000) == 0
+    capacity.update(NINE, (), 5_000)
+    assert capacity.ratio(5_999) == 3 / 9
+    assert capacity.ratio(6_000) == 0
+
+
+def test_joining_and_planned_departures_are_no_losses():
+    capacity = LostCapacity(LostCapacitySettings())
+    capacity.update(without("t0"), (), 0)
+    capacity.update(NINE, (), 1_000)
+    assert capacity.ratio(1_000) == 0
+    capacity.update(without("t1"), ["t1"], 2_000)
+    capacity.update(without("t1"), (), 3_000)
+    assert capacity.ratio(3_000) == 0
+
+
+def test_loss_in_a_large_region_does_not_hide_that_of_a_small_one():
+    far = {f"s{i}": TargetSlots("south", 4) for i in range(90)}
+    capacity = LostCapacity(LostCapacitySettings())
+    capacity.update(NINE | far, (), 0)
+    capacity.update(without("t0") | far, (), 1_000)
+    assert capacity.ratio(1_000) == 1 / 9
+
+
+def test_extension_of_the_limit_ends_gradually():
+    """All requests want to move; without a new loss their ratio falls slowly."""
+    settings = ShiftSettings(moved_ratio_max=0.02)
+    limit = ShiftLimit(settings)
+    ratios = {}
+    for now in range(0, 30_000, 2):
+        if now % 400 == 0:
+            limit.extend(0.1 if 3_000 <= now < 6_000 else 0.0, now)
+        limit.record_request(now, is_moved=limit.may_move(now))
+        ratios[now] = limit.moved_ratio(now)
+    assert ratios[2_998] <= 0.021
+    assert max(ratios.values()) >= 0.4
+    for now in range(2_000, 28_000, 2):
+        assert ratios[now] - ratios[now + WINDOW_MS - 2] <= SHIFT_MAX / 2
+    assert ratios[29_998] <= 0.021
