Move the share in use of each route at a limited rate

Cause: a region has one share for each service, so that a configuration that moves a route to another service, or changes the weights of a split, changed the region of its requests at once, beside the steps of the shares. Change: the share in use of a route follows the shares of its services, by weight, at the rate of the steps.

--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -24,6 +24,7 @@
     qualified_key,
 )
 from sequoiahook.decisions.direct.home_share import (
+    PERMILLE,
     HomeShares,
     HomeShareSettings,
     TargetUse,
@@ -36,6 +37,7 @@
 from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Cause
+from sequoiahook.decisions.direct.share_ramp import RampSettings, ShareRamp
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
@@ -63,6 +65,7 @@
         failure_ratio_max: Ratio of failed results above which a target is penalised.
         estimates: Settings of the response time estimates.
         home: Settings of the share of objects that the own region owns.
+        ramp: Limit on the rate at which that share takes effect.
         shift: Limit on requests that run outside the region of their object's owner.
         lost_capacity: Settings of the lost capacity, which extends that limit.
         check_interval_ms: Time between two checks of which targets are usable.
@@ -76,6 +79,7 @@
     failure_ratio_max: float = 0.2
     estimates: EstimateSettings = EstimateSettings()
     home: HomeShareSettings = HomeShareSettings()
+    ramp: RampSettings = RampSettings()
     shift: ShiftSettings = ShiftSettings()
     lost_capacity: LostCapacitySettings = LostCapacitySettings()
     check_interval_ms: int = 400
@@ -156,6 +160,7 @@
         self._regions = (region, *(name for name in regions if name != region))
         self._targets = targets
         self.home_shares = HomeShares(settings.home)
+        self._ramp = ShareRamp(settings.ramp)
         self._shift = ShiftLimit(settings.shift)
         self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
@@ -296,21 +301,29 @@
         allowed = [r for r in self._regions if not query.regions or r in query.regions]
         if not query.object_key or self._region not in allowed:
             return allowed
-        service = query.service.name
-        slots_by_region = self.slots_by_region(service)
-        share = self.home_shares.share(
-            service,
-            slots_by_region[self._region],
-            sum(slots_by_region.values()),
-            len(self._regions),
-            now,
-        )
         key = qualified_key(query.route, query.object_key)
-        if hash_permille(key) < share:
+        intended = self._intended_share(query.route, now)
+        if hash_permille(key) < self._ramp.follow(query.route.name, intended, now):
             return allowed
+        slots_by_region = self.slots_by_region(query.service.name)
         others = {r: slots_by_region[r] for r in allowed if r != self._region}
         return [*region_order(key, others), self._region]
 
+    def _intended_share(self, route: Route, now: int) -> float:
+        """Return the share of a route: that of its services, by weight."""
+        weighted = weights = 0.0
+        for service, weight in route.shares:
+            slots_by_region = self.slots_by_region(service)
+            all_slots = sum(slots_by_region.values())
+            if not all_slots or not weight:
+                continue
+            own_slots = slots_by_region[self._region]
+            regions = len(self._regions)
+            share = self.home_shares.share(service, own_slots, all_slots, regions, now)
+            weighted += weight * share
+            weights += weight
+        return weighted / weights if weights else float(PERMILLE)
+
     def _usable(self, query: TargetQuery, region: str, now: int) -> list[TargetState]:
         """Return up to two usable targets, by preference.
 
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -16,6 +16,7 @@
     LostCapacitySettings,
     TargetSlots,
 )
+from sequoiahook.decisions.direct.share_ramp import RampSettings, ShareRamp
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
 from sequoiahook.decisions.direct.target_registry import (
     TargetRegistry,
@@ -185,6 +186,34 @@
         history.append((now, is_moved))
 
 
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 900), st.integers(0, 1_000)), min_size=1, max_size=50
+    )
+)
+def test_share_in_use_never_moves_faster_than_its_rate(steps):
+    ramp = ShareRamp(RampSettings(permille_per_s=40))
+    now, history = 0, []
+    for gap_ms, intended in steps:
+        now += gap_ms
+        value = ramp.follow("r", intended, now)
+        assert not history or min(intended, history[-1][1]) - 0.001 <= value
+        assert not history or value <= max(intended, history[-1][1]) + 0.001
+        history.append((now, value))
+    assert history[0][1] == steps[0][1]
+    for at, value in history:
+        for later, other in history:
+            assert abs(other - value) <= 0.04 * abs(later - at) + 0.001
+
+
+def test_share_in_use_of_each_route_is_its_own():
+    ramp = ShareRamp(RampSettings(permille_per_s=40, routes_max=2))
+    assert ramp.follow("a", 1_000, 0) == 1_000
+    assert ramp.follow("b", 0, 0) == 0
+    assert ramp.follow("a", 0, 1_000) == 960
+    assert ramp.follow("b", 1_000, 1_000) == 40
+
+
 NINE = {f"t{i}": TargetSlots("north", 4) for i in range(9)}
 
 
