Leave room for uneven arrivals in the limits on changes of region

The reasons in the code covered single requests and shares, not their sum with chance. Change: shares move by 18 instead of 28 % of the allowed shift a second, single requests take 20 instead of 10 % of it, an extension of the limit ends at 10 instead of 15 %. A loss of up to 5 % of a region's slots does not extend the limit. Shares set from slots are used without the ramp until the region's are known.

--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -31,17 +31,17 @@
 PERCENT = 100
 PERMILLE = 1000
 
-MOVED_FRACTION = 0.1
+MOVED_FRACTION = 0.2
 """Fraction of the allowed shift for requests that run outside their owner's region.
 
 All of them may return at once, while the regions' shares move for two seconds. The rest
 of the allowed shift covers requests that arrive unevenly.
 """
 
-EXTENSION_END_FRACTION = 0.15
+EXTENSION_END_FRACTION = 0.1
 """Fraction of the allowed shift by which an extension of that part ends each second."""
 
-HOME_STEP_FRACTION = 0.28
+HOME_STEP_FRACTION = 0.18
 """Fraction of the allowed shift by which a region's share may move each second."""
 
 
--- a/sequoiahook/decisions/direct/home_share.py
+++ b/sequoiahook/decisions/direct/home_share.py
@@ -182,6 +182,10 @@
             self._provisional_since_by_service[service] = now
         return permille
 
+    def is_provisional(self, service: str) -> bool:
+        """Return whether the share of a service was only set from slots so far."""
+        return service in self._provisional_since_by_service
+
     def known(self) -> dict[str, int]:
         """Return the shares that were decided or received."""
         return {
--- a/sequoiahook/decisions/direct/shift_limit.py
+++ b/sequoiahook/decisions/direct/shift_limit.py
@@ -32,6 +32,8 @@
         lost_slots_factor: Ratio by which the limit is extended for the loss of all
             slots of a region. It exceeds 1, since objects of lost targets are not
             cached at the targets that take them over and cost three times the work.
+        lost_ratio_ignored: Lost ratio of a region's slots that does not extend the
+            limit, since the other targets have room for its requests.
     """
 
     window_ms: int = 2_000
@@ -39,6 +41,7 @@
     moved_ratio_max: float = 0.06
     end_ratio_per_s: float = 0.02
     lost_slots_factor: float = 4.0
+    lost_ratio_ignored: float = 0.05
 
 
 class _Slice:
@@ -101,11 +104,12 @@
             now: The time in milliseconds.
         """
         settings = self._settings
-        due = lost_ratio * settings.lost_slots_factor
+        lost_ratio -= settings.lost_ratio_ignored
+        due = max(0.0, lost_ratio) * settings.lost_slots_factor
         ended = settings.end_ratio_per_s * (now - self._extended_at) / MS_PER_S
         # What was not used need not end gradually.
         ending = min(self._extension, self.moved_ratio(now)) - ended
-        self._extension = max(0.0, due, ending)
+        self._extension = max(due, ending, 0.0)
         self._extended_at = now
 
     def _expire(self, now: int) -> None:
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -302,13 +302,19 @@
         if not query.object_key or self._region not in allowed:
             return allowed
         key = qualified_key(query.route, query.object_key)
-        intended = self._intended_share(query.route, now)
-        if hash_permille(key) < self._ramp.follow(query.route.name, intended, now):
+        if hash_permille(key) < self._share_in_use(query.route, now):
             return allowed
         slots_by_region = self.slots_by_region(query.service.name)
         others = {r: slots_by_region[r] for r in allowed if r != self._region}
         return [*region_order(key, others), self._region]
 
+    def _share_in_use(self, route: Route, now: int) -> float:
+        """Return the share of a route's objects that the own region owns at present."""
+        intended = self._intended_share(route, now)
+        if any(self.home_shares.is_provisional(s.service) for s in route.shares):
+            return intended
+        return self._ramp.follow(route.name, intended, now)
+
     def _intended_share(self, route: Route, now: int) -> float:
         """Return the share of a route: that of its services, by weight."""
         weighted = weights = 0.0
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -258,7 +258,7 @@
     ratios = {}
     for now in range(0, 30_000, 2):
         if now % 400 == 0:
-            limit.extend(0.1 if 3_000 <= now < 6_000 else 0.0, now)
+            limit.extend(0.15 if 3_000 <= now < 6_000 else 0.0, now)
         limit.record_request(now, is_moved=limit.may_move(now))
         ratios[now] = limit.moved_ratio(now)
     assert ratios[2_998] <= 0.021
@@ -266,3 +266,11 @@
     for now in range(2_000, 28_000, 2):
         assert ratios[now] - ratios[now + WINDOW_MS - 2] <= SHIFT_MAX / 2
     assert ratios[29_998] <= 0.021
+
+
+def test_loss_of_few_slots_does_not_extend_the_limit():
+    limit = ShiftLimit(ShiftSettings(moved_ratio_max=0.02))
+    limit.extend(0.04, 0)
+    assert limit.moved_ratio_max == 0.02
+    limit.extend(0.15, 400)
+    assert 0.3 <= limit.moved_ratio_max <= 0.5
