Split the regions that own objects from target selection

Test that a planned departure of half of a region's targets refuses early what has no room, with a time to return, and moves the rest gradually.

--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -7,6 +7,7 @@
 from sequoiahook.decisions.direct.freshness import FreshnessSettings
 from sequoiahook.decisions.direct.home_share import HomeShareSettings
 from sequoiahook.decisions.direct.peers import PeerSettings
+from sequoiahook.decisions.direct.region_owners import RegionOwnerSettings
 from sequoiahook.decisions.direct.share_ramp import RampSettings
 from sequoiahook.decisions.direct.shift_limit import ShiftSettings
 from sequoiahook.decisions.direct.target_selection import TargetSelectionSettings
@@ -70,8 +71,10 @@
 def _selection_settings(bounds: Bounds) -> TargetSelectionSettings:
     step_permille = max(1, int(bounds.shift_share * HOME_STEP_FRACTION * PERMILLE))
     return TargetSelectionSettings(
-        home=HomeShareSettings(step_permille=step_permille),
-        ramp=RampSettings(permille_per_s=step_permille),
+        owners=RegionOwnerSettings(
+            HomeShareSettings(step_permille=step_permille),
+            RampSettings(permille_per_s=step_permille),
+        ),
         shift=ShiftSettings(
             moved_ratio_max=bounds.shift_share * MOVED_FRACTION,
             end_ratio_per_s=bounds.shift_share * EXTENSION_END_FRACTION,
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -226,12 +226,12 @@
         shares = self.selector.home_shares
         services = shares.permille_by_service
         shares.update(
-            now, {name: self.selector.target_use(name, now) for name in services}
+            now, {name: self.selector.owners.target_use(name, now) for name in services}
         )
         if not self.fleet.is_region_leader(now):
             return
         slots_by_service = {
-            service: self.selector.slots_by_region(service)[self.me.region]
+            service: self.selector.owners.slots_by_region(service)[self.me.region]
             for service in shares.permille_by_service
         }
         loads_by_service = self.fleet.region_loads(now)
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -23,21 +23,17 @@
     EstimateSettings,
     qualified_key,
 )
-from sequoiahook.decisions.direct.home_share import (
-    PERMILLE,
-    HomeShares,
-    HomeShareSettings,
-    TargetUse,
-)
 from sequoiahook.decisions.direct.lost_capacity import (
     LostCapacity,
     LostCapacitySettings,
     TargetSlots,
 )
-from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
+from sequoiahook.decisions.direct.region_owners import (
+    RegionOwners,
+    RegionOwnerSettings,
+)
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Cause
-from sequoiahook.decisions.direct.share_ramp import RampSettings, ShareRamp
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
@@ -64,8 +60,7 @@
         priority_count: Number of priorities that are distinguished.
         failure_ratio_max: Ratio of failed results above which a target is penalised.
         estimates: Settings of the response time estimates.
-        home: Settings of the share of objects that the own region owns.
-        ramp: Limit on the rate at which that share takes effect.
+        owners: Settings of the regions that own objects.
         shift: Limit on requests that run outside the region of their object's owner.
         lost_capacity: Settings of the lost capacity, which extends that limit.
         check_interval_ms: Time between two checks of which targets are usable.
@@ -78,8 +73,7 @@
     priority_count: int = 3
     failure_ratio_max: float = 0.2
     estimates: EstimateSettings = EstimateSettings()
-    home: HomeShareSettings = HomeShareSettings()
-    ramp: RampSettings = RampSettings()
+    owners: RegionOwnerSettings = RegionOwnerSettings()
     shift: ShiftSettings = ShiftSettings()
     lost_capacity: LostCapacitySettings = LostCapacitySettings()
     check_interval_ms: int = 400
@@ -135,6 +129,8 @@
     Attributes:
         region_instance_count: Instances in the region of this one, itself included.
         summary: Counts of requests by region, for logs.
+        owners: The regions that own objects.
+        home_shares: Shares of the own region by service.
 
     Args:
         settings: Settings of target selection.
@@ -157,10 +153,9 @@
         self.estimates = Estimates(settings.estimates, region)
         self._settings = settings
         self._region = region
-        self._regions = (region, *(name for name in regions if name != region))
         self._targets = targets
-        self.home_shares = HomeShares(settings.home)
-        self._ramp = ShareRamp(settings.ramp)
+        self.owners = RegionOwners(settings.owners, region, regions, targets)
+        self.home_shares = self.owners.home_shares
         self._shift = ShiftLimit(settings.shift)
         self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
@@ -230,24 +225,6 @@
         self.lost_capacity.update(usable_by_id, leaving_ids, now)
         self._shift.extend(self.lost_capacity.ratio(now), now)
 
-    def target_use(self, service: str, now: int) -> TargetUse:
-        """Return the use of a service's targets, in this region and overall."""
-        in_flight_by_region = {
-            region: sum(
-                state.in_flight(now) for state in self._targets.group(service, region)
-            )
-            for region in self._regions
-        }
-        slots = sum(self.slots_by_region(service).values())
-        utilisation = sum(in_flight_by_region.values()) / max(1, slots)
-        return TargetUse(in_flight_by_region[self._region], utilisation)
-
-    def slots_by_region(self, service: str) -> dict[str, int]:
-        """Return the slots of a service's targets that accept new requests."""
-        return {
-            region: self._targets.slots(service, region) for region in self._regions
-        }
-
     def _fastest_allowed(
         self,
         candidates: list[Placement],
@@ -272,7 +249,10 @@
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        for index, region in enumerate(self._region_order(query, now)):
+        regions = self.owners.order(
+            query.route, query.service.name, query.object_key, query.regions, now
+        )
+        for index, region in enumerate(regions):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
@@ -296,40 +276,6 @@
             return PlacedBy.REQUIRED_REGIONS
         return PlacedBy.SHARE
 
-    def _region_order(self, query: TargetQuery, now: int) -> list[str]:
-        """Return the regions that may run a request, the owner's first."""
-        allowed = [r for r in self._regions if not query.regions or r in query.regions]
-        if not query.object_key or self._region not in allowed:
-            return allowed
-        key = qualified_key(query.route, query.object_key)
-        if hash_permille(key) < self._share_in_use(query.route, now):
-            return allowed
-        slots_by_region = self.slots_by_region(query.service.name)
-        others = {r: slots_by_region[r] for r in allowed if r != self._region}
-        return [*region_order(key, others), self._region]
-
-    def _share_in_use(self, route: Route, now: int) -> float:
-        """Return the share of a route's objects that the own region owns at present."""
-        intended = self._intended_share(route, now)
-        if any(self.home_shares.is_provisional(s.service) for s in route.shares):
-            return intended
-        return self._ramp.follow(route.name, intended, now)
-
-    def _intended_share(self, route: Route, now: int) -> float:
-        """Return the share of a route: that of its services, by weight."""
-        weighted = weights = 0.0
-        for service, weight in route.shares:
-            slots_by_region = self.slots_by_region(service)
-            all_slots = sum(slots_by_region.values())
-            if not all_slots or not weight:
-                continue
-            own_slots = slots_by_region[self._region]
-            regions = len(self._regions)
-            share = self.home_shares.share(service, own_slots, all_slots, regions, now)
-            weighted += weight * share
-            weights += weight
-        return weighted / weights if weights else float(PERMILLE)
-
     def _usable(self, query: TargetQuery, region: str, now: int) -> list[TargetState]:
         """Return up to two usable targets, by preference.
 
--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -188,6 +188,14 @@
         """Advance the simulation without arrivals."""
         self._advance(self.now + duration_ms, lambda: math.inf)
 
+    def drain_targets(self, names):
+        """List those of the named targets that exist as draining."""
+        for name in names:
+            if name in self.targets:
+                target = self.targets[name]
+                target.record = target.record._replace(is_draining=True)
+        self._list_targets()
+
     def run(self, duration_ms):
         """Advance the simulation with arrivals at the rates of the loads."""
         total = sum(load.per_s for load in self.loads)
@@ -213,7 +221,7 @@
                 action(*arguments)
         self.now = end
 
-    def largest_change(self, since, step_ms=100):
+    def largest_change(self, since, step_ms=100, *, with_refused=False):
         """Return the largest change between adjacent windows, and when it came.
 
         It is the fraction of the requests that ran in another region than they would
@@ -222,22 +230,22 @@
         Args:
             since: Start of the first window in milliseconds.
             step_ms: Distance between the compared alignments.
+            with_refused: Whether refused requests count as staying in the own region.
         """
+        counted = self.runs
+        if with_refused:
+            stayed = [Run(at, OWN_REGION, "") for at, _ in self.refusals]
+            counted = sorted([*counted, *stayed])
         largest = (0.0, since)
-        last = self.runs[-1].at
+        last = counted[-1].at
         for middle in range(since + WINDOW_MS, last - WINDOW_MS + 1, step_ms):
-            before = self._ratios(middle - WINDOW_MS, middle)
-            after = self._ratios(middle, middle + WINDOW_MS)
+            before = _ratios(counted, middle - WINDOW_MS, middle)
+            after = _ratios(counted, middle, middle + WINDOW_MS)
             regions = before.keys() | after.keys()
             change = sum(abs(after[r] - before[r]) for r in regions) / 2
             largest = max(largest, (change, middle))
         return largest
 
-    def _ratios(self, begin, end):
-        counts = Counter(run.region for run in self.runs if begin <= run.at < end)
-        total = max(1, sum(counts.values()))
-        return Counter({region: count / total for region, count in counts.items()})
-
     def _add(self, name, service, region, slots):
         self.targets[name] = SimulatedTarget(
             a_target(
@@ -333,3 +341,9 @@
     def _end(self, core, attempt, result, arrival, arrived_at):
         step = core.attempts.on_ended(attempt, result, self.now)
         self._follow(core, step, arrival, arrived_at)
+
+
+def _ratios(runs, begin, end):
+    counts = Counter(run.region for run in runs if begin <= run.at < end)
+    total = max(1, sum(counts.values()))
+    return Counter({region: count / total for region, count in counts.items()})
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -134,8 +134,8 @@
 def tick(selector, now):
     selector.tick(int(now))
     shares = selector.home_shares
-    shares.update(int(now), {"s": selector.target_use("s", int(now))})
-    slots = {"s": selector.slots_by_region("s")["north"]}
+    shares.update(int(now), {"s": selector.owners.target_use("s", int(now))})
+    slots = {"s": selector.owners.slots_by_region("s")["north"]}
     shares.decide(shares.loads(), slots, int(now))
 
 
--- a/tests/test_region_shift.py
+++ b/tests/test_region_shift.py
@@ -108,3 +108,15 @@
         world.run(1_500)
     world.run(4_500)
     assert_gradual(world, since)
+
+
+@pytest.mark.parametrize("region", ["north", "east"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_planned_departure_of_half_of_a_region(region, seed):
+    """Requests that the remaining targets have no room for are refused, not moved."""
+    world, since = simulation(seed)
+    world.drain_targets([f"desk-{region}-{i}" for i in range(0, 135, 2)])
+    world.run(8_000)
+    change, at = world.largest_change(since, with_refused=True)
+    assert change <= SHIFT_MAX, f"{change:.3f} at {at - LEAD_MS} ms"
+    assert all(refusal.retry_after_ms > 0 for _, refusal in world.refusals)
