--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -7,6 +7,8 @@
 from sequoiahook.decisions.direct.freshness import FreshnessSettings
 from sequoiahook.decisions.direct.home_share import HomeShareSettings
 from sequoiahook.decisions.direct.peers import PeerSettings
+from sequoiahook.decisions.direct.region_owners import RegionOwnerSettings
+from sequoiahook.decisions.direct.share_ramp import RampSettings
 from sequoiahook.decisions.direct.shift_limit import ShiftSettings
 from sequoiahook.decisions.direct.target_selection import TargetSelectionSettings
 from sequoiahook.decisions.stopping import StoppingSettings
@@ -30,14 +32,17 @@
 PERCENT = 100
 PERMILLE = 1000
 
-MOVED_FRACTION = 0.1
+MOVED_FRACTION = 0.2
 """Fraction of the allowed shift for requests that run outside their owner's region.
 
 All of them may return at once, while the regions' shares move for two seconds. The rest
 of the allowed shift covers requests that arrive unevenly.
 """
 
-HOME_STEP_FRACTION = 0.28
+EXTENSION_END_FRACTION = 0.1
+"""Fraction of the allowed shift by which an extension of that part ends each second."""
+
+HOME_STEP_FRACTION = 0.18
 """Fraction of the allowed shift by which a region's share may move each second."""
 
 
@@ -66,8 +71,14 @@
 def _selection_settings(bounds: Bounds) -> TargetSelectionSettings:
     step_permille = max(1, int(bounds.shift_share * HOME_STEP_FRACTION * PERMILLE))
     return TargetSelectionSettings(
-        home=HomeShareSettings(step_permille=step_permille),
-        shift=ShiftSettings(moved_ratio_max=bounds.shift_share * MOVED_FRACTION),
+        owners=RegionOwnerSettings(
+            HomeShareSettings(step_permille=step_permille),
+            RampSettings(permille_per_s=step_permille),
+        ),
+        shift=ShiftSettings(
+            moved_ratio_max=bounds.shift_share * MOVED_FRACTION,
+            end_ratio_per_s=bounds.shift_share * EXTENSION_END_FRACTION,
+        ),
     )
 
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -18,18 +18,20 @@
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
-from sequoiahook.decisions.direct.disturbance import Disturbance
 from sequoiahook.decisions.direct.estimates import (
     Estimates,
     EstimateSettings,
     qualified_key,
 )
-from sequoiahook.decisions.direct.home_share import (
-    HomeShares,
-    HomeShareSettings,
-    TargetUse,
+from sequoiahook.decisions.direct.lost_capacity import (
+    LostCapacity,
+    LostCapacitySettings,
+    TargetSlots,
+)
+from sequoiahook.decisions.direct.region_owners import (
+    RegionOwners,
+    RegionOwnerSettings,
 )
-from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Cause
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
@@ -58,11 +60,9 @@
         priority_count: Number of priorities that are distinguished.
         failure_ratio_max: Ratio of failed results above which a target is penalised.
         estimates: Settings of the response time estimates.
-        home: Settings of the share of objects that the own region owns.
+        owners: Settings of the regions that own objects.
         shift: Limit on requests that run outside the region of their object's owner.
-        disturbance_ms: Period after a failure in which requests may change region
-            without limit. The platform's own bounds apply again four seconds after a
-            failure.
+        lost_capacity: Settings of the lost capacity, which extends that limit.
         check_interval_ms: Time between two checks of which targets are usable.
     """
 
@@ -73,9 +73,9 @@
     priority_count: int = 3
     failure_ratio_max: float = 0.2
     estimates: EstimateSettings = EstimateSettings()
-    home: HomeShareSettings = HomeShareSettings()
+    owners: RegionOwnerSettings = RegionOwnerSettings()
     shift: ShiftSettings = ShiftSettings()
-    disturbance_ms: int = 6_000
+    lost_capacity: LostCapacitySettings = LostCapacitySettings()
     check_interval_ms: int = 400
 
 
@@ -129,6 +129,8 @@
     Attributes:
         region_instance_count: Instances in the region of this one, itself included.
         summary: Counts of requests by region, for logs.
+        owners: The regions that own objects.
+        home_shares: Shares of the own region by service.
 
     Args:
         settings: Settings of target selection.
@@ -151,11 +153,11 @@
         self.estimates = Estimates(settings.estimates, region)
         self._settings = settings
         self._region = region
-        self._regions = (region, *(name for name in regions if name != region))
         self._targets = targets
-        self.home_shares = HomeShares(settings.home)
+        self.owners = RegionOwners(settings.owners, region, regions, targets)
+        self.home_shares = self.owners.home_shares
         self._shift = ShiftLimit(settings.shift)
-        self.disturbance = Disturbance(settings.disturbance_ms, now)
+        self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
         self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._rankings_version = -1
@@ -193,10 +195,6 @@
             return Placement(None, retry_after_ms=retry_after_ms, cause=Cause.TOO_LATE)
         return best
 
-    def may_move_freely(self, now: int) -> bool:
-        """Return whether requests may change region without limit, after a failure."""
-        return self.disturbance.is_recent(now)
-
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
         self._shift.record_request(now, is_moved=placement.is_moved)
@@ -206,35 +204,26 @@
         """Return the ratio of recent requests that ran outside their owner's region."""
         return self._shift.moved_ratio(now)
 
+    @property
+    def moved_ratio_max(self) -> float:
+        """Highest allowed ratio of requests that run outside their owner's region."""
+        return self._shift.moved_ratio_max
+
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
         if now - self._checked_at < self._settings.check_interval_ms:
             return
         self._checked_at = now
-        usable_ids = (
-            target_id
-            for target_id, state in self._targets.states_by_id.items()
-            if self._targets.is_usable(target_id) and state.may_send(now)
-        )
-        self.disturbance.update("target", usable_ids, now)
-
-    def target_use(self, service: str, now: int) -> TargetUse:
-        """Return the use of a service's targets, in this region and overall."""
-        in_flight_by_region = {
-            region: sum(
-                state.in_flight(now) for state in self._targets.group(service, region)
-            )
-            for region in self._regions
-        }
-        slots = sum(self.slots_by_region(service).values())
-        utilisation = sum(in_flight_by_region.values()) / max(1, slots)
-        return TargetUse(in_flight_by_region[self._region], utilisation)
-
-    def slots_by_region(self, service: str) -> dict[str, int]:
-        """Return the slots of a service's targets that accept new requests."""
-        return {
-            region: self._targets.slots(service, region) for region in self._regions
-        }
+        usable_by_id: dict[str, TargetSlots] = {}
+        leaving_ids: list[str] = []
+        for target_id, state in self._targets.states_by_id.items():
+            record = state.record
+            if not self._targets.is_usable(target_id):
+                leaving_ids.append(target_id)
+            elif state.may_send(now):
+                usable_by_id[target_id] = TargetSlots(record.region, record.slots)
+        self.lost_capacity.update(usable_by_id, leaving_ids, now)
+        self._shift.extend(self.lost_capacity.ratio(now), now)
 
     def _fastest_allowed(
         self,
@@ -252,15 +241,18 @@
             now: The time in milliseconds.
         """
         best = _fastest(fitting)
-        is_unlimited = candidates[0].is_moved or self.may_move_freely(now)
-        if not best.is_moved or is_unlimited or self._shift.may_move(now):
+        has_owner = not candidates[0].is_moved
+        if not best.is_moved or not has_owner or self._shift.may_move(now):
             return best
         return _fastest([placement for placement in fitting if not placement.is_moved])
 
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        for index, region in enumerate(self._region_order(query, now)):
+        regions = self.owners.order(
+            query.route, query.service.name, query.object_key, query.regions, now
+        )
+        for index, region in enumerate(regions):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
@@ -284,26 +276,6 @@
             return PlacedBy.REQUIRED_REGIONS
         return PlacedBy.SHARE
 
-    def _region_order(self, query: TargetQuery, now: int) -> list[str]:
-        """Return the regions that may run a request, the owner's first."""
-        allowed = [r for r in self._regions if not query.regions or r in query.regions]
-        if not query.object_key or self._region not in allowed:
-            return allowed
-        service = query.service.name
-        slots_by_region = self.slots_by_region(service)
-        share = self.home_shares.share(
-            service,
-            slots_by_region[self._region],
-            sum(slots_by_region.values()),
-            len(self._regions),
-            now,
-        )
-        key = qualified_key(query.route, query.object_key)
-        if hash_permille(key) < share:
-            return allowed
-        others = {r: slots_by_region[r] for r in allowed if r != self._region}
-        return [*region_order(key, others), self._region]
-
     def _usable(self, query: TargetQuery, region: str, now: int) -> list[TargetState]:
         """Return up to two usable targets, by preference.
 
