Deliver the outcomes of a stopping owner to the other instances

Cause: an instance that had handed over its rights counted as down at its peers, although its link was up and it still ran their requests: after a grace of one second they were refused, and its own unsent handovers were cancelled. Besides, it exited without waiting for the requests of other instances, which the module of graceful stops promised to count. Change: a member that has left its views is reported as down only when it is gone; the exit waits until the executor has no unacknowledged outcome.

--- a/sequoiahook/decisions/instance/core.py
+++ b/sequoiahook/decisions/instance/core.py
@@ -149,7 +149,7 @@
             ),
         )
         self._lookup = Lookup(settings.lookup, rng)
-        self._stopping = Stopping(settings.stopping)
+        self._stopping = Stopping(settings.stopping, lambda: self.open_execution_count)
         self._foreign_views_by_data_centre: dict[str, DataCentreView] = {}
         self._view_refresh_at = now
         self._arrived_at_by_number: dict[int, int] = {}
@@ -175,6 +175,11 @@
             "document": self._rollout.document or {},
         }
 
+    @property
+    def open_execution_count(self) -> int:
+        """Number of requests of other instances without an acknowledged outcome."""
+        return self._executor.open_count
+
     def receive_request(self, request: ReceivedRequest, now: int) -> list:
         """Handle a caller's request; exactly one Answer or Refusal follows."""
         self.metrics.count("requests")
--- a/sequoiahook/decisions/membership/tracker.py
+++ b/sequoiahook/decisions/membership/tracker.py
@@ -17,7 +17,6 @@
 from sequoiahook.decisions.rendezvous import winner
 from sequoiahook.messages.base import Envelope
 from sequoiahook.messages.membership import (
-    LEFT,
     LIVE,
     RosterChange,
     RosterRequest,
@@ -232,7 +231,7 @@
         incarnations_by_name = {
             name: member.instance.incarnation
             for name, member in members.items()
-            if name != self._me.name and member.state != LEFT
+            if name != self._me.name
         }
         before = self._incarnations_by_data_centre.get(data_centre, {})
         self._incarnations_by_data_centre[data_centre] = incarnations_by_name
--- a/sequoiahook/decisions/stopping.py
+++ b/sequoiahook/decisions/stopping.py
@@ -5,6 +5,7 @@
 request and the time to close connections; see :attr:`StoppingSettings.drain_ms`.
 """
 
+from collections.abc import Callable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -105,17 +106,24 @@
 class Stopping:
     """State machine of a graceful stop.
 
-    Each request, from a caller or from another instance, is counted as in flight from
-    ``start_work`` to ``finish_work``.
+    Each request of a caller is counted as in flight from ``start_work`` to
+    ``finish_work``. The requests of other instances are counted by their executor.
 
     Args:
         settings: Bounds of the stages.
+        count_executions: Returns the number of requests of other instances that run
+            here, or whose outcome is not acknowledged.
     """
 
-    def __init__(self, settings: StoppingSettings):
+    def __init__(
+        self,
+        settings: StoppingSettings,
+        count_executions: Callable[[], int] = lambda: 0,
+    ):
         self.stage = Stage.RUNNING
         self.in_flight = 0
         self._settings = settings
+        self._count_executions = count_executions
         self._announced_at = 0
         self._stage_at = 0
         self._skips_waits = False
@@ -217,7 +225,8 @@
         return [LeaveViews()] if has_lapsed else []
 
     def _finish(self, now: int) -> list:
-        if self.in_flight == 0:
+        in_flight = self.in_flight + self._count_executions()
+        if in_flight == 0:
             self._enter(Stage.CLOSING, now)
             return [CloseIdleConnections()]
         if self._is_overdue_reported or not self._has_lasted(
@@ -225,7 +234,7 @@
         ):
             return []
         self._is_overdue_reported = True
-        return [ReportOverdue(self.in_flight)]
+        return [ReportOverdue(in_flight)]
 
     def _exit(self, now: int) -> list:
         self._enter(Stage.DONE, now)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """Tests of the guarantees of complete instances under combined, repeated faults."""
 
+import copy
 from collections import Counter
 
 from hypothesis import settings, strategies as st
@@ -299,6 +300,48 @@
     ]
 
 
+def fleet_with_run_at_a_stopping_owner(entry, run_ms):
+    """Return a fleet whose owner b-2 is stopped while it runs a request of an entry.
+
+    Returns:
+        The fleet and the id of the request.
+    """
+    document = copy.deepcopy(DOCUMENT)
+    document["services_by_name"]["vault"]["deadline_ms"] = 30_000
+    fleet = Fleet(NAMES, document, 7)
+    fleet.run(50_000)
+    for _ in range(3):
+        fleet.request(entry, "GET", b"/vault/x", KEY)
+        fleet.run(1_000)
+    fleet.targets_by_name["vault-b"].service_ms = run_ms
+    request_id = fleet.request(entry, "POST", b"/vault/x", KEY)
+    fleet.run(1_000)
+    assert fleet.cores_by_name["b-2"].open_execution_count == 1
+    fleet.stop("b-2")
+    return fleet, request_id
+
+
+def test_stopping_owner_that_left_the_views_still_delivers_outcomes():
+    fleet, request_id = fleet_with_run_at_a_stopping_owner("b-1", run_ms=10_000)
+    fleet.run(12_000)
+    assert isinstance(fleet.answers_by_id[request_id], Answer)
+
+
+def test_stopping_owner_delivers_outcomes_to_other_data_centres():
+    fleet, request_id = fleet_with_run_at_a_stopping_owner("a-1", run_ms=8_000)
+    fleet.run(12_000)
+    assert isinstance(fleet.answers_by_id[request_id], Answer)
+
+
+def test_stopping_owner_exits_after_the_requests_of_other_instances():
+    fleet, request_id = fleet_with_run_at_a_stopping_owner("b-1", run_ms=20_000)
+    fleet.run(19_000)
+    assert fleet.exits == []
+    fleet.run(6_000)
+    assert isinstance(fleet.answers_by_id[request_id], Answer)
+    assert fleet.exits == [("b-2", 0)]
+
+
 def test_withdrawn_key_does_not_affect_other_organisations():
     other_organisations = [f"other-{index}" for index in range(6)]
     organisations = dict(DOCUMENT["organisations_by_name"])
