--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -16,7 +16,7 @@
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.requests import Attempt, Deliver, Refuse
+from sequoiahook.decisions.direct.requests import Attempt, Refuse
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.world.instance import Address
 from tests.direct_parts import (
@@ -88,7 +88,6 @@
 
     def __init__(self, record):
         self.record = record
-        self.is_reachable = True
         self._free_at = [0.0] * record.slots
         self._cache = OrderedDict()
 
@@ -120,12 +119,9 @@
         slots: Slots of each target.
     """
 
-    def __init__(
-        self, targets_by_region, loads, seed=1, instance_count=3, slots=6, **bounds
-    ):
+    def __init__(self, targets_by_region, loads, seed=1, instance_count=3, slots=6):
         self.now = 0
-        self.runs, self.refusals, self.sent = [], [], 0
-        self.late = 0
+        self.runs, self.refusals = [], []
         self.loads = list(loads)
         self._rng = random.Random(seed)
         self._events = []
@@ -213,7 +209,6 @@
             if at == arrives_at:
                 rates = [load.per_s for load in self.loads]
                 load = self._rng.choices(self.loads, rates)[0]
-                self.sent += 1
                 self._arrive(load, str(self._rng.randrange(load.object_count)), 1)
                 arrives_at += next_gap_ms()
             else:
@@ -302,21 +297,19 @@
         )
         request = core.admission.admit(incoming, self.now)
         step = core.attempts.next_step(request, self.now)
-        self._follow(core, step, (load, key, retries_left), self.now)
+        self._follow(core, step, (load, key, retries_left))
 
-    def _follow(self, core, step, arrival, arrived_at):
+    def _follow(self, core, step, arrival):
         load, key, retries_left = arrival
         if isinstance(step, Attempt):
-            self._send(core, step, arrival, arrived_at)
-        elif isinstance(step, Deliver):
-            self.late += self.now - arrived_at > GOAL_MS
+            self._send(core, step, arrival)
         elif isinstance(step, Refuse):
             self.refusals.append((self.now, step))
             if retries_left and 0 < step.retry_after_ms <= RETRY_WAIT_MAX_MS:
                 again_at = self.now + step.retry_after_ms
                 self._at(again_at, self._arrive, load, key, retries_left - 1)
 
-    def _send(self, core, attempt, arrival, arrived_at):
+    def _send(self, core, attempt, arrival):
         load, key, _ = arrival
         record = attempt.state.record
         region = record.region
@@ -326,7 +319,7 @@
         reached_at = self.now + way_ms
         done = (
             target.run((load.name, key), work_ms, reached_at)
-            if target is not None and target.is_reachable
+            if target is not None
             else None
         )
         if done is None:
@@ -336,11 +329,11 @@
             self.runs.append(Run(self.now, region, load.name))
             end = done + way_ms
             result = OK._replace(duration_ms=math.ceil(end - self.now))
-        self._at(math.ceil(end), self._end, core, attempt, result, arrival, arrived_at)
+        self._at(math.ceil(end), self._end, core, attempt, result, arrival)
 
-    def _end(self, core, attempt, result, arrival, arrived_at):
+    def _end(self, core, attempt, result, arrival):
         step = core.attempts.on_ended(attempt, result, self.now)
-        self._follow(core, step, arrival, arrived_at)
+        self._follow(core, step, arrival)
 
 
 def _ratios(runs, begin, end):
