Do not end when returned targets of a region all leave as planned

Cause: a region whose lost targets had returned and were then evacuated or draining had no slots to divide by. Change: the lost slots are the least that a region is taken to have had.

--- a/sequoiahook/decisions/direct/lost_capacity.py
+++ b/sequoiahook/decisions/direct/lost_capacity.py
@@ -116,8 +116,12 @@
                 lost_by_region[region] = lost_by_region.get(region, 0) + slots
                 if not has_returned:
                     slots_by_region[region] = slots_by_region.get(region, 0) + slots
+        # Returned targets may have left as planned since, so that slots are fewer.
         return max(
-            (lost / slots_by_region[region] for region, lost in lost_by_region.items()),
+            (
+                lost / max(1, lost, slots_by_region.get(region, 0))
+                for region, lost in lost_by_region.items()
+            ),
             default=0.0,
         )
 
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -243,6 +243,15 @@
     assert capacity.ratio(3_000) == 0
 
 
+def test_returned_targets_that_leave_as_planned_do_not_stop_the_instance():
+    capacity = LostCapacity(LostCapacitySettings())
+    capacity.update(NINE, (), 0)
+    capacity.update({}, (), 1_000)
+    capacity.update(NINE, (), 2_000)
+    capacity.update({}, NINE, 3_000)
+    assert capacity.ratio(3_000) == 1
+
+
 def test_loss_in_a_large_region_does_not_hide_that_of_a_small_one():
     far = {f"s{i}": TargetSlots("south", 4) for i in range(90)}
     capacity = LostCapacity(LostCapacitySettings())
