Log the limits that targets state and the requests sent to them

Targets may state in `Server-Limit` how many requests a second they accept from all instances together. Nothing read the field, and no log line told how many requests each instance sends to one target, so that "the field is ignored", "each instance applies it alone" and "retries exceed it" look alike.

No decision uses it yet. The stand-in target can state a limit.

--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -3,6 +3,7 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.direct.limit_log import LimitLog
 from sequoiahook.decisions.direct.core import DirectCore
 
 __all__ = ["DecisionLog"]
@@ -24,6 +25,7 @@
         self._core = core
         self._selector = core.selector
         self._lost_event = core.selector.lost_capacity.last_event
+        self._limit_log = LimitLog(core.targets)
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -34,6 +36,7 @@
             self._summarised_at = now
             self._write_lost(now)
             self._write_summary(now)
+            self._limit_log.write()
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -322,6 +322,7 @@
             retry_after_ms=self._retry_after_ms(),
             connect_ms=self._connect_ms,
             open_count=self._dialect.open_count(headers),
+            stated_limit=self._dialect.stated_limit(self._head.status_code, headers),
         )
 
     def _classify_answer(self) -> None:
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -179,6 +179,8 @@
             )
         if result.open_count is not None:
             state.record_load(result.open_count, now)
+        if result.stated_limit is not None:
+            state.stated_limit = result.stated_limit
         if result.stage is Stage.NOTHING_WRITTEN:
             return
         is_answer = result.stage is Stage.ANSWERED
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -4,7 +4,7 @@
 
 from sequoiahook.decisions.exchange.retry import SuspensionSettings, TargetSuspension
 from sequoiahook.decisions.exchange.target_result import Stage
-from sequoiahook.world.target import LiveTarget
+from sequoiahook.world.target import LiveTarget, StatedLimit
 
 __all__ = ["TargetSettings", "TargetState"]
 
@@ -42,6 +42,11 @@
 class TargetState:
     """One target: its record, and averages of the results that this instance observed.
 
+    Attributes:
+        open_count: Requests of this instance that are open at the target.
+        sent_count: Requests that this instance has sent to it.
+        stated_limit: What its last answer states about the requests that it accepts.
+
     Args:
         record: Record that the target registered.
         settings: Settings of the state.
@@ -51,6 +56,8 @@
     def __init__(self, record: LiveTarget, settings: TargetSettings, now: int):
         self.record = record
         self.open_count = 0
+        self.sent_count = 0
+        self.stated_limit = StatedLimit(None)
         self.cold_until = now + record.cold_ms
         self.sent_cold_at: int | None = None
         self._settings = settings
@@ -83,6 +90,7 @@
     def on_sent(self, now: int) -> None:
         """Count a request that is sent to the target."""
         self.open_count += 1
+        self.sent_count += 1
         self._suspension.record_sent(now)
         if self.is_cold(now):
             self.sent_cold_at = now
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from sequoiahook.messages.requests import NOT_RUN, RAN, UNKNOWN, Fields
+from sequoiahook.world.target import StatedLimit
 
 __all__ = ["Stage", "TargetResult"]
 
@@ -50,6 +51,8 @@
         connect_ms: Time to open the connection, in milliseconds; None if a kept-alive
             one was used or none was opened.
         open_count: Open requests that the target reported; None if it did not.
+        stated_limit: What the answer states about the requests that the target accepts;
+            None without an answer of this target.
     """
 
     stage: Stage
@@ -61,3 +64,4 @@
     retry_after_ms: int = 0
     connect_ms: int | None = None
     open_count: int | None = None
+    stated_limit: StatedLimit | None = None
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP dialect of the platform's callers and targets."""
 
 import json
+import re
 from collections.abc import Sequence
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -11,6 +12,7 @@
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import connection_fields
 from sequoiahook.world.instance import Address
+from sequoiahook.world.target import StatedLimit
 
 __all__ = ["CallerDialect", "LookupQuery", "PlatformTargetDialect"]
 
@@ -29,6 +31,10 @@
 LOAD = b"server-load"
 """Header with the target's running requests, waiting requests and slots."""
 
+LIMIT = b"server-limit"
+"""Header with the requests a second that the target accepts from all instances."""
+
+LIMIT_PER_S_MAX = 1_000_000
 KEEP_ALIVE = b"keep-alive"
 RETRY_AFTER = b"retry-after"
 BEARER = b"bearer"
@@ -37,6 +43,8 @@
 LOOKUP_PATH = "/-/resolve"
 DEFAULT_IDLE_MS = 10_000
 
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_LOGGED_BYTES_MAX = 40
 _NOT_FORWARDED_FIELDS = frozenset(
     {DEADLINE, EXPECTED_TARGET, ORGANISATION, AUTHORIZATION, b"host", b"expect"}
 )
@@ -150,6 +158,19 @@
             return None
         return int(parts[0]) + int(parts[1])
 
+    def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
+        """Return the limit that an answer states; None if it comes from another."""
+        if status == WRONG_TARGET_STATUS:
+            return None
+        values = [value.strip() for name, value in headers if name == LIMIT]
+        if not values:
+            return StatedLimit(None)
+        is_valid = len(values) == 1 and _DECIMAL.fullmatch(values[0]) is not None
+        if is_valid and float(values[0]) <= LIMIT_PER_S_MAX:
+            return StatedLimit(float(values[0]))
+        text = b", ".join(values)[:_LOGGED_BYTES_MAX].decode("latin-1")
+        return StatedLimit(None, text or "(empty)")
+
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
         for part in (_first_value(headers, KEEP_ALIVE) or b"").split(b","):
--- a/sequoiahook/wire/target_dialect.py
+++ b/sequoiahook/wire/target_dialect.py
@@ -5,6 +5,7 @@
 
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import RAN_FIELD, response_fields
+from sequoiahook.world.target import StatedLimit
 
 __all__ = ["NATIVE_DIALECT", "NativeDialect", "TargetDialect"]
 
@@ -37,6 +38,9 @@
     def open_count(self, headers: Headers) -> int | None:
         """Return the reported number of open requests; None if not reported."""
 
+    def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
+        """Return the limit that an answer states; None if it comes from another."""
+
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
 
@@ -63,6 +67,10 @@
         """Return None: answers do not report the load of targets."""
         return None
 
+    def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
+        """Return no limit: answers do not state one."""
+        return StatedLimit(None)
+
     def idle_ms(self, headers: Headers) -> int:
         """Return IDLE_MS_MAX: answers do not report an idle time-out."""
         return IDLE_MS_MAX
--- a/sequoiahook/world/target.py
+++ b/sequoiahook/world/target.py
@@ -5,7 +5,7 @@
 from sequoiahook.options import Section
 from sequoiahook.world.instance import Address
 
-__all__ = ["TARGET_STATES", "LiveTarget", "Target", "read_target"]
+__all__ = ["TARGET_STATES", "LiveTarget", "StatedLimit", "Target", "read_target"]
 
 PORT_MAX = 65535
 SLOTS_MAX = 10_000
@@ -73,3 +73,16 @@
     slots: int
     is_draining: bool
     cold_ms: int
+
+
+class StatedLimit(NamedTuple):
+    """What one answer of a target states about the requests that it accepts.
+
+    Attributes:
+        per_s: Requests a second that the target accepts from all instances together;
+            None if the answer states no valid limit.
+        invalid: Text of a field that is no valid limit; empty if there is none.
+    """
+
+    per_s: float | None
+    invalid: str = ""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -24,10 +24,12 @@
             response), ``foreign`` (responds with the id of another request),
             ``unframed`` (sends no content length) and ``reset`` (sends no content
             length and resets the connection within the body).
+        limit: Value of the header that states the target's limit; empty for none.
         work_ms: Duration of a run in milliseconds.
     """
 
     how: str = ""
+    limit: str = ""
     work_ms: int = 2
 
 
@@ -159,6 +161,8 @@
             ("server-load", "1,0,4"),
             ("content-length", str(len(body))),
         ]
+        if self.faults.limit:
+            response_headers.append(("server-limit", self.faults.limit))
         if is_shed:
             response_headers.append(("not-executed", "1"))
         else:
