Keep the limits that targets state over the whole fleet

What targets saw: one that stated 5.6 requests a second in Server-Limit got 65 in 4 s, allowed 39. Cause: nothing read the field; each instance sends to a target as ownership of objects and its own counts of open requests suggest.

While targets of a region state limits, every instance delegates its equal part of them to one limiter at a time, chosen among the responsive instances of the region. The limiter grants permits at the rate of the parts delegated to it: the whole limit in a calm fleet, a part of it on either side of a partition, so that no part is granted twice. A part counts only after the previous delegation has expired. Each attempt at such a target, first or repeated, needs a permit; permits last 500 ms. Requests wait for one for a round trip at most, then go to the next target, within the limits on changes of region, cold targets and retries, or are refused with the time of the next permit. A statement holds until a newer one replaces it; one that is unconfirmed for 4 s still lets 0.25 requests a second through, which confirm or end it. Dividing the limit by the number of instances would starve the target (0.3 a second over 90 instances) or let 90 buckets be spent at once.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -15,6 +15,7 @@
     Cause,
     Deliver,
     Hold,
+    HoldPermit,
     IncomingRequest,
     OpenRequest,
     Refuse,
@@ -111,9 +112,9 @@
         attempts = self._core.attempts
         step = attempts.next_step(admitted, self._clock.now())
         self._reporter.send_token_requests()
-        while isinstance(step, Attempt | Hold):
-            if isinstance(step, Hold):
-                await self._reporter.wait_for_tokens(step)
+        while isinstance(step, Attempt | Hold | HoldPermit):
+            if isinstance(step, Hold | HoldPermit):
+                await self._reporter.wait(step)
                 step = attempts.next_step(admitted, self._clock.now())
                 self._reporter.send_token_requests()
             else:
--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -25,7 +25,7 @@
         self._core = core
         self._selector = core.selector
         self._lost_event = core.selector.lost_capacity.last_event
-        self._limit_log = LimitLog(core.targets)
+        self._limit_log = LimitLog(core)
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -36,7 +36,7 @@
             self._summarised_at = now
             self._write_lost(now)
             self._write_summary(now)
-            self._limit_log.write()
+            self._limit_log.write(now)
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/direct/limit_log.py
+++ b/sequoiahook/daemons/direct/limit_log.py
@@ -4,8 +4,7 @@
 
 import logbook
 
-from sequoiahook.decisions.direct.target_registry import TargetRegistry
-from sequoiahook.world.target import StatedLimit
+from sequoiahook.decisions.direct.core import DirectCore
 
 __all__ = ["LimitLog"]
 
@@ -16,29 +15,32 @@
 
 
 class _Logged(NamedTuple):
-    stated_limit: StatedLimit
+    per_s: float | None
+    invalid: str
     sent_count: int
 
 
-_NONE = _Logged(StatedLimit(None), 0)
+_NONE = _Logged(None, "", 0)
 
 
 class LimitLog:
     """Logs each target that states a limit, or has stopped to state one.
 
     Args:
-        targets: The targets.
+        core: The decisions.
     """
 
-    def __init__(self, targets: TargetRegistry):
-        self._targets = targets
+    def __init__(self, core: DirectCore):
+        self._core = core
         self._logged_by_id: dict[str, _Logged] = {}
 
-    def write(self) -> None:
+    def write(self, now: int) -> None:
         """Log what changed since the last call."""
         seen_by_id = {
-            target_id: _Logged(state.stated_limit, state.sent_count)
-            for target_id, state in self._targets.states_by_id.items()
+            target_id: _Logged(
+                state.limit_per_s, state.stated_limit.invalid, state.sent_count
+            )
+            for target_id, state in self._core.targets.states_by_id.items()
         }
         changed_ids = [
             target_id
@@ -46,26 +48,37 @@
             if self._is_reported(seen, self._logged_by_id.get(target_id, _NONE))
         ]
         for target_id in changed_ids[:LINES_MAX]:
-            self._write_target(target_id, seen_by_id[target_id])
+            self._write_target(target_id, seen_by_id[target_id], now)
         if len(changed_ids) > LINES_MAX:
             left_out = len(changed_ids) - LINES_MAX
             log.info("limits of targets left out", extra={"targets": left_out})
         self._logged_by_id = seen_by_id
 
     def _is_reported(self, seen: _Logged, before: _Logged) -> bool:
-        if seen.stated_limit != before.stated_limit:
+        if seen[:2] != before[:2]:
             return True
-        return seen.stated_limit != _NONE.stated_limit and seen != before
+        return seen[:2] != _NONE[:2] and seen != before
 
-    def _write_target(self, target_id: str, seen: _Logged) -> None:
+    def _write_target(self, target_id: str, seen: _Logged, now: int) -> None:
         before = self._logged_by_id.get(target_id, _NONE)
         fields = {
             "target": target_id,
-            "per_s": seen.stated_limit.per_s,
+            "per_s": seen.per_s,
             "sent": max(0, seen.sent_count - before.sent_count),
         }
-        if seen.stated_limit.invalid:
-            fields["value"] = seen.stated_limit.invalid
+        fields |= self._source(target_id, now)
+        if seen.invalid:
+            fields["value"] = seen.invalid
             log.warning("limit of target invalid", extra=fields)
         else:
             log.info("limit of target", extra=fields)
+
+    def _source(self, target_id: str, now: int) -> dict:
+        """Return the age of the limit, its limiter, and the share granted here."""
+        state = self._core.targets.states_by_id[target_id]
+        permits, region = self._core.permits, state.record.region
+        return {
+            "age_ms": now - state.limit_stated_at,
+            "limiter": permits.limiter(region, now),
+            "granted_share": round(permits.share(region, now), 3),
+        }
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 import logbook
 
@@ -9,10 +10,11 @@
 from sequoiahook.daemons.direct.decision_log import DecisionLog
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.fleet import OutgoingDatagram
-from sequoiahook.decisions.direct.requests import Hold
+from sequoiahook.decisions.direct.outgoing import OutgoingDatagram
+from sequoiahook.decisions.direct.requests import Hold, HoldPermit
 from sequoiahook.errors import CodecError
-from sequoiahook.messages.reports import TokenDenial, TokenGrant
+from sequoiahook.messages.limits import PermitDenial, PermitGrant
+from sequoiahook.messages.reports import Body, TokenDenial, TokenGrant
 from sequoiahook.wire.datagrams import (
     DATAGRAM_BYTES_MAX,
     decode_datagram,
@@ -34,6 +36,13 @@
 log = logbook.Logger("reports")
 
 
+class _Subject(NamedTuple):
+    """What requests wait for: permits of a target, or tokens of an organisation."""
+
+    is_target: bool
+    name: str
+
+
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, on_datagram: Callable[[bytes], None]):
         self._on_datagram = on_datagram
@@ -68,7 +77,7 @@
         self._is_serving_scheduled = False
         self._role = ("", False)
         self._decision_log = DecisionLog(core)
-        self._futures_by_organisation: dict[str, set[asyncio.Future]] = {}
+        self._futures_by_subject: dict[_Subject, set[asyncio.Future]] = {}
 
     async def start(self) -> None:
         """Start listening.
@@ -123,10 +132,11 @@
         """Request tokens from peers for buckets that run low."""
         self._send_all(self._core.token_requests(self._clock.now()))
 
-    async def wait_for_tokens(self, hold: Hold) -> None:
-        """Wait for a token message for an organisation, up to the hold's max wait."""
+    async def wait(self, hold: Hold | HoldPermit) -> None:
+        """Wait for a token or permit message, up to the hold's max wait."""
         future = asyncio.get_running_loop().create_future()
-        futures = self._futures_by_organisation.setdefault(hold.organisation, set())
+        subject = _Subject(isinstance(hold, HoldPermit), hold[0])
+        futures = self._futures_by_subject.setdefault(subject, set())
         futures.add(future)
         try:
             async with asyncio.timeout(hold.max_wait_ms / MS_PER_S):
@@ -135,6 +145,8 @@
             return  # The caller decides again with the tokens there are by then.
         finally:
             futures.discard(future)
+            if not futures:
+                self._futures_by_subject.pop(subject, None)
 
     def _schedule_serving(self) -> None:
         if self._core.rates.has_waiting and not self._is_serving_scheduled:
@@ -188,8 +200,16 @@
             return
         self._send_all(self._core.receive(datagram, self._clock.now()))
         self._schedule_serving()
-        body = datagram.body
-        if isinstance(body, TokenGrant | TokenDenial):
-            for future in self._futures_by_organisation.get(body.organisation, ()):
-                if not future.done():
-                    future.set_result(None)
+        subject = _subject(datagram.body)
+        for future in self._futures_by_subject.get(subject, ()):
+            if not future.done():
+                future.set_result(None)
+
+
+def _subject(body: Body) -> _Subject | None:
+    """Return whose waiting requests a message concerns; None for other messages."""
+    if isinstance(body, TokenGrant | TokenDenial):
+        return _Subject(False, body.organisation)
+    if isinstance(body, PermitGrant | PermitDenial):
+        return _Subject(True, body.target)
+    return None
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -3,18 +3,22 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.admission import Admission
+from sequoiahook.decisions.direct.permits import Permits
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.requests import (
     Attempt,
     AttemptRecord,
     Cause,
     Deliver,
     Hold,
+    HoldPermit,
     OpenRequest,
     Refuse,
     Status,
 )
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
-from sequoiahook.decisions.direct.target_selection import TargetQuery, TargetSelector
+from sequoiahook.decisions.direct.target_selection import TargetSelector
+from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.retry import RetryBudget, RetryBudgetSettings
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.messages.requests import NOT_RUN
@@ -24,7 +28,7 @@
 
 FAILURE_STATUS_MIN = 500
 
-Step = Attempt | Deliver | Hold | Refuse
+Step = Attempt | Deliver | Hold | HoldPermit | Refuse
 
 
 class AttemptsSettings(NamedTuple):
@@ -33,6 +37,8 @@
     Attributes:
         targets_max: Most targets to which one request is sent.
         remaining_min_ms: Least time before its deadline at which a request is sent.
+        permit_wait_divisor: Divisor of the route's latency goal that gives the longest
+            wait for permits of targets that state a limit.
         failed_retry_after_ms: Retry-after time if no target could be reached.
         retry_percent: Retries allowed for each hundred requests of a service. It is
             below the platform's ratio, since requests are spread unevenly over the
@@ -41,6 +47,7 @@
 
     targets_max: int = 4
     remaining_min_ms: int = 20
+    permit_wait_divisor: int = 3
     failed_retry_after_ms: int = 100
     retry_percent: int = 15
 
@@ -56,6 +63,7 @@
         admission: Checks keys and rates.
         selector: Selects targets.
         targets: Registry of targets.
+        permits: Permits for targets that state a limit.
     """
 
     def __init__(
@@ -64,12 +72,14 @@
         admission: Admission,
         selector: TargetSelector,
         targets: TargetRegistry,
+        permits: Permits,
     ):
         self.retry_burst = 1
         self._settings = settings
         self._admission = admission
         self._selector = selector
         self._targets = targets
+        self._permits = permits
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def next_step(self, request: OpenRequest, now: int) -> Step:
@@ -83,13 +93,15 @@
         is_exhausted = request.run_count >= request.route.attempts_max
         if is_exhausted or len(request.records) >= self._settings.targets_max:
             return self._end(request, Cause.FAILED, now)
-        placement = self._selector.choose(
-            self._target_query(request, remaining_ms), now
-        )
+        placement = self._select(request, remaining_ms, now)
+        if isinstance(placement, HoldPermit):
+            return placement
         if placement.state is None:
             return self._end(request, placement.cause, now, placement.retry_after_ms)
         refusal = self._charge(request, now)
         if refusal is not None:
+            if placement.state.limit_per_s is not None:
+                self._permits.put_back(placement.state, now)
             return refusal
         return self._send(request, placement, remaining_ms, now)
 
@@ -135,6 +147,37 @@
         request.last_failure = result
         return self.next_step(request, now)
 
+    def _select(
+        self, request: OpenRequest, remaining_ms: int, now: int
+    ) -> Placement | HoldPermit:
+        """Return the selected target, for which a permit is taken if it needs one."""
+        while True:
+            query = self._target_query(request, remaining_ms)
+            placement = self._selector.choose(query, now)
+            state = placement.state
+            if state is None or state.limit_per_s is None:
+                return placement
+            if self._permits.take(state, now):
+                return placement
+            wait_ms = self._permit_wait_ms(request, state, now)
+            if wait_ms > 0:
+                return HoldPermit(state.record.id, wait_ms)
+            request.passed_over_ids.add(state.record.id)
+
+    def _permit_wait_ms(
+        self, request: OpenRequest, state: TargetState, now: int
+    ) -> int:
+        """Return how long a request waits for a permit that has been requested."""
+        if state.is_blocked(now):
+            return 0
+        if request.permit_until is None:
+            goal_ms = request.route.latency_goal_ms
+            longest_ms = goal_ms // self._settings.permit_wait_divisor
+            left_ms = max(0, request.deadline_at - now) // 2
+            wait_ms = min(self._permits.answer_timeout_ms, longest_ms, left_ms)
+            request.permit_until = now + wait_ms
+        return request.permit_until - now
+
     def _charge(self, request: OpenRequest, now: int) -> Deliver | Hold | Refuse | None:
         """Take the token or the retry that an attempt costs; if none, return a step."""
         budget = self._budget(request.service, now)
@@ -181,6 +224,8 @@
             state.record_load(result.open_count, now)
         if result.stated_limit is not None:
             state.stated_limit = result.stated_limit
+            sent_at = attempt.request.arrived_at + attempt.request.records[-1].at_ms
+            self._permits.limits.record_answer(state, result, sent_at, now)
         if result.stage is Stage.NOTHING_WRITTEN:
             return
         is_answer = result.stage is Stage.ANSWERED
@@ -228,7 +273,7 @@
             request.priority,
             request.regions,
             remaining_ms,
-            frozenset(request.tried_ids),
+            frozenset(request.tried_ids | request.passed_over_ids),
         )
 
     def _service(self, name: str) -> TargetService:
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -9,10 +9,10 @@
     Fleet,
     FleetComponents,
     FleetSettings,
-    OutgoingDatagram,
 )
 from sequoiahook.decisions.direct.freshness import Freshness, FreshnessSettings
 from sequoiahook.decisions.direct.groups import by_link_capacity
+from sequoiahook.decisions.direct.outgoing import OutgoingDatagram
 from sequoiahook.decisions.direct.rates import Rates, RateSettings
 from sequoiahook.decisions.direct.target_registry import (
     TargetRegistry,
@@ -89,9 +89,14 @@
         components = FleetComponents(self.targets, self.selector, self.rates)
         self.fleet = Fleet(settings.fleet, me, components, now)
         self.peers = self.fleet.peers
+        self.permits = self.fleet.permits
         self.admission = Admission(settings.admission, self.freshness, self.rates)
         self.attempts = Attempts(
-            settings.attempts, self.admission, self.selector, self.targets
+            settings.attempts,
+            self.admission,
+            self.selector,
+            self.targets,
+            self.permits,
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -5,13 +5,19 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.groups import Groups, GroupSettings
+from sequoiahook.decisions.direct.outgoing import (
+    DatagramFactory,
+    OutgoingBody,
+    OutgoingDatagram,
+)
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
+from sequoiahook.decisions.direct.permits import Permits, PermitSettings
 from sequoiahook.decisions.direct.rates import Rates
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.token_server import TokenAnswer
+from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reports import (
-    Body,
     Datagram,
     GroupDigest,
     GroupReport,
@@ -23,7 +29,7 @@
 )
 from sequoiahook.world.instance import LiveInstance
 
-__all__ = ["Fleet", "FleetComponents", "FleetSettings", "OutgoingDatagram"]
+__all__ = ["Fleet", "FleetComponents", "FleetSettings"]
 
 OTHER_GROUPS = "other groups"
 """Name under which a member counts the open requests of all other groups."""
@@ -35,10 +41,12 @@
     Attributes:
         peers: When peers count as unresponsive.
         groups: Division of the fleet and election of leaders.
+        permits: Permits for targets that state a limit.
     """
 
     peers: PeerSettings = PeerSettings()
     groups: GroupSettings = GroupSettings()
+    permits: PermitSettings = PermitSettings()
 
 
 class FleetComponents(NamedTuple):
@@ -55,18 +63,6 @@
     rates: Rates
 
 
-class OutgoingDatagram(NamedTuple):
-    """A datagram to send.
-
-    Attributes:
-        instance: Name of the receiver.
-        datagram: The datagram.
-    """
-
-    instance: str
-    datagram: Datagram
-
-
 class _GroupView(NamedTuple):
     leader: str
     report: GroupReport
@@ -93,9 +89,10 @@
         self.me = me
         self.peers = Peers(settings.peers, me, now)
         self.groups = Groups(settings.groups, me)
+        self.permits = Permits(settings.permits, me, self.peers, components.targets)
         self._unresponsive_after_ms = settings.peers.unresponsive_after_ms
         self._components = components
-        self._sequence = 0
+        self._datagrams = DatagramFactory(me)
         self._report_round = 0
         self._is_listed = False
         self._reports_by_member: dict[str, MemberReport] = {}
@@ -135,28 +132,34 @@
         self._report_round += 1
         outgoing: list[OutgoingDatagram] = []
         if self.groups.is_divided:
-            report = self._datagram(self._member_report(own))
+            report = self._datagrams.datagram(self._member_report(own))
             others = [n for n in self.groups.members if n != self.me.name]
             outgoing += [OutgoingDatagram(name, report) for name in others]
             if includes_far and self.groups.is_leader(now):
-                digest = self._datagram(self._digest(now))
+                digest = self._datagrams.datagram(self._digest(now))
                 outgoing += [OutgoingDatagram(name, digest) for name in others]
         if self.groups.is_leader(now):
             outgoing += self._group_reports(own, now, includes_far=includes_far)
-        return outgoing
+        self.permits.is_leaving = own.is_leaving
+        return outgoing + self._datagrams.datagrams(self.permits.reports(now))
 
     def token_requests(self, now: int) -> list[OutgoingDatagram]:
+        """Return the requests for tokens and for permits."""
+        permit_requests = self._datagrams.datagrams(self.permits.requests(now))
+        return self._rate_token_requests() + permit_requests
+
+    def _rate_token_requests(self) -> list[OutgoingDatagram]:
         """Return the token requests for the group's leader or those of other groups."""
         rates = self._components.rates
         if not rates.is_leader:
             requests = rates.pop_token_requests()
             leader = self.groups.vote
             return [
-                OutgoingDatagram(leader, self._datagram(request))
+                OutgoingDatagram(leader, self._datagrams.datagram(request))
                 for request in requests
             ]
         return [
-            OutgoingDatagram(view.leader, self._datagram(request))
+            OutgoingDatagram(view.leader, self._datagrams.datagram(request))
             for group, request in rates.quota.pop_token_requests()
             if (view := self._views_by_group.get(group)) is not None
         ]
@@ -172,6 +175,8 @@
             return self._apply_group_report(datagram, body, now)
         elif isinstance(body, GroupDigest):
             self._apply_digest(sender, body, now)
+        elif isinstance(body, LimitBody):
+            return self._datagrams.datagrams(self.permits.receive(sender, body, now))
         else:
             return self._apply_token_message(sender, body, now)
         return []
@@ -265,7 +270,7 @@
                 continue
             table = self._components.rates.quota.table_for(group)
             body = GroupReport(*fields, quota=table)
-            outgoing.append(OutgoingDatagram(receiver, self._datagram(body)))
+            outgoing.append(OutgoingDatagram(receiver, self._datagrams.datagram(body)))
         return outgoing
 
     def _receiver_in(self, group: str, now: int) -> str | None:
@@ -374,13 +379,8 @@
         if is_member:
             return self._outgoing_answers(rates.answer(sender, body, now))
         grant = rates.quota.lend(body, now) if rates.is_leader else None
-        return (
-            [] if grant is None else [OutgoingDatagram(sender, self._datagram(grant))]
-        )
+        answers = [] if grant is None else [OutgoingBody(sender, grant)]
+        return self._datagrams.datagrams(answers)
 
     def _outgoing_answers(self, answers: list[TokenAnswer]) -> list[OutgoingDatagram]:
-        return [OutgoingDatagram(a.member, self._datagram(a.body)) for a in answers]
-
-    def _datagram(self, body: Body) -> Datagram:
-        self._sequence += 1
-        return Datagram(self.me.name, self.me.incarnation, self._sequence, body)
+        return self._datagrams.datagrams(OutgoingBody(*a) for a in answers)
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -14,6 +14,7 @@
     "Cause",
     "Deliver",
     "Hold",
+    "HoldPermit",
     "IncomingRequest",
     "OpenRequest",
     "Refuse",
@@ -43,6 +44,7 @@
     DEADLINE = "deadline passed"
     FAILED = "target failed"
     TARGETS_FULL = "targets are full"
+    TARGETS_LIMITED = "targets are at the limits that they state"
     NO_COMMON_REGION = "route and organisation have no region in common"
     NO_CONFIGURATION = "no configuration yet"
     NO_KEY = "key missing"
@@ -123,6 +125,9 @@
         records: All attempts, the latest last.
         last_failure: Latest failure that a target answered; delivered if no later
             attempt succeeds.
+        passed_over_ids: Ids of targets without a permit for it.
+        permit_until: When it stops waiting for permits, in milliseconds; None before
+            the first wait.
         hold_until: When it stops waiting for a token, in milliseconds; None before the
             first wait.
 
@@ -157,6 +162,8 @@
         self.arrival_count = 0
         self.records: list[AttemptRecord] = []
         self.last_failure: TargetResult | None = None
+        self.passed_over_ids: set[str] = set()
+        self.permit_until: int | None = None
         self.hold_until: int | None = None
 
     @property
@@ -204,6 +211,18 @@
     max_wait_ms: int
 
 
+class HoldPermit(NamedTuple):
+    """A step that waits for a permit of a target that states a limit.
+
+    Attributes:
+        target: Id of the target.
+        max_wait_ms: Longest wait.
+    """
+
+    target: str
+    max_wait_ms: int
+
+
 class Refuse(NamedTuple):
     """A final step that refuses the request with an answer of the instance itself.
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -28,6 +28,7 @@
     LostCapacitySettings,
     TargetSlots,
 )
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.region_owners import (
     RegionOwners,
     RegionOwnerSettings,
@@ -38,9 +39,8 @@
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.rendezvous import order
-from sequoiahook.world.routing import Route, TargetService
 
-__all__ = ["Placement", "TargetQuery", "TargetSelectionSettings", "TargetSelector"]
+__all__ = ["TargetSelectionSettings", "TargetSelector"]
 
 RANKINGS_MAX = 20_000
 PERCENT = 100
@@ -79,53 +79,6 @@
     check_interval_ms: int = 400
 
 
-class TargetQuery(NamedTuple):
-    """The properties of a request that determine its target.
-
-    Attributes:
-        service: Service that runs the request.
-        route: Route of the request.
-        object_key: Key of the object that it concerns; empty if it names none.
-        priority: Priority of the request; 0 is the highest.
-        regions: Regions that it may run in; empty means all.
-        remaining_ms: Time until its deadline.
-        tried_ids: Ids of the targets that it was sent to before.
-    """
-
-    service: TargetService
-    route: Route
-    object_key: str
-    priority: int
-    regions: tuple[str, ...]
-    remaining_ms: int
-    tried_ids: frozenset[str]
-
-
-class Placement(NamedTuple):
-    """The target selected for a request, or the reason why there is none.
-
-    Attributes:
-        state: The target; None if the request should be refused.
-        expected_ms: Expected response time.
-        in_flight: Requests known to be queued or running at the target.
-        retry_after_ms: Time after which the caller should retry if there is no target.
-        cause: Reason why there is no target.
-        placed_by: What determined the region; one of `PlacedBy`.
-    """
-
-    state: TargetState | None
-    expected_ms: int = 0
-    in_flight: int = 0
-    retry_after_ms: int = 0
-    cause: str = ""
-    placed_by: str = ""
-
-    @property
-    def is_moved(self) -> bool:
-        """Whether the target is in another region than the object's owner."""
-        return self.placed_by == PlacedBy.OVERFLOW
-
-
 class TargetSelector:
     """Selects the targets of requests.
 
@@ -177,9 +130,7 @@
     def _choose(self, query: TargetQuery, now: int) -> Placement:
         candidates = self._candidates(query, now)
         if not candidates:
-            return Placement(
-                None, retry_after_ms=self._retry_ms(query), cause=Cause.NO_TARGET
-            )
+            return self._no_target(query, now)
         fitting = [
             placement for placement in candidates if self._has_room(placement, query)
         ]
@@ -238,18 +189,43 @@
         """
         best = _fastest(fitting)
         # Without a usable target in the owner's region, all candidates are moved.
-        is_unlimited = candidates[0].is_moved
+        is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
+            query, now
+        )
         if not best.is_moved or is_unlimited or self.shift_limit.may_move(now):
             return best
         return _fastest([placement for placement in fitting if not placement.is_moved])
 
+    def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
+        """Return whether targets of the owner's region are unused due to a limit."""
+        region = self._regions(query, now)[0]
+        group = self._targets.group(query.service.name, region)
+        return any(state.limit_per_s is not None for state in group)
+
+    def _no_target(self, query: TargetQuery, now: int) -> Placement:
+        """Return the refusal of a request for which no target can be used."""
+        blocked_ms = [
+            state.blocked_until - now
+            for region in self._regions(query, now)
+            for state in self._targets.group(query.service.name, region)
+            if state.is_blocked(now)
+        ]
+        if not blocked_ms:
+            retry_ms = self._retry_ms(query)
+            return Placement(None, retry_after_ms=retry_ms, cause=Cause.NO_TARGET)
+        return Placement(
+            None, retry_after_ms=min(blocked_ms), cause=Cause.TARGETS_LIMITED
+        )
+
+    def _regions(self, query: TargetQuery, now: int) -> list[str]:
+        return self.owners.order(
+            query.route, query.service.name, query.object_key, query.regions, now
+        )
+
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        regions = self.owners.order(
-            query.route, query.service.name, query.object_key, query.regions, now
-        )
-        for index, region in enumerate(regions):
+        for index, region in enumerate(self._regions(query, now)):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
@@ -280,6 +256,8 @@
         for state in self._ranked(query, region):
             if state.record.id in query.tried_ids or not state.may_send(now):
                 continue
+            if state.is_blocked(now):
+                continue
             if not state.is_cold(now):
                 warm.append(state)
             elif self._accepts_cold(state, query, region, now):
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -45,7 +45,12 @@
     Attributes:
         open_count: Requests of this instance that are open at the target.
         sent_count: Requests that this instance has sent to it.
-        stated_limit: What its last answer states about the requests that it accepts.
+        stated_limit: What its last answer to this instance states about the requests
+            that it accepts.
+        limit_per_s: Limit that it is known to state on the requests a second of all
+            instances; None if it states none.
+        limit_stated_at: When it stated this.
+        blocked_until: Until when its limit leaves no permit for this instance.
 
     Args:
         record: Record that the target registered.
@@ -58,6 +63,9 @@
         self.open_count = 0
         self.sent_count = 0
         self.stated_limit = StatedLimit(None)
+        self.limit_per_s: float | None = None
+        self.limit_stated_at = now
+        self.blocked_until = now
         self.cold_until = now + record.cold_ms
         self.sent_cold_at: int | None = None
         self._settings = settings
@@ -87,6 +95,10 @@
         """Return whether the target is not suspended."""
         return self._suspension.may_send(now)
 
+    def is_blocked(self, now: int) -> bool:
+        """Return whether its limit leaves no permit for this instance at present."""
+        return self.limit_per_s is not None and now < self.blocked_until
+
     def on_sent(self, now: int) -> None:
         """Count a request that is sent to the target."""
         self.open_count += 1
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from sequoiahook.messages.limits import LimitBody
+
 __all__ = [
     "Datagram",
     "GroupDigest",
@@ -146,7 +148,13 @@
 
 
 Body = (
-    MemberReport | GroupReport | GroupDigest | TokenRequest | TokenGrant | TokenDenial
+    MemberReport
+    | GroupReport
+    | GroupDigest
+    | TokenRequest
+    | TokenGrant
+    | TokenDenial
+    | LimitBody
 )
 
 
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -7,6 +7,14 @@
 import cbor2
 
 from sequoiahook.errors import CodecError
+from sequoiahook.messages.limits import (
+    LimitBody,
+    LimitReport,
+    LimitStatement,
+    PermitDenial,
+    PermitGrant,
+    PermitRequest,
+)
 from sequoiahook.messages.reports import (
     Body,
     Datagram,
@@ -24,6 +32,7 @@
 
 TAG_BYTES = 16
 DATAGRAM_BYTES_MAX = 60_000
+PERMITS_MAX = 1_000
 TOKENS_MAX = 1_000_000
 """Exclusive limit above any burst; it also rules out infinity and NaN."""
 
@@ -34,7 +43,12 @@
     TokenRequest,
     TokenGrant,
     TokenDenial,
+    LimitReport,
+    PermitRequest,
+    PermitGrant,
+    PermitDenial,
 )
+_LIMIT_TYPES = (LimitReport, PermitRequest, PermitGrant, PermitDenial)
 
 
 def encode_datagram(datagram: Datagram, secret: bytes) -> bytes:
@@ -79,6 +93,8 @@
     if body_type is GroupDigest:
         _require_counts(body.open_by_target, body.home_by_service)
         return body._replace(state_by_instance=_decode_states(body.state_by_instance))
+    if body_type in _LIMIT_TYPES:
+        return _decode_limit_body(body)
     _require(type(body.organisation) is str)
     if body_type is TokenDenial:
         _require(type(body.retry_after_ms) is int)
@@ -88,6 +104,26 @@
     return body
 
 
+def _decode_limit_body(body: LimitBody) -> LimitBody:
+    if isinstance(body, LimitReport):
+        table = body.statement_by_target
+        _require(type(body.region) is str and type(body.is_delegation) is bool)
+        _require(isinstance(table, dict) and all(type(name) is str for name in table))
+        statements = {name: _decode_statement(f) for name, f in table.items()}
+        return body._replace(statement_by_target=statements)
+    _require(type(body.target) is str and type(body[1]) is int)
+    _require(0 < body[1] <= PERMITS_MAX or type(body) is PermitDenial)
+    if isinstance(body, PermitRequest):
+        return body._replace(statement=_decode_statement(body.statement))
+    return body
+
+
+def _decode_statement(fields: Any) -> LimitStatement:
+    statement = LimitStatement(*fields)
+    _require(_are_ints(statement) and statement.age_ms >= 0)
+    return statement
+
+
 def _decode_state(fields: Any) -> PeerState:
     state = PeerState(*fields)
     _require(type(state.is_leaving) is bool and type(state.is_serving) is bool)
--- a/tests/direct_parts.py
+++ b/tests/direct_parts.py
@@ -1,7 +1,7 @@
 """Factories of routes, targets and requests for the tests of direct sending."""
 
+from sequoiahook.decisions.direct.placements import TargetQuery
 from sequoiahook.decisions.direct.requests import IncomingRequest
-from sequoiahook.decisions.direct.target_selection import TargetQuery
 from sequoiahook.world.contract import Contract
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.organisation import Key, Organisation, key_digest
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -5,6 +5,13 @@
 from hypothesis import given, strategies as st
 
 from sequoiahook.errors import CodecError
+from sequoiahook.messages.limits import (
+    LimitReport,
+    LimitStatement,
+    PermitDenial,
+    PermitGrant,
+    PermitRequest,
+)
 from sequoiahook.messages.reports import (
     Datagram,
     GroupDigest,
@@ -29,6 +36,10 @@
     TokenRequest("one", 0.5, 200),
     TokenGrant("one", 1),
     TokenDenial("one", 350),
+    LimitReport("north", True, {"t1": LimitStatement(1, 5_600, 40)}),
+    PermitRequest("t1", 2, LimitStatement(1, 300, 0)),
+    PermitGrant("t1", 2),
+    PermitDenial("t1", 180),
 )
 
 values = st.recursive(
