Log the fingerprint of requests whose connection a target ended

A request's line named route and object, but not whether two requests are the same one, sent again; and a connection that the target ended looked like one whose time was over. Now the exchange tells the two apart, and the line of a request that lost an attempt holds a fingerprint of organisation, method, host, path, query and body. It is computed for such requests only. No decision uses either yet. The stand-in target can end its process on the request of one path.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -10,6 +10,7 @@
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.target_http import TargetClient, TargetRequest
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.fingerprints import fingerprint
 from sequoiahook.decisions.direct.requests import (
     Attempt,
     Cause,
@@ -201,4 +202,6 @@
             fields["object"] = incoming.object_key
             fields["deadline_ms"] = request.deadline_at - request.arrived_at
             fields["attempts"] = [tuple(record) for record in request.records]
+            if request.lost_count:
+                fields["fingerprint"] = fingerprint(request).hex()
         return fields
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -169,6 +169,7 @@
         self._started_at = monotonic_ms()
         self._exchange_task: asyncio.Task | None = None
         self._is_aborted = False
+        self._is_timed_out = False
 
     async def run(self, may_write: Callable[[], bool]) -> TargetResult:
         """Connect, write and read; see :meth:`TargetClient.exchange`."""
@@ -177,6 +178,9 @@
         self._exchange_task = asyncio.ensure_future(self._run_exchange(may_write))
         try:
             await self._exchange_task
+        except TimeoutError:
+            self._is_timed_out = True
+            self._mark_incomplete()
         except (OSError, ValueError, h11.ProtocolError):
             self._mark_incomplete()
         except asyncio.CancelledError:
@@ -310,6 +314,7 @@
                 self.stage,
                 duration_ms=self._elapsed_ms(),
                 connect_ms=self._connect_ms,
+                is_timed_out=self._is_timed_out,
             )
         headers = self._head.headers
         return TargetResult(
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -128,6 +128,7 @@
             request.arrival_count += 1
         if result.stage.ran != NOT_RUN:
             request.run_count += 1
+        request.lost_count += result.is_lost
         if result.stage is Stage.ANSWERED:
             return self._answered(request, result, now)
         if result.stage.ran != NOT_RUN and not request.route.is_idempotent:
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -122,6 +122,7 @@
         tried_ids: Ids of the targets that it was sent to.
         run_count: Attempts that a target ran or may have run.
         arrival_count: Attempts that reached a target; after one, a retry uses budget.
+        lost_count: Attempts whose connection the target ended before it had answered.
         records: All attempts, the latest last.
         last_failure: Latest failure that a target answered; delivered if no later
             attempt succeeds.
@@ -160,6 +161,7 @@
         self.tried_ids: set[str] = set()
         self.run_count = 0
         self.arrival_count = 0
+        self.lost_count = 0
         self.records: list[AttemptRecord] = []
         self.last_failure: TargetResult | None = None
         self.passed_over_ids: set[str] = set()
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -53,6 +53,7 @@
         open_count: Open requests that the target reported; None if it did not.
         stated_limit: What the answer states about the requests that the target accepts;
             None without an answer of this target.
+        is_timed_out: Whether the exchange ended because its time was over.
     """
 
     stage: Stage
@@ -65,3 +66,14 @@
     connect_ms: int | None = None
     open_count: int | None = None
     stated_limit: StatedLimit | None = None
+    is_timed_out: bool = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the target ended the connection before it had answered."""
+        return self.stage in _LOST_STAGES and not self.is_timed_out
+
+
+_LOST_STAGES = frozenset(
+    {Stage.PARTLY_WRITTEN, Stage.WRITTEN_NO_ANSWER, Stage.ANSWER_TRUNCATED}
+)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import socket
 import struct
 import sys
@@ -13,6 +14,7 @@
 __all__ = ["PlatformTarget", "TargetFaults"]
 
 READ_BYTES = 65_536
+CRASH_EXIT_CODE = 3
 
 
 class TargetFaults(NamedTuple):
@@ -24,12 +26,15 @@
             response), ``foreign`` (responds with the id of another request),
             ``unframed`` (sends no content length) and ``reset`` (sends no content
             length and resets the connection within the body).
+        crash_path: Path of a request that ends the process as soon as it runs; empty
+            for none.
         limit: Value of the header that states the target's limit; empty for none.
         work_ms: Duration of a run in milliseconds.
     """
 
     how: str = ""
     limit: str = ""
+    crash_path: str = ""
     work_ms: int = 2
 
 
@@ -102,6 +107,8 @@
             }
         )
         await asyncio.sleep(self.faults.work_ms / 1000)
+        if self.faults.crash_path and path == self.faults.crash_path:
+            os._exit(CRASH_EXIT_CODE)
         return await self._respond(connection, writer, headers, path)
 
     def _record_run(self, run: dict[str, Any]) -> None:
