Test that a request which ends its targets is not sent again (fails, listed)

Whole cores in a simulated network; a target that ends loses what is open at it and is replaced after 3 s. The bound is the users': three arrivals from 4 s after the third end.

--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -41,6 +41,7 @@
 NEAR_WAY_MS, FAR_WAY_MS = 1, 50
 WORK_MS = 60
 GOAL_MS = 400
+DEADLINE_MS = 1_500
 WINDOW_MS = 4_000
 SETTLING_MS = 4_000
 EXCESS_FACTOR = 1.5
@@ -238,10 +239,14 @@
         for request, _ in due:
             self._follow(name, request, self.cores[name].attempts.next_step)
 
-    def _arrive(self, name):
-        incoming = a_request(
-            object_key=str(self.rng.randrange(self.object_count)), deadline_ms=1_500
+    def _incoming(self):
+        key = str(self.rng.randrange(self.object_count))
+        return a_request(
+            target_path=f"/look/{key}", object_key=key, deadline_ms=DEADLINE_MS
         )
+
+    def _arrive(self, name, incoming=None):
+        incoming = incoming or self._incoming()
         core = self.cores[name]
         self.arrivals.append((self.now, self.instances[name].region))
         request = core.admission.admit(incoming, self.now)
@@ -252,6 +257,9 @@
         core = self.cores[name]
         step = decide(*arguments, self.now) if arguments else decide(request, self.now)
         self._post(name, core.token_requests(self.now))
+        self._act(name, request, step)
+
+    def _act(self, name, request, step):
         if isinstance(step, Attempt):
             self._send(name, step)
         elif isinstance(step, Deliver):
