Refuse requests that end the targets that run them, on all instances

What targets saw: a request under which three targets had ended was sent to 31 more, 66 ended in all; callers of others got 503 or 502 for a quarter of their requests. Cause: every client attempt is new to every instance; nothing recognises a request that comes again, and each of its attempts may go to two targets.

An attempt whose connection the target ended leaves evidence: fingerprint of the request, run of the target, time. It counts until a target answers the request, and only while the same run of the target answers nothing that was sent later. After two targets the fleet sends such a request to one target at a time, as a trial; others of the same fingerprint wait up to their latency goal. After three occasions, one after the other, it is refused at once with 500; attempts that were open together are one occasion, since targets may have ended together for a reason of their own. Trials follow after 20 s, 40 s and so on, by one instance; one answer clears it. New evidence goes to all instances at once, everything known to two of them each second (16 statements at most). An organisation has at most 64 entries. Nothing is computed for requests of organisations without evidence.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from sequoiahook.clock import Clock
+from sequoiahook.clock import MS_PER_S, Clock
 from sequoiahook.daemons.caller_http import CallerAnswer, CallerRequest
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.target_http import TargetClient, TargetRequest
@@ -17,6 +17,7 @@
     Deliver,
     Hold,
     HoldPermit,
+    HoldTrial,
     IncomingRequest,
     OpenRequest,
     Refuse,
@@ -113,20 +114,26 @@
         attempts = self._core.attempts
         step = attempts.next_step(admitted, self._clock.now())
         self._reporter.send_token_requests()
-        while isinstance(step, Attempt | Hold | HoldPermit):
-            if isinstance(step, Hold | HoldPermit):
-                await self._reporter.wait(step)
-                step = attempts.next_step(admitted, self._clock.now())
-                self._reporter.send_token_requests()
-            else:
+        while not isinstance(step, Deliver | Refuse):
+            if isinstance(step, Attempt):
                 result = await self._exchange(step, arrived_at)
                 step = attempts.on_ended(step, result, self._clock.now())
+            else:
+                await self._wait(step)
+                step = attempts.next_step(admitted, self._clock.now())
+            self._reporter.send_token_requests()
         self._log_outcome(incoming, admitted, step, arrived_at)
         if isinstance(step, Deliver):
             result = step.result
             return CallerAnswer(result.status, result.headers, result.body)
         return self._dialect.refusal(incoming.id, step)
 
+    async def _wait(self, step: Hold | HoldPermit | HoldTrial) -> None:
+        if isinstance(step, HoldTrial):
+            await asyncio.sleep(step.max_wait_ms / MS_PER_S)
+        else:
+            await self._reporter.wait(step)
+
     async def _exchange(self, attempt: Attempt, arrived_at: int) -> TargetResult:
         exchange = self._targets.open(self._target_request(attempt))
         try:
@@ -204,4 +211,6 @@
             fields["attempts"] = [tuple(record) for record in request.records]
             if request.lost_count:
                 fields["fingerprint"] = fingerprint(request).hex()
+            if request.crash_evidence is not None:
+                fields |= request.crash_evidence._asdict()
         return fields
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -12,10 +12,12 @@
     Deliver,
     Hold,
     HoldPermit,
+    HoldTrial,
     OpenRequest,
     Refuse,
     Status,
 )
+from sequoiahook.decisions.direct.suspects import Suspects
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.target_state import TargetState
@@ -28,7 +30,7 @@
 
 FAILURE_STATUS_MIN = 500
 
-Step = Attempt | Deliver | Hold | HoldPermit | Refuse
+Step = Attempt | Deliver | Hold | HoldPermit | HoldTrial | Refuse
 
 
 class AttemptsSettings(NamedTuple):
@@ -64,6 +66,7 @@
         selector: Selects targets.
         targets: Registry of targets.
         permits: Permits for targets that state a limit.
+        suspects: Requests under which targets ended.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         selector: TargetSelector,
         targets: TargetRegistry,
         permits: Permits,
+        suspects: Suspects,
     ):
         self.retry_burst = 1
         self._settings = settings
@@ -80,19 +84,15 @@
         self._selector = selector
         self._targets = targets
         self._permits = permits
+        self._suspects = suspects
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def next_step(self, request: OpenRequest, now: int) -> Step:
         """Return the next attempt, a wait for a token, or the final answer."""
+        step = self._check(request, now)
+        if step is not None:
+            return step
         remaining_ms = request.deadline_at - now
-        if remaining_ms < self._settings.remaining_min_ms:
-            return self._end(request, Cause.DEADLINE, now)
-        refusal = self._admission.recheck_key(request, now)
-        if refusal is not None:
-            return self._refuse(request, refusal, now)
-        is_exhausted = request.run_count >= request.route.attempts_max
-        if is_exhausted or len(request.records) >= self._settings.targets_max:
-            return self._end(request, Cause.FAILED, now)
         placement = self._select(request, remaining_ms, now)
         if isinstance(placement, HoldPermit):
             return placement
@@ -105,6 +105,21 @@
             return refusal
         return self._send(request, placement, remaining_ms, now)
 
+    def _check(self, request: OpenRequest, now: int) -> Step | None:
+        """Return the step of a request that must not be sent now; None if it may."""
+        if request.deadline_at - now < self._settings.remaining_min_ms:
+            return self._end(request, Cause.DEADLINE, now)
+        refusal = self._admission.recheck_key(request, now)
+        if refusal is not None:
+            return self._refuse(request, refusal, now)
+        is_exhausted = request.run_count >= request.route.attempts_max
+        if is_exhausted or len(request.records) >= self._settings.targets_max:
+            return self._end(request, Cause.FAILED, now)
+        suspected = self._suspects.check(request, now)
+        if isinstance(suspected, Refuse) and request.may_have_run:
+            return self._end(request, Cause.FAILED, now)
+        return suspected
+
     def may_write(self, attempt: Attempt, now: int) -> bool:
         """Return whether a request may still be sent, just before its first byte."""
         state = attempt.state
@@ -128,7 +143,7 @@
             request.arrival_count += 1
         if result.stage.ran != NOT_RUN:
             request.run_count += 1
-        request.lost_count += result.is_lost
+        self._record_evidence(attempt, result, now)
         if result.stage is Stage.ANSWERED:
             return self._answered(request, result, now)
         if result.stage.ran != NOT_RUN and not request.route.is_idempotent:
@@ -141,6 +156,19 @@
         if result.stage.ran == NOT_RUN and not attempt.request.may_have_run:
             self._admission.return_token(attempt.request, now)
 
+    def _record_evidence(
+        self, attempt: Attempt, result: TargetResult, now: int
+    ) -> None:
+        """Record whether the target ended or survived the request."""
+        request = attempt.request
+        if result.is_lost:
+            request.lost_count += 1
+            self._suspects.record_lost(attempt, now)
+        elif result.stage is Stage.ANSWERED:
+            sent_at = request.arrived_at + request.records[-1].at_ms
+            attempt.state.answered_request_sent_at = sent_at
+            self._suspects.record_answered(request, now)
+
     def _answered(self, request: OpenRequest, result: TargetResult, now: int) -> Step:
         is_failure = result.status >= FAILURE_STATUS_MIN
         if not is_failure or not request.route.is_idempotent:
@@ -198,6 +226,7 @@
     def _send(self, request, placement, remaining_ms: int, now: int) -> Attempt:
         state = placement.state
         state.on_sent(now)
+        self._suspects.record_sent(request, now)
         self._selector.record_sent(placement, now)
         request.tried_ids.add(state.record.id)
         request.records.append(
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -97,6 +97,7 @@
             self.selector,
             self.targets,
             self.permits,
+            self.fleet.suspects,
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -13,9 +13,11 @@
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
 from sequoiahook.decisions.direct.permits import Permits, PermitSettings
 from sequoiahook.decisions.direct.rates import Rates
+from sequoiahook.decisions.direct.suspects import Suspects, SuspectSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.token_server import TokenAnswer
+from sequoiahook.messages.crashes import CrashReport
 from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reports import (
     Datagram,
@@ -42,11 +44,13 @@
         peers: When peers count as unresponsive.
         groups: Division of the fleet and election of leaders.
         permits: Permits for targets that state a limit.
+        suspects: Requests under which targets ended.
     """
 
     peers: PeerSettings = PeerSettings()
     groups: GroupSettings = GroupSettings()
     permits: PermitSettings = PermitSettings()
+    suspects: SuspectSettings = SuspectSettings()
 
 
 class FleetComponents(NamedTuple):
@@ -90,6 +94,7 @@
         self.peers = Peers(settings.peers, me, now)
         self.groups = Groups(settings.groups, me)
         self.permits = Permits(settings.permits, me, self.peers, components.targets)
+        self.suspects = Suspects(settings.suspects, me, self.peers, components.targets)
         self._unresponsive_after_ms = settings.peers.unresponsive_after_ms
         self._components = components
         self._datagrams = DatagramFactory(me)
@@ -141,12 +146,13 @@
         if self.groups.is_leader(now):
             outgoing += self._group_reports(own, now, includes_far=includes_far)
         self.permits.is_leaving = own.is_leaving
-        return outgoing + self._datagrams.datagrams(self.permits.reports(now))
+        bodies = self.permits.reports(now) + self.suspects.reports(now)
+        return outgoing + self._datagrams.datagrams(bodies)
 
     def token_requests(self, now: int) -> list[OutgoingDatagram]:
-        """Return the requests for tokens and for permits."""
-        permit_requests = self._datagrams.datagrams(self.permits.requests(now))
-        return self._rate_token_requests() + permit_requests
+        """Return the requests for tokens and permits, and new evidence."""
+        bodies = self.permits.requests(now) + self.suspects.urgent_reports(now)
+        return self._rate_token_requests() + self._datagrams.datagrams(bodies)
 
     def _rate_token_requests(self) -> list[OutgoingDatagram]:
         """Return the token requests for the group's leader or those of other groups."""
@@ -177,6 +183,8 @@
             self._apply_digest(sender, body, now)
         elif isinstance(body, LimitBody):
             return self._datagrams.datagrams(self.permits.receive(sender, body, now))
+        elif isinstance(body, CrashReport):
+            self.suspects.receive(body, now)
         else:
             return self._apply_token_message(sender, body, now)
         return []
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -12,9 +12,11 @@
     "Attempt",
     "AttemptRecord",
     "Cause",
+    "CrashEvidence",
     "Deliver",
     "Hold",
     "HoldPermit",
+    "HoldTrial",
     "IncomingRequest",
     "OpenRequest",
     "Refuse",
@@ -33,6 +35,7 @@
     UNAUTHORIZED = 401
     NOT_FOUND = 404
     BAD_REQUEST = 400
+    INTERNAL_ERROR = 500
     BAD_GATEWAY = 502
     GATEWAY_TIMEOUT = 504
 
@@ -41,6 +44,7 @@
     """Reasons why a request is refused; written to callers, logs and metrics."""
 
     BUDGET = "retry budget spent"
+    CRASHES = "not run: targets ended each time they ran this request"
     DEADLINE = "deadline passed"
     FAILED = "target failed"
     TARGETS_FULL = "targets are full"
@@ -55,6 +59,7 @@
     SHIFT_LIMIT = "shift is at its limit"
     STALE = "configuration too old to admit keys"
     STOPPING = "instance is stopping"
+    SUSPECT = "targets ended under this request, and a trial is in progress"
     TOO_LATE = "no answer in time"
     UNKNOWN_KEY = "key unknown"
 
@@ -113,6 +118,20 @@
     duration_ms: int = 0
 
 
+class CrashEvidence(NamedTuple):
+    """Why a request is refused, as it is logged.
+
+    Attributes:
+        crashes: Known number of targets that ended under it.
+        targets: Ids of these targets.
+        age_ms: Time since the last one ended.
+    """
+
+    crashes: int
+    targets: tuple[str, ...]
+    age_ms: int
+
+
 class OpenRequest:
     """An admitted request that has no final answer yet.
 
@@ -129,6 +148,10 @@
         passed_over_ids: Ids of targets without a permit for it.
         permit_until: When it stops waiting for permits, in milliseconds; None before
             the first wait.
+        fingerprint: Recognises the request when it is sent again; empty until needed.
+        trial_until: When it stops waiting for the outcome of a trial; None before the
+            first wait.
+        crash_evidence: Why it is refused; None unless targets ended under it.
         hold_until: When it stops waiting for a token, in milliseconds; None before the
             first wait.
 
@@ -166,6 +189,9 @@
         self.last_failure: TargetResult | None = None
         self.passed_over_ids: set[str] = set()
         self.permit_until: int | None = None
+        self.fingerprint = b""
+        self.trial_until: int | None = None
+        self.crash_evidence: CrashEvidence | None = None
         self.hold_until: int | None = None
 
     @property
@@ -225,6 +251,16 @@
     max_wait_ms: int
 
 
+class HoldTrial(NamedTuple):
+    """A step that waits for the outcome of another attempt of the same request.
+
+    Attributes:
+        max_wait_ms: Time after which to decide again.
+    """
+
+    max_wait_ms: int
+
+
 class Refuse(NamedTuple):
     """A final step that refuses the request with an answer of the instance itself.
 
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -51,6 +51,7 @@
             instances; None if it states none.
         limit_stated_at: When it stated this.
         blocked_until: Until when its limit leaves no permit for this instance.
+        answered_request_sent_at: When the last request was sent that it has answered.
 
     Args:
         record: Record that the target registered.
@@ -66,6 +67,7 @@
         self.limit_per_s: float | None = None
         self.limit_stated_at = now
         self.blocked_until = now
+        self.answered_request_sent_at = now - 1
         self.cold_until = now + record.cold_ms
         self.sent_cold_at: int | None = None
         self._settings = settings
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.messages.crashes import CrashReport
 from sequoiahook.messages.limits import LimitBody
 
 __all__ = [
@@ -155,6 +156,7 @@
     | TokenGrant
     | TokenDenial
     | LimitBody
+    | CrashReport
 )
 
 
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from sequoiahook.errors import CodecError
+from sequoiahook.messages.crashes import Crash, CrashReport, SuspectStatement
 from sequoiahook.messages.limits import (
     LimitBody,
     LimitReport,
@@ -47,6 +48,7 @@
     PermitRequest,
     PermitGrant,
     PermitDenial,
+    CrashReport,
 )
 _LIMIT_TYPES = (LimitReport, PermitRequest, PermitGrant, PermitDenial)
 
@@ -95,6 +97,8 @@
         return body._replace(state_by_instance=_decode_states(body.state_by_instance))
     if body_type in _LIMIT_TYPES:
         return _decode_limit_body(body)
+    if body_type is CrashReport:
+        return CrashReport(tuple(map(_decode_suspect, body.suspects)))
     _require(type(body.organisation) is str)
     if body_type is TokenDenial:
         _require(type(body.retry_after_ms) is int)
@@ -124,6 +128,21 @@
     return statement
 
 
+def _decode_suspect(fields: Any) -> SuspectStatement:
+    statement = SuspectStatement(*fields)
+    _require(type(statement.organisation) is str)
+    _require(type(statement.fingerprint) is bytes)
+    _require(_are_ints(statement[3:]))
+    return statement._replace(crashes=tuple(map(_decode_crash, statement.crashes)))
+
+
+def _decode_crash(fields: Any) -> Crash:
+    crash = Crash(*fields)
+    _require(type(crash.target) is str and _are_ints(crash[1:]))
+    _require(crash.ran_ms >= 0 and crash.age_ms >= 0)
+    return crash
+
+
 def _decode_state(fields: Any) -> PeerState:
     state = PeerState(*fields)
     _require(type(state.is_leaving) is bool and type(state.is_serving) is bool)
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from sequoiahook.errors import CodecError
+from sequoiahook.messages.crashes import Crash, CrashReport, SuspectStatement
 from sequoiahook.messages.limits import (
     LimitReport,
     LimitStatement,
@@ -40,6 +41,12 @@
     PermitRequest("t1", 2, LimitStatement(1, 300, 0)),
     PermitGrant("t1", 2),
     PermitDenial("t1", 180),
+    CrashReport(
+        (
+            SuspectStatement("one", b"123456789abc", (Crash("t1", 1, 50, 7),), -1, 20),
+            SuspectStatement("", b"cba987654321", (), 30, -1),
+        )
+    ),
 )
 
 values = st.recursive(
