Play limits that targets state in the soak

Added to the plans of half of the seeds, drawn apart from the other faults, which stay as they were. Guarantee: the users' bound on a limited target, over instances on which no fault acted.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -19,6 +19,9 @@
 RATE_EXCESS = 0.1
 RATE_SLACK = 20
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS_FACTOR = 1.5
+LIMIT_SLACK = 5
 NOT_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
 
@@ -162,6 +165,25 @@
             yield Violation("leaving targets get nothing", run.id, text)
 
 
+def _check_stated_limits(observations: Observations) -> Iterator[Violation]:
+    for limit in observations.limits:
+        allowed = LIMIT_EXCESS_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        begin = limit.started_at + SETTLE_S
+        times = sorted(
+            run.at
+            for run, request in _runs_with_requests(observations)
+            if run.target == limit.target
+            and begin <= run.at <= limit.ended_at
+            and _is_undisturbed(observations, request.instance, run.at)
+        )
+        for at in times:
+            count = sum(at <= other < at + LIMIT_WINDOW_S for other in times)
+            if count > allowed:
+                text = f"{limit.target}: {count} requests in {LIMIT_WINDOW_S} s"
+                yield Violation("limits of targets hold", "", text)
+                break
+
+
 def _check_evacuations(observations: Observations) -> Iterator[Violation]:
     for run, request in _runs_with_requests(observations):
         for data_centre, started_at, ended_at in observations.evacuations:
@@ -264,6 +286,7 @@
     _check_rate_limits,
     _check_removed_routes,
     _check_draining_targets,
+    _check_stated_limits,
     _check_evacuations,
     _check_planned_work,
     _check_stop_durations,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -6,7 +6,14 @@
 
 from typing import NamedTuple
 
-__all__ = ["FaultInterval", "InstanceExit", "Observations", "SentRequest", "TargetRun"]
+__all__ = [
+    "FaultInterval",
+    "InstanceExit",
+    "LimitInterval",
+    "Observations",
+    "SentRequest",
+    "TargetRun",
+]
 
 
 class SentRequest(NamedTuple):
@@ -75,6 +82,22 @@
     is_target_fault: bool = False
 
 
+class LimitInterval(NamedTuple):
+    """A period in which a target stated a limit on the requests of all instances.
+
+    Attributes:
+        target: Id of the target.
+        per_s: The limit, in requests a second.
+        started_at: When it began to state it.
+        ended_at: When it stopped.
+    """
+
+    target: str
+    per_s: float
+    started_at: float
+    ended_at: float
+
+
 class InstanceExit(NamedTuple):
     """The exit of an instance after a planned stop without any other fault."""
 
@@ -101,6 +124,7 @@
         fault_intervals: Periods affected by faults.
         exits: Planned stops.
         recovery_failures: Descriptions of what failed after the last fault.
+        limits: Periods in which targets stated limits.
     """
 
     requests: tuple[SentRequest, ...]
@@ -115,3 +139,4 @@
     fault_intervals: tuple[FaultInterval, ...]
     exits: tuple[InstanceExit, ...]
     recovery_failures: tuple[str, ...] = ()
+    limits: tuple[LimitInterval, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,7 +12,7 @@
 
     Attributes:
         start_s: Start, in seconds after the start of the load.
-        kind: A key of FAULT_KINDS.
+        kind: A key of FAULT_KINDS or TARGET_FAULT_KINDS.
         subject: Affected instance, target or data centre; empty for the store and for
             actions of operators.
         duration_s: Duration in seconds.
@@ -77,6 +77,14 @@
     "withdraw": FaultKind("", 0, 0),
     "evacuate": FaultKind("place", 1, 6),
 }
+TARGET_FAULT_KINDS = {
+    "target_limit": FaultKind("target", 6, 10, ("20", "5", "0.5")),
+}
+"""Faults of targets that are added to the plans of some seeds."""
+
+TARGET_FAULTS_SHARE = 0.5
+"""Share of the seeds whose plans have such faults."""
+
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
 FAULT_INTERVAL_MEAN_S = 0.7
 """Mean time between the starts of two faults; most faults last longer and overlap."""
@@ -101,7 +109,22 @@
         kind = rng.choice(kinds)
         faults.append(_draw_fault(rng, kind, start_s, subjects_by_type))
         start_s += rng.expovariate(1 / FAULT_INTERVAL_MEAN_S)
-    return Plan(seed, tuple(faults))
+    faults += _draw_target_faults(seed, seconds, subjects_by_type)
+    return Plan(seed, tuple(sorted(faults)))
+
+
+def _draw_target_faults(
+    seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
+) -> list[Fault]:
+    """Return additional faults, which do not change the others of the seed."""
+    rng = random.Random(f"{seed}/target-faults")
+    if rng.random() >= TARGET_FAULTS_SHARE:
+        return []
+    kinds = sorted(TARGET_FAULT_KINDS)
+    return [
+        _draw_fault(rng, kind, rng.uniform(0, seconds / 2), subjects_by_type)
+        for kind in rng.sample(kinds, rng.randint(1, len(kinds)))
+    ]
 
 
 def _draw_fault(
@@ -110,7 +133,7 @@
     start_s: float,
     subjects_by_type: dict[str, list[str]],
 ) -> Fault:
-    parameters = FAULT_KINDS[kind]
+    parameters = (FAULT_KINDS | TARGET_FAULT_KINDS)[kind]
     choose: Callable[[list[str]], str] = rng.choice
     subject = (
         choose(subjects_by_type[parameters.subject_type])
--- a/soak/run.py
+++ b/soak/run.py
@@ -57,7 +57,11 @@
     plan = draw_plan(seed, seconds, _subjects_by_type(system))
     hosts = {name: fleet.host(name) for name in INSTANCES}
     callers = Callers(
-        hosts, system.keys, lambda: system.extra_prefixes, CALLER_COUNT, seed
+        hosts,
+        system.keys,
+        lambda: system.extra_prefixes,
+        CALLER_COUNT,
+        seed,
     )
     with contextlib.closing(system), callers:
         await _inject_faults(plan, system, seconds)
@@ -208,6 +212,11 @@
     await system.set_target_fault(target_id, "")
 
 
+async def _target_limit(fault: Fault, system: System) -> None:
+    target_id = _target_id(fault, system)
+    await system.state_limit(target_id, fault.variant, fault.duration_s)
+
+
 async def _configure(fault: Fault, system: System) -> None:
     await (system.add_route() if fault.variant == "add" else system.remove_route())
 
@@ -233,6 +242,7 @@
     "target_pause": _target_pause,
     "target_link": _target_link,
     "target_fault": _target_fault,
+    "target_limit": _target_limit,
     "configure": _configure,
     "withdraw": _withdraw_key,
     "evacuate": _evacuate,
--- a/soak/system.py
+++ b/soak/system.py
@@ -1,6 +1,8 @@
 """The processes of a run, the proxies between them, and the actions of operators."""
 
 import asyncio
+import contextlib
+import http.client
 import itertools
 import json
 import signal
@@ -11,6 +13,7 @@
 from soak.observations import (
     FaultInterval,
     InstanceExit,
+    LimitInterval,
     Observations,
     SentRequest,
     TargetRun,
@@ -94,6 +97,8 @@
         self.withdrawn_at_by_key: dict[str, float] = {}
         self.removed_at_by_prefix: dict[str, float] = {}
         self.draining_at_by_target: dict[str, float] = {}
+        self.limits: list[LimitInterval] = []
+        self._faults_by_target: dict[str, dict[str, str]] = {}
         self.evacuations: list[tuple[str, float, float]] = []
         self._numbers = itertools.count(1)
         self._version = 0
@@ -196,7 +201,8 @@
         data_centre = self.data_centre_by_target[target_id]
         await self.start_target(service, data_centre)
         if is_killed:
-            self.fleet.signal(target_id, signal.SIGKILL)
+            if self.fleet.processes_by_name[target_id].poll() is None:
+                self.fleet.signal(target_id, signal.SIGKILL)
             await asyncio.sleep(ENTRY_REMOVAL_S)
             await self._control_store(delete=[("servers", target_id)])
             return
@@ -271,8 +277,24 @@
 
     async def set_target_fault(self, target_id: str, variant: str) -> None:
         """Set the fault of a target if its process runs; empty for none."""
-        if self.fleet.processes_by_name[target_id].poll() is None:
-            faults = {"how": variant, "work_ms": 5}
+        await self._change_target(target_id, how=variant, work_ms=5)
+
+    async def state_limit(self, target_id: str, text: str, duration_s: float) -> None:
+        """Make a target state a limit for a time."""
+        await self._change_target(target_id, limit=text)
+        started_at = time.monotonic()
+        await asyncio.sleep(duration_s)
+        ended_at = time.monotonic()
+        self.limits.append(LimitInterval(target_id, float(text), started_at, ended_at))
+        await self._change_target(target_id, limit="")
+
+    async def _change_target(self, target_id: str, **changes: Any) -> None:
+        if self.fleet.processes_by_name[target_id].poll() is not None:
+            return
+        faults = self._faults_by_target.setdefault(target_id, {})
+        faults.update(changes)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            # The target may end on a request at this moment.
             await asyncio.to_thread(self.fleet.control_target, target_id, faults=faults)
 
     def observations(
@@ -299,6 +321,7 @@
             tuple(self.fault_intervals),
             tuple(self.exits),
             tuple(recovery_failures),
+            tuple(self.limits),
         )
 
     def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.observations import (
     FaultInterval,
     InstanceExit,
+    LimitInterval,
     Observations,
     SentRequest,
     TargetRun,
@@ -40,12 +41,30 @@
     return EMPTY._replace(requests=tuple(requests), runs=tuple(runs), **changes)
 
 
+def limited(count):
+    """Return requests that reached a target with a limit of 1 a second at once."""
+    return several(count, 10.0, limits=(LimitInterval("i-1", 1.0, 100.0, 120.0),))
+
+
+def several(count, after_s, path="/open/1", key="", **changes):
+    requests = [
+        REQUEST._replace(id=f"r{i}", path=path, key=key, is_idempotent=True, status=500)
+        for i in range(count)
+    ]
+    runs = [
+        RUN._replace(id=f"r{i}", path=path, organisation="", at=100.0 + after_s)
+        for i in range(count)
+    ]
+    return observed(requests, runs, **changes)
+
+
 def violated_guarantees(observations):
     return {violation.guarantee for violation in find_violations(observations)}
 
 
 def test_expected_observations_violate_no_guarantee():
     assert violated_guarantees(observed()) == set()
+    assert violated_guarantees(limited(11)) == set()
 
 
 @pytest.mark.parametrize(
@@ -75,6 +94,7 @@
             "configurations are in force",
             observed(removed_at_by_prefix={"/write/": 97.4}),
         ),
+        ("limits of targets hold", limited(12)),
         ("leaving targets get nothing", observed(draining_at_by_target={"i-1": 97.5})),
         (
             "evacuated places get nothing",
