Play requests that end their targets in the soak

Callers send such a request for some seconds; targets that end are replaced. Guarantee: at most three runs later than four seconds after the third end, from instances on which no fault acted.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,6 +34,8 @@
 """Path prefix, method, whether requests are idempotent, and weight of each route."""
 
 UPLOAD_BYTES = 20_000
+CRASH_SHARE = 0.02
+"""Share of the requests that are those on which targets end, while there are any."""
 
 
 class Callers:
@@ -46,6 +48,7 @@
         host_by_instance: IP address of each instance.
         keys: Returns the keys to present, including unknown and withdrawn ones.
         extra_prefixes: Returns the path prefixes of temporary routes.
+        crash_paths: Returns the paths of requests on which targets end.
         count: Number of callers.
         seed: Seed of their random choices.
     """
@@ -55,6 +58,7 @@
         host_by_instance: dict[str, str],
         keys: Callable[[], list[str]],
         extra_prefixes: Callable[[], list[str]],
+        crash_paths: Callable[[], list[str]],
         count: int,
         seed: int,
     ):
@@ -63,6 +67,7 @@
         self._instance_by_host = {host: name for name, host in host_by_instance.items()}
         self._keys = keys
         self._extra_prefixes = extra_prefixes
+        self._crash_paths = crash_paths
         self._request_numbers = itertools.count(1)
         self._stopped = threading.Event()
         self._threads = [
@@ -146,12 +151,16 @@
         prefix, method, is_idempotent = self._draw_route(rng)
         request_id = f"{next(self._request_numbers)}-{rng.randrange(1 << 30):x}"
         key = "" if prefix == PUBLIC_PREFIX else rng.choice(self._keys())
+        path = f"{prefix}{request_id}"
+        crash_paths = self._crash_paths()
+        if crash_paths and rng.random() < CRASH_SHARE:
+            path, method, is_idempotent, key = crash_paths[0], "GET", True, ""
         request = Request(
-            f"{prefix}{request_id}",
+            path,
             method,
             key=key,
             id=request_id,
-            body=b"x" * UPLOAD_BYTES if prefix == "/split/" else b"",
+            body=b"x" * UPLOAD_BYTES if path.startswith("/split/") else b"",
             deadline_ms=DEADLINE_MS,
             headers=(("Cookie", f"Affinity-Key={rng.randrange(AFFINITY_KEY_COUNT)}"),),
         )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -22,6 +22,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_EXCESS_FACTOR = 1.5
 LIMIT_SLACK = 5
+CRASHES_EXPECTED = 3
+"""Targets that may end under a request before the fleet recognises it."""
+
+CRASHING_RUNS_MAX = 3
 NOT_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
 
@@ -184,6 +188,23 @@
                 break
 
 
+def _check_crashing_requests(observations: Observations) -> Iterator[Violation]:
+    for path, crash_times in observations.crash_times_by_path.items():
+        if len(crash_times) < CRASHES_EXPECTED:
+            continue
+        begin = sorted(crash_times)[CRASHES_EXPECTED - 1] + SETTLE_S
+        late = [
+            run
+            for run, request in _runs_with_requests(observations)
+            if run.path == path
+            and run.at > begin
+            and _is_undisturbed(observations, request.instance, run.at)
+        ]
+        if len(late) > CRASHING_RUNS_MAX:
+            text = f"{path}: {len(late)} runs after {len(crash_times)} crashes"
+            yield Violation("crashing requests stop", late[0].id, text)
+
+
 def _check_evacuations(observations: Observations) -> Iterator[Violation]:
     for run, request in _runs_with_requests(observations):
         for data_centre, started_at, ended_at in observations.evacuations:
@@ -287,6 +308,7 @@
     _check_removed_routes,
     _check_draining_targets,
     _check_stated_limits,
+    _check_crashing_requests,
     _check_evacuations,
     _check_planned_work,
     _check_stop_durations,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -125,6 +125,7 @@
         exits: Planned stops.
         recovery_failures: Descriptions of what failed after the last fault.
         limits: Periods in which targets stated limits.
+        crash_times_by_path: When targets ended under the requests of a path.
     """
 
     requests: tuple[SentRequest, ...]
@@ -140,3 +141,4 @@
     exits: tuple[InstanceExit, ...]
     recovery_failures: tuple[str, ...] = ()
     limits: tuple[LimitInterval, ...] = ()
+    crash_times_by_path: dict[str, list[float]] = {}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -79,6 +79,7 @@
 }
 TARGET_FAULT_KINDS = {
     "target_limit": FaultKind("target", 6, 10, ("20", "5", "0.5")),
+    "crashing_request": FaultKind("", 6, 10),
 }
 """Faults of targets that are added to the plans of some seeds."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,8 @@
 """Default length of the phase of a run in which faults start."""
 
 CALLER_COUNT = 12
+CRASH_PATH = "/open/crash"
+CRASH_CHECK_S = 0.2
 RECOVERY_TIMEOUT_S = 15.0
 RECOVERED_LOAD_S = 3.0
 """Duration of the load that has to be served after recovery from the last fault."""
@@ -60,6 +62,7 @@
         hosts,
         system.keys,
         lambda: system.extra_prefixes,
+        lambda: system.crash_paths,
         CALLER_COUNT,
         seed,
     )
@@ -217,6 +220,20 @@
     await system.state_limit(target_id, fault.variant, fault.duration_s)
 
 
+async def _crashing_request(fault: Fault, system: System) -> None:
+    await system.crash_on(CRASH_PATH)
+    tasks: list[asyncio.Task] = []
+    ends_at = time.monotonic() + fault.duration_s
+    while time.monotonic() < ends_at:
+        tasks += [
+            asyncio.create_task(system.replace_crashed_target(target_id))
+            for target_id in system.crashed_targets()
+        ]
+        await asyncio.sleep(CRASH_CHECK_S)
+    system.crash_paths.clear()
+    await asyncio.gather(*tasks)
+
+
 async def _configure(fault: Fault, system: System) -> None:
     await (system.add_route() if fault.variant == "add" else system.remove_route())
 
@@ -243,6 +260,7 @@
     "target_link": _target_link,
     "target_fault": _target_fault,
     "target_limit": _target_limit,
+    "crashing_request": _crashing_request,
     "configure": _configure,
     "withdraw": _withdraw_key,
     "evacuate": _evacuate,
--- a/soak/system.py
+++ b/soak/system.py
@@ -21,6 +21,7 @@
 from soak.proxy import FaultProxy
 from standins.platform_documents import configuration_document
 from standins.platform_fleet import PlatformFleet
+from standins.platform_target import CRASH_EXIT_CODE
 
 __all__ = ["DATA_CENTRES", "INSTANCES", "ProxiedFleet", "System"]
 
@@ -80,6 +81,7 @@
         extra_prefixes: Path prefixes of the routes added during the run.
         restarting: Names of instances that are being stopped, killed or restarted.
         evacuated: Data centres under evacuation.
+        crash_paths: Paths of the requests on which targets end at present.
 
     Args:
         fleet: The processes to use.
@@ -98,6 +100,9 @@
         self.removed_at_by_prefix: dict[str, float] = {}
         self.draining_at_by_target: dict[str, float] = {}
         self.limits: list[LimitInterval] = []
+        self.crash_times_by_path: dict[str, list[float]] = {}
+        self.crash_paths: list[str] = []
+        self._replacing: set[str] = set()
         self._faults_by_target: dict[str, dict[str, str]] = {}
         self.evacuations: list[tuple[str, float, float]] = []
         self._numbers = itertools.count(1)
@@ -191,6 +196,8 @@
             fleet.register_target, target_id, service=service, zone=data_centre
         )
         self.live_targets.append(target_id)
+        for path in self.crash_times_by_path:
+            await self._change_target(target_id, crash_path=path)
 
     async def replace_target(self, target_id: str, *, is_killed: bool) -> None:
         """Kill or drain a target after a replacement has started."""
@@ -288,6 +295,26 @@
         self.limits.append(LimitInterval(target_id, float(text), started_at, ended_at))
         await self._change_target(target_id, limit="")
 
+    async def crash_on(self, path: str) -> None:
+        """Make all targets end on the requests of a path, and send such requests."""
+        self.crash_times_by_path.setdefault(path, [])
+        self.crash_paths.append(path)
+        for target_id in list(self.live_targets):
+            await self._change_target(target_id, crash_path=path)
+
+    def crashed_targets(self) -> list[str]:
+        """Return the targets that have ended on a request and were not replaced."""
+        processes = self.fleet.processes_by_name
+        crashed = [t for t in self.live_targets if t not in self._replacing]
+        return [t for t in crashed if processes[t].poll() == CRASH_EXIT_CODE]
+
+    async def replace_crashed_target(self, target_id: str) -> None:
+        """Replace a target that has ended on a request."""
+        self._replacing.add(target_id)
+        path = self._faults_by_target[target_id]["crash_path"]
+        self.crash_times_by_path[path].append(time.monotonic())
+        await self.replace_target(target_id, is_killed=True)
+
     async def _change_target(self, target_id: str, **changes: Any) -> None:
         if self.fleet.processes_by_name[target_id].poll() is not None:
             return
@@ -322,6 +349,7 @@
             tuple(self.exits),
             tuple(recovery_failures),
             tuple(self.limits),
+            self.crash_times_by_path,
         )
 
     def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,12 @@
     return several(count, 10.0, limits=(LimitInterval("i-1", 1.0, 100.0, 120.0),))
 
 
+def crashing(count):
+    """Return runs of one path, five seconds after the third end of a target."""
+    times = {"/open/crash": [100.0, 101.0, 102.0]}
+    return several(count, 8.0, path="/open/crash", key="", crash_times_by_path=times)
+
+
 def several(count, after_s, path="/open/1", key="", **changes):
     requests = [
         REQUEST._replace(id=f"r{i}", path=path, key=key, is_idempotent=True, status=500)
@@ -65,6 +71,7 @@
 def test_expected_observations_violate_no_guarantee():
     assert violated_guarantees(observed()) == set()
     assert violated_guarantees(limited(11)) == set()
+    assert violated_guarantees(crashing(3)) == set()
 
 
 @pytest.mark.parametrize(
@@ -95,6 +102,7 @@
             observed(removed_at_by_prefix={"/write/": 97.4}),
         ),
         ("limits of targets hold", limited(12)),
+        ("crashing requests stop", crashing(4)),
         ("leaving targets get nothing", observed(draining_at_by_target={"i-1": 97.5})),
         (
             "evacuated places get nothing",
