Send to cold targets in turn, not from all instances of a region at once

The part held over time, but every instance had its first request free: 30 instances of a region sent 30 requests to a cold target in one second, allowed 7 x 1.5 + 8. Now the first request of each instance follows the moment at which the target became cold by its turn among the instances of the region.

--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -135,6 +135,7 @@
         self.fleet.set_instances(instances_by_name, now)
         count = len(self.peers.instances_by_name) + 1
         self.selector.region_instance_count = self.peers.count_in(self.me.region)
+        self.selector.region_instance_rank = self.peers.rank_in_region()
         self.attempts.retry_burst = max(1, self._retry_slack // count)
 
     def is_serving(self, now: int) -> bool:
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -132,6 +132,12 @@
         count = sum(1 for instance in others if instance.region == region)
         return count + (1 if self._me.region == region else 0)
 
+    def rank_in_region(self) -> int:
+        """Return the number of instances of the own region whose names come first."""
+        others = self.instances_by_name.values()
+        near = [i for i in others if i.region == self._me.region]
+        return sum(instance.name < self._me.name for instance in near)
+
     def expired(self, now: int) -> list[str]:
         """Return the names of the peers whose entries should be deleted."""
         return [
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -84,6 +84,7 @@
 
     Attributes:
         region_instance_count: Instances in the region of this one, itself included.
+        region_instance_rank: Number of those whose names come first.
         summary: Counts of requests by region, for logs.
         owners: The regions that own objects.
         home_shares: Shares of the own region by service.
@@ -107,6 +108,7 @@
         now: int = 0,
     ):
         self.region_instance_count = 1
+        self.region_instance_rank = 0
         self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
         self._settings = settings
@@ -271,14 +273,17 @@
     ) -> bool:
         """Return whether a cold target accepts another request of this instance.
 
-        Only the instances of its own region use it, each for an equal part of its rate.
+        Only the instances of its own region use it, each for an equal part of its rate,
+        and one after the other: all parts at once would be too much for it.
         """
         if region != self._region or query.service.cold_per_s <= 0:
             return False
-        part = query.service.cold_per_s / max(1, self.region_instance_count)
+        turn_ms = MS_PER_S / query.service.cold_per_s
+        if now < state.cold_since + self.region_instance_rank * turn_ms:
+            return False
         if state.sent_cold_at is None:
             return True
-        return now - state.sent_cold_at >= MS_PER_S / part
+        return now - state.sent_cold_at >= turn_ms * max(1, self.region_instance_count)
 
     def _ranked(self, query: TargetQuery, region: str) -> list[TargetState]:
         group = self._targets.group(query.service.name, region)
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -44,6 +44,8 @@
 
     Attributes:
         open_count: Requests of this instance that are open at the target.
+        cold_since: When it last became cold.
+        cold_until: Until when it is cold.
         sent_count: Requests that this instance has sent to it.
         stated_limit: What its last answer to this instance states about the requests
             that it accepts.
@@ -68,6 +70,7 @@
         self.limit_stated_at = now
         self.blocked_until = now
         self.answered_request_sent_at = now - 1
+        self.cold_since = now
         self.cold_until = now + record.cold_ms
         self.sent_cold_at: int | None = None
         self._settings = settings
@@ -83,7 +86,7 @@
         """Apply a newer record of the same run of the target."""
         self.record = record
         if record.cold_ms:
-            self.cold_until = max(self.cold_until, now + record.cold_ms)
+            self.mark_cold(record.cold_ms, now)
 
     def is_cold(self, now: int) -> bool:
         """Return whether the target is cold and accepts few requests per second."""
@@ -91,6 +94,8 @@
 
     def mark_cold(self, duration_ms: int, now: int) -> None:
         """Treat the target as cold for a time in milliseconds."""
+        if not self.is_cold(now):
+            self.cold_since = now
         self.cold_until = max(self.cold_until, now + duration_ms)
 
     def may_send(self, now: int) -> bool:
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -91,7 +91,7 @@
         object_count=400,
         slots=6,
     ):
-        self.now = 0
+        self.now, self.number = 0, 1
         self.rng = random.Random(seed)
         self.object_count = object_count
         self.stated_by_target = {}
@@ -135,6 +135,22 @@
         """Kill an instance; its entry stays listed."""
         self.paused.add(name)
 
+    def configure(self, service):
+        """Put a configuration with a service in force on all instances."""
+        self.number += 1
+        route = a_route(is_open=True, latency_goal_ms=GOAL_MS)
+        configuration = a_configuration(self.number, (route,), services=(service,))
+        for core in self.cores.values():
+            core.configure(configuration, self.now)
+
+    def make_cold(self, target_ids, cold_ms):
+        """List targets as cold."""
+        for target_id in target_ids:
+            record = self.targets[target_id]._replace(cold_ms=cold_ms)
+            self.targets[target_id] = record
+        for core in self.cores.values():
+            core.targets.replace(self.targets, self.now)
+
     def remove_instance(self, name):
         """Remove an instance from the list."""
         self.paused.add(name)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -9,8 +9,10 @@
 import pytest
 
 from sequoiahook.decisions.direct.requests import Cause
+from tests.direct_parts import a_service
 from tests.limit_simulation import (
     SETTLING_MS,
+    SLACK,
     LimitSimulation,
     allowed_in_window,
     most_in_window,
@@ -20,6 +22,7 @@
 PER_S = 240
 UNEVEN = "uneven"
 MAX_SHIFT = 0.15
+COLD_EXCESS_FACTOR = 1.5
 
 
 def weights_of(simulation, load):
@@ -203,3 +206,22 @@
         for name in ("LimitReport", "PermitRequest", "PermitGrant", "PermitDenial")
     )
     assert count / 10 / 90 <= 12
+
+
+def most_in_second(times):
+    return max(sum(at <= other < at + 1_000 for other in times) for at in times)
+
+
+@pytest.mark.parametrize("instance_count", [12, 90])
+@pytest.mark.parametrize("cold_per_s", [7.0, 2.0])
+def test_cold_targets_get_no_burst_from_all_instances(instance_count, cold_per_s):
+    simulation = LimitSimulation(instance_count, targets_per_region=12)
+    simulation.configure(a_service(cold_per_s=cold_per_s))
+    simulation.run(2_500, 1_000)
+    cold_ids = [target_id for target_id in simulation.targets if "east" in target_id]
+    cold_since = simulation.now
+    simulation.make_cold(cold_ids, 6_000)
+    simulation.run(5_500, 1_000)
+    for target_id in cold_ids:
+        times = reached(simulation, cold_since + 100, target_id=target_id)
+        assert most_in_second(times) <= COLD_EXCESS_FACTOR * cold_per_s + SLACK
