Take only connections ended before any answer as evidence of a crash

Now an answer that has begun clears the request, a later loss at the same run replaces the earlier one, a trial is over with any later loss, and a request that is itself the trial goes on to the next target.

--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -164,7 +164,7 @@
         if result.is_lost:
             request.lost_count += 1
             self._suspects.record_lost(attempt, now)
-        elif result.stage is Stage.ANSWERED:
+        elif result.stage in (Stage.ANSWERED, Stage.ANSWER_TRUNCATED):
             sent_at = request.arrived_at + request.records[-1].at_ms
             attempt.state.answered_request_sent_at = sent_at
             self._suspects.record_answered(request, now)
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -149,6 +149,7 @@
         permit_until: When it stops waiting for permits, in milliseconds; None before
             the first wait.
         fingerprint: Recognises the request when it is sent again; empty until needed.
+        is_trial: Whether its present attempt, or its last one, is a trial.
         trial_until: When it stops waiting for the outcome of a trial; None before the
             first wait.
         crash_evidence: Why it is refused; None unless targets ended under it.
@@ -190,6 +191,7 @@
         self.passed_over_ids: set[str] = set()
         self.permit_until: int | None = None
         self.fingerprint = b""
+        self.is_trial = False
         self.trial_until: int | None = None
         self.crash_evidence: CrashEvidence | None = None
         self.hold_until: int | None = None
--- a/sequoiahook/decisions/direct/suspect.py
+++ b/sequoiahook/decisions/direct/suspect.py
@@ -53,9 +53,14 @@
         self.trial_at: int | None = None
 
     def add_crash(self, run: TargetRun, crash: CrashInterval) -> bool:
-        """Add a crash; return whether it is new and later than the last answer."""
+        """Add a crash; return whether it is new and later than the last answer.
+
+        A run of a target ends once: a later attempt shows that an earlier one had not
+        ended it, and replaces it.
+        """
+        known = self.crashes_by_run.get(run)
         is_cleared = self.answered_at is not None and crash.ended_at <= self.answered_at
-        if is_cleared or run in self.crashes_by_run:
+        if is_cleared or (known is not None and crash.sent_at < known.ended_at):
             return False
         self.crashes_by_run[run] = crash
         if len(self.crashes_by_run) > CRASHES_MAX:
--- a/sequoiahook/decisions/direct/suspects.py
+++ b/sequoiahook/decisions/direct/suspects.py
@@ -126,9 +126,9 @@
         if count >= self._settings.refused_occasions:
             is_due = self._is_trial_due(request, suspect, crashes, now)
             return None if is_due else self._refuse(request, crashes, now)
-        if not self._is_trial_open(suspect, crashes, now):
+        if request.is_trial or not self._is_trial_open(suspect, now):
             return None
-        return self._await_trial(request, now)
+        return self._await_trial(request, suspect.trial_at, now)
 
     def record_sent(self, request: OpenRequest, now: int) -> None:
         """Record an attempt; one of a suspect request is a trial."""
@@ -137,11 +137,13 @@
             return
         if len(suspect.credible(self._is_credible)) >= self._settings.trial_targets:
             suspect.trial_at = now
+            request.is_trial = True
             self._report_soon(request)
 
     def record_lost(self, attempt: Attempt, now: int) -> None:
         """Record an attempt whose connection the target ended."""
         request, record = attempt.request, attempt.state.record
+        request.is_trial = False
         suspect = self._find_or_add(request.organisation, fingerprint(request))
         sent_at = request.arrived_at + request.records[-1].at_ms
         run = TargetRun(record.id, record.started_at)
@@ -149,7 +151,7 @@
             self._report_soon(request)
 
     def record_answered(self, request: OpenRequest, now: int) -> None:
-        """Record that a target answered a request."""
+        """Record that a target began to answer a request."""
         suspect = self._find(request)
         if suspect is not None and suspect.add_answer(now):
             self._report_soon(request)
@@ -207,14 +209,13 @@
             return True
         return state.answered_request_sent_at <= crash.ended_at
 
-    def _is_trial_open(
-        self, suspect: Suspect, crashes: list[CrashInterval], now: int
-    ) -> bool:
+    def _is_trial_open(self, suspect: Suspect, now: int) -> bool:
         """Return whether the outcome of a trial is still awaited."""
         trial_at = suspect.trial_at
         if trial_at is None or now - trial_at >= self._settings.trial_ms:
             return False
-        return crashes[-1].ended_at <= trial_at
+        crashes = suspect.crashes_by_run.values()
+        return not any(c.sent_at >= trial_at or c.ended_at > trial_at for c in crashes)
 
     def _is_trial_due(
         self,
@@ -224,7 +225,7 @@
         now: int,
     ) -> bool:
         """Return whether this instance may send a refused request as a trial."""
-        if self._is_trial_open(suspect, crashes, now):
+        if self._is_trial_open(suspect, now):
             return False
         further = len(occasions(crashes)) - self._settings.refused_occasions
         wait_ms = self._settings.refused_trial_ms << further
@@ -233,14 +234,17 @@
         names = [self._me.name, *self._peers.active(now)]
         return winner(request.fingerprint.hex(), names) == self._me.name
 
-    def _await_trial(self, request: OpenRequest, now: int) -> HoldTrial | Refuse:
+    def _await_trial(
+        self, request: OpenRequest, trial_at: int, now: int
+    ) -> HoldTrial | Refuse:
         if request.trial_until is None:
             left_ms = max(0, request.deadline_at - now) // 2
             wait_ms = min(self._settings.trial_ms, request.route.latency_goal_ms)
             request.trial_until = now + min(wait_ms, left_ms)
         if now < request.trial_until:
             return HoldTrial(min(POLL_MS, request.trial_until - now))
-        return Refuse(Status.UNAVAILABLE, Cause.SUSPECT, self._settings.trial_ms)
+        over_ms = max(POLL_MS, trial_at + self._settings.trial_ms - now)
+        return Refuse(Status.UNAVAILABLE, Cause.SUSPECT, over_ms)
 
     def _refuse(
         self, request: OpenRequest, crashes: list[CrashInterval], now: int
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -70,10 +70,8 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether the target ended the connection before it had answered."""
+        """Whether the target ended the connection before it began to answer."""
         return self.stage in _LOST_STAGES and not self.is_timed_out
 
 
-_LOST_STAGES = frozenset(
-    {Stage.PARTLY_WRITTEN, Stage.WRITTEN_NO_ANSWER, Stage.ANSWER_TRUNCATED}
-)
+_LOST_STAGES = frozenset({Stage.PARTLY_WRITTEN, Stage.WRITTEN_NO_ANSWER})
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,9 +7,12 @@
 import pytest
 
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.requests import Attempt, Cause
+from sequoiahook.decisions.direct.fingerprints import fingerprint
+from sequoiahook.decisions.direct.requests import Attempt, Cause, HoldTrial
 from sequoiahook.decisions.direct.suspects import SuspectSettings
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.messages.crashes import NEVER, Crash, CrashReport, SuspectStatement
+from sequoiahook.messages.reports import Datagram
 from sequoiahook.wire.datagrams import encode_datagram
 from tests.crash_simulation import (
     KILLER_PATH,
@@ -197,3 +200,39 @@
         )
         suspects.receive(CrashReport((other,)), 1_000 + number)
     assert suspects.count == 1 + SuspectSettings().per_organisation_max
+
+
+def test_truncated_answers_are_no_evidence_and_end_a_trial():
+    core = a_core(count=4)
+    truncated = TargetResult(Stage.ANSWER_TRUNCATED)
+    outcomes = (LOST, LOST, LOST, LOST, truncated, truncated, truncated)
+    for number, outcome in enumerate(outcomes):
+        now = 1_000 + 100 * number
+        step = send(core, now)
+        assert isinstance(step, Attempt)
+        while isinstance(step, Attempt):
+            step = core.attempts.on_ended(step, outcome, now + 10)
+
+
+def test_trial_goes_on_at_another_target_if_the_first_cannot_be_reached():
+    core = a_core(count=4)
+    request = core.admission.admit(a_request(target_path="/look/killer"), 900)
+    crashes = (Crash("t8", 1, 10, 5), Crash("t9", 1, 10, 5))
+    known = SuspectStatement("", fingerprint(request), crashes, NEVER, NEVER)
+    core.receive(Datagram("p", 1, 1, CrashReport((known,))), 1_000)
+    trial = send(core, 1_100)
+    assert isinstance(trial, Attempt)
+    assert isinstance(send(core, 1_110), HoldTrial)
+    refused = TargetResult(Stage.CONNECT_REFUSED)
+    assert isinstance(core.attempts.on_ended(trial, refused, 1_120), Attempt)
+
+
+def test_repeated_loss_at_one_run_of_a_target_counts_once_and_ends_a_trial():
+    core = a_core(count=2)
+    for number in range(8):
+        now = 1_000 + 100 * number
+        step = send(core, now)
+        assert isinstance(step, Attempt)
+        while isinstance(step, Attempt):
+            step = core.attempts.on_ended(step, LOST, now + 10)
+            now += 20
