--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -12,9 +12,11 @@
     "Attempt",
     "AttemptRecord",
     "Cause",
+    "CrashEvidence",
     "Deliver",
     "Hold",
     "HoldPermit",
+    "HoldTrial",
     "IncomingRequest",
     "OpenRequest",
     "Refuse",
@@ -33,6 +35,7 @@
     UNAUTHORIZED = 401
     NOT_FOUND = 404
     BAD_REQUEST = 400
+    INTERNAL_ERROR = 500
     BAD_GATEWAY = 502
     GATEWAY_TIMEOUT = 504
 
@@ -41,6 +44,7 @@
     """Reasons why a request is refused; written to callers, logs and metrics."""
 
     BUDGET = "retry budget spent"
+    CRASHES = "not run: targets ended each time they ran this request"
     DEADLINE = "deadline passed"
     FAILED = "target failed"
     TARGETS_FULL = "targets are full"
@@ -55,6 +59,7 @@
     SHIFT_LIMIT = "shift is at its limit"
     STALE = "configuration too old to admit keys"
     STOPPING = "instance is stopping"
+    SUSPECT = "targets ended under this request, and a trial is in progress"
     TOO_LATE = "no answer in time"
     UNKNOWN_KEY = "key unknown"
 
@@ -113,6 +118,20 @@
     duration_ms: int = 0
 
 
+class CrashEvidence(NamedTuple):
+    """Why a request is refused, as it is logged.
+
+    Attributes:
+        crashes: Known number of targets that ended under it.
+        targets: Ids of these targets.
+        age_ms: Time since the last one ended.
+    """
+
+    crashes: int
+    targets: tuple[str, ...]
+    age_ms: int
+
+
 class OpenRequest:
     """An admitted request that has no final answer yet.
 
@@ -122,12 +141,18 @@
         tried_ids: Ids of the targets that it was sent to.
         run_count: Attempts that a target ran or may have run.
         arrival_count: Attempts that reached a target; after one, a retry uses budget.
+        lost_count: Attempts whose connection the target ended before it had answered.
         records: All attempts, the latest last.
         last_failure: Latest failure that a target answered; delivered if no later
             attempt succeeds.
         passed_over_ids: Ids of targets without a permit for it.
         permit_until: When it stops waiting for permits, in milliseconds; None before
             the first wait.
+        fingerprint: Recognises the request when it is sent again; empty until needed.
+        is_trial: Whether its present attempt, or its last one, is a trial.
+        trial_until: When it stops waiting for the outcome of a trial; None before the
+            first wait.
+        crash_evidence: Why it is refused; None unless targets ended under it.
         hold_until: When it stops waiting for a token, in milliseconds; None before the
             first wait.
 
@@ -160,10 +185,15 @@
         self.tried_ids: set[str] = set()
         self.run_count = 0
         self.arrival_count = 0
+        self.lost_count = 0
         self.records: list[AttemptRecord] = []
         self.last_failure: TargetResult | None = None
         self.passed_over_ids: set[str] = set()
         self.permit_until: int | None = None
+        self.fingerprint = b""
+        self.is_trial = False
+        self.trial_until: int | None = None
+        self.crash_evidence: CrashEvidence | None = None
         self.hold_until: int | None = None
 
     @property
@@ -223,6 +253,16 @@
     max_wait_ms: int
 
 
+class HoldTrial(NamedTuple):
+    """A step that waits for the outcome of another attempt of the same request.
+
+    Attributes:
+        max_wait_ms: Time after which to decide again.
+    """
+
+    max_wait_ms: int
+
+
 class Refuse(NamedTuple):
     """A final step that refuses the request with an answer of the instance itself.
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -19,6 +19,13 @@
 RATE_EXCESS = 0.1
 RATE_SLACK = 20
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS_FACTOR = 1.5
+LIMIT_SLACK = 5
+CRASHES_EXPECTED = 3
+"""Targets that may end under a request before the fleet recognises it."""
+
+CRASHING_RUNS_MAX = 3
 NOT_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
 
@@ -162,6 +169,42 @@
             yield Violation("leaving targets get nothing", run.id, text)
 
 
+def _check_stated_limits(observations: Observations) -> Iterator[Violation]:
+    for limit in observations.limits:
+        allowed = LIMIT_EXCESS_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        begin = limit.started_at + SETTLE_S
+        times = sorted(
+            run.at
+            for run, request in _runs_with_requests(observations)
+            if run.target == limit.target
+            and begin <= run.at <= limit.ended_at
+            and _is_undisturbed(observations, request.instance, run.at)
+        )
+        for at in times:
+            count = sum(at <= other < at + LIMIT_WINDOW_S for other in times)
+            if count > allowed:
+                text = f"{limit.target}: {count} requests in {LIMIT_WINDOW_S} s"
+                yield Violation("limits of targets hold", "", text)
+                break
+
+
+def _check_crashing_requests(observations: Observations) -> Iterator[Violation]:
+    for path, crash_times in observations.crash_times_by_path.items():
+        if len(crash_times) < CRASHES_EXPECTED:
+            continue
+        begin = sorted(crash_times)[CRASHES_EXPECTED - 1] + SETTLE_S
+        late = [
+            run
+            for run, request in _runs_with_requests(observations)
+            if run.path == path
+            and run.at > begin
+            and _is_undisturbed(observations, request.instance, run.at)
+        ]
+        if len(late) > CRASHING_RUNS_MAX:
+            text = f"{path}: {len(late)} runs after {len(crash_times)} crashes"
+            yield Violation("crashing requests stop", late[0].id, text)
+
+
 def _check_evacuations(observations: Observations) -> Iterator[Violation]:
     for run, request in _runs_with_requests(observations):
         for data_centre, started_at, ended_at in observations.evacuations:
@@ -264,6 +307,8 @@
     _check_rate_limits,
     _check_removed_routes,
     _check_draining_targets,
+    _check_stated_limits,
+    _check_crashing_requests,
     _check_evacuations,
     _check_planned_work,
     _check_stop_durations,
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,8 @@
 """Default length of the phase of a run in which faults start."""
 
 CALLER_COUNT = 12
+CRASH_PATH = "/open/crash"
+CRASH_CHECK_S = 0.2
 RECOVERY_TIMEOUT_S = 15.0
 RECOVERED_LOAD_S = 3.0
 """Duration of the load that has to be served after recovery from the last fault."""
@@ -57,7 +59,12 @@
     plan = draw_plan(seed, seconds, _subjects_by_type(system))
     hosts = {name: fleet.host(name) for name in INSTANCES}
     callers = Callers(
-        hosts, system.keys, lambda: system.extra_prefixes, CALLER_COUNT, seed
+        hosts,
+        system.keys,
+        lambda: system.extra_prefixes,
+        lambda: system.crash_paths,
+        CALLER_COUNT,
+        seed,
     )
     with contextlib.closing(system), callers:
         await _inject_faults(plan, system, seconds)
@@ -208,6 +215,25 @@
     await system.set_target_fault(target_id, "")
 
 
+async def _target_limit(fault: Fault, system: System) -> None:
+    target_id = _target_id(fault, system)
+    await system.state_limit(target_id, fault.variant, fault.duration_s)
+
+
+async def _crashing_request(fault: Fault, system: System) -> None:
+    await system.crash_on(CRASH_PATH)
+    tasks: list[asyncio.Task] = []
+    ends_at = time.monotonic() + fault.duration_s
+    while time.monotonic() < ends_at:
+        tasks += [
+            asyncio.create_task(system.replace_crashed_target(target_id))
+            for target_id in system.crashed_targets()
+        ]
+        await asyncio.sleep(CRASH_CHECK_S)
+    system.crash_paths.clear()
+    await asyncio.gather(*tasks)
+
+
 async def _configure(fault: Fault, system: System) -> None:
     await (system.add_route() if fault.variant == "add" else system.remove_route())
 
@@ -233,6 +259,8 @@
     "target_pause": _target_pause,
     "target_link": _target_link,
     "target_fault": _target_fault,
+    "target_limit": _target_limit,
+    "crashing_request": _crashing_request,
     "configure": _configure,
     "withdraw": _withdraw_key,
     "evacuate": _evacuate,
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -41,6 +41,7 @@
 NEAR_WAY_MS, FAR_WAY_MS = 1, 50
 WORK_MS = 60
 GOAL_MS = 400
+DEADLINE_MS = 1_500
 WINDOW_MS = 4_000
 SETTLING_MS = 4_000
 EXCESS_FACTOR = 1.5
@@ -90,7 +91,7 @@
         object_count=400,
         slots=6,
     ):
-        self.now = 0
+        self.now, self.number = 0, 1
         self.rng = random.Random(seed)
         self.object_count = object_count
         self.stated_by_target = {}
@@ -134,6 +135,22 @@
         """Kill an instance; its entry stays listed."""
         self.paused.add(name)
 
+    def configure(self, service):
+        """Put a configuration with a service in force on all instances."""
+        self.number += 1
+        route = a_route(is_open=True, latency_goal_ms=GOAL_MS)
+        configuration = a_configuration(self.number, (route,), services=(service,))
+        for core in self.cores.values():
+            core.configure(configuration, self.now)
+
+    def make_cold(self, target_ids, cold_ms):
+        """List targets as cold."""
+        for target_id in target_ids:
+            record = self.targets[target_id]._replace(cold_ms=cold_ms)
+            self.targets[target_id] = record
+        for core in self.cores.values():
+            core.targets.replace(self.targets, self.now)
+
     def remove_instance(self, name):
         """Remove an instance from the list."""
         self.paused.add(name)
@@ -238,10 +255,14 @@
         for request, _ in due:
             self._follow(name, request, self.cores[name].attempts.next_step)
 
-    def _arrive(self, name):
-        incoming = a_request(
-            object_key=str(self.rng.randrange(self.object_count)), deadline_ms=1_500
+    def _incoming(self):
+        key = str(self.rng.randrange(self.object_count))
+        return a_request(
+            target_path=f"/look/{key}", object_key=key, deadline_ms=DEADLINE_MS
         )
+
+    def _arrive(self, name, incoming=None):
+        incoming = incoming or self._incoming()
         core = self.cores[name]
         self.arrivals.append((self.now, self.instances[name].region))
         request = core.admission.admit(incoming, self.now)
@@ -252,6 +273,9 @@
         core = self.cores[name]
         step = decide(*arguments, self.now) if arguments else decide(request, self.now)
         self._post(name, core.token_requests(self.now))
+        self._act(name, request, step)
+
+    def _act(self, name, request, step):
         if isinstance(step, Attempt):
             self._send(name, step)
         elif isinstance(step, Deliver):
