--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,8 @@
 reaches targets three times at most.
 """
 
+from collections import Counter
+
 import pytest
 
 from sequoiahook.decisions.direct.core import DirectCore
@@ -236,3 +238,15 @@
         while isinstance(step, Attempt):
             step = core.attempts.on_ended(step, LOST, now + 10)
             now += 20
+
+
+@pytest.mark.parametrize("instance_count", [4, 12, 30])
+def test_other_requests_are_served_while_targets_end(instance_count):
+    simulation = CrashSimulation(instance_count, [KILLER])
+    simulation.run(12_000, PER_S)
+    assert simulation.ended
+    outcomes = Counter()
+    for path, counts in simulation.outcomes_by_path.items():
+        if path != KILLER_PATH:
+            outcomes.update(counts)
+    assert outcomes[200] >= 0.9 * outcomes.total()
