--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -26,7 +26,7 @@
 LOST = TargetResult(Stage.WRITTEN_NO_ANSWER)
 REFUSED = TargetResult(Stage.CONNECT_REFUSED)
 OK = TargetResult(Stage.ANSWERED, status=200)
-KILLER_PATH = "/look/killer"
+CRASHING_PATH = "/look/crashing"
 POPULAR_PATH = "/look/popular"
 
 
@@ -47,10 +47,10 @@
 
 
 class CrashSimulation(LimitSimulation):
-    """A fleet whose targets end under requests with a killer's path.
+    """A fleet whose targets end under requests with a crashing path.
 
     Attributes:
-        killer_paths: Paths of the requests that end their targets.
+        crashing_paths: Paths of the requests that end their targets.
         ended: Time and path of each end of a target by a request.
         reached_at_by_path: Times at which requests of each path reached targets.
         outcomes_by_path: Counts of final answers by status, for each path.
@@ -63,7 +63,7 @@
     """
 
     def __init__(self, instance_count, repeated=(), seed=1):
-        self.killer_paths = {KILLER_PATH}
+        self.crashing_paths = {CRASHING_PATH}
         self.ended = []
         self.reached_at_by_path = defaultdict(list)
         self.outcomes_by_path = defaultdict(Counter)
@@ -136,7 +136,7 @@
         self.reached_at_by_path[path].append(self.now)
         exchange = (name, core, attempt, way_ms)
         self._open_by_target[target_id].append(exchange)
-        if path in self.killer_paths:
+        if path in self.crashing_paths:
             self._at(self.now + CRASH_AFTER_MS, self._crash, target_id, path)
         else:
             self._at(self.now + WORK_MS, self._finish, target_id, exchange)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,7 +17,7 @@
 from sequoiahook.messages.reports import Datagram
 from sequoiahook.wire.datagrams import encode_datagram
 from tests.crash_simulation import (
-    KILLER_PATH,
+    CRASHING_PATH,
     LOST,
     OK,
     POPULAR_PATH,
@@ -34,7 +34,7 @@
 from tests.test_direct_attempts import SETTINGS
 
 PER_S = 240
-KILLER = Repeated(KILLER_PATH, 8)
+CRASHING = Repeated(CRASHING_PATH, 8)
 POPULAR = Repeated(POPULAR_PATH, 20)
 STABLE_MS = 4_000
 LATE_MAX = 3
@@ -42,9 +42,9 @@
 """Number of targets in the simulation: a request never ends as many as there are."""
 
 
-def late_arrivals(simulation, path=KILLER_PATH):
+def late_arrivals(simulation, path=CRASHING_PATH):
     """Return the arrivals at targets later than the bound after the third end."""
-    ended = [at for at, killer in simulation.ended if killer == path]
+    ended = [at for at, crashing in simulation.ended if crashing == path]
     if len(ended) < 3:
         return []
     times = simulation.reached_at_by_path[path]
@@ -59,14 +59,14 @@
 @pytest.mark.parametrize("instance_count", [4, 12, 30, 90])
 @pytest.mark.parametrize("per_s", [8, 1])
 def test_repeated_request_does_not_end_target_after_target(instance_count, per_s):
-    simulation = CrashSimulation(instance_count, [KILLER._replace(per_s=per_s)])
+    simulation = CrashSimulation(instance_count, [CRASHING._replace(per_s=per_s)])
     simulation.run(24_000, PER_S)
     assert len(late_arrivals(simulation)) <= LATE_MAX
     assert len(simulation.ended) <= ENDED_MAX
 
 
 def test_repeated_upload_does_not_end_target_after_target():
-    upload = KILLER._replace(method="POST", body=bytes(200_000))
+    upload = CRASHING._replace(method="POST", body=bytes(200_000))
     simulation = CrashSimulation(12, [upload])
     simulation.run(24_000, PER_S)
     assert len(late_arrivals(simulation)) <= LATE_MAX
@@ -95,27 +95,27 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_neighbours_of_a_crashing_request_are_not_refused(seed):
-    simulation = CrashSimulation(12, [KILLER, POPULAR], seed)
+    simulation = CrashSimulation(12, [CRASHING, POPULAR], seed)
     simulation.run(20_000, PER_S)
     assert simulation.ended
-    others = [path for path in simulation.outcomes_by_path if path != KILLER_PATH]
+    others = [path for path in simulation.outcomes_by_path if path != CRASHING_PATH]
     assert not any(refused_as_crashing(simulation, path) for path in others)
     assert served_ratio(simulation, POPULAR_PATH) >= 0.9
 
 
 def test_request_is_served_again_once_it_ends_no_target():
-    simulation = CrashSimulation(12, [KILLER])
+    simulation = CrashSimulation(12, [CRASHING])
     simulation.run(10_000, PER_S)
-    assert refused_as_crashing(simulation, KILLER_PATH, since=8_000)
-    simulation.killer_paths.clear()
+    assert refused_as_crashing(simulation, CRASHING_PATH, since=8_000)
+    simulation.crashing_paths.clear()
     simulation.run(25_000, PER_S)
-    assert refused_as_crashing(simulation, KILLER_PATH, since=33_000) == []
-    assert simulation.outcomes_by_path[KILLER_PATH][200] > 0
+    assert refused_as_crashing(simulation, CRASHING_PATH, since=33_000) == []
+    assert simulation.outcomes_by_path[CRASHING_PATH][200] > 0
 
 
 @pytest.mark.parametrize("instance_count", [4, 30])
 def test_verdict_reaches_restarted_and_new_instances(instance_count):
-    simulation = CrashSimulation(instance_count, [KILLER])
+    simulation = CrashSimulation(instance_count, [CRASHING])
     simulation.run(8_000, PER_S)
     names = list(simulation.instances)
     for name in names[: len(names) // 2]:
@@ -128,7 +128,7 @@
 
 
 def test_verdict_reaches_the_other_side_after_a_partition():
-    simulation = CrashSimulation(12, [KILLER])
+    simulation = CrashSimulation(12, [CRASHING])
     simulation.partitioned = {n for n in simulation.instances if "east" in n}
     simulation.run(9_000, PER_S)
     simulation.partitioned = set()
@@ -139,9 +139,9 @@
 
 
 def test_refusal_is_immediate_and_says_that_the_request_did_not_run():
-    simulation = CrashSimulation(12, [KILLER])
+    simulation = CrashSimulation(12, [CRASHING])
     simulation.run(12_000, PER_S)
-    refusals = refused_as_crashing(simulation, KILLER_PATH)
+    refusals = refused_as_crashing(simulation, CRASHING_PATH)
     assert refusals
     assert {(r.status, r.retry_after_ms) for r in refusals} == {(500, 0)}
     assert all(r.cause.startswith("not run") for r in refusals)
@@ -169,7 +169,7 @@
 
 
 def send(core, now, **changes):
-    incoming = a_request(**{"target_path": "/look/killer", **changes})
+    incoming = a_request(**{"target_path": "/look/crashing", **changes})
     return core.attempts.next_step(core.admission.admit(incoming, now), now)
 
 
@@ -218,7 +218,7 @@
 
 def test_trial_goes_on_at_another_target_if_the_first_cannot_be_reached():
     core = a_core(count=4)
-    request = core.admission.admit(a_request(target_path="/look/killer"), 900)
+    request = core.admission.admit(a_request(target_path="/look/crashing"), 900)
     crashes = (Crash("t8", 1, 10, 5), Crash("t9", 1, 10, 5))
     known = SuspectStatement("", fingerprint(request), crashes, NEVER, NEVER)
     core.receive(Datagram("p", 1, 1, CrashReport((known,))), 1_000)
@@ -242,11 +242,11 @@
 
 @pytest.mark.parametrize("instance_count", [4, 12, 30])
 def test_other_requests_are_served_while_targets_end(instance_count):
-    simulation = CrashSimulation(instance_count, [KILLER])
+    simulation = CrashSimulation(instance_count, [CRASHING])
     simulation.run(12_000, PER_S)
     assert simulation.ended
     outcomes = Counter()
     for path, counts in simulation.outcomes_by_path.items():
-        if path != KILLER_PATH:
+        if path != CRASHING_PATH:
             outcomes.update(counts)
     assert outcomes[200] >= 0.9 * outcomes.total()
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -12,12 +12,12 @@
 from tests.test_platform_processes import start
 
 NAMES = ("n1", "n2", "n3", "n4")
-KILLER = Request("/look/killer", id="killer")
+CRASHING = Request("/look/crashing", id="crashing")
 POPULAR = Request("/look/popular", id="popular")
 TARGETS = ("i-1", "i-2", "i-3")
 STABLE_S = 4.0
 LATE_MAX = 3
-KILLER_PAUSE_S = 0.4
+CRASHING_PAUSE_S = 0.4
 POPULAR_PAUSE_S = 0.03
 
 
@@ -44,7 +44,7 @@
         self.fleet.control_store(delete=[("servers", target_id)])
         new_id = f"i-{next(self._numbers)}"
         self.fleet.start_target(new_id)
-        self.fleet.control_target(new_id, faults={"crash_path": KILLER.path})
+        self.fleet.control_target(new_id, faults={"crash_path": CRASHING.path})
         self.running.append(new_id)
 
 
@@ -77,7 +77,7 @@
     with PlatformFleet() as fleet:
         start(fleet, *NAMES)
         for target_id in TARGETS:
-            fleet.control_target(target_id, faults={"crash_path": KILLER.path})
+            fleet.control_target(target_id, faults={"crash_path": CRASHING.path})
         yield fleet
 
 
@@ -85,27 +85,27 @@
 def threads(fleet):
     done = threading.Event()
     targets = Targets(fleet, done)
-    killer = Sender(fleet, KILLER, KILLER_PAUSE_S, done)
+    crashing = Sender(fleet, CRASHING, CRASHING_PAUSE_S, done)
     popular = Sender(fleet, POPULAR, POPULAR_PAUSE_S, done)
-    for thread in (targets, killer, popular):
+    for thread in (targets, crashing, popular):
         thread.start()
-    yield targets, killer, popular
+    yield targets, crashing, popular
     done.set()
-    for thread in (targets, killer, popular):
+    for thread in (targets, crashing, popular):
         thread.join()
 
 
-def killer_refused(killer):
+def crashing_refused(crashing):
     return wait_for(
-        lambda: killer.statuses_since(time.monotonic() - 1).get(500),
+        lambda: crashing.statuses_since(time.monotonic() - 1).get(500),
         "the request is refused",
         20,
     )
 
 
 def test_request_that_ends_targets_is_refused_and_others_are_served(fleet, threads):
-    targets, killer, popular = threads
-    killer_refused(killer)
+    targets, crashing, popular = threads
+    crashing_refused(crashing)
     time.sleep(8)
     late = [at for at in targets.ended_at if at > targets.ended_at[2] + STABLE_S]
     assert len(late) <= LATE_MAX
@@ -115,8 +115,8 @@
 
 
 def test_verdict_holds_at_a_restarted_instance(fleet, threads):
-    targets, killer, _ = threads
-    killer_refused(killer)
+    targets, crashing, _ = threads
+    crashing_refused(crashing)
     fleet.processes_by_name["n1"].kill()
     fleet.wait_exit("n1")
     fleet.start_instance("n1")
@@ -125,14 +125,14 @@
     before = len(targets.ended_at)
     time.sleep(4)
     assert len(targets.ended_at) - before <= 1
-    reply = send_request(fleet.caller_address("n1"), KILLER)
+    reply = send_request(fleet.caller_address("n1"), CRASHING)
     assert reply.status == 500
     assert reply.document["error"].startswith("not run")
 
 
 def test_refusal_is_logged_with_its_evidence(fleet, threads):
-    _, killer, _ = threads
-    killer_refused(killer)
+    _, crashing, _ = threads
+    crashing_refused(crashing)
     lines = wait_for(
         lambda: [
             line
@@ -148,7 +148,7 @@
     )
 
 
-def test_targets_that_end_on_their_own_condemn_no_request(fleet):
+def test_targets_that_end_on_their_own_refuse_no_request(fleet):
     done = threading.Event()
     targets = Targets(fleet, done)
     popular = Sender(fleet, POPULAR, POPULAR_PAUSE_S, done)
