--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -68,6 +68,7 @@
     """A fleet with targets in all regions.
 
     Attributes:
+        shedding: Targets that run nothing and say so.
         stated_by_target: Limit that each target states; the others state none.
         reached_at_by_target: Times at which requests reached each target.
         arrivals: Time and region of each arrival.
@@ -94,7 +95,7 @@
         self.now, self.number = 0, 1
         self.rng = random.Random(seed)
         self.object_count = object_count
-        self.stated_by_target = {}
+        self.stated_by_target, self.shedding = {}, set()
         self.partitioned, self.paused = set(), set()
         self.outcomes = Counter()
         self.datagrams = Counter()
@@ -298,10 +299,12 @@
         self._at(answered_at, self._answer, name, self.cores[name], attempt, way_ms)
 
     def _answer(self, name, core, attempt, way_ms):
-        per_s = self.stated_by_target.get(attempt.state.record.id)
+        target_id = attempt.state.record.id
+        per_s = self.stated_by_target.get(target_id)
+        is_shed = target_id in self.shedding
         result = TargetResult(
-            Stage.ANSWERED,
-            status=200,
+            Stage.SHED if is_shed else Stage.ANSWERED,
+            status=503 if is_shed else 200,
             duration_ms=2 * way_ms + WORK_MS,
             stated_limit=StatedLimit(per_s),
         )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -132,6 +132,15 @@
     assert len(reached(simulation, cut_at)) >= 0.3 * 5 * (end_ms + 6_000) / 1_000
 
 
+def test_retries_of_requests_that_other_targets_shed_need_permits_too():
+    simulation, _ = limited_fleet(12, 5.0)
+    simulation.shedding = set(simulation.targets) - {LIMITED}
+    stated_at = simulation.now
+    simulation.run(10_000, PER_S)
+    assert_limit_holds(simulation, stated_at, 5.0)
+    assert len(reached(simulation, stated_at + SETTLING_MS)) >= 0.5 * 5 * 6
+
+
 def limiter_of(simulation):
     core = next(iter(simulation.cores.values()))
     return core.permits.limiter("east", simulation.now)
