Tell instances of limits that were stated before they knew the target

Found on reading: the record of a target that an instance had just learned counted as a statement without a limit, newer than any limit that others reported, so that a new or restarted instance ignored a limit until its next confirmation. The test of a new instance fails before (no limit known after 0.9 s) and passes after. Permit requests and buckets of targets that are gone or no longer limited are forgotten as well.

--- a/sequoiahook/daemons/direct/limit_log.py
+++ b/sequoiahook/daemons/direct/limit_log.py
@@ -5,6 +5,7 @@
 import logbook
 
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.target_state import NEVER
 
 __all__ = ["LimitLog"]
 
@@ -77,8 +78,9 @@
         """Return the age of the limit, its limiter, and the share granted here."""
         state = self._core.targets.states_by_id[target_id]
         permits, region = self._core.permits, state.record.region
+        is_stated = state.limit_stated_at != NEVER
         return {
-            "age_ms": now - state.limit_stated_at,
+            "age_ms": now - state.limit_stated_at if is_stated else None,
             "limiter": permits.limiter(region, now),
             "granted_share": round(permits.share(region, now), 3),
         }
--- a/sequoiahook/decisions/direct/permit_client.py
+++ b/sequoiahook/decisions/direct/permit_client.py
@@ -65,6 +65,16 @@
         """Time within which a permit request is answered."""
         return self._settings.answer_timeout_ms
 
+    @property
+    def target_ids(self) -> set[str]:
+        """Ids of the targets for which permits were requested."""
+        return set(self._accounts_by_id)
+
+    def keep_only(self, target_ids: set[str]) -> None:
+        """Forget all other targets."""
+        for target_id in self.target_ids - target_ids:
+            del self._accounts_by_id[target_id]
+
     def take(self, state: TargetState, now: int) -> bool:
         """Take a stored permit, or request one; return whether there was one."""
         account = self._account(state.record.id)
--- a/sequoiahook/decisions/direct/permit_server.py
+++ b/sequoiahook/decisions/direct/permit_server.py
@@ -60,6 +60,16 @@
         self._delegations_by_region: dict[str, dict[str, _Delegation]] = {}
         self._buckets_by_id: dict[str, _Bucket] = {}
 
+    @property
+    def target_ids(self) -> set[str]:
+        """Ids of the targets for which permits were granted or denied."""
+        return set(self._buckets_by_id)
+
+    def keep_only(self, target_ids: set[str]) -> None:
+        """Forget all other targets."""
+        for target_id in self.target_ids - target_ids:
+            del self._buckets_by_id[target_id]
+
     def record_delegation(self, region: str, instance: str, now: int) -> None:
         """Record that an instance delegates its part of a region's limits."""
         delegations = self._delegations_by_region.setdefault(region, {})
--- a/sequoiahook/decisions/direct/permits.py
+++ b/sequoiahook/decisions/direct/permits.py
@@ -88,6 +88,11 @@
         """Time within which a permit request is answered."""
         return self._client.answer_timeout_ms
 
+    @property
+    def target_ids(self) -> set[str]:
+        """Ids of the targets for which permits are kept."""
+        return self._client.target_ids | self._server.target_ids
+
     def limiter(self, region: str, now: int) -> str:
         """Return the instance that grants permits for the targets of a region."""
         limiter = self._limiter_by_region.get(region)
@@ -150,6 +155,7 @@
         self._reported_at = now
         self.limits.has_changed = False
         self._limiter_by_region.clear()
+        self._forget_unlimited()
         outgoing: list[OutgoingBody] = []
         for region, statements in self.limits.statements_by_region(now).items():
             limiter = self.limiter(region, now)
@@ -195,6 +201,17 @@
         retry_after_ms = self._server.retry_after_ms(state, allowed_per_s, now)
         return PermitDenial(request.target, retry_after_ms)
 
+    def _forget_unlimited(self) -> None:
+        states_by_id = self._targets.states_by_id
+        limited_ids = {
+            target_id
+            for target_id in self.target_ids
+            if target_id in states_by_id
+            and states_by_id[target_id].limit_per_s is not None
+        }
+        self._client.keep_only(limited_ids)
+        self._server.keep_only(limited_ids)
+
     def _choose_limiter(self, region: str, now: int) -> str:
         active = [self._peers.instances_by_name[n] for n in self._peers.active(now)]
         if not self.is_leaving or not active:
--- a/sequoiahook/decisions/direct/stated_limits.py
+++ b/sequoiahook/decisions/direct/stated_limits.py
@@ -91,7 +91,7 @@
             stated_at = now - statement.age_ms
             if stated_at <= state.limit_stated_at + self._settings.relay_margin_ms:
                 continue
-            is_limit = statement.milli_per_s != NO_LIMIT
+            is_limit = statement.milli_per_s >= 0
             if is_limit or state.limit_per_s is not None:
                 per_s = statement.milli_per_s / MILLI if is_limit else None
                 self._set(state, per_s, stated_at)
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -6,10 +6,12 @@
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.world.target import LiveTarget, StatedLimit
 
-__all__ = ["TargetSettings", "TargetState"]
+__all__ = ["NEVER", "TargetSettings", "TargetState"]
 
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 20.0
+NEVER = -(1 << 40)
+"""Reading of the clock before any other."""
 
 
 class TargetSettings(NamedTuple):
@@ -51,7 +53,7 @@
             that it accepts.
         limit_per_s: Limit that it is known to state on the requests a second of all
             instances; None if it states none.
-        limit_stated_at: When it stated this.
+        limit_stated_at: When it stated this; NEVER if no answer is known.
         blocked_until: Until when its limit leaves no permit for this instance.
         answered_request_sent_at: When the last request was sent that it has answered.
 
@@ -67,7 +69,7 @@
         self.sent_count = 0
         self.stated_limit = StatedLimit(None)
         self.limit_per_s: float | None = None
-        self.limit_stated_at = now
+        self.limit_stated_at = NEVER
         self.blocked_until = now
         self.answered_request_sent_at = now - 1
         self.cold_since = now
--- a/tests/test_direct_limits.py
+++ b/tests/test_direct_limits.py
@@ -106,6 +106,7 @@
     [(message, fields)] = limit_lines(decision_log, 6_000)
     assert message == "limit of target invalid"
     assert fields["value"] == "-3"
+    assert fields["age_ms"] is None
 
 
 def test_lines_on_limits_are_bounded():
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sequoiahook.decisions.direct.requests import Cause
-from tests.direct_parts import a_service
+from tests.direct_parts import a_service, a_target
 from tests.limit_simulation import (
     SETTLING_MS,
     SLACK,
@@ -141,6 +141,33 @@
     assert len(reached(simulation, stated_at + SETTLING_MS)) >= 0.5 * 5 * 6
 
 
+def test_new_instance_learns_a_limit_that_was_stated_before_it_started():
+    simulation, _ = limited_fleet(12, 0.05)
+    simulation.run(6_000, PER_S)
+    simulation.add_instance("east-a-90")
+    simulation.run(900, 0.001)
+    state = simulation.cores["east-a-90"].targets.states_by_id[LIMITED]
+    assert state.limit_per_s == 0.05
+
+
+def test_nothing_is_kept_for_targets_that_are_gone():
+    simulation, _ = limited_fleet(4, 5.0)
+    simulation.run(3_000, PER_S)
+    for number in range(40):
+        del simulation.targets[next(iter(simulation.targets))]
+        name = f"t-east-{100 + number}"
+        simulation.targets[name] = a_target(name, region="east", data_centre="east-a")
+        simulation.reached_at_by_target[name] = []
+        simulation.stated_by_target[name] = 5.0
+        for core in simulation.cores.values():
+            core.targets.replace(simulation.targets, simulation.now)
+        simulation.run(300, PER_S)
+    simulation.run(1_000, 0.001)
+    for core in simulation.cores.values():
+        kept = core.permits.target_ids
+        assert kept <= simulation.targets.keys()
+
+
 def limiter_of(simulation):
     core = next(iter(simulation.cores.values()))
     return core.permits.limiter("east", simulation.now)
