Compute the fingerprint of a request once, and the time of its attempt in one place

A lost attempt hashed the body again for the record and for the log line, beside the cache that only part of the code used; the cache is now in fingerprint(). When an attempt was sent was worked out in three places. The thousandths of a limit had a constant of their own beside PERMILLE. No change of behaviour.

--- a/sequoiahook/daemons/direct/limit_log.py
+++ b/sequoiahook/daemons/direct/limit_log.py
@@ -25,7 +25,7 @@
 
 
 class LimitLog:
-    """Logs each target that states a limit, or has stopped to state one.
+    """Logs each target that states a limit, or has stopped stating one.
 
     Args:
         core: The decisions.
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -165,8 +165,7 @@
             request.lost_count += 1
             self._suspects.record_lost(attempt, now)
         elif result.stage in (Stage.ANSWERED, Stage.ANSWER_TRUNCATED):
-            sent_at = request.arrived_at + request.records[-1].at_ms
-            attempt.state.answered_request_sent_at = sent_at
+            attempt.state.answered_request_sent_at = request.last_sent_at
             self._suspects.record_answered(request, now)
 
     def _answered(self, request: OpenRequest, result: TargetResult, now: int) -> Step:
@@ -254,7 +253,7 @@
             state.record_load(result.open_count, now)
         if result.stated_limit is not None:
             state.stated_limit = result.stated_limit
-            sent_at = attempt.request.arrived_at + attempt.request.records[-1].at_ms
+            sent_at = attempt.request.last_sent_at
             self._permits.limits.record_answer(state, result, sent_at, now)
         if result.stage is Stage.NOTHING_WRITTEN:
             return
--- a/sequoiahook/decisions/direct/fingerprints.py
+++ b/sequoiahook/decisions/direct/fingerprints.py
@@ -10,11 +10,17 @@
 
 
 def fingerprint(request: OpenRequest) -> bytes:
-    """Return the fingerprint of a request.
+    """Return the fingerprint of a request, which is computed once.
 
     It covers the organisation, method, host, path, query and body, but neither the
     request id nor the framing of the body.
     """
+    if not request.fingerprint:
+        request.fingerprint = _compute(request)
+    return request.fingerprint
+
+
+def _compute(request: OpenRequest) -> bytes:
     incoming = request.incoming
     parts = (
         request.organisation,
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -201,6 +201,11 @@
         """Name of the organisation; empty if no key is required."""
         return self.key_name.organisation if self.key_name else ""
 
+    @property
+    def last_sent_at(self) -> int:
+        """When the latest attempt started, in milliseconds."""
+        return self.arrived_at + self.records[-1].at_ms
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request."""
--- a/sequoiahook/decisions/direct/stated_limits.py
+++ b/sequoiahook/decisions/direct/stated_limits.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.quota import PERMILLE
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
@@ -18,8 +19,6 @@
 NO_LIMIT = -1
 """Value of a statement without a limit."""
 
-MILLI = 1000
-
 
 class LimitSettings(NamedTuple):
     """Settings of the statements of targets.
@@ -93,13 +92,15 @@
                 continue
             is_limit = statement.milli_per_s >= 0
             if is_limit or state.limit_per_s is not None:
-                per_s = statement.milli_per_s / MILLI if is_limit else None
+                per_s = statement.milli_per_s / PERMILLE if is_limit else None
                 self._set(state, per_s, stated_at)
 
     def statement(self, state: TargetState, now: int) -> LimitStatement:
         """Return the newest known statement of a target."""
         milli = (
-            NO_LIMIT if state.limit_per_s is None else round(state.limit_per_s * MILLI)
+            NO_LIMIT
+            if state.limit_per_s is None
+            else round(state.limit_per_s * PERMILLE)
         )
         age_ms = max(0, now - state.limit_stated_at)
         return LimitStatement(state.record.started_at, milli, age_ms)
--- a/sequoiahook/decisions/direct/suspects.py
+++ b/sequoiahook/decisions/direct/suspects.py
@@ -145,9 +145,8 @@
         request, record = attempt.request, attempt.state.record
         request.is_trial = False
         suspect = self._find_or_add(request.organisation, fingerprint(request))
-        sent_at = request.arrived_at + request.records[-1].at_ms
         run = TargetRun(record.id, record.started_at)
-        if suspect.add_crash(run, CrashInterval(sent_at, now)):
+        if suspect.add_crash(run, CrashInterval(request.last_sent_at, now)):
             self._report_soon(request)
 
     def record_answered(self, request: OpenRequest, now: int) -> None:
@@ -232,7 +231,7 @@
         if now - crashes[-1].ended_at < wait_ms:
             return False
         names = [self._me.name, *self._peers.active(now)]
-        return winner(request.fingerprint.hex(), names) == self._me.name
+        return winner(fingerprint(request).hex(), names) == self._me.name
 
     def _await_trial(
         self, request: OpenRequest, trial_at: int, now: int
@@ -261,7 +260,7 @@
         table = self._suspects_by_organisation.get(request.organisation)
         if not table:
             return None
-        return table.get(self._fingerprint(request))
+        return table.get(fingerprint(request))
 
     def _find_or_add(self, organisation: str, mark: bytes) -> Suspect:
         tables = self._suspects_by_organisation
@@ -275,13 +274,8 @@
             table[mark] = Suspect()
         return table[mark]
 
-    def _fingerprint(self, request: OpenRequest) -> bytes:
-        if not request.fingerprint:
-            request.fingerprint = fingerprint(request)
-        return request.fingerprint
-
     def _report_soon(self, request: OpenRequest) -> None:
-        key = _Key(request.organisation, self._fingerprint(request))
+        key = _Key(request.organisation, fingerprint(request))
         self._urgent[key] = None
 
     def _statements(self, keys: list[_Key], now: int) -> Iterator[SuspectStatement]:
