Log how many targets could not be connected to, and how many could

The logs of an instance that loses all ways to targets could not be told from those of one whose targets are down.

--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -3,6 +3,7 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.direct.connect_log import ConnectLog
 from sequoiahook.daemons.direct.limit_log import LimitLog
 from sequoiahook.decisions.direct.core import DirectCore
 
@@ -19,13 +20,15 @@
 
     Args:
         core: The decisions.
+        now: The time in milliseconds.
     """
 
-    def __init__(self, core: DirectCore):
+    def __init__(self, core: DirectCore, now: int = 0):
         self._core = core
         self._selector = core.selector
         self._lost_event = core.selector.lost_capacity.last_event
         self._limit_log = LimitLog(core)
+        self._connect_log = ConnectLog(core, now)
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -37,6 +40,7 @@
             self._write_lost(now)
             self._write_summary(now)
             self._limit_log.write(now)
+            self._connect_log.write(now)
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -76,7 +76,7 @@
         self._is_refusal_logged = False
         self._is_serving_scheduled = False
         self._role = ("", False)
-        self._decision_log = DecisionLog(core)
+        self._decision_log = DecisionLog(core, clock.now())
         self._futures_by_subject: dict[_Subject, set[asyncio.Future]] = {}
 
     async def start(self) -> None:
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -246,6 +246,7 @@
         if has_recovered:
             state.mark_cold(self._service(attempt.request.service).cold_ms, now)
         if result.connect_ms is not None:
+            state.record_connected(now)
             self._selector.estimates.record_connect(
                 state.record.region, result.connect_ms
             )
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -6,13 +6,16 @@
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.world.target import LiveTarget, StatedLimit
 
-__all__ = ["NEVER", "TargetSettings", "TargetState"]
+__all__ = ["CONNECT_FAILED_STAGES", "NEVER", "TargetSettings", "TargetState"]
 
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 20.0
 NEVER = -(1 << 40)
 """Reading of the clock before any other."""
 
+CONNECT_FAILED_STAGES = frozenset({Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT})
+_REACHED_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
+
 
 class TargetSettings(NamedTuple):
     """Settings of the state of a target.
@@ -56,6 +59,10 @@
         limit_stated_at: When it stated this; NEVER if no answer is known.
         blocked_until: Until when its limit leaves no permit for this instance.
         answered_request_sent_at: When the last request was sent that it has answered.
+        reached_at: When it last answered; NEVER if it has not.
+        connected_at: When a connection to it was last opened; NEVER if none was.
+        connect_failed_at: When opening a connection to it last failed; NEVER if none
+            has.
 
     Args:
         record: Record that the target registered.
@@ -72,6 +79,9 @@
         self.limit_stated_at = NEVER
         self.blocked_until = now
         self.answered_request_sent_at = now - 1
+        self.reached_at = NEVER
+        self.connected_at = NEVER
+        self.connect_failed_at = NEVER
         self.cold_since = now
         self.cold_until = now + record.cold_ms
         self.sent_cold_at: int | None = None
@@ -116,6 +126,10 @@
         if self.is_cold(now):
             self.sent_cold_at = now
 
+    def record_connected(self, now: int) -> None:
+        """Record that a connection to the target was opened."""
+        self.connected_at = now
+
     def on_ended(self, stage: Stage, now: int) -> bool:
         """Count the end of a request.
 
@@ -124,9 +138,12 @@
         """
         self.open_count -= 1
         self._suspension.record_result(stage, now)
-        if stage in (Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT):
+        if stage in CONNECT_FAILED_STAGES:
+            self.connect_failed_at = now
             self._was_unreachable = True
             return False
+        if stage in _REACHED_STAGES:
+            self.reached_at = now
         has_recovered = self._was_unreachable and stage in (Stage.ANSWERED, Stage.SHED)
         if has_recovered:
             self._was_unreachable = False
