Failing tests: callers of instances that have lost all ways to targets (RECOVER)

Real processes, callers on open connections, four manners of the cut, one to three of four instances.

--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -15,6 +15,7 @@
     control: int = 8381
     lookups: int = 8383
     internal: int = 7560
+    internal_last: int = 7575
     metrics: int = 9464
 
 
@@ -59,7 +60,7 @@
 zone = "{zone}"
 region = "{ZONES[zone]}"
 bootstrap = {str(is_first_start).lower()}
-internal_ports = [{PORTS.internal}, {PORTS.internal}]
+internal_ports = [{PORTS.internal}, {PORTS.internal_last}]
 bounds = [{bounds}]
 [zones]
 {zones}
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -17,6 +17,7 @@
 
 from sequoiahook.platform.settings import SETTINGS_VARIABLE
 from sequoiahook.world.instance import Address
+from standins.cut_instance import CUT_FILE_SUFFIX
 from standins.fleet import HttpReply, wait_for
 from standins.platform_documents import (
     PORTS,
@@ -107,8 +108,12 @@
         is_first_start: Whether instances are configured for the first start of the
             whole fleet.
         target_ports_by_id: Port of each target.
+        instance_module: Module that instances run; `standins.cut_instance` for those
+            whose connections to targets can be cut.
     """
 
+    instance_module = "sequoiahook.platform"
+
     def __init__(self):
         rng = random.SystemRandom()
         self._network = f"127.{rng.randrange(1, 255)}.{rng.randrange(255)}"
@@ -188,7 +193,7 @@
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path(name))}
         with (self.path / f"{name}.log").open("ab") as log:
             self.processes_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", "sequoiahook.platform"],
+                [sys.executable, "-m", self.instance_module],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -278,6 +283,18 @@
         if self.processes_by_name[name].poll() is None:
             self.signal(name, signal.SIGHUP)
 
+    def cut(self, name: str, how: str) -> None:
+        """Cut the connections of an instance to all targets; empty to restore them.
+
+        Args:
+            name: Name of the instance, which runs `standins.cut_instance`.
+            how: One of `CUTS`.
+        """
+        path = Path(f"{self._settings_path(name)}{CUT_FILE_SUFFIX}")
+        partial_path = path.with_suffix(".partial")
+        partial_path.write_text(how)
+        partial_path.replace(path)
+
     def wait_exit(self, name: str) -> int:
         """Wait until a process has exited and return its exit code.
 
