--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -5,25 +5,20 @@
 
 import logbook
 
-from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.clock import Clock
 from sequoiahook.daemons.caller_http import CallerAnswer, CallerRequest
-from sequoiahook.daemons.direct.reporting import Reporter
-from sequoiahook.daemons.target_http import TargetClient, TargetRequest
+from sequoiahook.daemons.direct.request_fields import request_fields
+from sequoiahook.daemons.direct.request_runner import RequestRunner
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.fingerprints import fingerprint
 from sequoiahook.decisions.direct.requests import (
     Attempt,
     Cause,
     Deliver,
-    Hold,
-    HoldPermit,
-    HoldTrial,
     IncomingRequest,
     OpenRequest,
     Refuse,
     Status,
 )
-from sequoiahook.decisions.exchange.target_result import TargetResult
 from sequoiahook.messages.requests import Fields
 from sequoiahook.metrics import Metrics
 
@@ -32,13 +27,6 @@
 STOPPING_RETRY_AFTER_MS = 20
 """Short, since the other instances accept the request at once."""
 
-REUSE_IDLE_MAX_MS = 3_000
-"""Longest idle time of a connection that a non-idempotent request may reuse.
-
-The target may have closed a connection that was idle for longer, which becomes visible
-only after the request was written.
-"""
-
 log = logbook.Logger("request")
 
 
@@ -64,9 +52,8 @@
 
     Args:
         core: The decisions.
-        targets: The HTTP client for targets.
+        runner: Runs open requests.
         dialect: Encoding of requests and answers.
-        reporter: Exchanges tokens with other instances.
         clock: The clock.
         metrics: Counters and latencies.
     """
@@ -74,18 +61,16 @@
     def __init__(
         self,
         core: DirectCore,
-        targets: TargetClient,
+        runner: RequestRunner,
         dialect: Dialect,
-        reporter: Reporter,
         clock: Clock,
         metrics: Metrics,
     ):
         self.open_count = 0
         self.last_request_at = clock.now()
         self._core = core
-        self._targets = targets
+        self._runner = runner
         self._dialect = dialect
-        self._reporter = reporter
         self._clock = clock
         self._metrics = metrics
 
@@ -111,58 +96,17 @@
         if isinstance(admitted, Refuse):
             self._log_outcome(incoming, None, admitted, arrived_at)
             return self._dialect.refusal(incoming.id, admitted)
-        attempts = self._core.attempts
-        step = attempts.next_step(admitted, self._clock.now())
-        self._reporter.send_token_requests()
-        while not isinstance(step, Deliver | Refuse):
-            if isinstance(step, Attempt):
-                result = await self._exchange(step, arrived_at)
-                step = attempts.on_ended(step, result, self._clock.now())
-            else:
-                await self._wait(step)
-                step = attempts.next_step(admitted, self._clock.now())
-            self._reporter.send_token_requests()
+        try:
+            step = await self._runner.run(admitted)
+        except asyncio.CancelledError:
+            self._log_caller_gone(admitted, arrived_at)
+            raise
         self._log_outcome(incoming, admitted, step, arrived_at)
         if isinstance(step, Deliver):
             result = step.result
             return CallerAnswer(result.status, result.headers, result.body)
         return self._dialect.refusal(incoming.id, step)
 
-    async def _wait(self, step: Hold | HoldPermit | HoldTrial) -> None:
-        if isinstance(step, HoldTrial):
-            await asyncio.sleep(step.max_wait_ms / MS_PER_S)
-        else:
-            await self._reporter.wait(step)
-
-    async def _exchange(self, attempt: Attempt, arrived_at: int) -> TargetResult:
-        exchange = self._targets.open(self._target_request(attempt))
-        try:
-            return await exchange.run(
-                lambda: self._core.attempts.may_write(attempt, self._clock.now())
-            )
-        except asyncio.CancelledError:
-            result = TargetResult(exchange.stage)
-            self._core.attempts.on_abandoned(attempt, result, self._clock.now())
-            self._log_caller_gone(attempt, exchange.stage.value, arrived_at)
-            raise
-
-    def _target_request(self, attempt: Attempt) -> TargetRequest:
-        incoming = attempt.request.incoming
-        return TargetRequest(
-            attempt.state.record.address,
-            incoming.method,
-            incoming.target_path,
-            self._dialect.target_fields(attempt),
-            incoming.body,
-            attempt.timeout_ms,
-            may_reuse=True,
-            id=incoming.id,
-            host=incoming.host.encode("latin-1"),
-            idle_max_ms=None
-            if attempt.request.route.is_idempotent
-            else REUSE_IDLE_MAX_MS,
-        )
-
     def _log_outcome(
         self,
         incoming: IncomingRequest,
@@ -183,8 +127,8 @@
             fields["retry_after_ms"] = retry_after_ms
         log.info("request", extra=fields)
 
-    def _log_caller_gone(self, attempt: Attempt, stage: str, arrived_at: int) -> None:
-        request = attempt.request
+    def _log_caller_gone(self, request: OpenRequest, arrived_at: int) -> None:
+        stage = request.records[-1].stage if request.records else ""
         self._metrics.count("requests caller gone")
         fields = self._common_fields(request.incoming, request, arrived_at)
         log.info("caller gone", extra=fields | {"stage": stage})
@@ -202,15 +146,4 @@
             "configuration": self._core.configuration_number,
             "configuration_age_ms": self._core.freshness.age_ms(now),
         }
-        if request is not None:
-            fields["route"] = request.route.name
-            fields["service"] = request.service
-            fields["organisation"] = request.organisation
-            fields["object"] = incoming.object_key
-            fields["deadline_ms"] = request.deadline_at - request.arrived_at
-            fields["attempts"] = [tuple(record) for record in request.records]
-            if request.lost_count:
-                fields["fingerprint"] = fingerprint(request).hex()
-            if request.crash_evidence is not None:
-                fields |= request.crash_evidence._asdict()
-        return fields
+        return fields if request is None else fields | request_fields(request)
--- /dev/null
+++ b/sequoiahook/daemons/direct/executions.py
@@ -0,0 +1,169 @@
+"""Requests that other instances hand over, from their arrival to their outcome."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import logbook
+
+from sequoiahook.clock import Clock
+from sequoiahook.daemons.direct.request_fields import request_fields
+from sequoiahook.daemons.direct.request_runner import RequestRunner
+from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.handed_over import (
+    EXECUTOR_SETTINGS,
+    AdmissionState,
+    DirectPool,
+    open_request,
+)
+from sequoiahook.decisions.direct.requests import Deliver, OpenRequest, Refuse
+from sequoiahook.decisions.effects import Send
+from sequoiahook.decisions.exchange.effects import AbortTarget, Write
+from sequoiahook.decisions.exchange.executor import Executor
+from sequoiahook.decisions.exchange.states import Reason
+from sequoiahook.decisions.exchange.target_result import Stage
+from sequoiahook.messages.direct_requests import DirectHandOver
+from sequoiahook.messages.requests import NOT_RUN, UNKNOWN, MessageId
+
+__all__ = ["Executions"]
+
+log = logbook.Logger("request")
+
+
+class Executions:
+    """Runs requests of other instances.
+
+    Attributes:
+        lag_ms: Delay of the event loop, in milliseconds.
+
+    Args:
+        core: The decisions.
+        runner: Runs open requests.
+        clock: The clock.
+        send: Sends a message to a peer.
+    """
+
+    def __init__(
+        self,
+        core: DirectCore,
+        runner: RequestRunner,
+        clock: Clock,
+        send: Callable[[str, tuple], None],
+    ):
+        me = core.me
+        self.lag_ms = 0
+        self._core = core
+        self._runner = runner
+        self._clock = clock
+        self._send = send
+        rng = random.Random()
+        self._executor = Executor(EXECUTOR_SETTINGS, me.name, me.incarnation, rng)
+        self._pool = DirectPool()
+        self._services: set[str] = set()
+        self._handovers_by_id: dict[MessageId, DirectHandOver] = {}
+        self._tasks_by_id: dict[MessageId, asyncio.Task] = {}
+        self._incarnation_by_peer: dict[str, int] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Number of requests without an acknowledged outcome."""
+        return self._executor.open_count
+
+    def on_peer_up(self, name: str, incarnation: int, now: int) -> None:
+        """Cancel the requests of an earlier incarnation of a peer."""
+        earlier = self._incarnation_by_peer.get(name, incarnation)
+        self._incarnation_by_peer[name] = incarnation
+        if earlier != incarnation:
+            self._apply(self._executor.sender_gone(name, earlier, now))
+
+    def receive(self, peer: str, body: tuple, now: int) -> None:
+        """Process a message of a peer."""
+        if not isinstance(body, DirectHandOver):
+            self._apply(self._executor.received(peer, body, now))
+            return
+        handover = body.handover
+        if handover.service not in self._services:
+            self._services.add(handover.service)
+            self._executor.set_pool(handover.service, self._pool)
+        self._pool.state = AdmissionState(
+            self._core.connectivity.is_available(now) and self._core.is_serving(now),
+            self.lag_ms,
+            self._executor.outcome_bytes,
+        )
+        self._handovers_by_id.setdefault(handover.id, body)
+        self._apply(self._executor.received(peer, handover, now))
+        if handover.id not in self._tasks_by_id:
+            self._handovers_by_id.pop(handover.id, None)
+
+    def tick(self, now: int) -> None:
+        """Handle what is due."""
+        self._apply(self._executor.tick(now))
+
+    def close(self) -> None:
+        """Cancel all tasks."""
+        for task in self._tasks_by_id.values():
+            task.cancel()
+
+    def _apply(self, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.destination, effect.body)
+            elif isinstance(effect, Write):
+                task = asyncio.create_task(self._run(effect))
+                self._tasks_by_id[effect.request_id] = task
+            elif isinstance(effect, AbortTarget):
+                task = self._tasks_by_id.get(effect.request_id)
+                if task is not None:
+                    task.cancel()
+
+    async def _run(self, write: Write) -> None:
+        request_id = write.request_id
+        now = self._clock.now()
+        body = self._handovers_by_id[request_id]
+        request = open_request(body, request_id.sender, now + write.remaining_ms, now)
+        executor, clock = self._executor, self._clock
+        try:
+            step = await self._runner.run(
+                request, lambda: executor.may_write(request_id, clock.now())
+            )
+        except asyncio.CancelledError:
+            step = None
+        finally:
+            del self._tasks_by_id[request_id]
+            del self._handovers_by_id[request_id]
+        self._apply(self._end(request_id, request, step))
+        self._log(request, step)
+
+    def _end(
+        self, request_id: MessageId, request: OpenRequest, step: Deliver | Refuse | None
+    ) -> list:
+        now = self._clock.now()
+        if isinstance(step, Deliver):
+            return self._executor.target_result(request_id, step.result, now)
+        ran = UNKNOWN if request.may_have_run else NOT_RUN
+        if step is not None:
+            cause, retry_after_ms = step.cause, step.retry_after_ms
+            return self._executor.end_without_answer(
+                request_id, ran, cause, retry_after_ms, now
+            )
+        if request.records and Stage(request.records[-1].stage).ran != NOT_RUN:
+            ran = UNKNOWN
+        return self._executor.end_without_answer(
+            request_id, ran, Reason.CANCELLED, 0, now
+        )
+
+    def _log(self, request: OpenRequest, step: Deliver | Refuse | None) -> None:
+        status, cause = 0, Reason.CANCELLED
+        if isinstance(step, Deliver):
+            status, cause = step.result.status, "answered"
+        elif step is not None:
+            cause = step.cause
+        fields = {
+            "request": request.incoming.id,
+            "handed_over_by": request.origin.instance,
+            "status": status,
+            "cause": cause,
+            "duration_ms": self._clock.now() - request.arrived_at,
+            "configuration": self._core.configuration_number,
+        }
+        log.info("request of a peer", extra=fields | request_fields(request))
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -3,19 +3,19 @@
 import asyncio
 import contextlib
 import secrets
-from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple, Protocol
+from collections.abc import Awaitable, Callable
 
 import logbook
 
-from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.caller_http import (
     CallerAnswer,
     CallerRequest,
     CallerServer,
     CallerServerSettings,
 )
-from sequoiahook.daemons.direct.caller_handler import CallerHandler, Dialect
+from sequoiahook.daemons.direct.caller_handler import CallerHandler
+from sequoiahook.daemons.direct.components import InstanceComponents
 from sequoiahook.daemons.direct.core_settings import (
     LOOKUP_LIFETIME_FACTOR,
     core_settings,
@@ -23,17 +23,20 @@
     stopping_settings,
 )
 from sequoiahook.daemons.direct.following import Follower, FollowerSettings, Observer
+from sequoiahook.daemons.direct.handovers import Handovers
 from sequoiahook.daemons.direct.metrics import metrics_answer
-from sequoiahook.daemons.direct.object_store import Kind, ObjectStore
+from sequoiahook.daemons.direct.object_store import Kind
 from sequoiahook.daemons.direct.observers import (
     ConfigurationObserver,
     EvacuationObserver,
     InstanceObserver,
     TargetObserver,
 )
+from sequoiahook.daemons.direct.probing import Prober
 from sequoiahook.daemons.direct.registering import Registration
 from sequoiahook.daemons.direct.relay import Relay
 from sequoiahook.daemons.direct.reporting import Reporter
+from sequoiahook.daemons.direct.request_runner import RequestRunner
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
@@ -47,11 +50,10 @@
 )
 from sequoiahook.errors import PlatformError
 from sequoiahook.metrics import Metrics
-from sequoiahook.wire.target_dialect import TargetDialect
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
 
-__all__ = ["DirectInstance", "InstanceComponents", "InstanceDialect"]
+__all__ = ["DirectInstance"]
 
 INCARNATION_BITS = 53
 STOP_TICK_MS = 50
@@ -73,37 +75,6 @@
 log = logbook.Logger("instance")
 
 
-class InstanceDialect(Dialect, Protocol):
-    """Encoding of all calls to an instance."""
-
-    def read_lookup(self, request: CallerRequest):
-        """Return the decoded look-up; None if the request is not a look-up."""
-
-    def lookup_answer(
-        self, addresses: Sequence[Address], lifetime_ms: int
-    ) -> CallerAnswer:
-        """Encode the answer to a look-up."""
-
-    def is_readiness_check(self, request: CallerRequest) -> bool:
-        """Return whether the request is the platform's readiness check."""
-
-
-class InstanceComponents(NamedTuple):
-    """Components of an instance that depend on the platform.
-
-    Attributes:
-        store: The platform's store.
-        dialect: Encoding of callers' requests and of the answers to them.
-        target_dialect: Encoding of targets' answers.
-        clock: A clock that also advances while the machine is suspended.
-    """
-
-    store: ObjectStore
-    dialect: InstanceDialect
-    target_dialect: TargetDialect
-    clock: Clock
-
-
 class DirectInstance:
     """Runs one instance until a graceful stop is complete.
 
@@ -125,6 +96,7 @@
             settings.caller_address,
             settings.report_address,
             settings.link_mbps,
+            settings.handover_address,
         )
         now = self._clock.now()
         self.core = DirectCore(core_settings(settings), me, now)
@@ -134,16 +106,28 @@
             ),
             components.target_dialect,
         )
-        self._stopping = Stopping(stopping_settings(settings))
         self._stop_at: int | None = None
         self._reporter = Reporter(settings, self.core, self._clock)
-        self._handler = CallerHandler(
+        runner = RequestRunner(
             self.core,
             self._targets,
-            components.dialect,
+            components.dialect.target_fields,
             self._reporter,
             self._clock,
-            self.metrics,
+        )
+        self._handler = CallerHandler(
+            self.core, runner, components.dialect, self._clock, self.metrics
+        )
+        self._handovers = Handovers(
+            self.core,
+            runner,
+            Prober(self.core, self._targets, self._clock),
+            self._reporter.send_token_requests,
+            self._clock,
+        )
+        self._reporter.on_ways_doubted = self._handovers.wake
+        self._stopping = Stopping(
+            stopping_settings(settings), lambda: self._handovers.execution_count
         )
         self._caller_server = _server(settings.caller_address, self._handle_caller)
         self._readiness_server = _server(
@@ -200,6 +184,7 @@
                 await self._withdraw()
             self._reporter.close()
             self._relay.close()
+            await self._handovers.close()
             if self._links is not None:
                 await self._links.stop()
             self._targets.close()
@@ -279,6 +264,8 @@
         )
         await self._links.start()
         self._relay.set_links(self._links)
+        if self.settings.handover_address is not None:
+            await self._handovers.run(secret)
         await asyncio.Event().wait()
 
     def _relay_peer(self) -> LiveInstance | None:
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -60,6 +60,7 @@
 
     Attributes:
         secret: The fleet's secret, which authenticates datagrams; empty until known.
+        on_ways_doubted: Called while the own ways to targets need to be checked.
 
     Args:
         settings: Settings of the instance.
@@ -69,6 +70,7 @@
 
     def __init__(self, settings: DirectSettings, core: DirectCore, clock: Clock):
         self.secret = b""
+        self.on_ways_doubted: Callable[[], None] = lambda: None
         self._settings = settings
         self._core = core
         self._clock = clock
@@ -129,8 +131,11 @@
             self._transport.close()
 
     def send_token_requests(self) -> None:
-        """Request tokens from peers for buckets that run low."""
-        self._send_all(self._core.token_requests(self._clock.now()))
+        """Send the messages to peers that do not wait for the next report."""
+        now = self._clock.now()
+        self._send_all(self._core.token_requests(now))
+        if self._core.connectivity.is_active(now):
+            self.on_ways_doubted()
 
     async def wait(self, hold: Hold | HoldPermit) -> None:
         """Wait for a token or permit message, up to the hold's max wait."""
--- /dev/null
+++ b/sequoiahook/daemons/direct/request_fields.py
@@ -0,0 +1,25 @@
+"""Fields of log lines on requests."""
+
+from typing import Any
+
+from sequoiahook.decisions.direct.fingerprints import fingerprint
+from sequoiahook.decisions.direct.requests import OpenRequest
+
+__all__ = ["request_fields"]
+
+
+def request_fields(request: OpenRequest) -> dict[str, Any]:
+    """Return what determined the outcome of an admitted request."""
+    fields = {
+        "route": request.route.name,
+        "service": request.service,
+        "organisation": request.organisation,
+        "object": request.incoming.object_key,
+        "deadline_ms": request.deadline_at - request.arrived_at,
+        "attempts": [tuple(record) for record in request.records],
+    }
+    if request.lost_count:
+        fields["fingerprint"] = fingerprint(request).hex()
+    if request.crash_evidence is not None:
+        fields |= request.crash_evidence._asdict()
+    return fields
--- /dev/null
+++ b/sequoiahook/daemons/direct/request_runner.py
@@ -0,0 +1,129 @@
+"""Runs one open request: waits, attempts at targets, and handovers to peers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.daemons.direct.reporting import Reporter
+from sequoiahook.daemons.target_http import TargetClient, TargetRequest
+from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.requests import (
+    Attempt,
+    Deliver,
+    ForwardToPeer,
+    HandoverOutcome,
+    Hold,
+    HoldPermit,
+    HoldTrial,
+    OpenRequest,
+    Refuse,
+)
+from sequoiahook.decisions.exchange.target_result import TargetResult
+from sequoiahook.messages.requests import Fields
+
+__all__ = ["RequestRunner"]
+
+REUSE_IDLE_MAX_MS = 3_000
+"""Longest idle time of a connection that a non-idempotent request may reuse.
+
+The target may have closed a connection that was idle for longer, which becomes visible
+only after the request was written.
+"""
+
+
+class RequestRunner:
+    """Carries out the steps that are decided for open requests.
+
+    Attributes:
+        forward: Hands a request over to a peer and returns the outcome; it may be
+            cancelled.
+
+    Args:
+        core: The decisions.
+        targets: The HTTP client for targets.
+        target_fields: Returns the header fields to send to the target.
+        reporter: Exchanges tokens with other instances.
+        clock: The clock.
+    """
+
+    def __init__(
+        self,
+        core: DirectCore,
+        targets: TargetClient,
+        target_fields: Callable[[Attempt], Fields],
+        reporter: Reporter,
+        clock: Clock,
+    ):
+        self.forward: Callable[[ForwardToPeer], Awaitable[HandoverOutcome]]
+        self._core = core
+        self._targets = targets
+        self._target_fields = target_fields
+        self._reporter = reporter
+        self._clock = clock
+
+    async def run(
+        self, request: OpenRequest, may_write: Callable[[], bool] = lambda: True
+    ) -> Deliver | Refuse:
+        """Run a request and return its final step.
+
+        Args:
+            request: The request.
+            may_write: Called right before the first byte to a target; False prevents
+                the attempt.
+
+        Raises:
+            asyncio.CancelledError: If the task is cancelled; the last attempt is
+                recorded.
+        """
+        attempts, clock = self._core.attempts, self._clock
+        step = attempts.next_step(request, clock.now())
+        self._reporter.send_token_requests()
+        while not isinstance(step, Deliver | Refuse):
+            if isinstance(step, Attempt):
+                result = await self._exchange(step, may_write)
+                step = attempts.on_ended(step, result, clock.now())
+            elif isinstance(step, ForwardToPeer):
+                outcome = await self.forward(step)
+                step = attempts.on_forwarded(step, outcome, clock.now())
+            else:
+                await self._wait(step)
+                step = attempts.next_step(request, clock.now())
+            self._reporter.send_token_requests()
+        return step
+
+    async def _wait(self, step: Hold | HoldPermit | HoldTrial) -> None:
+        if isinstance(step, HoldTrial):
+            await asyncio.sleep(step.max_wait_ms / MS_PER_S)
+        else:
+            await self._reporter.wait(step)
+
+    async def _exchange(
+        self, attempt: Attempt, may_write: Callable[[], bool]
+    ) -> TargetResult:
+        exchange = self._targets.open(self._target_request(attempt))
+        attempts, clock = self._core.attempts, self._clock
+        try:
+            return await exchange.run(
+                lambda: attempts.may_write(attempt, clock.now()) and may_write()
+            )
+        except asyncio.CancelledError:
+            result = TargetResult(exchange.stage)
+            attempts.on_abandoned(attempt, result, clock.now())
+            raise
+
+    def _target_request(self, attempt: Attempt) -> TargetRequest:
+        incoming = attempt.request.incoming
+        return TargetRequest(
+            attempt.state.record.address,
+            incoming.method,
+            incoming.target_path,
+            self._target_fields(attempt),
+            incoming.body,
+            attempt.timeout_ms,
+            may_reuse=True,
+            id=incoming.id,
+            host=incoming.host.encode("latin-1"),
+            idle_max_ms=None
+            if attempt.request.route.is_idempotent
+            else REUSE_IDLE_MAX_MS,
+        )
--- a/sequoiahook/daemons/direct/settings.py
+++ b/sequoiahook/daemons/direct/settings.py
@@ -86,6 +86,8 @@
         is_first_start: Whether the whole fleet starts for the first time, before any
             caller connects.
         durations: Durations of the daemon's own tasks.
+        handover_address: Address for links that carry requests of other instances;
+            None to accept none and to hand none over.
     """
 
     name: str
@@ -101,6 +103,7 @@
     link_mbps: int = 0
     is_first_start: bool = False
     durations: Durations = Durations()
+    handover_address: Address | None = None
 
     @property
     def regions(self) -> tuple[str, ...]:
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -202,7 +202,7 @@
             idle = self._pool.take_idle(self.request)
             if idle is not None:
                 self.reader, self.writer = idle.reader, idle.writer
-            elif not await self._connect():
+            elif not await self.connect():
                 return
             self.stage = Stage.NOTHING_WRITTEN
             if self.is_closed or not may_write():
@@ -210,7 +210,8 @@
             self._write()
             await self._read_answer()
 
-    async def _connect(self) -> bool:
+    async def connect(self) -> bool:
+        """Open a connection and return whether that was possible."""
         self.stage = Stage.CONNECT_TIMEOUT
         timeout_s = self._settings.connect_timeout_ms / MS_PER_S
         connect_started_at = monotonic_ms()
@@ -252,7 +253,8 @@
     @property
     def idle_ms(self) -> int:
         """Longest time to keep the connection idle, in milliseconds."""
-        keep_alive_ms = self._dialect.idle_ms(self._head.headers)
+        headers = () if self._head is None else self._head.headers
+        keep_alive_ms = self._dialect.idle_ms(headers)
         return min(self._settings.idle_ms, keep_alive_ms * IDLE_PERCENT // PERCENT)
 
     def _write(self) -> None:
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -54,6 +54,25 @@
         """
         return await self.open(request).run(may_write)
 
+    async def connect(self, address: Address) -> bool:
+        """Open a connection, keep it for requests, and return whether it was opened.
+
+        Raises:
+            asyncio.CancelledError: If the task is cancelled.
+        """
+        request = TargetRequest(
+            address, "GET", "/", (), b"", timeout_ms=0, may_reuse=False
+        )
+        exchange = TargetExchange(request, self)
+        if not await exchange.connect():
+            return False
+        connections = self._idle_by_address.setdefault(address, [])
+        if len(connections) < self.settings.idle_max:
+            connections.append(self._idle(exchange))
+        else:
+            exchange.close()
+        return True
+
     def close(self) -> None:
         """Close all idle connections."""
         for connections in self._idle_by_address.values():
@@ -89,14 +108,17 @@
         connections = self._idle_by_address.setdefault(exchange.request.address, [])
         self._close_expired(connections)
         if exchange.is_reusable and len(connections) < self.settings.idle_max:
-            now = monotonic_ms()
-            idle = IdleConnection(
-                exchange.reader, exchange.writer, now, now + exchange.idle_ms
-            )
-            connections.append(idle)
+            connections.append(self._idle(exchange))
         else:
             exchange.close()
 
+    @staticmethod
+    def _idle(exchange: TargetExchange) -> IdleConnection:
+        now = monotonic_ms()
+        return IdleConnection(
+            exchange.reader, exchange.writer, now, now + exchange.idle_ms
+        )
+
     def _close_expired(self, connections: list[IdleConnection]) -> None:
         while connections and connections[0].expires_at < monotonic_ms():
             connections.pop(0).writer.close()
--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -16,7 +16,7 @@
 from sequoiahook.decisions.direct.splits import Splits
 from sequoiahook.decisions.keys import KeyName, KeyState, KeyTable
 from sequoiahook.world.contract import Contract
-from sequoiahook.world.routing import Route, RoutingConfiguration
+from sequoiahook.world.routing import Route, RoutingConfiguration, TargetService
 
 __all__ = ["Admission", "AdmissionSettings"]
 
@@ -64,6 +64,13 @@
         """The configuration in force."""
         return self._configuration
 
+    def service(self, name: str) -> TargetService:
+        """Return a service; one without cold targets if it is not configured."""
+        services = {}
+        if self._configuration is not None:
+            services = self._configuration.services_by_name
+        return services.get(name) or TargetService(name, "", 0, 0, 0.0)
+
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Apply a configuration; the caller has checked that it is newer."""
         self._configuration = configuration
@@ -105,9 +112,24 @@
         incoming = request.incoming
         if request.key_name is None:
             return None
+        if request.origin is not None:
+            return self._recheck_named_key(request, now)
         verdict = self.check_key(incoming.key, now)
         return verdict if isinstance(verdict, Refuse) else None
 
+    def _recheck_named_key(self, request: OpenRequest, now: int) -> Refuse | None:
+        """Check the key of a request that was handed over, which only its name tells.
+
+        If the other instance has a newer configuration, its own check counts.
+        """
+        if self._keys is None or not self._freshness.allows_keys(now):
+            retry_ms = self._settings.stale_retry_ms
+            return Refuse(Status.UNAVAILABLE, Cause.STALE, retry_ms)
+        is_newer = request.origin.configuration_number > self._keys.number
+        if is_newer or self._keys.state(request.key_name) is KeyState.VALID:
+            return None
+        return Refuse(Status.UNAUTHORIZED, Cause.UNKNOWN_KEY)
+
     def take_token(self, request: OpenRequest, now: int) -> Refuse | Hold | None:
         """Take a token before the first attempt of a request.
 
@@ -162,8 +184,11 @@
         return 0
 
     def return_token(self, request: OpenRequest, now: int) -> None:
-        """Return the token of a request that no target ran."""
-        if request.key_name is not None:
+        """Return the token of a request that no target ran.
+
+        That of a request that was handed over is returned where it was taken.
+        """
+        if request.key_name is not None and request.origin is None:
             self._rates.refund(request.organisation, now)
 
     def _needs_key(self, route: Route) -> bool:
--- /dev/null
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -0,0 +1,107 @@
+"""What the results of attempts show about targets, and about the ways to them."""
+
+from sequoiahook.decisions.direct.admission import Admission
+from sequoiahook.decisions.direct.connectivity import Connectivity
+from sequoiahook.decisions.direct.permits import Permits
+from sequoiahook.decisions.direct.requests import Attempt
+from sequoiahook.decisions.direct.suspects import Suspects
+from sequoiahook.decisions.direct.target_selection import TargetSelector
+from sequoiahook.decisions.direct.target_state import (
+    CONNECT_FAILED_STAGES,
+    TargetState,
+)
+from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+
+__all__ = ["FAILURE_STATUS_MIN", "AttemptResults"]
+
+FAILURE_STATUS_MIN = 500
+
+
+class AttemptResults:
+    """Records the results of attempts.
+
+    Args:
+        admission: Holds the services of the configuration in force.
+        selector: Holds the estimates of response times.
+        permits: Holds the limits that targets state.
+        suspects: Requests under which targets ended.
+        connectivity: Whether the own ways to targets are lost.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        selector: TargetSelector,
+        permits: Permits,
+        suspects: Suspects,
+        connectivity: Connectivity,
+    ):
+        self._admission = admission
+        self._selector = selector
+        self._permits = permits
+        self._suspects = suspects
+        self._connectivity = connectivity
+
+    def record(self, attempt: Attempt, result: TargetResult, now: int) -> None:
+        """Record what a result shows about the target."""
+        state = attempt.state
+        self._record_connection(state, result, now)
+        if self._connectivity.is_lost and result.stage not in _ANSWER_STAGES:
+            # The way to the target failed, whatever the target did.
+            state.on_ended(Stage.NOTHING_WRITTEN, now)
+            return
+        has_recovered = state.on_ended(result.stage, now)
+        if has_recovered:
+            state.mark_cold(
+                self._admission.service(attempt.request.service).cold_ms, now
+            )
+        if result.open_count is not None:
+            state.record_load(result.open_count, now)
+        if result.stated_limit is not None:
+            state.stated_limit = result.stated_limit
+            sent_at = attempt.request.last_sent_at
+            self._permits.limits.record_answer(state, result, sent_at, now)
+        if result.stage is Stage.NOTHING_WRITTEN:
+            return
+        is_answer = result.stage is Stage.ANSWERED
+        is_failure = not is_answer or result.status >= FAILURE_STATUS_MIN
+        state.record_outcome(is_failure, now)
+        if is_answer and not is_failure and not state.is_cold(now):
+            request = attempt.request
+            self._selector.estimates.record_answer(
+                request.route,
+                request.incoming.object_key,
+                state,
+                attempt.in_flight,
+                result.duration_ms,
+                now,
+            )
+
+    def _record_connection(
+        self, state: TargetState, result: TargetResult, now: int
+    ) -> None:
+        target_id = state.record.id
+        if result.connect_ms is not None:
+            state.record_connected(now)
+            self._connectivity.record_connected(target_id, now)
+            self._selector.estimates.record_connect(
+                state.record.region, result.connect_ms
+            )
+        elif result.stage in _ANSWER_STAGES:
+            self._connectivity.record_answered()
+        elif result.stage in CONNECT_FAILED_STAGES:
+            state.record_connect_failed(now)
+            self._connectivity.record_failed(target_id, now)
+
+    def record_evidence(self, attempt: Attempt, result: TargetResult, now: int) -> None:
+        """Record whether the target ended or survived the request."""
+        request = attempt.request
+        if result.is_lost and not self._connectivity.is_lost:
+            request.lost_count += 1
+            self._suspects.record_lost(attempt, now)
+        elif result.stage in (Stage.ANSWERED, Stage.ANSWER_TRUNCATED):
+            attempt.state.answered_request_sent_at = request.last_sent_at
+            self._suspects.record_answered(request, now)
+
+
+_ANSWER_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -3,13 +3,22 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.admission import Admission
+from sequoiahook.decisions.direct.attempt_results import (
+    FAILURE_STATUS_MIN,
+    AttemptResults,
+)
+from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.permits import Permits
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.region_summary import PlacedBy
 from sequoiahook.decisions.direct.requests import (
+    CAUSES,
     Attempt,
     AttemptRecord,
     Cause,
     Deliver,
+    ForwardToPeer,
+    HandoverOutcome,
     Hold,
     HoldPermit,
     HoldTrial,
@@ -20,17 +29,21 @@
 from sequoiahook.decisions.direct.suspects import Suspects
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection import TargetSelector
-from sequoiahook.decisions.direct.target_state import TargetState
+from sequoiahook.decisions.direct.target_state import (
+    CONNECT_FAILED_STAGES,
+    TargetState,
+)
 from sequoiahook.decisions.exchange.retry import RetryBudget, RetryBudgetSettings
+from sequoiahook.decisions.exchange.states import Reason
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
-from sequoiahook.messages.requests import NOT_RUN
-from sequoiahook.world.routing import TargetService
+from sequoiahook.messages.requests import NOT_RUN, RAN
 
 __all__ = ["Attempts", "AttemptsSettings"]
 
-FAILURE_STATUS_MIN = 500
+FORWARDS_MAX = 2
+"""Most times that one request is handed over; each time to several candidates."""
 
-Step = Attempt | Deliver | Hold | HoldPermit | HoldTrial | Refuse
+Step = Attempt | Deliver | ForwardToPeer | Hold | HoldPermit | HoldTrial | Refuse
 
 
 class AttemptsSettings(NamedTuple):
@@ -67,6 +80,7 @@
         targets: Registry of targets.
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
+        connectivity: Whether the own ways to targets are lost.
     """
 
     def __init__(
@@ -77,8 +91,13 @@
         targets: TargetRegistry,
         permits: Permits,
         suspects: Suspects,
+        connectivity: Connectivity,
     ):
         self.retry_burst = 1
+        self._connectivity = connectivity
+        self._results = AttemptResults(
+            admission, selector, permits, suspects, connectivity
+        )
         self._settings = settings
         self._admission = admission
         self._selector = selector
@@ -89,7 +108,7 @@
 
     def next_step(self, request: OpenRequest, now: int) -> Step:
         """Return the next attempt, a wait for a token, or the final answer."""
-        step = self._check(request, now)
+        step = self._check(request, now) or self._forward(request, now)
         if step is not None:
             return step
         remaining_ms = request.deadline_at - now
@@ -97,7 +116,10 @@
         if isinstance(placement, HoldPermit):
             return placement
         if placement.state is None:
-            return self._end(request, placement.cause, now, placement.retry_after_ms)
+            step = self._forward(request, now, has_target=False)
+            return step or self._end(
+                request, placement.cause, now, placement.retry_after_ms
+            )
         refusal = self._charge(request, now)
         if refusal is not None:
             if placement.state.limit_per_s is not None:
@@ -112,14 +134,93 @@
         refusal = self._admission.recheck_key(request, now)
         if refusal is not None:
             return self._refuse(request, refusal, now)
-        is_exhausted = request.run_count >= request.route.attempts_max
-        if is_exhausted or len(request.records) >= self._settings.targets_max:
+        if request.run_count >= request.route.attempts_max:
             return self._end(request, Cause.FAILED, now)
+        if len(request.records) >= self._settings.targets_max:
+            step = self._forward(request, now, has_target=False)
+            return step or self._end(request, Cause.FAILED, now)
         suspected = self._suspects.check(request, now)
         if isinstance(suspected, Refuse) and request.may_have_run:
             return self._end(request, Cause.FAILED, now)
         return suspected
 
+    def _forward(
+        self, request: OpenRequest, now: int, *, has_target: bool = True
+    ) -> Step | None:
+        """Return the step that hands a request over; None if it is tried here.
+
+        Args:
+            request: The request.
+            now: The time in milliseconds.
+            has_target: Whether there may be a target that this instance can try.
+        """
+        ways = self._connectivity
+        if request.origin is not None:
+            is_refused = ways.is_lost or not (has_target or ways.is_available(now))
+            return self._end(request, Reason.UNREACHABLE, now) if is_refused else None
+        if not ways.is_lost:
+            has_failed = not has_target or _has_failed_to_connect(request)
+            if not has_failed or not ways.is_suspected(now):
+                return None
+        candidates = ()
+        if request.forward_count < FORWARDS_MAX:
+            candidates = ways.reach.candidates(request.regions, now)
+        if not candidates:
+            return self._end(request, Cause.UNREACHABLE, now) if ways.is_lost else None
+        return self._forward_to(request, candidates, now)
+
+    def _forward_to(
+        self, request: OpenRequest, candidates: tuple[str, ...], now: int
+    ) -> Step:
+        refusal = self._charge(request, now, is_forwarded=True)
+        if refusal is not None:
+            return refusal
+        remaining_ms = request.deadline_at - now
+        query = self._target_query(request, remaining_ms)
+        region_order = tuple(self._selector.region_order(query, now))
+        request.forward_count += 1
+        at_ms = now - request.arrived_at
+        record = AttemptRecord(candidates[0], "", at_ms, 0, 0, PlacedBy.HANDED_OVER)
+        request.records.append(record)
+        return ForwardToPeer(request, candidates, region_order, remaining_ms)
+
+    def on_forwarded(
+        self, step: ForwardToPeer, outcome: HandoverOutcome, now: int
+    ) -> Step:
+        """Record the outcome of a handover and return the next step."""
+        request = step.request
+        record = request.records[-1]
+        request.records[-1] = record._replace(
+            target=outcome.peer or record.target,
+            stage=outcome.cause or Stage.ANSWERED.value,
+            status=outcome.status,
+            duration_ms=now - request.last_sent_at,
+        )
+        if outcome.ran == RAN:
+            return Deliver(
+                TargetResult(
+                    Stage.ANSWERED,
+                    outcome.status,
+                    outcome.headers,
+                    outcome.body,
+                    duration_ms=now - request.last_sent_at,
+                )
+            )
+        if outcome.ran != NOT_RUN:
+            request.run_count += 1
+            return self._end(request, outcome.cause, now)
+        if outcome.cause in CAUSES:
+            return self._refuse(request, outcome.refusal(), now)
+        return self.next_step(request, now)
+
+    def spend_retry(self, request: OpenRequest, now: int) -> bool:
+        """Take a retry of a request that may have run; return whether there was one."""
+        return self._budget(request.service, now).try_spend(now)
+
+    def return_token(self, request: OpenRequest, now: int) -> None:
+        """Return the token of a request whose caller left and that no target ran."""
+        self._admission.return_token(request, now)
+
     def may_write(self, attempt: Attempt, now: int) -> bool:
         """Return whether a request may still be sent, just before its first byte."""
         state = attempt.state
@@ -133,7 +234,7 @@
     def on_ended(self, attempt: Attempt, result: TargetResult, now: int) -> Step:
         """Record the result of an attempt and return the next step."""
         request = attempt.request
-        self._record_result(attempt, result, now)
+        self._results.record(attempt, result, now)
         request.records[-1] = request.records[-1]._replace(
             stage=result.stage.value,
             status=result.status,
@@ -143,7 +244,7 @@
             request.arrival_count += 1
         if result.stage.ran != NOT_RUN:
             request.run_count += 1
-        self._record_evidence(attempt, result, now)
+        self._results.record_evidence(attempt, result, now)
         if result.stage is Stage.ANSWERED:
             return self._answered(request, result, now)
         if result.stage.ran != NOT_RUN and not request.route.is_idempotent:
@@ -152,22 +253,15 @@
 
     def on_abandoned(self, attempt: Attempt, result: TargetResult, now: int) -> None:
         """Record the result of an attempt whose caller has disconnected."""
-        attempt.state.on_ended(result.stage, now)
+        stage = result.stage
+        record = attempt.request.records[-1]
+        attempt.request.records[-1] = record._replace(stage=stage.value)
+        if stage in CONNECT_FAILED_STAGES:
+            stage = Stage.NOTHING_WRITTEN  # The connection might have been opened.
+        attempt.state.on_ended(stage, now)
         if result.stage.ran == NOT_RUN and not attempt.request.may_have_run:
             self._admission.return_token(attempt.request, now)
 
-    def _record_evidence(
-        self, attempt: Attempt, result: TargetResult, now: int
-    ) -> None:
-        """Record whether the target ended or survived the request."""
-        request = attempt.request
-        if result.is_lost:
-            request.lost_count += 1
-            self._suspects.record_lost(attempt, now)
-        elif result.stage in (Stage.ANSWERED, Stage.ANSWER_TRUNCATED):
-            attempt.state.answered_request_sent_at = request.last_sent_at
-            self._suspects.record_answered(request, now)
-
     def _answered(self, request: OpenRequest, result: TargetResult, now: int) -> Step:
         is_failure = result.status >= FAILURE_STATUS_MIN
         if not is_failure or not request.route.is_idempotent:
@@ -206,25 +300,36 @@
             request.permit_until = now + wait_ms
         return request.permit_until - now
 
-    def _charge(self, request: OpenRequest, now: int) -> Deliver | Hold | Refuse | None:
-        """Take the token or the retry that an attempt costs; if none, return a step."""
+    def _charge(
+        self, request: OpenRequest, now: int, *, is_forwarded: bool = False
+    ) -> Deliver | Hold | Refuse | None:
+        """Take the token or the retry that an attempt costs; if none, return a step.
+
+        The instance that the caller is connected to takes the token and counts the
+        load; the one that sends the request to targets counts the first attempt.
+        """
         budget = self._budget(request.service, now)
-        if not request.records:
+        if request.records:
+            if request.arrival_count and not budget.try_spend(now):
+                return self._end(request, Cause.BUDGET, now)
+            return None
+        if request.origin is None:
             refusal = self._admission.take_token(request, now)
-            if refusal is None:
-                budget.record_first_attempt()
-                self._selector.home_shares.record_request(
-                    request.service,
-                    self._selector.estimates.typical_work_ms(request.route),
-                )
-            return refusal
-        if request.arrival_count and not budget.try_spend(now):
-            return self._end(request, Cause.BUDGET, now)
+            if refusal is not None:
+                return refusal
+            self._selector.home_shares.record_request(
+                request.service,
+                self._selector.estimates.typical_work_ms(request.route),
+            )
+        is_first = request.origin is None or request.origin.is_first
+        if is_first and not is_forwarded:
+            budget.record_first_attempt()
         return None
 
     def _send(self, request, placement, remaining_ms: int, now: int) -> Attempt:
         state = placement.state
         state.on_sent(now)
+        self._connectivity.record_sent(now)
         self._suspects.record_sent(request, now)
         self._selector.record_sent(placement, now)
         request.tried_ids.add(state.record.id)
@@ -240,38 +345,6 @@
         )
         return Attempt(request, state, placement.in_flight, remaining_ms)
 
-    def _record_result(self, attempt: Attempt, result: TargetResult, now: int) -> None:
-        state = attempt.state
-        has_recovered = state.on_ended(result.stage, now)
-        if has_recovered:
-            state.mark_cold(self._service(attempt.request.service).cold_ms, now)
-        if result.connect_ms is not None:
-            state.record_connected(now)
-            self._selector.estimates.record_connect(
-                state.record.region, result.connect_ms
-            )
-        if result.open_count is not None:
-            state.record_load(result.open_count, now)
-        if result.stated_limit is not None:
-            state.stated_limit = result.stated_limit
-            sent_at = attempt.request.last_sent_at
-            self._permits.limits.record_answer(state, result, sent_at, now)
-        if result.stage is Stage.NOTHING_WRITTEN:
-            return
-        is_answer = result.stage is Stage.ANSWERED
-        is_failure = not is_answer or result.status >= FAILURE_STATUS_MIN
-        state.record_outcome(is_failure, now)
-        if is_answer and not is_failure and not state.is_cold(now):
-            request = attempt.request
-            self._selector.estimates.record_answer(
-                request.route,
-                request.incoming.object_key,
-                state,
-                attempt.in_flight,
-                result.duration_ms,
-                now,
-            )
-
     def _end(
         self, request: OpenRequest, cause: str, now: int, retry_after_ms: int = 0
     ) -> Deliver | Refuse:
@@ -297,18 +370,14 @@
 
     def _target_query(self, request: OpenRequest, remaining_ms: int) -> TargetQuery:
         return TargetQuery(
-            self._service(request.service),
+            self._admission.service(request.service),
             request.route,
             request.incoming.object_key,
             request.priority,
             request.regions,
             remaining_ms,
             frozenset(request.tried_ids | request.passed_over_ids),
-        )
-
-    def _service(self, name: str) -> TargetService:
-        return self._admission.configuration.services_by_name.get(
-            name, TargetService(name, "", 0, 0, 0.0)
+            () if request.origin is None else request.origin.region_order,
         )
 
     def _budget(self, service: str, now: int) -> RetryBudget:
@@ -321,6 +390,9 @@
         return budget
 
 
-_NOT_DELIVERED_STAGES = frozenset(
-    {Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT, Stage.NOTHING_WRITTEN}
-)
+def _has_failed_to_connect(request: OpenRequest) -> bool:
+    return any(record.stage in _CONNECT_FAILED_NAMES for record in request.records)
+
+
+_NOT_DELIVERED_STAGES = CONNECT_FAILED_STAGES | {Stage.NOTHING_WRITTEN}
+_CONNECT_FAILED_NAMES = frozenset(stage.value for stage in CONNECT_FAILED_STAGES)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -90,6 +90,8 @@
         self.fleet = Fleet(settings.fleet, me, components, now)
         self.peers = self.fleet.peers
         self.permits = self.fleet.permits
+        self.connectivity = self.fleet.connectivity
+        self.connectivity.on_lost = self._forget_failures
         self.admission = Admission(settings.admission, self.freshness, self.rates)
         self.attempts = Attempts(
             settings.attempts,
@@ -98,6 +100,7 @@
             self.targets,
             self.permits,
             self.fleet.suspects,
+            self.connectivity,
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
@@ -159,7 +162,9 @@
         """Run periodic updates; return the ids of targets removed from the registry."""
         self.fleet.tick(now)
         self.rates.update(now)
-        self.selector.tick(now)
+        self.connectivity.update(now)
+        if not self.connectivity.is_suspected(now):
+            self.selector.tick(now)
         self._decide_home_shares(now)
         return self.targets.tick(now)
 
@@ -229,6 +234,12 @@
         age_ms = self.peers.configuration_age_ms(name)
         return age_ms is not None and age_ms <= RELAY_AGE_MAX_MS
 
+    def _forget_failures(self, since: int) -> None:
+        """Forget what was taken for failures of targets since the own ways failed."""
+        for state in self.targets.states_by_id.values():
+            state.forget_failures()
+        self.selector.lost_capacity.discard_since(since)
+
     def _decide_home_shares(self, now: int) -> None:
         shares = self.selector.home_shares
         services = shares.permille_by_service
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -10,15 +10,15 @@
     OutgoingBody,
     OutgoingDatagram,
 )
+from sequoiahook.decisions.direct.peer_exchanges import (
+    PeerExchanges,
+    PeerExchangeSettings,
+)
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
-from sequoiahook.decisions.direct.permits import Permits, PermitSettings
 from sequoiahook.decisions.direct.rates import Rates
-from sequoiahook.decisions.direct.suspects import Suspects, SuspectSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.token_server import TokenAnswer
-from sequoiahook.messages.crashes import CrashReport
-from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reports import (
     Datagram,
     GroupDigest,
@@ -43,14 +43,12 @@
     Attributes:
         peers: When peers count as unresponsive.
         groups: Division of the fleet and election of leaders.
-        permits: Permits for targets that state a limit.
-        suspects: Requests under which targets ended.
+        exchanges: Permits, suspect requests and lost ways to targets.
     """
 
     peers: PeerSettings = PeerSettings()
     groups: GroupSettings = GroupSettings()
-    permits: PermitSettings = PermitSettings()
-    suspects: SuspectSettings = SuspectSettings()
+    exchanges: PeerExchangeSettings = PeerExchangeSettings()
 
 
 class FleetComponents(NamedTuple):
@@ -93,8 +91,12 @@
         self.me = me
         self.peers = Peers(settings.peers, me, now)
         self.groups = Groups(settings.groups, me)
-        self.permits = Permits(settings.permits, me, self.peers, components.targets)
-        self.suspects = Suspects(settings.suspects, me, self.peers, components.targets)
+        self._exchanges = PeerExchanges(
+            settings.exchanges, me, self.peers, components.targets
+        )
+        self.permits = self._exchanges.permits
+        self.suspects = self._exchanges.suspects
+        self.connectivity = self._exchanges.connectivity
         self._unresponsive_after_ms = settings.peers.unresponsive_after_ms
         self._components = components
         self._datagrams = DatagramFactory(me)
@@ -146,13 +148,12 @@
         if self.groups.is_leader(now):
             outgoing += self._group_reports(own, now, includes_far=includes_far)
         self.permits.is_leaving = own.is_leaving
-        bodies = self.permits.reports(now) + self.suspects.reports(now)
-        return outgoing + self._datagrams.datagrams(bodies)
+        return outgoing + self._datagrams.datagrams(self._exchanges.reports(now))
 
     def token_requests(self, now: int) -> list[OutgoingDatagram]:
-        """Return the requests for tokens and permits, and new evidence."""
-        bodies = self.permits.requests(now) + self.suspects.urgent_reports(now)
-        return self._rate_token_requests() + self._datagrams.datagrams(bodies)
+        """Return the messages that do not wait for the next report."""
+        urgent = self._datagrams.datagrams(self._exchanges.urgent(now))
+        return self._rate_token_requests() + urgent
 
     def _rate_token_requests(self) -> list[OutgoingDatagram]:
         """Return the token requests for the group's leader or those of other groups."""
@@ -181,12 +182,11 @@
             return self._apply_group_report(datagram, body, now)
         elif isinstance(body, GroupDigest):
             self._apply_digest(sender, body, now)
-        elif isinstance(body, LimitBody):
-            return self._datagrams.datagrams(self.permits.receive(sender, body, now))
-        elif isinstance(body, CrashReport):
-            self.suspects.receive(body, now)
         else:
-            return self._apply_token_message(sender, body, now)
+            answers = self._exchanges.receive(sender, body, now)
+            if answers is None:
+                return self._apply_token_message(sender, body, now)
+            return self._datagrams.datagrams(answers)
         return []
 
     def serve_waiting(self, now: int) -> list[OutgoingDatagram]:
@@ -297,6 +297,8 @@
         }
 
     def _own_open_counts(self) -> dict[str, int]:
+        if self.connectivity.is_lost:
+            return {}  # Requests that hang on lost ways are no load of the targets.
         return {
             target_id: state.open_count
             for target_id, state in self._components.targets.states_by_id.items()
--- a/sequoiahook/decisions/direct/lost_capacity.py
+++ b/sequoiahook/decisions/direct/lost_capacity.py
@@ -106,6 +106,14 @@
         self._usable_by_id = dict(usable_by_id)
         self._forget(now)
 
+    def discard_since(self, since: int) -> None:
+        """Discard the losses and returns since a time, which were none of targets."""
+        self._losses_by_id = {
+            target_id: loss
+            for target_id, loss in self._losses_by_id.items()
+            if loss.changed_at < since
+        }
+
     def ratio(self, now: int) -> float:
         """Return the largest ratio of its slots that a region lost recently."""
         slots_by_region: Counter[str] = Counter()
--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -20,6 +20,7 @@
         regions: Regions that it may run in; empty means all.
         remaining_ms: Time until its deadline.
         tried_ids: Ids of the targets that it was sent to before.
+        region_order: Order of the regions, if another instance has determined it.
     """
 
     service: TargetService
@@ -29,6 +30,7 @@
     regions: tuple[str, ...]
     remaining_ms: int
     tried_ids: frozenset[str]
+    region_order: tuple[str, ...] = ()
 
 
 class Placement(NamedTuple):
--- a/sequoiahook/decisions/direct/region_summary.py
+++ b/sequoiahook/decisions/direct/region_summary.py
@@ -13,6 +13,7 @@
     SHARE = "share of another region"
     REQUIRED_REGIONS = "required regions"
     OVERFLOW = "overflow"
+    HANDED_OVER = "handed over"
 
 
 class RegionCounts(NamedTuple):
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -9,16 +9,20 @@
 from sequoiahook.world.routing import Route
 
 __all__ = [
+    "CAUSES",
     "Attempt",
     "AttemptRecord",
     "Cause",
     "CrashEvidence",
     "Deliver",
+    "ForwardToPeer",
+    "HandoverOutcome",
     "Hold",
     "HoldPermit",
     "HoldTrial",
     "IncomingRequest",
     "OpenRequest",
+    "Origin",
     "Refuse",
     "Status",
 ]
@@ -62,6 +66,16 @@
     SUSPECT = "targets ended under this request, and a trial is in progress"
     TOO_LATE = "no answer in time"
     UNKNOWN_KEY = "key unknown"
+    UNREACHABLE = "no way to targets, and no other instance took the request"
+
+
+CAUSES = frozenset(value for name, value in vars(Cause).items() if name.isupper())
+"""All causes; the reasons of failed handovers are others."""
+
+_STATUS_BY_CAUSE = {
+    Cause.UNKNOWN_KEY: Status.UNAUTHORIZED,
+    Cause.CRASHES: Status.INTERNAL_ERROR,
+}
 
 
 class IncomingRequest(NamedTuple):
@@ -155,6 +169,9 @@
         crash_evidence: Why it is refused; None unless targets ended under it.
         hold_until: When it stops waiting for a token, in milliseconds; None before the
             first wait.
+        forward_count: Number of times that it was handed over to other instances.
+        origin: The instance that handed it over; None if its caller is connected to
+            this one.
 
     Args:
         incoming: Request of the caller.
@@ -195,6 +212,8 @@
         self.trial_until: int | None = None
         self.crash_evidence: CrashEvidence | None = None
         self.hold_until: int | None = None
+        self.forward_count = 0
+        self.origin: Origin | None = None
 
     @property
     def organisation(self) -> str:
@@ -212,6 +231,22 @@
         return self.run_count > 0
 
 
+class Origin(NamedTuple):
+    """Where a request that was handed over comes from.
+
+    Attributes:
+        instance: Name of the instance that its caller is connected to.
+        configuration_number: Configuration by which that instance checked the key.
+        region_order: Regions in the order in which that instance would use them.
+        is_first: Whether no target had received the request before.
+    """
+
+    instance: str
+    configuration_number: int
+    region_order: tuple[str, ...]
+    is_first: bool
+
+
 class Attempt(NamedTuple):
     """A step that sends the request to a target.
 
@@ -234,6 +269,49 @@
     result: TargetResult
 
 
+class ForwardToPeer(NamedTuple):
+    """A step that hands the request over to another instance.
+
+    Attributes:
+        request: The request.
+        candidates: Names of the instances that may run it, best first.
+        region_order: Regions in which it may run, by preference.
+        timeout_ms: Time until the request's deadline.
+    """
+
+    request: OpenRequest
+    candidates: tuple[str, ...]
+    region_order: tuple[str, ...]
+    timeout_ms: int
+
+
+class HandoverOutcome(NamedTuple):
+    """The result of a request that was handed over.
+
+    Attributes:
+        peer: Name of the last instance that it was handed over to; empty if none.
+        ran: ``ran``, ``not run`` or ``unknown``.
+        status: HTTP status of the target's answer; 0 without one.
+        headers: Header fields of the answer.
+        body: Complete body of the answer.
+        cause: Reason for a missing answer; empty if there is one.
+        retry_after_ms: Time after which to retry; 0 if not given.
+    """
+
+    peer: str
+    ran: str
+    status: int = 0
+    headers: Fields = ()
+    body: bytes = b""
+    cause: str = ""
+    retry_after_ms: int = 0
+
+    def refusal(self) -> "Refuse":
+        """Return the refusal of a request that another instance refused to run."""
+        status = _STATUS_BY_CAUSE.get(self.cause, Status.UNAVAILABLE)
+        return Refuse(status, self.cause, self.retry_after_ms)
+
+
 class Hold(NamedTuple):
     """A step that waits for a token of the request's organisation.
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -200,7 +200,7 @@
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused due to a limit."""
-        region = self._regions(query, now)[0]
+        region = self.region_order(query, now)[0]
         group = self._targets.group(query.service.name, region)
         return any(state.limit_per_s is not None for state in group)
 
@@ -208,7 +208,7 @@
         """Return the refusal of a request for which no target can be used."""
         blocked_ms = [
             state.blocked_until - now
-            for region in self._regions(query, now)
+            for region in self.region_order(query, now)
             for state in self._targets.group(query.service.name, region)
             if state.is_blocked(now)
         ]
@@ -219,15 +219,16 @@
             None, retry_after_ms=min(blocked_ms), cause=Cause.TARGETS_LIMITED
         )
 
-    def _regions(self, query: TargetQuery, now: int) -> list[str]:
-        return self.owners.order(
+    def region_order(self, query: TargetQuery, now: int) -> list[str]:
+        """Return the regions in which a request may run, by preference."""
+        return list(query.region_order) or self.owners.order(
             query.route, query.service.name, query.object_key, query.regions, now
         )
 
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        for index, region in enumerate(self._regions(query, now)):
+        for index, region in enumerate(self.region_order(query, now)):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -130,6 +130,16 @@
         """Record that a connection to the target was opened."""
         self.connected_at = now
 
+    def record_connect_failed(self, now: int) -> None:
+        """Record that a connection to the target could not be opened."""
+        self.connect_failed_at = now
+
+    def forget_failures(self) -> None:
+        """Forget the failures so far, which were not those of the target."""
+        self._suspension = TargetSuspension(self._settings.suspension)
+        self._failure_ratio = 0.0
+        self._was_unreachable = False
+
     def on_ended(self, stage: Stage, now: int) -> bool:
         """Count the end of a request.
 
@@ -139,7 +149,6 @@
         self.open_count -= 1
         self._suspension.record_result(stage, now)
         if stage in CONNECT_FAILED_STAGES:
-            self.connect_failed_at = now
             self._was_unreachable = True
             return False
         if stage in _REACHED_STAGES:
--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -45,7 +45,7 @@
 
 _RELOCATION_REASONS = frozenset({Reason.MOVED, Reason.NO_POOL})
 _NEXT_CANDIDATE_REASONS = frozenset(
-    {Reason.LINK_FULL, Reason.NO_CREDIT, RefuseReason.BUSY}
+    {Reason.LINK_FULL, Reason.NO_CREDIT, Reason.UNREACHABLE, RefuseReason.BUSY}
 )
 """Refusals after which the next candidate is tried without using retry budget."""
 
@@ -410,7 +410,8 @@
     ) -> bool:
         if ran != NOT_RUN and not exchange.request.idempotent:
             return False
-        if exchange.state is EntryState.CANCELLING or reason in _FINAL_REASONS:
+        is_final = reason in _FINAL_REASONS or reason in self._settings.final_reasons
+        if exchange.state is EntryState.CANCELLING or is_final:
             return False
         if ran == NOT_RUN and exchange.candidate_index + 1 >= len(exchange.candidates):
             return False
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -66,12 +66,18 @@
         self._last_input_at: int | None = None
         self._pause_count = 0
         self._open_bytes = 0
+        self._outcome_bytes = 0
 
     @property
     def open_count(self) -> int:
         """Number of handovers without an acknowledged outcome."""
         return self._registry.open_count
 
+    @property
+    def outcome_bytes(self) -> int:
+        """Total size of the answers that are not acknowledged yet, in bytes."""
+        return self._outcome_bytes
+
     @property
     def known_id_count(self) -> int:
         """Number of known ids, open or closed."""
@@ -149,7 +155,7 @@
         """
         self._detect_pause(now)
         execution = self._registry.get(request_id)
-        if execution is None or execution.state is not ExecutorState.CONNECTING:
+        if execution is None or not execution.is_at_target:
             return False
         execution.rejection = execution.rejection or self._rejection(execution, now)
         if execution.rejection:
@@ -171,6 +177,25 @@
             pool_effects, now
         )
 
+    def end_without_answer(
+        self,
+        request_id: MessageId,
+        ran: str,
+        reason: str,
+        retry_after_ms: int,
+        now: int,
+    ) -> list:
+        """Finish a started handover that ended without an answer of a target."""
+        self._detect_pause(now)
+        execution = self._registry.get(request_id)
+        if execution is None or not execution.is_at_target:
+            return []
+        not_written = TargetResult(Stage.NOTHING_WRITTEN)
+        pool_effects = execution.pool.finish(request_id, not_written, now)
+        reason = execution.rejection or reason
+        effects = self._finish(execution, ran, reason, now, retry_after_ms)
+        return effects + self._apply(pool_effects, now)
+
     def sender_gone(self, sender: str, incarnation: int, now: int) -> list:
         """Cancel the unsent handovers of an incarnation that has ended."""
         self._detect_pause(now)
@@ -385,6 +410,7 @@
         if execution.handover is not None:
             self._open_bytes -= len(execution.handover.body)
         execution.finish(outcome)
+        self._outcome_bytes += len(outcome.body)
         if execution.is_sender_gone:
             self._forget(execution)
             return []
@@ -415,6 +441,7 @@
 
     def _forget(self, execution: Execution) -> None:
         """Close the id, keeping only whether it ran."""
+        self._outcome_bytes -= len(execution.outcome.body)
         self._registry.close(execution.id, execution.ran)
         execution.outcome = None
 
--- a/sequoiahook/decisions/exchange/settings.py
+++ b/sequoiahook/decisions/exchange/settings.py
@@ -26,6 +26,8 @@
         requests_max: Maximum number of open requests.
         body_bytes_max: Maximum total size of the bodies of open requests, in bytes.
         budget: Limits on retries.
+        final_reasons: Further reasons of executors after which no other candidate is
+            tried.
     """
 
     answer_margin_ms: int = 50
@@ -38,6 +40,7 @@
     requests_max: int = 2_000
     body_bytes_max: int = 128 * 1024 * 1024
     budget: RetryBudgetSettings = RetryBudgetSettings()
+    final_reasons: frozenset[str] = frozenset()
 
 
 class ExecutorSettings(NamedTuple):
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -9,6 +9,7 @@
 
 from sequoiahook.messages.crashes import CrashReport
 from sequoiahook.messages.limits import LimitBody
+from sequoiahook.messages.reach import ReachBody
 
 __all__ = [
     "Datagram",
@@ -156,6 +157,7 @@
     | TokenGrant
     | TokenDenial
     | LimitBody
+    | ReachBody
     | CrashReport
 )
 
--- a/sequoiahook/platform/__main__.py
+++ b/sequoiahook/platform/__main__.py
@@ -9,7 +9,8 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S, BootClock
-from sequoiahook.daemons.direct.instance import DirectInstance, InstanceComponents
+from sequoiahook.daemons.direct.components import InstanceComponents
+from sequoiahook.daemons.direct.instance import DirectInstance
 from sequoiahook.daemons.line_writer import LineWriter, LineWriterSettings
 from sequoiahook.daemons.logs import BoundedLinesHandler
 from sequoiahook.errors import CheckError
--- a/sequoiahook/platform/entries.py
+++ b/sequoiahook/platform/entries.py
@@ -65,7 +65,7 @@
 
 def instance_document(instance: LiveInstance) -> dict[str, Any]:
     """Encode the entry of an instance."""
-    return {
+    document = {
         "incarnation": instance.incarnation,
         "data_centre": instance.data_centre,
         "region": instance.region,
@@ -73,6 +73,9 @@
         "report_address": str(instance.report_address),
         "link_mbps": instance.link_mbps,
     }
+    if instance.handover_address is not None:
+        document["handover_address"] = str(instance.handover_address)
+    return document
 
 
 def read_instance_entry(name: str, document: Any) -> LiveInstance:
@@ -91,6 +94,9 @@
         read_host_port(spec, "caller_address"),
         read_host_port(spec, "report_address"),
         spec.integer("link_mbps", low=0, high=LINK_MBPS_MAX, default=0),
+        read_host_port(spec, "handover_address")
+        if spec.has("handover_address")
+        else None,
     )
     root.raise_for_findings()
     return entry
--- a/sequoiahook/platform/settings.py
+++ b/sequoiahook/platform/settings.py
@@ -68,6 +68,7 @@
         # "directory" is the address for callers' look-ups of instances.
         lookup_address=read_host_port(listen, "directory"),
         report_address=Address(host, ports[0]),
+        handover_address=Address(host, ports[0] + 1) if ports[1] > ports[0] else None,
         metrics_address=Address(host, METRICS_PORT),
         bounds=_read_bounds(root),
         link_mbps=int(limits.number("link_mbps", low=0, default=0)),
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -16,6 +16,7 @@
     PermitGrant,
     PermitRequest,
 )
+from sequoiahook.messages.reach import TARGETS_MAX, ReachQuery, ReachReply
 from sequoiahook.messages.reports import (
     Body,
     Datagram,
@@ -49,6 +50,8 @@
     PermitGrant,
     PermitDenial,
     CrashReport,
+    ReachQuery,
+    ReachReply,
 )
 _LIMIT_TYPES = (LimitReport, PermitRequest, PermitGrant, PermitDenial)
 
@@ -99,6 +102,8 @@
         return _decode_limit_body(body)
     if body_type is CrashReport:
         return CrashReport(tuple(map(_decode_suspect, body.suspects)))
+    if body_type in (ReachQuery, ReachReply):
+        return _decode_reach(body)
     _require(type(body.organisation) is str)
     if body_type is TokenDenial:
         _require(type(body.retry_after_ms) is int)
@@ -122,6 +127,17 @@
     return body
 
 
+def _decode_reach(body: ReachQuery | ReachReply) -> ReachQuery | ReachReply:
+    _require(type(body.number) is int and len(body[-1]) <= TARGETS_MAX)
+    if isinstance(body, ReachReply):
+        _require(type(body.is_available) is bool)
+        _require_counts(body.age_ms_by_target)
+        _require(all(age_ms >= 0 for age_ms in body.age_ms_by_target.values()))
+        return body
+    _require(all(type(target) is str for target in body.targets))
+    return body._replace(targets=tuple(body.targets))
+
+
 def _decode_statement(fields: Any) -> LimitStatement:
     statement = LimitStatement(*fields)
     _require(_are_ints(statement) and statement.age_ms >= 0)
--- a/sequoiahook/world/instance.py
+++ b/sequoiahook/world/instance.py
@@ -49,6 +49,8 @@
         report_address: Address for reports (UDP) and links (TCP) of other instances.
         link_mbps: Bandwidth of its machine's network link, in megabits per second; 0 if
             unknown.
+        handover_address: Address for links that carry requests; None if it accepts no
+            requests of other instances.
     """
 
     name: str
@@ -58,6 +60,7 @@
     caller_address: Address
     report_address: Address
     link_mbps: int = 0
+    handover_address: Address | None = None
 
 
 def read_address(section: Section) -> Address:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from soak.observations import Observations, SentRequest, TargetRun
+from soak.observations import CutInterval, Observations, SentRequest, TargetRun
 
 __all__ = ["Violation", "find_violations"]
 
@@ -26,6 +26,12 @@
 """Targets that may end under a request before the fleet recognises it."""
 
 CRASHING_RUNS_MAX = 3
+CUT_FAILURES_FREE = 10
+CUT_FAILURES_PART = 50
+CUT_SERVED_RATIO = 2 / 3
+EXPECTED_STATUSES = frozenset({200, 401, 404, 429})
+"""Statuses that callers also get from a healthy system."""
+
 NOT_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
 
@@ -205,6 +211,44 @@
             yield Violation("crashing requests stop", late[0].id, text)
 
 
+def _check_cuts(observations: Observations) -> Iterator[Violation]:
+    for cut in observations.cuts:
+        begin = cut.started_at + SETTLE_S
+        if _is_only_fault(observations, cut):
+            cut_off, others = [], []
+            for request in observations.requests:
+                if begin <= request.sent_at < cut.ended_at:
+                    is_cut_off = request.instance in cut.instances
+                    (cut_off if is_cut_off else others).append(request)
+            failed = sum(not _is_expected(request) for request in cut_off)
+            ratio = 1 - failed / max(1, len(cut_off))
+            others_ratio = sum(map(_is_expected, others)) / max(1, len(others))
+            allowed = CUT_FAILURES_FREE + len(cut_off) / CUT_FAILURES_PART
+            if failed > allowed and ratio < CUT_SERVED_RATIO * others_ratio:
+                text = f"{cut.instances}: {failed} of {len(cut_off)} failed"
+                yield Violation("callers without ways are served", "", text)
+
+
+def _is_expected(request: SentRequest) -> bool:
+    return request.status in EXPECTED_STATUSES
+
+
+def _is_only_fault(observations: Observations, cut: CutInterval) -> bool:
+    """Return whether no other fault was near, of instances, targets or cuts."""
+    near = [
+        fault
+        for fault in observations.fault_intervals
+        if fault.started_at <= cut.ended_at
+        and cut.started_at <= fault.ended_at + SETTLE_S
+    ]
+    evacuations = [
+        place
+        for place, started_at, ended_at in observations.evacuations
+        if started_at <= cut.ended_at and cut.started_at <= ended_at + SETTLE_S
+    ]
+    return len(near) <= 1 and not evacuations
+
+
 def _check_evacuations(observations: Observations) -> Iterator[Violation]:
     for run, request in _runs_with_requests(observations):
         for data_centre, started_at, ended_at in observations.evacuations:
@@ -309,6 +353,7 @@
     _check_draining_targets,
     _check_stated_limits,
     _check_crashing_requests,
+    _check_cuts,
     _check_evacuations,
     _check_planned_work,
     _check_stop_durations,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "CutInterval",
     "FaultInterval",
     "InstanceExit",
     "LimitInterval",
@@ -98,6 +99,20 @@
     ended_at: float
 
 
+class CutInterval(NamedTuple):
+    """A period in which instances had lost all ways to targets.
+
+    Attributes:
+        instances: Names of the instances.
+        started_at: When it began.
+        ended_at: When it ended.
+    """
+
+    instances: tuple[str, ...]
+    started_at: float
+    ended_at: float
+
+
 class InstanceExit(NamedTuple):
     """The exit of an instance after a planned stop without any other fault."""
 
@@ -126,6 +141,7 @@
         recovery_failures: Descriptions of what failed after the last fault.
         limits: Periods in which targets stated limits.
         crash_times_by_path: When targets ended under the requests of a path.
+        cuts: Periods in which instances had lost all ways to targets.
     """
 
     requests: tuple[SentRequest, ...]
@@ -142,3 +158,4 @@
     recovery_failures: tuple[str, ...] = ()
     limits: tuple[LimitInterval, ...] = ()
     crash_times_by_path: dict[str, list[float]] = {}
+    cuts: tuple[CutInterval, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from standins.cut_instance import CUTS
+
 __all__ = ["FAULT_KINDS", "Fault", "Plan", "draw_plan"]
 
 
@@ -12,7 +14,7 @@
 
     Attributes:
         start_s: Start, in seconds after the start of the load.
-        kind: A key of FAULT_KINDS or TARGET_FAULT_KINDS.
+        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS or CUT_KINDS.
         subject: Affected instance, target or data centre; empty for the store and for
             actions of operators.
         duration_s: Duration in seconds.
@@ -86,6 +88,20 @@
 TARGET_FAULTS_SHARE = 0.5
 """Share of the seeds whose plans have such faults."""
 
+CUT_KINDS = {
+    "target_cut": FaultKind("instance", 5, 9, CUTS),
+    "target_cut_place": FaultKind("place", 5, 9, CUTS),
+}
+"""Losses of all ways to targets, which are added to the plans of some seeds."""
+
+CUTS_SHARE = 0.4
+"""Share of the seeds whose plans have such losses."""
+
+CUTS_ALONE_SHARE = 0.3
+"""Share of those seeds whose plans have one such loss and no other faults."""
+
+CUTS_MAX = 3
+
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
 FAULT_INTERVAL_MEAN_S = 0.7
 """Mean time between the starts of two faults; most faults last longer and overlap."""
@@ -111,7 +127,9 @@
         faults.append(_draw_fault(rng, kind, start_s, subjects_by_type))
         start_s += rng.expovariate(1 / FAULT_INTERVAL_MEAN_S)
     faults += _draw_target_faults(seed, seconds, subjects_by_type)
-    return Plan(seed, tuple(sorted(faults)))
+    cuts = _draw_cuts(seed, seconds, subjects_by_type)
+    is_alone = bool(cuts) and random.Random(f"{seed}/alone").random() < CUTS_ALONE_SHARE
+    return Plan(seed, tuple(cuts[:1] if is_alone else sorted(faults + cuts)))
 
 
 def _draw_target_faults(
@@ -128,13 +146,31 @@
     ]
 
 
+def _draw_cuts(
+    seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
+) -> list[Fault]:
+    """Return losses of ways, which do not change the other faults of the seed."""
+    rng = random.Random(f"{seed}/cuts")
+    if rng.random() >= CUTS_SHARE:
+        return []
+    return [
+        _draw_fault(
+            rng,
+            rng.choice(sorted(CUT_KINDS)),
+            rng.uniform(0, seconds / 2),
+            subjects_by_type,
+        )
+        for _ in range(rng.randint(1, CUTS_MAX))
+    ]
+
+
 def _draw_fault(
     rng: random.Random,
     kind: str,
     start_s: float,
     subjects_by_type: dict[str, list[str]],
 ) -> Fault:
-    parameters = (FAULT_KINDS | TARGET_FAULT_KINDS)[kind]
+    parameters = (FAULT_KINDS | TARGET_FAULT_KINDS | CUT_KINDS)[kind]
     choose: Callable[[list[str]], str] = rng.choice
     subject = (
         choose(subjects_by_type[parameters.subject_type])
--- a/soak/run.py
+++ b/soak/run.py
@@ -234,6 +234,10 @@
     await asyncio.gather(*tasks)
 
 
+async def _cut_ways(fault: Fault, system: System) -> None:
+    await system.cut_ways(fault.subject, fault.variant, fault.duration_s)
+
+
 async def _configure(fault: Fault, system: System) -> None:
     await (system.add_route() if fault.variant == "add" else system.remove_route())
 
@@ -261,6 +265,8 @@
     "target_fault": _target_fault,
     "target_limit": _target_limit,
     "crashing_request": _crashing_request,
+    "target_cut": _cut_ways,
+    "target_cut_place": _cut_ways,
     "configure": _configure,
     "withdraw": _withdraw_key,
     "evacuate": _evacuate,
--- a/soak/system.py
+++ b/soak/system.py
@@ -11,6 +11,7 @@
 
 from sequoiahook.world.instance import Address
 from soak.observations import (
+    CutInterval,
     FaultInterval,
     InstanceExit,
     LimitInterval,
@@ -55,6 +56,8 @@
 class ProxiedFleet(PlatformFleet):
     """A fleet whose instances reach the store and targets through proxies."""
 
+    instance_module = "standins.cut_instance"
+
     def __init__(self):
         super().__init__()
         self.store_proxy_by_instance: dict[str, FaultProxy] = {}
@@ -102,6 +105,7 @@
         self.limits: list[LimitInterval] = []
         self.crash_times_by_path: dict[str, list[float]] = {}
         self.crash_paths: list[str] = []
+        self.cuts: list[CutInterval] = []
         self._replacing: set[str] = set()
         self._faults_by_target: dict[str, dict[str, str]] = {}
         self.evacuations: list[tuple[str, float, float]] = []
@@ -182,6 +186,17 @@
         self.evacuated.discard(data_centre)
         self.evacuations.append((data_centre, started_at, ended_at))
 
+    async def cut_ways(self, subject: str, how: str, duration_s: float) -> None:
+        """Cut all ways to targets of an instance, or of those of a data centre."""
+        names = tuple(n for n, place in INSTANCES.items() if subject in (n, place))
+        for name in names:
+            self.fleet.cut(name, how)
+        started_at = time.monotonic()
+        await asyncio.sleep(duration_s)
+        self.cuts.append(CutInterval(names, started_at, time.monotonic()))
+        for name in names:
+            self.fleet.cut(name, "")
+
     async def start_target(self, service: str, data_centre: str) -> None:
         """Start a target behind a proxy and register it in the store."""
         target_id = f"i-{next(self._numbers)}"
@@ -350,6 +365,7 @@
             tuple(recovery_failures),
             tuple(self.limits),
             self.crash_times_by_path,
+            tuple(self.cuts),
         )
 
     def close(self) -> None:
