Log what targets state about rest

`Retry-After` of a target's 503 is read in whole and fractional seconds, and logged at most once a second for each target, with the requests sent meanwhile; malformed fields are logged with their text.

--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -5,6 +5,7 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.direct.connect_log import ConnectLog
 from sequoiahook.daemons.direct.limit_log import LimitLog
+from sequoiahook.daemons.direct.rest_log import RestLog
 from sequoiahook.decisions.direct.core import DirectCore
 
 __all__ = ["DecisionLog"]
@@ -29,6 +30,7 @@
         self._lost_event = core.selector.lost_capacity.last_event
         self._limit_log = LimitLog(core)
         self._connect_log = ConnectLog(core, now)
+        self._rest_log = RestLog(core)
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -41,6 +43,7 @@
             self._write_summary(now)
             self._limit_log.write(now)
             self._connect_log.write(now)
+            self._rest_log.write(now)
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -330,6 +330,7 @@
             connect_ms=self._connect_ms,
             open_count=self._dialect.open_count(headers),
             stated_limit=self._dialect.stated_limit(self._head.status_code, headers),
+            stated_rest=self._dialect.stated_rest(self._head.status_code, headers),
         )
 
     def _classify_answer(self) -> None:
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -11,6 +11,7 @@
     TargetState,
 )
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.world.target import StatedRest
 
 __all__ = ["FAILURE_STATUS_MIN", "AttemptResults"]
 
@@ -61,6 +62,8 @@
             state.stated_limit = result.stated_limit
             sent_at = attempt.request.last_sent_at
             self._permits.limits.record_answer(state, result, sent_at, now)
+        if result.stated_rest != _NO_REST:
+            state.record_rest(result.stated_rest)
         if result.stage is Stage.NOTHING_WRITTEN:
             return
         is_answer = result.stage is Stage.ANSWERED
@@ -104,4 +107,5 @@
             self._suspects.record_answered(request, now)
 
 
+_NO_REST = StatedRest()
 _ANSWER_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -4,7 +4,7 @@
 
 from sequoiahook.decisions.exchange.retry import SuspensionSettings, TargetSuspension
 from sequoiahook.decisions.exchange.target_result import Stage
-from sequoiahook.world.target import LiveTarget, StatedLimit
+from sequoiahook.world.target import LiveTarget, StatedLimit, StatedRest
 
 __all__ = ["CONNECT_FAILED_STAGES", "NEVER", "TargetSettings", "TargetState"]
 
@@ -51,9 +51,12 @@
         open_count: Requests of this instance that are open at the target.
         cold_since: When it last became cold.
         cold_until: Until when it is cold.
+        rest_count: Answers that asked for rest.
         sent_count: Requests that this instance has sent to it.
         stated_limit: What its last answer to this instance states about the requests
             that it accepts.
+        stated_rest: The last rest that it asked this instance for, or the text of an
+            invalid field since.
         limit_per_s: Limit that it is known to state on the requests a second of all
             instances; None if it states none.
         limit_stated_at: When it stated this; NEVER if no answer is known.
@@ -75,6 +78,8 @@
         self.open_count = 0
         self.sent_count = 0
         self.stated_limit = StatedLimit(None)
+        self.stated_rest = StatedRest()
+        self.rest_count = 0
         self.limit_per_s: float | None = None
         self.limit_stated_at = NEVER
         self.blocked_until = now
@@ -158,6 +163,11 @@
             self._was_unreachable = False
         return has_recovered
 
+    def record_rest(self, rest: StatedRest) -> None:
+        """Record that the target asks for rest, or that its field is invalid."""
+        self.stated_rest = rest
+        self.rest_count += 1
+
     def record_outcome(self, is_failure: bool, now: int) -> None:
         """Add one result to the average failure ratio."""
         self._decay(now)
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from sequoiahook.messages.requests import NOT_RUN, RAN, UNKNOWN, Fields
-from sequoiahook.world.target import StatedLimit
+from sequoiahook.world.target import StatedLimit, StatedRest
 
 __all__ = ["Stage", "TargetResult"]
 
@@ -53,6 +53,7 @@
         open_count: Open requests that the target reported; None if it did not.
         stated_limit: What the answer states about the requests that the target accepts;
             None without an answer of this target.
+        stated_rest: For how long the target wants no requests of this instance.
         is_timed_out: Whether the exchange ended because its time was over.
     """
 
@@ -66,6 +67,7 @@
     connect_ms: int | None = None
     open_count: int | None = None
     stated_limit: StatedLimit | None = None
+    stated_rest: StatedRest = StatedRest()
     is_timed_out: bool = False
 
     @property
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP dialect of the platform's callers and targets."""
 
 import json
+import math
 import re
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -12,7 +13,7 @@
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import connection_fields
 from sequoiahook.world.instance import Address
-from sequoiahook.world.target import StatedLimit
+from sequoiahook.world.target import StatedLimit, StatedRest
 
 __all__ = ["CallerDialect", "LookupQuery", "PlatformTargetDialect"]
 
@@ -35,6 +36,8 @@
 """Header with the requests a second that the target accepts from all instances."""
 
 LIMIT_PER_S_MAX = 1_000_000
+REST_S_MAX = 3_600
+UNAVAILABLE_STATUS = 503
 KEEP_ALIVE = b"keep-alive"
 RETRY_AFTER = b"retry-after"
 BEARER = b"bearer"
@@ -168,8 +171,17 @@
         is_valid = len(values) == 1 and _DECIMAL.fullmatch(values[0]) is not None
         if is_valid and float(values[0]) <= LIMIT_PER_S_MAX:
             return StatedLimit(float(values[0]))
-        text = b", ".join(values)[:_LOGGED_BYTES_MAX].decode("latin-1")
-        return StatedLimit(None, text or "(empty)")
+        return StatedLimit(None, _logged_text(values))
+
+    def stated_rest(self, status: int, headers: Headers) -> StatedRest:
+        """Return the rest that a refusal asks for; longer ones are not valid."""
+        values = [value.strip() for name, value in headers if name == RETRY_AFTER]
+        if status != UNAVAILABLE_STATUS or not values:
+            return StatedRest()
+        is_valid = len(values) == 1 and _DECIMAL.fullmatch(values[0]) is not None
+        if is_valid and float(values[0]) <= REST_S_MAX:
+            return StatedRest(math.ceil(float(values[0]) * MS_PER_S))
+        return StatedRest(0, _logged_text(values))
 
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
@@ -180,6 +192,11 @@
         return DEFAULT_IDLE_MS
 
 
+def _logged_text(values: Sequence[bytes]) -> str:
+    text = b", ".join(values)[:_LOGGED_BYTES_MAX].decode("latin-1")
+    return text or "(empty)"
+
+
 def _forwarded_fields(headers: Headers, key: str) -> Fields:
     dropped = connection_fields(headers) | _FRAMING_FIELDS | _NOT_FORWARDED_FIELDS
     secret = key.encode("latin-1")
--- a/sequoiahook/wire/target_dialect.py
+++ b/sequoiahook/wire/target_dialect.py
@@ -5,7 +5,7 @@
 
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import RAN_FIELD, response_fields
-from sequoiahook.world.target import StatedLimit
+from sequoiahook.world.target import StatedLimit, StatedRest
 
 __all__ = ["NATIVE_DIALECT", "NativeDialect", "TargetDialect"]
 
@@ -41,6 +41,9 @@
     def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
         """Return the limit that an answer states; None if it comes from another."""
 
+    def stated_rest(self, status: int, headers: Headers) -> StatedRest:
+        """Return for how long the target wants no requests of this instance."""
+
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
 
@@ -71,6 +74,10 @@
         """Return no limit: answers do not state one."""
         return StatedLimit(None)
 
+    def stated_rest(self, status: int, headers: Headers) -> StatedRest:
+        """Return no rest: answers do not ask for one."""
+        return StatedRest()
+
     def idle_ms(self, headers: Headers) -> int:
         """Return IDLE_MS_MAX: answers do not report an idle time-out."""
         return IDLE_MS_MAX
--- a/sequoiahook/world/target.py
+++ b/sequoiahook/world/target.py
@@ -5,7 +5,14 @@
 from sequoiahook.options import Section
 from sequoiahook.world.instance import Address
 
-__all__ = ["TARGET_STATES", "LiveTarget", "StatedLimit", "Target", "read_target"]
+__all__ = [
+    "TARGET_STATES",
+    "LiveTarget",
+    "StatedLimit",
+    "StatedRest",
+    "Target",
+    "read_target",
+]
 
 PORT_MAX = 65535
 SLOTS_MAX = 10_000
@@ -86,3 +93,16 @@
 
     per_s: float | None
     invalid: str = ""
+
+
+class StatedRest(NamedTuple):
+    """What one answer of a target states about a time without requests.
+
+    Attributes:
+        duration_ms: Time for which it wants no requests of this instance, in
+            milliseconds; 0 if it asks for none.
+        invalid: Text of a field that is no valid time; empty if there is none.
+    """
+
+    duration_ms: int = 0
+    invalid: str = ""
