--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -29,11 +29,16 @@
         crash_path: Path of a request that ends the process as soon as it runs; empty
             for none.
         limit: Value of the header that states the target's limit; empty for none.
+        rest: Value of the header with which refused requests are asked to stay away;
+            empty for none.
+        is_leaving: Whether all answers state that the target leaves.
         work_ms: Duration of a run in milliseconds.
     """
 
     how: str = ""
     limit: str = ""
+    rest: str = ""
+    is_leaving: bool = False
     crash_path: str = ""
     work_ms: int = 2
 
@@ -47,6 +52,7 @@
             in seconds, method, path, organisation, body length in bytes, and whether
             the request contained a key.
         last_headers: All headers of the last request.
+        arrivals: Id, path and time of each request that arrived, run or not.
 
     Args:
         target_id: Id of the target.
@@ -60,6 +66,7 @@
         self.faults = TargetFaults()
         self.runs: list[dict[str, Any]] = []
         self.last_headers: dict[str, str] = {}
+        self.arrivals: list[tuple[str, str, float]] = []
         self.cancelled = 0
 
     async def start(self, host: str, port: int) -> int:
@@ -88,6 +95,8 @@
         if path == "/control":
             return await self._control(connection, writer, body)
         self.last_headers = headers
+        request_id = headers.get("request-id", "")
+        self.arrivals.append((request_id, path, time.monotonic()))
         if headers.get("expect-instance", self.id) != self.id:
             return await self._send_response(connection, writer, headers, 421, b"")
         if self.faults.how == "shed":
@@ -170,8 +179,12 @@
         ]
         if self.faults.limit:
             response_headers.append(("server-limit", self.faults.limit))
+        if self.faults.is_leaving:
+            response_headers.append(("server-leaving", "1"))
         if is_shed:
             response_headers.append(("not-executed", "1"))
+            if self.faults.rest:
+                response_headers.append(("retry-after", self.faults.rest))
         else:
             response_headers.append(("server-stamp", f"stamp-{self.id}"))
         if status == 421:
@@ -188,7 +201,13 @@
         document = json.loads(body) if body else {}
         if "faults" in document:
             self.faults = TargetFaults(**document["faults"])
-        report = json.dumps({"runs": self.runs, "headers": self.last_headers})
+        report = json.dumps(
+            {
+                "runs": self.runs,
+                "headers": self.last_headers,
+                "arrivals": self.arrivals,
+            }
+        )
         return await self._send_response(connection, writer, {}, 200, report.encode())
 
 
