Send nothing to a target that has asked this instance for rest (BUDGET)

A target that had refused a request with 503 and `Retry-After: 3` got 8 requests of the same instance in the 0.9 s from half a second on (users' record; 2 are allowed).

Cause: direct sending did not use the field. It was read as whole seconds and passed on, and each target got its requests as before. The class: what a target states in an answer is dropped.

Change: the time binds all attempts of the asked instance, also those that wait for a connection. A later answer does not shorten it. Afterwards the target gets one request at a time until it has answered one, so that it is neither starved nor met by a burst. If all targets rest, requests are refused at once with the time at which the first rest ends. Requests do not leave their region beyond the bound on that account. Peers are not told: the rest concerns one instance.

--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -63,7 +63,7 @@
             sent_at = attempt.request.last_sent_at
             self._permits.limits.record_answer(state, result, sent_at, now)
         if result.stated_rest != _NO_REST:
-            state.record_rest(result.stated_rest)
+            state.record_rest(result.stated_rest, now)
         if result.stage is Stage.NOTHING_WRITTEN:
             return
         is_answer = result.stage is Stage.ANSWERED
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -227,7 +227,7 @@
         current = self._targets.states_by_id.get(state.record.id)
         if current is not state or not self._targets.is_usable(state.record.id):
             return False
-        if now >= attempt.request.deadline_at:
+        if now >= attempt.request.deadline_at or now < state.rest_until:
             return False
         return self._admission.recheck_key(attempt.request, now) is None
 
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -53,6 +53,7 @@
     FAILED = "target failed"
     TARGETS_FULL = "targets are full"
     TARGETS_LIMITED = "targets are at the limits that they state"
+    TARGETS_RESTING = "targets have asked this instance for rest"
     NO_COMMON_REGION = "route and organisation have no region in common"
     NO_CONFIGURATION = "no configuration yet"
     NO_KEY = "key missing"
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -199,25 +199,37 @@
         return _fastest([placement for placement in fitting if not placement.is_moved])
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
-        """Return whether targets of the owner's region are unused due to a limit."""
+        """Return whether targets of the owner's region are unused as they asked for."""
         region = self.region_order(query, now)[0]
         group = self._targets.group(query.service.name, region)
-        return any(state.limit_per_s is not None for state in group)
+        return any(
+            state.limit_per_s is not None or state.is_resting(now) for state in group
+        )
 
     def _no_target(self, query: TargetQuery, now: int) -> Placement:
         """Return the refusal of a request for which no target can be used."""
-        blocked_ms = [
-            state.blocked_until - now
+        states = [
+            state
             for region in self.region_order(query, now)
             for state in self._targets.group(query.service.name, region)
-            if state.is_blocked(now)
         ]
-        if not blocked_ms:
-            retry_ms = self._retry_ms(query)
-            return Placement(None, retry_after_ms=retry_ms, cause=Cause.NO_TARGET)
-        return Placement(
-            None, retry_after_ms=min(blocked_ms), cause=Cause.TARGETS_LIMITED
-        )
+        retry_ms, cause = self._retry_ms(query), Cause.NO_TARGET
+        unavailable_ms = {
+            Cause.TARGETS_LIMITED: [
+                state.blocked_until - now for state in states if state.is_blocked(now)
+            ],
+            Cause.TARGETS_RESTING: [
+                max(retry_ms, state.rest_until - now)
+                for state in states
+                if state.is_resting(now)
+            ],
+        }
+        times = [
+            (time_ms, cause) for cause, ms in unavailable_ms.items() for time_ms in ms
+        ]
+        if times:
+            retry_ms, cause = min(times)
+        return Placement(None, retry_after_ms=retry_ms, cause=cause)
 
     def region_order(self, query: TargetQuery, now: int) -> list[str]:
         """Return the regions in which a request may run, by preference."""
@@ -259,7 +271,7 @@
         for state in self._ranked(query, region):
             if state.record.id in query.tried_ids or not state.may_send(now):
                 continue
-            if state.is_blocked(now):
+            if state.is_blocked(now) or state.is_resting(now):
                 continue
             if not state.is_cold(now):
                 warm.append(state)
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -52,6 +52,8 @@
         cold_since: When it last became cold.
         cold_until: Until when it is cold.
         rest_count: Answers that asked for rest.
+        rest_until: Until when it wants no requests of this instance; NEVER if it has
+            not asked for rest.
         sent_count: Requests that this instance has sent to it.
         stated_limit: What its last answer to this instance states about the requests
             that it accepts.
@@ -80,6 +82,8 @@
         self.stated_limit = StatedLimit(None)
         self.stated_rest = StatedRest()
         self.rest_count = 0
+        self.rest_until = NEVER
+        self._is_returning = False
         self.limit_per_s: float | None = None
         self.limit_stated_at = NEVER
         self.blocked_until = now
@@ -158,15 +162,32 @@
             return False
         if stage in _REACHED_STAGES:
             self.reached_at = now
+        if stage is Stage.ANSWERED and now >= self.rest_until:
+            self._is_returning = False
         has_recovered = self._was_unreachable and stage in (Stage.ANSWERED, Stage.SHED)
         if has_recovered:
             self._was_unreachable = False
         return has_recovered
 
-    def record_rest(self, rest: StatedRest) -> None:
-        """Record that the target asks for rest, or that its field is invalid."""
+    def record_rest(self, rest: StatedRest, now: int) -> None:
+        """Record that the target asks for rest, or that its field is invalid.
+
+        An answer to a request that was on its way does not shorten the rest.
+        """
         self.stated_rest = rest
         self.rest_count += 1
+        if rest.duration_ms:
+            self.rest_until = max(self.rest_until, now + rest.duration_ms)
+            self._is_returning = True
+
+    def is_resting(self, now: int) -> bool:
+        """Return whether the target wants no further request of this instance now.
+
+        After the rest it gets one request at a time until it has answered one.
+        """
+        if now < self.rest_until:
+            return True
+        return self._is_returning and self.open_count > 0
 
     def record_outcome(self, is_failure: bool, now: int) -> None:
         """Add one result to the average failure ratio."""
