Send nothing to a target that states in an answer that it leaves (DRAIN)

Cause: no module read the field, so the target got requests until the store listed it as draining: 26 to 32 in 2 s from each of four instances, 2.5 s after the first such answer.

Change: any answer of the target itself that states it, also a refusal, a failure or one that was cut off, makes this run of the target unusable at once, whatever the store lists. Requests that wait for a connection to it are placed elsewhere, those in flight finish. The instances that learn it from an answer tell all others once (LeaveNotice).

--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -43,7 +43,7 @@
             self._write_summary(now)
             self._limit_log.write(now)
             self._connect_log.write(now)
-            self._rest_log.write(now)
+            self._rest_log.write()
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/direct/rest_log.py
+++ b/sequoiahook/daemons/direct/rest_log.py
@@ -1,4 +1,4 @@
-"""Log lines on targets that ask this instance to stay away for a time."""
+"""Log lines on targets that ask this instance for rest, or that leave."""
 
 from typing import NamedTuple
 
@@ -21,7 +21,7 @@
 
 
 class RestLog:
-    """Logs each target that has asked for rest.
+    """Logs each target that has asked for rest or stated that it leaves.
 
     Args:
         core: The decisions.
@@ -30,9 +30,24 @@
     def __init__(self, core: DirectCore):
         self._core = core
         self._logged_by_id: dict[str, _Counts] = {}
+        self._leaving: set[tuple[str, int]] = set()
 
-    def write(self, now: int) -> None:
-        """Log the targets that asked for rest since the last call."""
+    def write(self) -> None:
+        """Log what targets have stated since the last call."""
+        self._write_leaving()
+        self._write_rests()
+
+    def _write_leaving(self) -> None:
+        leaving = {
+            (target_id, state.record.started_at)
+            for target_id, state in self._core.targets.states_by_id.items()
+            if state.is_leaving
+        }
+        for target_id, _ in sorted(leaving - self._leaving)[:LINES_MAX]:
+            log.info("target states that it leaves", extra={"target": target_id})
+        self._leaving = leaving
+
+    def _write_rests(self) -> None:
         states = self._core.targets.states_by_id
         asking = [
             state
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -316,6 +316,7 @@
                 self.stage,
                 duration_ms=self._elapsed_ms(),
                 connect_ms=self._connect_ms,
+                is_leaving=self._is_leaving(),
                 is_timed_out=self._is_timed_out,
             )
         headers = self._head.headers
@@ -330,9 +331,17 @@
             connect_ms=self._connect_ms,
             open_count=self._dialect.open_count(headers),
             stated_limit=self._dialect.stated_limit(self._head.status_code, headers),
+            is_leaving=self._is_leaving(),
             stated_rest=self._dialect.stated_rest(self._head.status_code, headers),
         )
 
+    def _is_leaving(self) -> bool:
+        if self._head is None:
+            return False
+        status, headers = self._head.status_code, self._head.headers
+        is_own = self._dialect.is_answer_to(self.request.id, headers)
+        return is_own and self._dialect.is_leaving(status, headers)
+
     def _classify_answer(self) -> None:
         headers = self._head.headers
         is_truncated = (
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -1,10 +1,8 @@
 """What the results of attempts show about targets, and about the ways to them."""
 
 from sequoiahook.decisions.direct.admission import Admission
-from sequoiahook.decisions.direct.connectivity import Connectivity
-from sequoiahook.decisions.direct.permits import Permits
+from sequoiahook.decisions.direct.fleet import Fleet
 from sequoiahook.decisions.direct.requests import Attempt
-from sequoiahook.decisions.direct.suspects import Suspects
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.target_state import (
     CONNECT_FAILED_STAGES,
@@ -24,24 +22,16 @@
     Args:
         admission: Holds the services of the configuration in force.
         selector: Holds the estimates of response times.
-        permits: Holds the limits that targets state.
-        suspects: Requests under which targets ended.
-        connectivity: Whether the own ways to targets are lost.
+        fleet: Holds what instances tell each other about targets.
     """
 
-    def __init__(
-        self,
-        admission: Admission,
-        selector: TargetSelector,
-        permits: Permits,
-        suspects: Suspects,
-        connectivity: Connectivity,
-    ):
+    def __init__(self, admission: Admission, selector: TargetSelector, fleet: Fleet):
         self._admission = admission
         self._selector = selector
-        self._permits = permits
-        self._suspects = suspects
-        self._connectivity = connectivity
+        self._permits = fleet.permits
+        self._suspects = fleet.suspects
+        self._connectivity = fleet.connectivity
+        self._leaves = fleet.leaves
 
     def record(self, attempt: Attempt, result: TargetResult, now: int) -> None:
         """Record what a result shows about the target."""
@@ -56,14 +46,7 @@
             state.mark_cold(
                 self._admission.service(attempt.request.service).cold_ms, now
             )
-        if result.open_count is not None:
-            state.record_load(result.open_count, now)
-        if result.stated_limit is not None:
-            state.stated_limit = result.stated_limit
-            sent_at = attempt.request.last_sent_at
-            self._permits.limits.record_answer(state, result, sent_at, now)
-        if result.stated_rest != _NO_REST:
-            state.record_rest(result.stated_rest, now)
+        self._record_statements(attempt, result, now)
         if result.stage is Stage.NOTHING_WRITTEN:
             return
         is_answer = result.stage is Stage.ANSWERED
@@ -80,6 +63,22 @@
                 now,
             )
 
+    def _record_statements(
+        self, attempt: Attempt, result: TargetResult, now: int
+    ) -> None:
+        """Record what the answer states about the target."""
+        state = attempt.state
+        if result.is_leaving:
+            self._leaves.record_answer(state.record.id, state.record.started_at)
+        if result.open_count is not None:
+            state.record_load(result.open_count, now)
+        if result.stated_limit is not None:
+            state.stated_limit = result.stated_limit
+            sent_at = attempt.request.last_sent_at
+            self._permits.limits.record_answer(state, result, sent_at, now)
+        if result.stated_rest != _NO_REST:
+            state.record_rest(result.stated_rest, now)
+
     def _record_connection(
         self, state: TargetState, result: TargetResult, now: int
     ) -> None:
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -81,6 +81,7 @@
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
         connectivity: Whether the own ways to targets are lost.
+        results: Records what the results of attempts show.
     """
 
     def __init__(
@@ -92,12 +93,11 @@
         permits: Permits,
         suspects: Suspects,
         connectivity: Connectivity,
+        results: AttemptResults,
     ):
         self.retry_burst = 1
         self._connectivity = connectivity
-        self._results = AttemptResults(
-            admission, selector, permits, suspects, connectivity
-        )
+        self._results = results
         self._settings = settings
         self._admission = admission
         self._selector = selector
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.admission import Admission, AdmissionSettings
+from sequoiahook.decisions.direct.attempt_results import AttemptResults
 from sequoiahook.decisions.direct.attempts import Attempts, AttemptsSettings
 from sequoiahook.decisions.direct.fleet import (
     Fleet,
@@ -93,6 +94,7 @@
         self.connectivity = self.fleet.connectivity
         self.connectivity.on_lost = self._forget_failures
         self.admission = Admission(settings.admission, self.freshness, self.rates)
+        results = AttemptResults(self.admission, self.selector, self.fleet)
         self.attempts = Attempts(
             settings.attempts,
             self.admission,
@@ -101,6 +103,7 @@
             self.permits,
             self.fleet.suspects,
             self.connectivity,
+            results,
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -97,6 +97,7 @@
         self.permits = self._exchanges.permits
         self.suspects = self._exchanges.suspects
         self.connectivity = self._exchanges.connectivity
+        self.leaves = self._exchanges.leaves
         self._unresponsive_after_ms = settings.peers.unresponsive_after_ms
         self._components = components
         self._datagrams = DatagramFactory(me)
--- a/sequoiahook/decisions/direct/peer_exchanges.py
+++ b/sequoiahook/decisions/direct/peer_exchanges.py
@@ -1,4 +1,4 @@
-"""Messages between instances on permits, suspect requests and lost ways to targets."""
+"""Messages between instances on what they learn from targets."""
 
 from typing import NamedTuple
 
@@ -6,12 +6,14 @@
     Connectivity,
     ConnectivitySettings,
 )
+from sequoiahook.decisions.direct.leaves import Leaves
 from sequoiahook.decisions.direct.outgoing import OutgoingBody
 from sequoiahook.decisions.direct.peers import Peers
 from sequoiahook.decisions.direct.permits import Permits, PermitSettings
 from sequoiahook.decisions.direct.suspects import Suspects, SuspectSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.messages.crashes import CrashReport
+from sequoiahook.messages.leaves import LeaveNotice
 from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reach import ReachBody
 from sequoiahook.messages.reports import Body
@@ -41,6 +43,7 @@
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
         connectivity: Whether the own ways to targets are lost.
+        leaves: Targets that state that they leave.
 
     Args:
         settings: The settings.
@@ -59,6 +62,7 @@
         self.permits = Permits(settings.permits, me, peers, targets)
         self.suspects = Suspects(settings.suspects, me, peers, targets)
         self.connectivity = Connectivity(settings.connectivity, me, peers, targets)
+        self.leaves = Leaves(peers, targets)
 
     def reports(self, now: int) -> list[OutgoingBody]:
         """Return the regular reports that are due."""
@@ -67,7 +71,7 @@
     def urgent(self, now: int) -> list[OutgoingBody]:
         """Return the messages that do not wait for the next report."""
         bodies = self.permits.requests(now) + self.suspects.urgent_reports(now)
-        return bodies + self.connectivity.queries(now)
+        return bodies + self.connectivity.queries(now) + self.leaves.notices()
 
     def receive(self, sender: str, body: Body, now: int) -> list[OutgoingBody] | None:
         """Apply a message; return answers, or None if it is of another kind."""
@@ -77,5 +81,8 @@
             return self.connectivity.receive(sender, body, now)
         if isinstance(body, CrashReport):
             self.suspects.receive(body, now)
-            return []
-        return None
+        elif isinstance(body, LeaveNotice):
+            self.leaves.receive(body)
+        else:
+            return None
+        return []
--- a/sequoiahook/decisions/direct/target_registry.py
+++ b/sequoiahook/decisions/direct/target_registry.py
@@ -110,6 +110,15 @@
         self._evacuated = evacuated
         self.version += 1
 
+    def mark_leaving(self, target_id: str, started_at: int) -> bool:
+        """Use a run of a target no more; return whether it was used until now."""
+        state = self.states_by_id.get(target_id)
+        if state is None or state.record.started_at != started_at or state.is_leaving:
+            return False
+        state.is_leaving = True
+        self.version += 1
+        return True
+
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target is listed and accepts new requests."""
         state = self.states_by_id.get(target_id)
@@ -129,7 +138,9 @@
 
     def _accepts_requests(self, state: TargetState) -> bool:
         record = state.record
-        return not record.is_draining and record.data_centre not in self._evacuated
+        if record.is_draining or state.is_leaving:
+            return False
+        return record.data_centre not in self._evacuated
 
     def _regroup(self) -> None:
         self._states_by_group = {}
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -51,6 +51,7 @@
         open_count: Requests of this instance that are open at the target.
         cold_since: When it last became cold.
         cold_until: Until when it is cold.
+        is_leaving: Whether this run of it has stated that it leaves.
         rest_count: Answers that asked for rest.
         rest_until: Until when it wants no requests of this instance; NEVER if it has
             not asked for rest.
@@ -81,6 +82,7 @@
         self.sent_count = 0
         self.stated_limit = StatedLimit(None)
         self.stated_rest = StatedRest()
+        self.is_leaving = False
         self.rest_count = 0
         self.rest_until = NEVER
         self._is_returning = False
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -54,6 +54,8 @@
         stated_limit: What the answer states about the requests that the target accepts;
             None without an answer of this target.
         stated_rest: For how long the target wants no requests of this instance.
+        is_leaving: Whether the target states that it leaves; also in an answer that was
+            cut off.
         is_timed_out: Whether the exchange ended because its time was over.
     """
 
@@ -68,6 +70,7 @@
     open_count: int | None = None
     stated_limit: StatedLimit | None = None
     stated_rest: StatedRest = StatedRest()
+    is_leaving: bool = False
     is_timed_out: bool = False
 
     @property
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from sequoiahook.messages.crashes import CrashReport
+from sequoiahook.messages.leaves import LeaveNotice
 from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reach import ReachBody
 
@@ -158,6 +159,7 @@
     | TokenDenial
     | LimitBody
     | ReachBody
+    | LeaveNotice
     | CrashReport
 )
 
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -35,6 +35,8 @@
 LIMIT = b"server-limit"
 """Header with the requests a second that the target accepts from all instances."""
 
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
 LIMIT_PER_S_MAX = 1_000_000
 REST_S_MAX = 3_600
 UNAVAILABLE_STATUS = 503
@@ -183,6 +185,12 @@
             return StatedRest(math.ceil(float(values[0]) * MS_PER_S))
         return StatedRest(0, _logged_text(values))
 
+    def is_leaving(self, status: int, headers: Headers) -> bool:
+        """Return whether the target states that it leaves."""
+        if status == WRONG_TARGET_STATUS:
+            return False
+        return _first_value(headers, LEAVING) == LEAVING_VALUE
+
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
         for part in (_first_value(headers, KEEP_ALIVE) or b"").split(b","):
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -8,6 +8,7 @@
 
 from sequoiahook.errors import CodecError
 from sequoiahook.messages.crashes import Crash, CrashReport, SuspectStatement
+from sequoiahook.messages.leaves import RUNS_MAX, LeaveNotice
 from sequoiahook.messages.limits import (
     LimitBody,
     LimitReport,
@@ -52,8 +53,8 @@
     CrashReport,
     ReachQuery,
     ReachReply,
+    LeaveNotice,
 )
-_LIMIT_TYPES = (LimitReport, PermitRequest, PermitGrant, PermitDenial)
 
 
 def encode_datagram(datagram: Datagram, secret: bytes) -> bytes:
@@ -98,12 +99,8 @@
     if body_type is GroupDigest:
         _require_counts(body.open_by_target, body.home_by_service)
         return body._replace(state_by_instance=_decode_states(body.state_by_instance))
-    if body_type in _LIMIT_TYPES:
-        return _decode_limit_body(body)
-    if body_type is CrashReport:
-        return CrashReport(tuple(map(_decode_suspect, body.suspects)))
-    if body_type in (ReachQuery, ReachReply):
-        return _decode_reach(body)
+    if body_type in _DECODERS_BY_TYPE:
+        return _DECODERS_BY_TYPE[body_type](body)
     _require(type(body.organisation) is str)
     if body_type is TokenDenial:
         _require(type(body.retry_after_ms) is int)
@@ -113,6 +110,15 @@
     return body
 
 
+def _decode_crash_report(body: CrashReport) -> CrashReport:
+    return CrashReport(tuple(map(_decode_suspect, body.suspects)))
+
+
+def _decode_leave_notice(body: LeaveNotice) -> LeaveNotice:
+    _require(len(body.runs) <= RUNS_MAX)
+    return LeaveNotice(tuple(map(_decode_run, body.runs)))
+
+
 def _decode_limit_body(body: LimitBody) -> LimitBody:
     if isinstance(body, LimitReport):
         table = body.statement_by_target
@@ -127,6 +133,12 @@
     return body
 
 
+def _decode_run(fields: Any) -> tuple[str, int]:
+    target, started_at = fields
+    _require(type(target) is str and type(started_at) is int)
+    return target, started_at
+
+
 def _decode_reach(body: ReachQuery | ReachReply) -> ReachQuery | ReachReply:
     _require(type(body.number) is int and len(body[-1]) <= TARGETS_MAX)
     if isinstance(body, ReachReply):
@@ -195,5 +207,16 @@
         raise ValueError("field with an invalid type or value")
 
 
+_DECODERS_BY_TYPE = {
+    **dict.fromkeys(
+        (LimitReport, PermitRequest, PermitGrant, PermitDenial), _decode_limit_body
+    ),
+    CrashReport: _decode_crash_report,
+    ReachQuery: _decode_reach,
+    ReachReply: _decode_reach,
+    LeaveNotice: _decode_leave_notice,
+}
+
+
 def _tag(encoded: bytes, secret: bytes) -> bytes:
     return hmac.digest(secret, encoded, hashlib.sha256)[:TAG_BYTES]
--- a/sequoiahook/wire/target_dialect.py
+++ b/sequoiahook/wire/target_dialect.py
@@ -44,6 +44,9 @@
     def stated_rest(self, status: int, headers: Headers) -> StatedRest:
         """Return for how long the target wants no requests of this instance."""
 
+    def is_leaving(self, status: int, headers: Headers) -> bool:
+        """Return whether the target states that it leaves."""
+
     def idle_ms(self, headers: Headers) -> int:
         """Return how long the target keeps an idle connection, in milliseconds."""
 
@@ -78,6 +81,10 @@
         """Return no rest: answers do not ask for one."""
         return StatedRest()
 
+    def is_leaving(self, status: int, headers: Headers) -> bool:
+        """Return False: answers do not state it."""
+        return False
+
     def idle_ms(self, headers: Headers) -> int:
         """Return IDLE_MS_MAX: answers do not report an idle time-out."""
         return IDLE_MS_MAX
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -23,6 +23,7 @@
     "max_attempts",
     "max_connections",
     "not-executed",
+    "server-leaving",
     "server-load",
     "server-stamp",
     "sticky_sessions",
