--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from soak import statements
 from soak.observations import CutInterval, Observations, SentRequest, TargetRun
 
 __all__ = ["Violation", "find_violations"]
@@ -211,6 +212,15 @@
             yield Violation("crashing requests stop", late[0].id, text)
 
 
+def _check_statements(observations: Observations) -> Iterator[Violation]:
+    for instance, target, count in statements.late_in_rests(observations):
+        text = f"{target} asked {instance} for rest and got {count} requests"
+        yield Violation("rests of targets hold", "", text)
+    for instance, target, delay_s in statements.late_after_leaving(observations):
+        text = f"{target} told {instance} that it leaves, {delay_s:.2f} s before"
+        yield Violation("leaving targets get nothing", "", text)
+
+
 def _check_cuts(observations: Observations) -> Iterator[Violation]:
     for cut in observations.cuts:
         begin = cut.started_at + SETTLE_S
@@ -353,6 +363,7 @@
     _check_draining_targets,
     _check_stated_limits,
     _check_crashing_requests,
+    _check_statements,
     _check_cuts,
     _check_evacuations,
     _check_planned_work,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "Arrival",
     "CutInterval",
     "FaultInterval",
     "InstanceExit",
@@ -64,6 +65,24 @@
     has_key: bool
 
 
+class Arrival(NamedTuple):
+    """A request that arrived at a target, whether or not it ran.
+
+    Attributes:
+        id: Request id.
+        target: Id of the target.
+        at: When it arrived.
+        rest: Time in seconds for which its answer asked for rest; empty for none.
+        is_leaving: Whether its answer stated that the target leaves.
+    """
+
+    id: str
+    target: str
+    at: float
+    rest: str
+    is_leaving: bool
+
+
 class FaultInterval(NamedTuple):
     """A period in which a fault affected one instance or all of them.
 
@@ -142,6 +161,7 @@
         limits: Periods in which targets stated limits.
         crash_times_by_path: When targets ended under the requests of a path.
         cuts: Periods in which instances had lost all ways to targets.
+        arrivals: All requests that arrived at targets.
     """
 
     requests: tuple[SentRequest, ...]
@@ -159,3 +179,4 @@
     limits: tuple[LimitInterval, ...] = ()
     crash_times_by_path: dict[str, list[float]] = {}
     cuts: tuple[CutInterval, ...] = ()
+    arrivals: tuple[Arrival, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,7 +14,7 @@
 
     Attributes:
         start_s: Start, in seconds after the start of the load.
-        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS or CUT_KINDS.
+        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS, STATEMENT_KINDS or CUT_KINDS.
         subject: Affected instance, target or data centre; empty for the store and for
             actions of operators.
         duration_s: Duration in seconds.
@@ -88,6 +88,17 @@
 TARGET_FAULTS_SHARE = 0.5
 """Share of the seeds whose plans have such faults."""
 
+STATEMENT_KINDS = {
+    "target_rest": FaultKind("target", 0.3, 1, ("0.7", "2", "3")),
+    "target_leaving": FaultKind("target", 4, 6),
+}
+"""Statements in answers of targets, which are added to the plans of some seeds."""
+
+STATEMENTS_SHARE = 0.5
+"""Share of the seeds whose plans have such statements."""
+
+STATEMENTS_MAX = 4
+
 CUT_KINDS = {
     "target_cut": FaultKind("instance", 5, 9, CUTS),
     "target_cut_place": FaultKind("place", 5, 9, CUTS),
@@ -102,6 +113,7 @@
 
 CUTS_MAX = 3
 
+_ALL_KINDS = FAULT_KINDS | TARGET_FAULT_KINDS | STATEMENT_KINDS | CUT_KINDS
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
 FAULT_INTERVAL_MEAN_S = 0.7
 """Mean time between the starts of two faults; most faults last longer and overlap."""
@@ -127,6 +139,7 @@
         faults.append(_draw_fault(rng, kind, start_s, subjects_by_type))
         start_s += rng.expovariate(1 / FAULT_INTERVAL_MEAN_S)
     faults += _draw_target_faults(seed, seconds, subjects_by_type)
+    faults += _draw_statements(seed, seconds, subjects_by_type)
     cuts = _draw_cuts(seed, seconds, subjects_by_type)
     is_alone = bool(cuts) and random.Random(f"{seed}/alone").random() < CUTS_ALONE_SHARE
     return Plan(seed, tuple(cuts[:1] if is_alone else sorted(faults + cuts)))
@@ -146,11 +159,29 @@
     ]
 
 
+def _draw_statements(
+    seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
+) -> list[Fault]:
+    """Return statements of targets; they do not change the other faults of the seed."""
+    rng = random.Random(f"{seed}/statements-7")
+    if rng.random() >= STATEMENTS_SHARE:
+        return []
+    return [
+        _draw_fault(
+            rng,
+            rng.choice(sorted(STATEMENT_KINDS)),
+            rng.uniform(0, seconds),
+            subjects_by_type,
+        )
+        for _ in range(rng.randint(1, STATEMENTS_MAX))
+    ]
+
+
 def _draw_cuts(
     seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
 ) -> list[Fault]:
     """Return losses of ways, which do not change the other faults of the seed."""
-    rng = random.Random(f"{seed}/cuts")
+    rng = random.Random(f"{seed}/ways")
     if rng.random() >= CUTS_SHARE:
         return []
     return [
@@ -170,7 +201,7 @@
     start_s: float,
     subjects_by_type: dict[str, list[str]],
 ) -> Fault:
-    parameters = (FAULT_KINDS | TARGET_FAULT_KINDS | CUT_KINDS)[kind]
+    parameters = _ALL_KINDS[kind]
     choose: Callable[[list[str]], str] = rng.choice
     subject = (
         choose(subjects_by_type[parameters.subject_type])
--- a/soak/run.py
+++ b/soak/run.py
@@ -234,6 +234,15 @@
     await asyncio.gather(*tasks)
 
 
+async def _target_rest(fault: Fault, system: System) -> None:
+    target_id = _target_id(fault, system)
+    await system.ask_for_rest(target_id, fault.variant, fault.duration_s)
+
+
+async def _target_leaving(fault: Fault, system: System) -> None:
+    await system.leave(_target_id(fault, system), fault.duration_s)
+
+
 async def _cut_ways(fault: Fault, system: System) -> None:
     await system.cut_ways(fault.subject, fault.variant, fault.duration_s)
 
@@ -265,6 +274,8 @@
     "target_fault": _target_fault,
     "target_limit": _target_limit,
     "crashing_request": _crashing_request,
+    "target_rest": _target_rest,
+    "target_leaving": _target_leaving,
     "target_cut": _cut_ways,
     "target_cut_place": _cut_ways,
     "configure": _configure,
--- a/soak/system.py
+++ b/soak/system.py
@@ -11,6 +11,7 @@
 
 from sequoiahook.world.instance import Address
 from soak.observations import (
+    Arrival,
     CutInterval,
     FaultInterval,
     InstanceExit,
@@ -197,6 +198,19 @@
         for name in names:
             self.fleet.cut(name, "")
 
+    async def ask_for_rest(self, target_id: str, rest: str, duration_s: float) -> None:
+        """Let a target refuse all requests for a time, and ask for rest."""
+        await self._change_target(target_id, how="shed", rest=rest)
+        await asyncio.sleep(duration_s)
+        await self._change_target(target_id, how="", rest="")
+
+    async def leave(self, target_id: str, duration_s: float) -> None:
+        """Let a target state in its answers that it leaves, and replace it later."""
+        if target_id in self.live_targets:
+            await self._change_target(target_id, is_leaving=True)
+            await asyncio.sleep(duration_s)
+            await self.replace_target(target_id, is_killed=False)
+
     async def start_target(self, service: str, data_centre: str) -> None:
         """Start a target behind a proxy and register it in the store."""
         target_id = f"i-{next(self._numbers)}"
@@ -230,13 +244,9 @@
             return
         register_target = self.fleet.register_target
         await asyncio.to_thread(
-            register_target,
-            target_id,
-            service=service,
-            zone=data_centre,
-            state="draining",
-            sequence=2,
-        )
+            register_target, target_id, service=service, zone=data_centre,
+            state="draining", sequence=2,
+        )  # fmt: skip
         self.draining_at_by_target[target_id] = time.monotonic()
         await asyncio.sleep(DRAINING_S)
         self.fleet.signal(target_id, signal.SIGKILL)
@@ -348,7 +358,7 @@
         }
         return Observations(
             tuple(requests),
-            tuple(self._read_runs()),
+            tuple(self._read_lines("*.runs", TargetRun)),
             organisations,
             {
                 name: rate_limit
@@ -366,6 +376,7 @@
             tuple(self.limits),
             self.crash_times_by_path,
             tuple(self.cuts),
+            tuple(self._read_lines("*.runs.arrivals", Arrival)),
         )
 
     def close(self) -> None:
@@ -376,10 +387,10 @@
         ):
             proxy.close()
 
-    def _read_runs(self) -> list[TargetRun]:
+    def _read_lines(self, pattern: str, record_type: type) -> list:
         return [
-            TargetRun(**json.loads(line))
-            for path in sorted(self.fleet.path.glob("*.runs"))
+            record_type(**json.loads(line))
+            for path in sorted(self.fleet.path.glob(pattern))
             for line in path.read_text().splitlines()
         ]
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -95,8 +95,7 @@
         if path == "/control":
             return await self._control(connection, writer, body)
         self.last_headers = headers
-        request_id = headers.get("request-id", "")
-        self.arrivals.append((request_id, path, time.monotonic()))
+        self._record_arrival(headers.get("request-id", ""), path)
         if headers.get("expect-instance", self.id) != self.id:
             return await self._send_response(connection, writer, headers, 421, b"")
         if self.faults.how == "shed":
@@ -120,6 +119,20 @@
             os._exit(CRASH_EXIT_CODE)
         return await self._respond(connection, writer, headers, path)
 
+    def _record_arrival(self, request_id: str, path: str) -> None:
+        at = time.monotonic()
+        self.arrivals.append((request_id, path, at))
+        if self._runs_path:
+            arrival = {
+                "id": request_id,
+                "target": self.id,
+                "at": at,
+                "rest": self.faults.rest,
+                "is_leaving": self.faults.is_leaving,
+            }
+            with open(f"{self._runs_path}.arrivals", "a", encoding="ascii") as file:
+                file.write(json.dumps(arrival) + "\n")
+
     def _record_run(self, run: dict[str, Any]) -> None:
         self.runs.append(run)
         if self._runs_path:
