Judge the load of an executor by several delays of its event loop

One late tick, as by a processor quota, made an executor refuse all requests that are handed over for 50 ms. The smallest of four delays counts now, which grows only with lasting overload. test_platform_handovers.py and test_connectivity.py pass.

--- a/sequoiahook/daemons/direct/executions.py
+++ b/sequoiahook/daemons/direct/executions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 
 import logbook
@@ -30,12 +31,13 @@
 log = logbook.Logger("request")
 
 
+LAG_SAMPLES = 4
+"""Number of delays of which the smallest counts: a single pause is no overload."""
+
+
 class Executions:
     """Runs requests of other instances.
 
-    Attributes:
-        lag_ms: Delay of the event loop, in milliseconds.
-
     Args:
         core: The decisions.
         runner: Runs open requests.
@@ -51,7 +53,7 @@
         send: Callable[[str, tuple], None],
     ):
         me = core.me
-        self.lag_ms = 0
+        self._lags_ms: deque[int] = deque(maxlen=LAG_SAMPLES)
         self._core = core
         self._runner = runner
         self._clock = clock
@@ -87,7 +89,7 @@
             self._executor.set_pool(handover.service, self._pool)
         self._pool.state = AdmissionState(
             self._core.connectivity.is_available(now) and self._core.is_serving(now),
-            self.lag_ms,
+            self._lag_ms(),
             self._executor.outcome_bytes,
         )
         self._handovers_by_id.setdefault(handover.id, body)
@@ -95,8 +97,14 @@
         if handover.id not in self._tasks_by_id:
             self._handovers_by_id.pop(handover.id, None)
 
-    def tick(self, now: int) -> None:
-        """Handle what is due."""
+    def tick(self, lag_ms: int, now: int) -> None:
+        """Handle what is due.
+
+        Args:
+            lag_ms: Delay of the event loop.
+            now: The time in milliseconds.
+        """
+        self._lags_ms.append(lag_ms)
         self._apply(self._executor.tick(now))
 
     def close(self) -> None:
@@ -104,6 +112,9 @@
         for task in self._tasks_by_id.values():
             task.cancel()
 
+    def _lag_ms(self) -> int:
+        return min(self._lags_ms, default=0)
+
     def _apply(self, effects: list) -> None:
         for effect in effects:
             if isinstance(effect, Send):
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -142,8 +142,8 @@
             while self._is_active():
                 due_at = self._clock.now() + TICK_MS
                 await asyncio.sleep(TICK_MS / MS_PER_S)
-                self._executions.lag_ms = self._clock.now() - due_at
-                self._tick(self._clock.now())
+                now = self._clock.now()
+                self._tick(now - due_at, now)
             self._links.set_peers({})
 
     async def close(self) -> None:
@@ -183,7 +183,7 @@
         is_doubted = self._core.connectivity.is_active(self._clock.now())
         return is_doubted or bool(self._entry.open_count + self._executions.open_count)
 
-    def _tick(self, now: int) -> None:
+    def _tick(self, lag_ms: int, now: int) -> None:
         connectivity = self._core.connectivity
         connectivity.update(now)
         self._log_events()
@@ -195,7 +195,7 @@
             self._links.set_peers({})
         self._check_links(now)
         self._apply(self._entry.tick(now))
-        self._executions.tick(now)
+        self._executions.tick(lag_ms, now)
 
     def _log_events(self) -> None:
         for event in self._core.connectivity.pop_events():
