Handovers: no second copy to a peer whose link comes up, no idle link taken for silent

A handover that was not written to its link goes to the next candidate without retry budget. test_platform_handovers.py and test_platform_connectivity.py pass.

--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -139,6 +139,9 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
+            # Nothing was expected on the links while nothing was due.
+            now = self._clock.now()
+            self._heard_at_by_peer = dict.fromkeys(self._heard_at_by_peer, now)
             while self._is_active():
                 due_at = self._clock.now() + TICK_MS
                 await asyncio.sleep(TICK_MS / MS_PER_S)
@@ -228,9 +231,8 @@
             self._on_heard(event.peer, now)
             self._receive(event.peer, event.envelope.body, now)
         elif isinstance(event, PeerUp):
-            self._on_heard(event.name, now)
             self._executions.on_peer_up(event.name, event.incarnation, now)
-            self._apply(self._entry.peer_up(event.name, now))
+            self._on_heard(event.name, now)
         elif isinstance(event, PeerDown):
             self._heard_at_by_peer.pop(event.name, None)
             self._core.connectivity.reach.linked.discard(event.name)
@@ -238,7 +240,8 @@
         elif isinstance(event, SendFailed):
             body = event.envelope.body
             if isinstance(body, DirectHandOver):
-                self._apply(self._entry.send_failed(body.handover.id, now))
+                message_id, reason = body.handover.id, Reason.LINK_FULL
+                self._apply(self._entry.send_rejected(message_id, reason, now))
         self._wake.set()
 
     def _on_heard(self, peer: str, now: int) -> None:
