Name the loss of connectivity to targets by its usual terms

`ways to targets lost` and `regained` in the log are `connectivity to targets lost` and `regained` now.

--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -1,4 +1,4 @@
-"""Handing requests over to other instances while the own ways to targets are lost.
+"""Handing requests over to other instances while connectivity to targets is lost.
 
 Both sides run on every instance: the entry for requests of its own callers, and the
 executor for requests of other instances.
@@ -206,9 +206,9 @@
             if fields.pop("is_lost"):
                 # Open connections may hang; requests that use them would wait in vain.
                 self._prober.close_idle_connections()
-                log.info("ways to targets lost", extra=fields)
+                log.info("connectivity to targets lost", extra=fields)
             else:
-                log.info("ways to targets regained", extra=fields)
+                log.info("connectivity to targets regained", extra=fields)
 
     def _check_links(self, now: int) -> None:
         """Treat links to executors on which nothing arrives as lost."""
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -125,7 +125,7 @@
             self._reporter.send_token_requests,
             self._clock,
         )
-        self._reporter.on_ways_doubted = self._handovers.wake
+        self._reporter.on_connectivity_doubted = self._handovers.wake
         self._stopping = Stopping(
             stopping_settings(settings), lambda: self._handovers.execution_count
         )
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -60,7 +60,7 @@
 
     Attributes:
         secret: The fleet's secret, which authenticates datagrams; empty until known.
-        on_ways_doubted: Called while the own ways to targets need to be checked.
+        on_connectivity_doubted: Called while connectivity to targets is in doubt.
 
     Args:
         settings: Settings of the instance.
@@ -70,7 +70,7 @@
 
     def __init__(self, settings: DirectSettings, core: DirectCore, clock: Clock):
         self.secret = b""
-        self.on_ways_doubted: Callable[[], None] = lambda: None
+        self.on_connectivity_doubted: Callable[[], None] = lambda: None
         self._settings = settings
         self._core = core
         self._clock = clock
@@ -135,7 +135,7 @@
         now = self._clock.now()
         self._send_all(self._core.token_requests(now))
         if self._core.connectivity.is_active(now):
-            self.on_ways_doubted()
+            self.on_connectivity_doubted()
 
     async def wait(self, hold: Hold | HoldPermit) -> None:
         """Wait for a token or permit message, up to the hold's max wait."""
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -1,4 +1,4 @@
-"""What the results of attempts show about targets, and about the ways to them."""
+"""What the results of attempts show about targets and the paths to them."""
 
 from sequoiahook.decisions.direct.admission import Admission
 from sequoiahook.decisions.direct.fleet import Fleet
@@ -38,7 +38,7 @@
         state = attempt.state
         self._record_connection(state, result, now)
         if self._connectivity.is_lost and result.stage not in _ANSWER_STAGES:
-            # The way to the target failed, whatever the target did.
+            # The network path failed, whatever the target did.
             state.on_ended(Stage.NOTHING_WRITTEN, now)
             return
         has_recovered = state.on_ended(result.stage, now)
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -80,7 +80,7 @@
         targets: Registry of targets.
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
-        connectivity: Whether the own ways to targets are lost.
+        connectivity: Whether connectivity to targets is lost.
         results: Records what the results of attempts show.
     """
 
@@ -154,20 +154,24 @@
             now: The time in milliseconds.
             has_target: Whether there may be a target that this instance can try.
         """
-        ways = self._connectivity
+        connectivity = self._connectivity
         if request.origin is not None:
-            is_refused = ways.is_lost or not (has_target or ways.is_available(now))
-            return self._end(request, Reason.UNREACHABLE, now) if is_refused else None
-        if not ways.is_lost:
+            has_target = has_target or connectivity.is_available(now)
+            if has_target and not connectivity.is_lost:
+                return None
+            return self._end(request, Reason.UNREACHABLE, now)
+        if not connectivity.is_lost:
             has_failed = not has_target or _has_failed_to_connect(request)
-            if not has_failed or not ways.is_suspected(now):
+            if not has_failed or not connectivity.is_suspected(now):
                 return None
         candidates = ()
         if request.forward_count < FORWARDS_MAX:
-            candidates = ways.reach.candidates(request.regions, now)
-        if not candidates:
-            return self._end(request, Cause.UNREACHABLE, now) if ways.is_lost else None
-        return self._forward_to(request, candidates, now)
+            candidates = connectivity.reach.candidates(request.regions, now)
+        if candidates:
+            return self._forward_to(request, candidates, now)
+        if connectivity.is_lost:
+            return self._end(request, Cause.UNREACHABLE, now)
+        return None
 
     def _forward_to(
         self, request: OpenRequest, candidates: tuple[str, ...], now: int
@@ -197,15 +201,8 @@
             duration_ms=now - request.last_sent_at,
         )
         if outcome.ran == RAN:
-            return Deliver(
-                TargetResult(
-                    Stage.ANSWERED,
-                    outcome.status,
-                    outcome.headers,
-                    outcome.body,
-                    duration_ms=now - request.last_sent_at,
-                )
-            )
+            answer = (outcome.status, outcome.headers, outcome.body)
+            return Deliver(TargetResult(Stage.ANSWERED, *answer))
         if outcome.ran != NOT_RUN:
             request.run_count += 1
             return self._end(request, outcome.cause, now)
--- a/sequoiahook/decisions/direct/connectivity.py
+++ b/sequoiahook/decisions/direct/connectivity.py
@@ -1,10 +1,10 @@
-"""Whether this instance has lost its own ways to targets, and who still reaches them.
+"""Whether this instance has lost connectivity to targets, and who still has it.
 
-A failed connection may be the fault of the target or of the way to it. The instance
-suspects its own ways when connections to several targets failed and none was opened
-meanwhile; it then opens connections to targets of other data centres (probes) and asks
-peers which of the targets they reach. Only both together show that the ways are lost.
-While they are, requests are handed over to peers that reach targets.
+A failed connection may be the fault of the target or of the network path to it. The
+instance suspects the latter when connections to several targets failed and none was
+opened meanwhile; it then opens connections to targets of other data centres (probes)
+and asks peers which of the targets they reach. Only both together show that
+connectivity is lost. Requests are then handed over to peers that reach targets.
 """
 
 from collections.abc import Callable
@@ -22,11 +22,11 @@
 
 
 class ConnectivitySettings(NamedTuple):
-    """Settings of the verdict on the own ways to targets.
+    """Settings of the verdict on connectivity to targets.
 
     Attributes:
-        suspect_targets: Targets with failed connections from which the own ways are
-            suspected.
+        suspect_targets: Targets with failed connections from which the loss of
+            connectivity is suspected.
         lost_targets: Targets with failed connections that a loss requires.
         lost_data_centres: Data centres of such targets that a loss requires.
         confirmed_targets: Of the targets with failed connections, those that peers must
@@ -57,7 +57,7 @@
 
 
 class ConnectivityEvent(NamedTuple):
-    """The loss of the ways to targets, or its end, for logs.
+    """The loss of connectivity to targets, or its end, for logs.
 
     Attributes:
         is_lost: Whether this is a loss.
@@ -77,12 +77,12 @@
 
 
 class Connectivity:
-    """Evidence on the own ways to targets, and on those of peers.
+    """Evidence on connectivity to targets, of this instance and of peers.
 
     Attributes:
-        is_lost: Whether the own ways are lost.
+        is_lost: Whether connectivity is lost.
         failing_since: When the first of the present failures occurred; None without.
-        on_lost: Called with the time of the first failure when the ways are lost.
+        on_lost: Called with the time of the first failure when connectivity is lost.
         reach: What peers reach.
 
     Args:
@@ -115,7 +115,7 @@
         self._events: list[ConnectivityEvent] = []
 
     def is_suspected(self, now: int) -> bool:
-        """Return whether the own ways may be lost."""
+        """Return whether connectivity may be lost."""
         if self.is_lost or not self._failed_at_by_id:
             return False
         settings = self._settings
@@ -185,7 +185,7 @@
         return self._probes.asked(now)
 
     def update(self, now: int) -> None:
-        """Decide whether the own ways are lost."""
+        """Decide whether connectivity is lost."""
         if self.is_lost:
             confirmed_at = self.reach.confirmed_at
             if now - confirmed_at > self._settings.verdict_valid_ms:
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -238,7 +238,7 @@
         return age_ms is not None and age_ms <= RELAY_AGE_MAX_MS
 
     def _forget_failures(self, since: int) -> None:
-        """Forget what was taken for failures of targets since the own ways failed."""
+        """Forget what was taken for failures of targets since connectivity failed."""
         for state in self.targets.states_by_id.values():
             state.forget_failures()
         self.selector.lost_capacity.discard_since(since)
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -43,7 +43,7 @@
     Attributes:
         peers: When peers count as unresponsive.
         groups: Division of the fleet and election of leaders.
-        exchanges: Permits, suspect requests and lost ways to targets.
+        exchanges: Permits, suspect requests and lost connectivity to targets.
     """
 
     peers: PeerSettings = PeerSettings()
@@ -299,7 +299,7 @@
 
     def _own_open_counts(self) -> dict[str, int]:
         if self.connectivity.is_lost:
-            return {}  # Requests that hang on lost ways are no load of the targets.
+            return {}  # Requests that hang on the way are no load of the targets.
         return {
             target_id: state.open_count
             for target_id, state in self._components.targets.states_by_id.items()
--- a/sequoiahook/decisions/direct/peer_exchanges.py
+++ b/sequoiahook/decisions/direct/peer_exchanges.py
@@ -28,7 +28,7 @@
     Attributes:
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
-        connectivity: Whether the own ways to targets are lost.
+        connectivity: Whether connectivity to targets is lost.
     """
 
     permits: PermitSettings = PermitSettings()
@@ -42,7 +42,7 @@
     Attributes:
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
-        connectivity: Whether the own ways to targets are lost.
+        connectivity: Whether connectivity to targets is lost.
         leaves: Targets that state that they leave.
 
     Args:
--- a/sequoiahook/decisions/direct/peer_reach.py
+++ b/sequoiahook/decisions/direct/peer_reach.py
@@ -126,7 +126,7 @@
     def link_addresses(self, now: int) -> dict[str, Address]:
         """Return the peers to which links are needed, with their addresses.
 
-        Each instance prefers others, so that those that have lost their ways do not
+        Each instance prefers others, so that those that have lost connectivity do not
         all hand over to the same ones.
         """
         near, far = self._near_and_far(now)
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -67,7 +67,7 @@
     SUSPECT = "targets ended under this request, and a trial is in progress"
     TOO_LATE = "no answer in time"
     UNKNOWN_KEY = "key unknown"
-    UNREACHABLE = "no way to targets, and no other instance took the request"
+    UNREACHABLE = "no connectivity to targets, and no other instance took the request"
 
 
 CAUSES = frozenset(value for name, value in vars(Cause).items() if name.isupper())
--- a/sequoiahook/decisions/exchange/states.py
+++ b/sequoiahook/decisions/exchange/states.py
@@ -43,7 +43,7 @@
     RIGHT_LAPSED = "right to run lapsed"
     TIMEOUT = "no outcome in time"
     TOO_OLD = "arrived after its deadline"
-    UNREACHABLE = "no way to targets"
+    UNREACHABLE = "no connectivity to targets"
 
 
 _STATUS_BY_REASON = {
--- a/sequoiahook/messages/reach.py
+++ b/sequoiahook/messages/reach.py
@@ -1,4 +1,4 @@
-"""Datagrams that tell a lost way to targets from targets that are down."""
+"""Datagrams that tell lost connectivity to targets from targets that are down."""
 
 from typing import NamedTuple
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -236,7 +236,7 @@
             allowed = CUT_FAILURES_FREE + len(cut_off) / CUT_FAILURES_PART
             if failed > allowed and ratio < CUT_SERVED_RATIO * others_ratio:
                 text = f"{cut.instances}: {failed} of {len(cut_off)} failed"
-                yield Violation("callers without ways are served", "", text)
+                yield Violation("callers of isolated instances are served", "", text)
 
 
 def _is_expected(request: SentRequest) -> bool:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -119,7 +119,7 @@
 
 
 class CutInterval(NamedTuple):
-    """A period in which instances had lost all ways to targets.
+    """A period in which instances had lost connectivity to all targets.
 
     Attributes:
         instances: Names of the instances.
@@ -160,7 +160,7 @@
         recovery_failures: Descriptions of what failed after the last fault.
         limits: Periods in which targets stated limits.
         crash_times_by_path: When targets ended under the requests of a path.
-        cuts: Periods in which instances had lost all ways to targets.
+        cuts: Periods in which instances had lost connectivity to all targets.
         arrivals: All requests that arrived at targets.
     """
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -103,7 +103,7 @@
     "target_cut": FaultKind("instance", 5, 9, CUTS),
     "target_cut_place": FaultKind("place", 5, 9, CUTS),
 }
-"""Losses of all ways to targets, which are added to the plans of some seeds."""
+"""Losses of connectivity to all targets, which are added to the plans of some seeds."""
 
 CUTS_SHARE = 0.4
 """Share of the seeds whose plans have such losses."""
@@ -180,7 +180,7 @@
 def _draw_cuts(
     seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
 ) -> list[Fault]:
-    """Return losses of ways, which do not change the other faults of the seed."""
+    """Return losses of connectivity; the other faults of the seed stay the same."""
     rng = random.Random(f"{seed}/ways")
     if rng.random() >= CUTS_SHARE:
         return []
--- a/soak/run.py
+++ b/soak/run.py
@@ -243,8 +243,8 @@
     await system.leave(_target_id(fault, system), fault.duration_s)
 
 
-async def _cut_ways(fault: Fault, system: System) -> None:
-    await system.cut_ways(fault.subject, fault.variant, fault.duration_s)
+async def _cut_off(fault: Fault, system: System) -> None:
+    await system.cut_off(fault.subject, fault.variant, fault.duration_s)
 
 
 async def _configure(fault: Fault, system: System) -> None:
@@ -276,8 +276,8 @@
     "crashing_request": _crashing_request,
     "target_rest": _target_rest,
     "target_leaving": _target_leaving,
-    "target_cut": _cut_ways,
-    "target_cut_place": _cut_ways,
+    "target_cut": _cut_off,
+    "target_cut_place": _cut_off,
     "configure": _configure,
     "withdraw": _withdraw_key,
     "evacuate": _evacuate,
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -15,8 +15,8 @@
 def late_in_rests(observations: Observations) -> Iterator[tuple[str, str, int]]:
     """Return the instance, the target and the count of requests in a rest, if too many.
 
-    Seeds with losses of ways are left out: a request that was handed over reaches its
-    target from another instance than the caller's.
+    Seeds with losses of connectivity are left out: a request that was handed over
+    reaches its target from another instance than the caller's.
     """
     for (instance, target), arrivals in _arrivals_by_pair(observations).items():
         for asked in arrivals:
--- a/soak/system.py
+++ b/soak/system.py
@@ -187,8 +187,8 @@
         self.evacuated.discard(data_centre)
         self.evacuations.append((data_centre, started_at, ended_at))
 
-    async def cut_ways(self, subject: str, how: str, duration_s: float) -> None:
-        """Cut all ways to targets of an instance, or of those of a data centre."""
+    async def cut_off(self, subject: str, how: str, duration_s: float) -> None:
+        """Cut an instance, or all of a data centre, off from all targets."""
         names = tuple(n for n, place in INSTANCES.items() if subject in (n, place))
         for name in names:
             self.fleet.cut(name, how)
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -1,4 +1,4 @@
-"""Lost ways to targets are told from other faults, and leave nothing behind."""
+"""Lost connectivity to targets is told from other faults, and leaves nothing behind."""
 
 import pytest
 
@@ -51,7 +51,7 @@
     """Instances without I/O whose connections to targets hang when they are cut.
 
     Attributes:
-        cut: Instances that have lost all ways to targets.
+        cut: Instances that have lost connectivity to all targets.
         down: Targets to which no instance can connect.
         silent: Instances that get no datagrams.
     """
@@ -143,7 +143,7 @@
     return net.cores[name].connectivity.is_lost
 
 
-def test_requests_are_handed_over_while_all_ways_are_lost():
+def test_requests_are_handed_over_while_connectivity_is_lost():
     net = network()
     net.run(1_000)
     net.cut = {"n1"}
@@ -155,7 +155,7 @@
     assert not any(is_lost(net, name) for name in ("n2", "n3", "n4"))
 
 
-def test_no_ways_are_lost_while_all_targets_are_down():
+def test_no_connectivity_is_lost_while_all_targets_are_down():
     net = network()
     net.run(1_000)
     net.down = set(net.targets)
@@ -163,7 +163,7 @@
     assert not any(is_lost(net, name) for name in net.instances)
 
 
-def test_no_ways_are_lost_while_one_data_centre_cannot_be_reached():
+def test_no_connectivity_is_lost_while_one_data_centre_cannot_be_reached():
     net = network()
     net.run(1_000)
     net.down = {name for name in net.targets if "north-a" in name}
@@ -190,7 +190,7 @@
     assert not is_lost(net)
 
 
-def test_instance_sends_by_itself_within_a_second_after_the_ways_are_back():
+def test_instance_sends_by_itself_within_a_second_after_connectivity_is_back():
     net = network()
     net.run(1_000)
     net.cut = {"n1"}
@@ -201,7 +201,7 @@
     assert isinstance(net.request("n1", end=False), Attempt)
 
 
-def test_nothing_is_learned_about_targets_from_lost_ways():
+def test_nothing_is_learned_about_targets_from_lost_connectivity():
     net = network()
     net.run(1_000)
     net.cut = {"n1"}
@@ -217,7 +217,7 @@
     assert core.selector.lost_capacity.ratio(net.now) == 0
 
 
-def test_open_requests_of_an_instance_without_ways_are_not_reported_as_load():
+def test_open_requests_of_an_isolated_instance_are_not_reported_as_load():
     net = network()
     net.run(1_000)
     core = net.cores["n1"]
@@ -229,7 +229,7 @@
     assert state.in_flight(net.now) == 0
 
 
-def test_requests_cross_regions_when_the_own_region_has_lost_its_ways():
+def test_requests_cross_regions_when_the_own_region_has_lost_connectivity():
     net = network()
     net.run(1_000)
     net.cut = {"n1", "n2", "n3"}
@@ -239,7 +239,7 @@
         assert net.request(name).candidates == ("n4",)
 
 
-def test_quiet_instance_notices_lost_ways_by_an_unanswered_request():
+def test_quiet_instance_notices_lost_connectivity_by_an_unanswered_request():
     net = network()
     net.run(1_000)
     net.cut = {"n1"}
--- a/tests/test_platform_connectivity.py
+++ b/tests/test_platform_connectivity.py
@@ -1,4 +1,4 @@
-"""Callers of an instance that has lost all ways to targets, with real processes."""
+"""Callers of an instance that cannot reach any target, with real processes."""
 
 import http.client
 import itertools
@@ -142,7 +142,7 @@
 
 
 @pytest.mark.parametrize("how", CUTS)
-def test_callers_of_an_instance_without_ways_to_targets_are_served(fleet, loads, how):
+def test_callers_of_an_instance_isolated_from_targets_are_served(fleet, loads, how):
     begin, healed_at = cut_and_measure(fleet, loads, ("n1",), how)
     assert_served(loads, ("n1",), begin + SETTLING_S, healed_at)
     assert_served(loads, ("n2", "n3", "n4"), begin, healed_at + REGAINED_S)
@@ -151,7 +151,7 @@
 @pytest.mark.parametrize(
     "names", [("n1", "n3"), ("n1", "n2"), ("n1", "n2", "n3")], ids="-".join
 )
-def test_callers_are_served_while_several_instances_have_no_ways(fleet, loads, names):
+def test_callers_are_served_while_several_instances_are_isolated(fleet, loads, names):
     others = tuple(INSTANCES.keys() - set(names))
     begin, healed_at = cut_and_measure(fleet, loads, names, "hang")
     assert_served(loads, names, begin + SETTLING_S, healed_at)
--- a/tests/test_platform_handovers.py
+++ b/tests/test_platform_handovers.py
@@ -49,8 +49,10 @@
     for name in names:
         fleet.cut(name, how)
     wait_for(
-        lambda: all(has_event(fleet, name, "ways to targets lost") for name in names),
-        "the ways are lost",
+        lambda: all(
+            has_event(fleet, name, "connectivity to targets lost") for name in names
+        ),
+        "connectivity is lost",
         5,
     )
 
@@ -100,7 +102,7 @@
     assert "key-one" not in str([fleet.log_records(name) for name in INSTANCES])
 
 
-def test_ways_that_flap_cause_no_second_run(fleet, loads):
+def test_flapping_connectivity_causes_no_second_run(fleet, loads):
     for how in ("reset", "hang", "refuse", "live"):
         fleet.cut("n1", how)
         time.sleep(1.2)
@@ -127,7 +129,7 @@
     assert_run_at_most_once(fleet, loads)
 
 
-def test_instance_without_ways_stops_gracefully(fleet, loads):
+def test_isolated_instance_stops_gracefully(fleet, loads):
     cut(fleet)
     begin = time.monotonic()
     fleet.signal("n1", signal.SIGTERM)
