Test of rests: count from the answer that asked for it

The stand-in records which answers asked for rest, and the count begins with the first of them. The bound is the same.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -52,7 +52,8 @@
             in seconds, method, path, organisation, body length in bytes, and whether
             the request contained a key.
         last_headers: All headers of the last request.
-        arrivals: Id, path and time of each request that arrived, run or not.
+        arrivals: Id and time of each request that arrived, run or not, and whether its
+            answer asked for rest.
 
     Args:
         target_id: Id of the target.
@@ -66,7 +67,7 @@
         self.faults = TargetFaults()
         self.runs: list[dict[str, Any]] = []
         self.last_headers: dict[str, str] = {}
-        self.arrivals: list[tuple[str, str, float]] = []
+        self.arrivals: list[tuple[str, float, bool]] = []
         self.cancelled = 0
 
     async def start(self, host: str, port: int) -> int:
@@ -95,7 +96,7 @@
         if path == "/control":
             return await self._control(connection, writer, body)
         self.last_headers = headers
-        self._record_arrival(headers.get("request-id", ""), path)
+        self._record_arrival(headers.get("request-id", ""))
         if headers.get("expect-instance", self.id) != self.id:
             return await self._send_response(connection, writer, headers, 421, b"")
         if self.faults.how == "shed":
@@ -119,9 +120,10 @@
             os._exit(CRASH_EXIT_CODE)
         return await self._respond(connection, writer, headers, path)
 
-    def _record_arrival(self, request_id: str, path: str) -> None:
+    def _record_arrival(self, request_id: str) -> None:
         at = time.monotonic()
-        self.arrivals.append((request_id, path, at))
+        is_asked = self.faults.how == "shed" and bool(self.faults.rest)
+        self.arrivals.append((request_id, at, is_asked))
         if self._runs_path:
             arrival = {
                 "id": request_id,
--- a/tests/test_platform_rest.py
+++ b/tests/test_platform_rest.py
@@ -69,12 +69,12 @@
         load.join()
 
 
-def arrivals(fleet, begin=0.0, target_id=TARGET):
+def arrivals(fleet, begin=0.0, target_id=TARGET, *, asked_only=False):
     """Return the arrival times at a target by instance."""
     times_by_name = {name: [] for name in NAMES}
-    for request_id, _, at in fleet.control_target(target_id)["arrivals"]:
+    for request_id, at, is_asked in fleet.control_target(target_id)["arrivals"]:
         name = request_id.partition("/")[0]
-        if at >= begin and name in times_by_name:
+        if at >= begin and name in times_by_name and (is_asked or not asked_only):
             times_by_name[name].append(at)
     return times_by_name
 
@@ -93,10 +93,11 @@
 def late_arrivals(fleet, begin):
     """Return the arrivals in the rest of each instance, after those in flight."""
     late = []
-    for times in arrivals(fleet, begin).values():
-        if times:
-            since = times[0] + IN_FLIGHT_S
-            late.append(sum(since < at < times[0] + REST_S for at in times))
+    times_by_name = arrivals(fleet, begin)
+    for name, asked_times in arrivals(fleet, begin, asked_only=True).items():
+        if asked_times:
+            since, until = asked_times[0] + IN_FLIGHT_S, asked_times[0] + REST_S
+            late.append(sum(since < at < until for at in times_by_name[name]))
     return late
 
 
