Links: a frozen peer does not delay the exit

A stopping instance whose peer was frozen ended up to 10 s after its exit line, beyond the time until the kill.

Cause: the closing handshake of WebSockets waits 10 s by default, for dialled and for accepted links. The relay of the store had it before; the links of handovers made it more likely.

--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -50,6 +50,9 @@
 DIAL_RETRY_MS_MAX = 1_000
 HANDSHAKE_BYTES_MAX = 4096
 HANDSHAKE_TIMEOUT_MS = 2_000
+CLOSE_TIMEOUT_MS = 150
+"""Time for the closing handshake; a frozen peer must not delay the exit."""
+
 HANDSHAKES_MAX = 64
 OUTBOX_ENVELOPES_MAX = 4_096
 
@@ -151,6 +154,7 @@
             max_size=ENVELOPE_BYTES_MAX,
             ping_interval=None,
             open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
+            close_timeout=CLOSE_TIMEOUT_MS / MS_PER_S,
             server_header=None,
         )
         port = next(iter(self._server.sockets)).getsockname()[1]
@@ -214,6 +218,7 @@
                 max_size=ENVELOPE_BYTES_MAX,
                 ping_interval=None,
                 open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
+                close_timeout=CLOSE_TIMEOUT_MS / MS_PER_S,
                 proxy=None,
                 user_agent_header=None,
             ) as connection:
