One place for opened connections, first names, decimal fields and stages that reach a target

Prober and AttemptResults both marked a target and told Connectivity; Connectivity marks the target now, and probes are targets instead of ids, which the registry may have dropped meanwhile. The first names for logs, the single decimal of a field, and the stages of an answer were written twice each. Probes group the targets once a round, and only when a round is due. No change of behaviour; the tests of these parts pass.

--- a/sequoiahook/daemons/direct/connect_log.py
+++ b/sequoiahook/daemons/direct/connect_log.py
@@ -3,12 +3,10 @@
 import logbook
 
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.first_names import first_names
 
 __all__ = ["ConnectLog"]
 
-NAMES_MAX = 5
-"""Most targets that a line names."""
-
 log = logbook.Logger("connections")
 
 
@@ -31,10 +29,9 @@
         failed = [state for state in states if state.connect_failed_at >= since]
         if not failed:
             return
-        names = sorted(state.record.id for state in failed)
         fields = {
             "failed": len(failed),
-            "names": names[:NAMES_MAX],
+            "names": list(first_names(state.record.id for state in failed)),
             "data_centres": sorted({state.record.data_centre for state in failed}),
             "connected": sum(state.connected_at >= since for state in states),
             "answered": sum(state.reached_at >= since for state in states),
--- a/sequoiahook/daemons/direct/probing.py
+++ b/sequoiahook/daemons/direct/probing.py
@@ -5,6 +5,7 @@
 from sequoiahook.clock import Clock
 from sequoiahook.daemons.target_http import TargetClient
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.target_state import TargetState
 
 __all__ = ["Prober"]
 
@@ -26,8 +27,8 @@
 
     def start(self, now: int) -> None:
         """Start the probes that are due."""
-        for target_id in self._core.connectivity.probes(now):
-            task = asyncio.create_task(self._probe(target_id))
+        for state in self._core.connectivity.probes(now):
+            task = asyncio.create_task(self._probe(state))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -40,12 +41,7 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _probe(self, target_id: str) -> None:
-        state = self._core.targets.states_by_id[target_id]
+    async def _probe(self, state: TargetState) -> None:
         is_connected = await self._targets.connect(state.record.address)
         now = self._clock.now()
-        if is_connected:
-            state.record_connected(now)
-        else:
-            state.record_connect_failed(now)
-        self._core.connectivity.record_probe(target_id, is_connected, now)
+        self._core.connectivity.record_probe(state, is_connected, now)
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.target_state import (
     CONNECT_FAILED_STAGES,
+    REACHED_STAGES,
     TargetState,
 )
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
@@ -37,7 +38,7 @@
         """Record what a result shows about the target."""
         state = attempt.state
         self._record_connection(state, result, now)
-        if self._connectivity.is_lost and result.stage not in _ANSWER_STAGES:
+        if self._connectivity.is_lost and result.stage not in REACHED_STAGES:
             # The network path failed, whatever the target did.
             state.on_ended(Stage.NOTHING_WRITTEN, now)
             return
@@ -82,18 +83,15 @@
     def _record_connection(
         self, state: TargetState, result: TargetResult, now: int
     ) -> None:
-        target_id = state.record.id
         if result.connect_ms is not None:
-            state.record_connected(now)
-            self._connectivity.record_connected(target_id, now)
+            self._connectivity.record_connected(state, now)
             self._selector.estimates.record_connect(
                 state.record.region, result.connect_ms
             )
-        elif result.stage in _ANSWER_STAGES:
+        elif result.stage in REACHED_STAGES:
             self._connectivity.record_answered()
         elif result.stage in CONNECT_FAILED_STAGES:
-            state.record_connect_failed(now)
-            self._connectivity.record_failed(target_id, now)
+            self._connectivity.record_failed(state, now)
 
     def record_evidence(self, attempt: Attempt, result: TargetResult, now: int) -> None:
         """Record whether the target ended or survived the request."""
@@ -107,4 +105,3 @@
 
 
 _NO_REST = StatedRest()
-_ANSWER_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
--- a/sequoiahook/decisions/direct/connectivity.py
+++ b/sequoiahook/decisions/direct/connectivity.py
@@ -10,11 +10,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.first_names import first_names
 from sequoiahook.decisions.direct.outgoing import OutgoingBody
 from sequoiahook.decisions.direct.peer_reach import PeerReach, PeerReachSettings
 from sequoiahook.decisions.direct.peers import Peers
 from sequoiahook.decisions.direct.probes import Probes, ProbeSettings
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
+from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.messages.reach import TARGETS_MAX, ReachBody, ReachQuery, ReachReply
 from sequoiahook.world.instance import LiveInstance
 
@@ -146,38 +148,40 @@
         """Record a sign of life of any target."""
         self._awaiting_since = None
 
-    def record_failed(self, target_id: str, now: int) -> None:
+    def record_failed(self, state: TargetState, now: int) -> None:
         """Record a connection to a target that could not be opened."""
+        state.connect_failed_at = now
         self._drop_old(now)
-        self._failed_at_by_id[target_id] = now
+        self._failed_at_by_id[state.record.id] = now
         self._failure_count += 1
         self._regained_ids.clear()
         if self.failing_since is None:
             self.failing_since = now
         self.update(now)
 
-    def record_connected(self, target_id: str, now: int) -> None:
+    def record_connected(self, state: TargetState, now: int) -> None:
         """Record a connection to a target that was opened."""
+        state.connected_at = now
         self._connected_at = now
         self._awaiting_since = None
         if not self.is_lost:
             self._forget()
             return
-        self._regained_ids.add(target_id)
+        self._regained_ids.add(state.record.id)
         wanted = self._at_most_known(self._settings.regained_targets)
         if len(self._regained_ids) >= wanted:
             self._end_loss("connections to targets are opened again", now)
 
-    def record_probe(self, target_id: str, is_connected: bool, now: int) -> None:
+    def record_probe(self, state: TargetState, is_connected: bool, now: int) -> None:
         """Record the result of a probe."""
-        self._probes.record_ended(target_id)
+        self._probes.record_ended(state.record.id)
         if is_connected:
-            self.record_connected(target_id, now)
+            self.record_connected(state, now)
         else:
-            self.record_failed(target_id, now)
+            self.record_failed(state, now)
 
-    def probes(self, now: int) -> list[str]:
-        """Return the ids of the targets to which connections are to be opened now."""
+    def probes(self, now: int) -> list[TargetState]:
+        """Return the targets to which connections are to be opened now."""
         if self.is_lost:
             return self._probes.next_in_turn(now)
         if self.is_suspected(now) or self._is_quiet(now):
@@ -198,7 +202,7 @@
 
     def queries(self, now: int) -> list[OutgoingBody]:
         """Return the queries that are due."""
-        if not self.is_lost and not self.is_suspected(now):
+        if self.is_available(now):
             return []
         failed = self._failed_at_by_id
         latest = sorted(failed, key=failed.get, reverse=True)[:TARGETS_MAX]
@@ -284,16 +288,14 @@
         return min(count, max(1, len(self._targets.states_by_id)))
 
     def _record_event(self, reason: str, now: int) -> None:
-        failed = sorted(self._failed_at_by_id)
         since = now if self.failing_since is None else self.failing_since
-        peers = self.reach.peers_since(since)
         self._events.append(
             ConnectivityEvent(
                 self.is_lost,
                 reason,
-                tuple(failed[:5]),
-                len(failed),
+                first_names(self._failed_at_by_id),
+                len(self._failed_at_by_id),
                 now - since,
-                tuple(peers[:5]),
+                first_names(self.reach.peers_since(since)),
             )
         )
--- a/sequoiahook/decisions/direct/lost_capacity.py
+++ b/sequoiahook/decisions/direct/lost_capacity.py
@@ -9,10 +9,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-__all__ = ["LostCapacity", "LostCapacitySettings", "LostEvent", "TargetSlots"]
+from sequoiahook.decisions.direct.first_names import first_names
 
-NAMES_MAX = 5
-"""Most names that an event holds for the log."""
+__all__ = ["LostCapacity", "LostCapacitySettings", "LostEvent", "TargetSlots"]
 
 
 class LostCapacitySettings(NamedTuple):
@@ -102,7 +101,7 @@
         for target_id in returned:
             losses[target_id] = _Loss(usable_by_id[target_id], now, has_returned=True)
         if lost or returned:
-            self.last_event = LostEvent(now, _first(lost), _first(returned))
+            self.last_event = LostEvent(now, first_names(lost), first_names(returned))
         self._usable_by_id = dict(usable_by_id)
         self._forget(now)
 
@@ -142,7 +141,3 @@
         ]
         for target_id in forgotten:
             del self._losses_by_id[target_id]
-
-
-def _first(names: Iterable[str]) -> tuple[str, ...]:
-    return tuple(sorted(names)[:NAMES_MAX])
--- a/sequoiahook/decisions/direct/probes.py
+++ b/sequoiahook/decisions/direct/probes.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
+from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.world.instance import LiveInstance
 
 __all__ = ["ProbeSettings", "Probes"]
@@ -57,31 +58,27 @@
         if not self._asked_ids:
             self._asked_ids = list(target_ids)[: self._settings.asked_max]
 
-    def asked(self, now: int) -> list[str]:
+    def asked(self, now: int) -> list[TargetState]:
         """Return the targets to probe for other instances."""
         if not self._asked_ids or not self._start_round(now):
             return []
         asked_ids, self._asked_ids = self._asked_ids, []
         return self._open(asked_ids)
 
-    def next_in_turn(self, now: int) -> list[str]:
+    def next_in_turn(self, now: int) -> list[TargetState]:
         """Return one target, of another data centre each time."""
         if not self._start_round(now):
             return []
-        ids_by_data_centre = self._ids_by_data_centre()
-        if not ids_by_data_centre:
-            return []
-        names = self._own_first(ids_by_data_centre)
-        return self._open([self._pick(ids_by_data_centre[self._cycled(names)])])
+        return self._open_next(self._ids_by_data_centre())
 
-    def uncovered(self, covered: set[str], now: int) -> list[str]:
+    def uncovered(self, covered: set[str], now: int) -> list[TargetState]:
         """Return targets of data centres that are not covered; one if all are."""
-        uncovered = self.data_centres() - covered
-        if not uncovered:
-            return self.next_in_turn(now)
         if not self._start_round(now):
             return []
         ids_by_data_centre = self._ids_by_data_centre()
+        uncovered = ids_by_data_centre.keys() - covered
+        if not uncovered:
+            return self._open_next(ids_by_data_centre)
         names = self._own_first(uncovered)[: self._settings.round_max]
         return self._open([self._pick(ids_by_data_centre[name]) for name in names])
 
@@ -97,11 +94,18 @@
         self._turn += 1
         return True
 
-    def _open(self, target_ids: Iterable[str]) -> list[str]:
+    def _open_next(self, ids_by_data_centre: dict[str, list[str]]) -> list[TargetState]:
+        if not ids_by_data_centre:
+            return []
+        names = self._own_first(ids_by_data_centre)
+        name = names[self._turn % len(names)]
+        return self._open([self._pick(ids_by_data_centre[name])])
+
+    def _open(self, target_ids: Iterable[str]) -> list[TargetState]:
         known = self._targets.states_by_id
         new_ids = [i for i in target_ids if i in known and i not in self._open_ids]
         self._open_ids.update(new_ids)
-        return new_ids
+        return [known[target_id] for target_id in new_ids]
 
     def _ids_by_data_centre(self) -> dict[str, list[str]]:
         ids_by_data_centre: dict[str, list[str]] = {}
@@ -114,8 +118,5 @@
     def _own_first(self, names: Iterable[str]) -> list[str]:
         return sorted(names, key=lambda name: (name != self._me.data_centre, name))
 
-    def _cycled(self, names: list[str]) -> str:
-        return names[self._turn % len(names)]
-
     def _pick(self, target_ids: list[str]) -> str:
         return target_ids[self._turn // 2 % len(target_ids)]
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -213,23 +213,19 @@
             for region in self.region_order(query, now)
             for state in self._targets.group(query.service.name, region)
         ]
-        retry_ms, cause = self._retry_ms(query), Cause.NO_TARGET
-        unavailable_ms = {
-            Cause.TARGETS_LIMITED: [
-                state.blocked_until - now for state in states if state.is_blocked(now)
-            ],
-            Cause.TARGETS_RESTING: [
-                max(retry_ms, state.rest_until - now)
-                for state in states
-                if state.is_resting(now)
-            ],
-        }
-        times = [
-            (time_ms, cause) for cause, ms in unavailable_ms.items() for time_ms in ms
+        retry_ms = self._retry_ms(query)
+        waits = [
+            (state.blocked_until - now, Cause.TARGETS_LIMITED)
+            for state in states
+            if state.is_blocked(now)
         ]
-        if times:
-            retry_ms, cause = min(times)
-        return Placement(None, retry_after_ms=retry_ms, cause=cause)
+        waits += [
+            (max(retry_ms, state.rest_until - now), Cause.TARGETS_RESTING)
+            for state in states
+            if state.is_resting(now)
+        ]
+        wait_ms, cause = min(waits, default=(retry_ms, Cause.NO_TARGET))
+        return Placement(None, retry_after_ms=wait_ms, cause=cause)
 
     def region_order(self, query: TargetQuery, now: int) -> list[str]:
         """Return the regions in which a request may run, by preference."""
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -6,7 +6,13 @@
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.world.target import LiveTarget, StatedLimit, StatedRest
 
-__all__ = ["CONNECT_FAILED_STAGES", "NEVER", "TargetSettings", "TargetState"]
+__all__ = [
+    "CONNECT_FAILED_STAGES",
+    "NEVER",
+    "REACHED_STAGES",
+    "TargetSettings",
+    "TargetState",
+]
 
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 20.0
@@ -14,7 +20,8 @@
 """Reading of the clock before any other."""
 
 CONNECT_FAILED_STAGES = frozenset({Stage.CONNECT_REFUSED, Stage.CONNECT_TIMEOUT})
-_REACHED_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
+REACHED_STAGES = frozenset({Stage.ANSWERED, Stage.SHED, Stage.ANSWER_TRUNCATED})
+"""Stages that show that the target was reached, since it began to answer."""
 
 
 class TargetSettings(NamedTuple):
@@ -137,14 +144,6 @@
         if self.is_cold(now):
             self.sent_cold_at = now
 
-    def record_connected(self, now: int) -> None:
-        """Record that a connection to the target was opened."""
-        self.connected_at = now
-
-    def record_connect_failed(self, now: int) -> None:
-        """Record that a connection to the target could not be opened."""
-        self.connect_failed_at = now
-
     def forget_failures(self) -> None:
         """Forget the failures so far, which were not those of the target."""
         self._suspension = TargetSuspension(self._settings.suspension)
@@ -162,7 +161,7 @@
         if stage in CONNECT_FAILED_STAGES:
             self._was_unreachable = True
             return False
-        if stage in _REACHED_STAGES:
+        if stage in REACHED_STAGES:
             self.reached_at = now
         if stage is Stage.ANSWERED and now >= self.rest_until:
             self._is_returning = False
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -170,20 +170,19 @@
         values = [value.strip() for name, value in headers if name == LIMIT]
         if not values:
             return StatedLimit(None)
-        is_valid = len(values) == 1 and _DECIMAL.fullmatch(values[0]) is not None
-        if is_valid and float(values[0]) <= LIMIT_PER_S_MAX:
-            return StatedLimit(float(values[0]))
-        return StatedLimit(None, _logged_text(values))
+        per_s = _single_decimal(values, LIMIT_PER_S_MAX)
+        invalid = _logged_text(values) if per_s is None else ""
+        return StatedLimit(per_s, invalid)
 
     def stated_rest(self, status: int, headers: Headers) -> StatedRest:
         """Return the rest that a refusal asks for; longer ones are not valid."""
         values = [value.strip() for name, value in headers if name == RETRY_AFTER]
         if status != UNAVAILABLE_STATUS or not values:
             return StatedRest()
-        is_valid = len(values) == 1 and _DECIMAL.fullmatch(values[0]) is not None
-        if is_valid and float(values[0]) <= REST_S_MAX:
-            return StatedRest(math.ceil(float(values[0]) * MS_PER_S))
-        return StatedRest(0, _logged_text(values))
+        seconds = _single_decimal(values, REST_S_MAX)
+        if seconds is None:
+            return StatedRest(0, _logged_text(values))
+        return StatedRest(math.ceil(seconds * MS_PER_S))
 
     def is_leaving(self, status: int, headers: Headers) -> bool:
         """Return whether the target states that it leaves."""
@@ -200,6 +199,14 @@
         return DEFAULT_IDLE_MS
 
 
+def _single_decimal(values: Sequence[bytes], maximum: float) -> float | None:
+    """Return the only value of a field; None if it is repeated, invalid or larger."""
+    if len(values) != 1 or _DECIMAL.fullmatch(values[0]) is None:
+        return None
+    value = float(values[0])
+    return value if value <= maximum else None
+
+
 def _logged_text(values: Sequence[bytes]) -> str:
     text = b", ".join(values)[:_LOGGED_BYTES_MAX].decode("latin-1")
     return text or "(empty)"
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -115,12 +115,9 @@
 
     def _probe(self, name):
         core = self.cores[name]
-        for target_id in core.connectivity.probes(self.now):
-            reached = self.is_reached(name, target_id)
-            state = core.targets.states_by_id[target_id]
-            if reached:
-                state.record_connected(self.now)
-            core.connectivity.record_probe(target_id, reached, self.now)
+        for state in core.connectivity.probes(self.now):
+            reached = self.is_reached(name, state.record.id)
+            core.connectivity.record_probe(state, reached, self.now)
 
     def _post(self, source, outgoing):
         for name, datagram in outgoing:
@@ -174,7 +171,8 @@
 def test_single_failed_connection_changes_nothing():
     net = network()
     net.run(1_000)
-    net.cores["n1"].connectivity.record_failed("t-north-a-0", net.now)
+    state = net.cores["n1"].targets.states_by_id["t-north-a-0"]
+    net.cores["n1"].connectivity.record_failed(state, net.now)
     assert not net.cores["n1"].connectivity.is_suspected(net.now)
     assert isinstance(net.request("n1", end=False), Attempt)
 
