Handovers: no table of bodies beside the effects, one rule for keeping a connection

Each handover starts at once and once, so its body is passed on with the effects instead of being kept by id. A probed connection is kept or closed by the rule for used ones, which also closes expired ones.

--- a/sequoiahook/daemons/direct/executions.py
+++ b/sequoiahook/daemons/direct/executions.py
@@ -28,12 +28,11 @@
 
 __all__ = ["Executions"]
 
-log = logbook.Logger("request")
-
-
 LAG_SAMPLES = 4
 """Number of delays of which the smallest counts: a single pause is no overload."""
 
+log = logbook.Logger("request")
+
 
 class Executions:
     """Runs requests of other instances.
@@ -62,7 +61,6 @@
         self._executor = Executor(EXECUTOR_SETTINGS, me.name, me.incarnation, rng)
         self._pool = DirectPool()
         self._services: set[str] = set()
-        self._handovers_by_id: dict[MessageId, DirectHandOver] = {}
         self._tasks_by_id: dict[MessageId, asyncio.Task] = {}
         self._incarnation_by_peer: dict[str, int] = {}
 
@@ -92,10 +90,7 @@
             self._lag_ms(),
             self._executor.outcome_bytes,
         )
-        self._handovers_by_id.setdefault(handover.id, body)
-        self._apply(self._executor.received(peer, handover, now))
-        if handover.id not in self._tasks_by_id:
-            self._handovers_by_id.pop(handover.id, None)
+        self._apply(self._executor.received(peer, handover, now), body)
 
     def tick(self, lag_ms: int, now: int) -> None:
         """Handle what is due.
@@ -115,22 +110,28 @@
     def _lag_ms(self) -> int:
         return min(self._lags_ms, default=0)
 
-    def _apply(self, effects: list) -> None:
+    def _apply(self, effects: list, body: DirectHandOver | None = None) -> None:
+        """Carry out effects.
+
+        Args:
+            effects: The effects.
+            body: The handover that they result from; only then may one be a `Write`,
+                since each handover starts at once, and once.
+        """
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect.destination, effect.body)
             elif isinstance(effect, Write):
-                task = asyncio.create_task(self._run(effect))
+                task = asyncio.create_task(self._run(effect, body))
                 self._tasks_by_id[effect.request_id] = task
             elif isinstance(effect, AbortTarget):
                 task = self._tasks_by_id.get(effect.request_id)
                 if task is not None:
                     task.cancel()
 
-    async def _run(self, write: Write) -> None:
+    async def _run(self, write: Write, body: DirectHandOver) -> None:
         request_id = write.request_id
         now = self._clock.now()
-        body = self._handovers_by_id[request_id]
         request = open_request(body, request_id.sender, now + write.remaining_ms, now)
         executor, clock = self._executor, self._clock
         try:
@@ -141,7 +142,6 @@
             step = None
         finally:
             del self._tasks_by_id[request_id]
-            del self._handovers_by_id[request_id]
         self._apply(self._end(request_id, request, step))
         self._log(request, step)
 
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -192,7 +192,7 @@
         self._log_events()
         self._prober.start(now)
         self._send_messages()
-        if connectivity.is_lost or connectivity.is_suspected(now):
+        if not connectivity.is_available(now):
             self._links.set_peers(connectivity.reach.link_addresses(now))
         elif not self._entry.open_count:
             self._links.set_peers({})
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -66,11 +66,7 @@
         exchange = TargetExchange(request, self)
         if not await exchange.connect():
             return False
-        connections = self._idle_by_address.setdefault(address, [])
-        if len(connections) < self.settings.idle_max:
-            connections.append(self._idle(exchange))
-        else:
-            exchange.close()
+        self._keep_or_close(exchange, is_reusable=True)
         return True
 
     def close(self) -> None:
@@ -105,20 +101,20 @@
         """Keep the connection of a finished exchange if it is reusable, or close it."""
         if exchange.writer is None:
             return
+        self._keep_or_close(exchange, is_reusable=exchange.is_reusable)
+
+    def _keep_or_close(self, exchange: TargetExchange, *, is_reusable: bool) -> None:
         connections = self._idle_by_address.setdefault(exchange.request.address, [])
         self._close_expired(connections)
-        if exchange.is_reusable and len(connections) < self.settings.idle_max:
-            connections.append(self._idle(exchange))
+        if is_reusable and len(connections) < self.settings.idle_max:
+            now = monotonic_ms()
+            idle = IdleConnection(
+                exchange.reader, exchange.writer, now, now + exchange.idle_ms
+            )
+            connections.append(idle)
         else:
             exchange.close()
 
-    @staticmethod
-    def _idle(exchange: TargetExchange) -> IdleConnection:
-        now = monotonic_ms()
-        return IdleConnection(
-            exchange.reader, exchange.writer, now, now + exchange.idle_ms
-        )
-
     def _close_expired(self, connections: list[IdleConnection]) -> None:
         while connections and connections[0].expires_at < monotonic_ms():
             connections.pop(0).writer.close()
