Soak: draw the added faults of a plan in one function

Statements of targets and losses of connectivity were drawn by two functions that differed in five values. The bound on drains stands once, and the check of losses is flat; bounds and checks are unchanged.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,13 +6,13 @@
 
 from soak import statements
 from soak.observations import CutInterval, Observations, SentRequest, TargetRun
+from soak.statements import DRAIN_MAX_S
 
 __all__ = ["Violation", "find_violations"]
 
 # Limits that the platform sets, as in the settings files that the soak writes.
 WITHDRAWAL_MAX_S = 5.0
 CONFIGURATION_MAX_S = 2.5
-DRAIN_MAX_S = 2.5
 EVACUATION_MAX_S = 5.0
 STOP_MAX_S = 6.0
 SETTLE_S = 4.0
@@ -223,24 +223,27 @@
 
 def _check_cuts(observations: Observations) -> Iterator[Violation]:
     for cut in observations.cuts:
+        if not _is_only_fault(observations, cut):
+            continue
         begin = cut.started_at + SETTLE_S
-        if _is_only_fault(observations, cut):
-            cut_off, others = [], []
-            for request in observations.requests:
-                if begin <= request.sent_at < cut.ended_at:
-                    is_cut_off = request.instance in cut.instances
-                    (cut_off if is_cut_off else others).append(request)
-            failed = sum(not _is_expected(request) for request in cut_off)
-            ratio = 1 - failed / max(1, len(cut_off))
-            others_ratio = sum(map(_is_expected, others)) / max(1, len(others))
-            allowed = CUT_FAILURES_FREE + len(cut_off) / CUT_FAILURES_PART
-            if failed > allowed and ratio < CUT_SERVED_RATIO * others_ratio:
-                text = f"{cut.instances}: {failed} of {len(cut_off)} failed"
-                yield Violation("callers of isolated instances are served", "", text)
-
-
-def _is_expected(request: SentRequest) -> bool:
-    return request.status in EXPECTED_STATUSES
+        requests = [
+            request
+            for request in observations.requests
+            if begin <= request.sent_at < cut.ended_at
+        ]
+        cut_off = [r for r in requests if r.instance in cut.instances]
+        others = [r for r in requests if r.instance not in cut.instances]
+        failed = len(cut_off) - _expected_count(cut_off)
+        ratio = 1 - failed / max(1, len(cut_off))
+        others_ratio = _expected_count(others) / max(1, len(others))
+        allowed = CUT_FAILURES_FREE + len(cut_off) / CUT_FAILURES_PART
+        if failed > allowed and ratio < CUT_SERVED_RATIO * others_ratio:
+            text = f"{cut.instances}: {failed} of {len(cut_off)} failed"
+            yield Violation("callers of isolated instances are served", "", text)
+
+
+def _expected_count(requests: list[SentRequest]) -> int:
+    return sum(request.status in EXPECTED_STATUSES for request in requests)
 
 
 def _is_only_fault(observations: Observations, cut: CutInterval) -> bool:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -92,26 +92,37 @@
     "target_rest": FaultKind("target", 0.3, 1, ("0.7", "2", "3")),
     "target_leaving": FaultKind("target", 4, 6),
 }
-"""Statements in answers of targets, which are added to the plans of some seeds."""
-
-STATEMENTS_SHARE = 0.5
-"""Share of the seeds whose plans have such statements."""
-
-STATEMENTS_MAX = 4
+"""Statements of targets in their answers."""
 
 CUT_KINDS = {
     "target_cut": FaultKind("instance", 5, 9, CUTS),
     "target_cut_place": FaultKind("place", 5, 9, CUTS),
 }
-"""Losses of connectivity to all targets, which are added to the plans of some seeds."""
+"""Losses of connectivity to all targets."""
+
+
+class AddedFaults(NamedTuple):
+    """Faults that are added to the plans of some seeds.
 
-CUTS_SHARE = 0.4
-"""Share of the seeds whose plans have such losses."""
+    Attributes:
+        name: Part of the seed of these faults.
+        kinds: Kinds to choose from.
+        share: Share of the seeds whose plans have such faults.
+        count_max: Most of them in one plan.
+        start_part: Part of the phase of faults in which they start.
+    """
 
-CUTS_ALONE_SHARE = 0.3
-"""Share of those seeds whose plans have one such loss and no other faults."""
+    name: str
+    kinds: dict[str, FaultKind]
+    share: float
+    count_max: int
+    start_part: float
 
-CUTS_MAX = 3
+
+STATEMENTS = AddedFaults("statements-7", STATEMENT_KINDS, 0.5, 4, 1.0)
+LOSSES = AddedFaults("ways", CUT_KINDS, 0.4, 3, 0.5)
+LOSS_ALONE_SHARE = 0.3
+"""Share of the seeds with losses whose plans have one loss and no other faults."""
 
 _ALL_KINDS = FAULT_KINDS | TARGET_FAULT_KINDS | STATEMENT_KINDS | CUT_KINDS
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
@@ -139,10 +150,11 @@
         faults.append(_draw_fault(rng, kind, start_s, subjects_by_type))
         start_s += rng.expovariate(1 / FAULT_INTERVAL_MEAN_S)
     faults += _draw_target_faults(seed, seconds, subjects_by_type)
-    faults += _draw_statements(seed, seconds, subjects_by_type)
-    cuts = _draw_cuts(seed, seconds, subjects_by_type)
-    is_alone = bool(cuts) and random.Random(f"{seed}/alone").random() < CUTS_ALONE_SHARE
-    return Plan(seed, tuple(cuts[:1] if is_alone else sorted(faults + cuts)))
+    faults += _draw_added(STATEMENTS, seed, seconds, subjects_by_type)
+    losses = _draw_added(LOSSES, seed, seconds, subjects_by_type)
+    if losses and random.Random(f"{seed}/alone").random() < LOSS_ALONE_SHARE:
+        return Plan(seed, tuple(losses[:1]))
+    return Plan(seed, tuple(sorted(faults + losses)))
 
 
 def _draw_target_faults(
@@ -159,39 +171,20 @@
     ]
 
 
-def _draw_statements(
-    seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
-) -> list[Fault]:
-    """Return statements of targets; they do not change the other faults of the seed."""
-    rng = random.Random(f"{seed}/statements-7")
-    if rng.random() >= STATEMENTS_SHARE:
-        return []
-    return [
-        _draw_fault(
-            rng,
-            rng.choice(sorted(STATEMENT_KINDS)),
-            rng.uniform(0, seconds),
-            subjects_by_type,
-        )
-        for _ in range(rng.randint(1, STATEMENTS_MAX))
-    ]
-
-
-def _draw_cuts(
-    seed: int, seconds: float, subjects_by_type: dict[str, list[str]]
+def _draw_added(
+    added: AddedFaults,
+    seed: int,
+    seconds: float,
+    subjects_by_type: dict[str, list[str]],
 ) -> list[Fault]:
-    """Return losses of connectivity; the other faults of the seed stay the same."""
-    rng = random.Random(f"{seed}/ways")
-    if rng.random() >= CUTS_SHARE:
+    """Return added faults; the other faults of the seed stay the same."""
+    rng = random.Random(f"{seed}/{added.name}")
+    if rng.random() >= added.share:
         return []
+    kinds, end_s = sorted(added.kinds), seconds * added.start_part
     return [
-        _draw_fault(
-            rng,
-            rng.choice(sorted(CUT_KINDS)),
-            rng.uniform(0, seconds / 2),
-            subjects_by_type,
-        )
-        for _ in range(rng.randint(1, CUTS_MAX))
+        _draw_fault(rng, rng.choice(kinds), rng.uniform(0, end_s), subjects_by_type)
+        for _ in range(rng.randint(1, added.count_max))
     ]
 
 
