Tests: one way to start loads and instances that can be cut off

Three files started and ended their load threads, and two their instances, by the same lines. The stricter of the two waits for reports is kept; assertions are unchanged.

--- a/tests/test_platform_connectivity.py
+++ b/tests/test_platform_connectivity.py
@@ -10,6 +10,7 @@
 from standins.cut_instance import CUTS
 from standins.fleet import wait_for
 from standins.platform_fleet import PlatformFleet, Request, send_request
+from tests.platform_loads import running
 
 INSTANCES = {"n1": "north-a", "n2": "north-a", "n3": "north-b", "n4": "south-a"}
 TARGETS = {"i-1": "north-a", "i-2": "north-a", "i-3": "north-b", "i-4": "south-a"}
@@ -62,23 +63,28 @@
         return reply.status
 
 
+def start(fleet):
+    """Start targets, and instances that can be cut off from them."""
+    fleet.instance_module = "standins.cut_instance"
+    fleet.configure(1)
+    for target_id, zone in TARGETS.items():
+        fleet.start_target(target_id, zone=zone)
+    for name, zone in INSTANCES.items():
+        fleet.start_instance(name, zone)
+    fleet.wait_ready(*INSTANCES)
+    wait_for(
+        lambda: (
+            fleet.look_up("n1") >= {"n1", "n2", "n3"}
+            and fleet.look_up("n4", "nowhere") == set(INSTANCES)
+        ),
+        "all instances report",
+    )
+
+
 @pytest.fixture(scope="module")
 def shared_fleet():
     with PlatformFleet() as fleet:
-        fleet.instance_module = "standins.cut_instance"
-        fleet.configure(1)
-        for target_id, zone in TARGETS.items():
-            fleet.start_target(target_id, zone=zone)
-        for name, zone in INSTANCES.items():
-            fleet.start_instance(name, zone)
-        fleet.wait_ready(*INSTANCES)
-        wait_for(
-            lambda: (
-                fleet.look_up("n1") >= {"n1", "n2", "n3"}
-                and fleet.look_up("n4", "nowhere") == set(INSTANCES)
-            ),
-            "all instances report",
-        )
+        start(fleet)
         yield fleet
 
 
@@ -92,19 +98,9 @@
 
 @pytest.fixture
 def loads(fleet):
-    done = threading.Event()
-    loads = [
-        Load(fleet, name, done)
-        for name in INSTANCES
-        for _ in range(CALLERS_PER_INSTANCE)
-    ]
-    for load in loads:
-        load.start()
-    time.sleep(1)
-    yield loads
-    done.set()
-    for load in loads:
-        load.join()
+    with running(Load, fleet, [*INSTANCES] * CALLERS_PER_INSTANCE) as loads:
+        time.sleep(1)
+        yield loads
 
 
 def results_at(loads, names, begin, end):
--- a/tests/test_platform_handovers.py
+++ b/tests/test_platform_handovers.py
@@ -2,14 +2,21 @@
 
 import itertools
 import signal
-import threading
 import time
 
 import pytest
 
 from standins.fleet import wait_for
 from standins.platform_fleet import PlatformFleet, Request, send_request
-from tests.test_platform_connectivity import INSTANCES, TARGETS, Load, results_at
+from tests.test_platform_connectivity import (
+    INSTANCES,
+    TARGETS,
+    loads,
+    results_at,
+    start,
+)
+
+__all__ = ["loads"]
 
 NOT_RUN_STATUSES = (401, 429, 503)
 WITHDRAWAL_S = 5.0
@@ -19,32 +26,10 @@
 @pytest.fixture
 def fleet():
     with PlatformFleet() as fleet:
-        fleet.instance_module = "standins.cut_instance"
-        fleet.configure(1)
-        for target_id, zone in TARGETS.items():
-            fleet.start_target(target_id, zone=zone)
-        for name, zone in INSTANCES.items():
-            fleet.start_instance(name, zone)
-        fleet.wait_ready(*INSTANCES)
-        wait_for(
-            lambda: fleet.look_up("n1") >= {"n1", "n2", "n3"}, "all instances report"
-        )
+        start(fleet)
         yield fleet
 
 
-@pytest.fixture
-def loads(fleet):
-    done = threading.Event()
-    loads = [Load(fleet, name, done) for name in INSTANCES for _ in range(2)]
-    for load in loads:
-        load.start()
-    time.sleep(1)
-    yield loads
-    done.set()
-    for load in loads:
-        load.join()
-
-
 def cut(fleet, how="reset", names=("n1",)):
     for name in names:
         fleet.cut(name, how)
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -11,6 +11,7 @@
 
 from standins.fleet import wait_for
 from standins.platform_fleet import PlatformFleet, Request, send_request
+from tests.platform_loads import running
 from tests.test_platform_processes import start
 
 NAMES = ("n1", "n2", "n3", "n4")
@@ -53,14 +54,8 @@
 
 @pytest.fixture
 def loads(fleet):
-    done = threading.Event()
-    loads = [Load(fleet, name, done) for name in NAMES]
-    for load in loads:
-        load.start()
-    yield loads
-    done.set()
-    for load in loads:
-        load.join()
+    with running(Load, fleet, NAMES) as loads:
+        yield loads
 
 
 def times_of(fleet, target_id=LIMITED):
--- a/tests/test_platform_rest.py
+++ b/tests/test_platform_rest.py
@@ -8,6 +8,7 @@
 
 from standins.fleet import wait_for
 from standins.platform_fleet import PlatformFleet, Request, send_request
+from tests.platform_loads import running
 from tests.test_platform_processes import start
 
 NAMES = ("n1", "n2", "n3", "n4")
@@ -58,15 +59,9 @@
 
 @pytest.fixture
 def loads(fleet):
-    done = threading.Event()
-    loads = [Load(fleet, name, done) for name in NAMES]
-    for load in loads:
-        load.start()
-    time.sleep(1)
-    yield loads
-    done.set()
-    for load in loads:
-        load.join()
+    with running(Load, fleet, NAMES) as loads:
+        time.sleep(1)
+        yield loads
 
 
 def arrivals(fleet, begin=0.0, target_id=TARGET, *, asked_only=False):
