An entry that cannot be read affects no other entry

Cause: one route of type "download" made read_routing reject the whole configuration, so that every instance ignored it and refused all requests. Likewise an object of a list without a name failed the whole list, and a message type of a newer peer closed the link.

Nameless objects and unknown messages are ignored with a log line.

--- a/sequoiahook/daemons/direct/metrics.py
+++ b/sequoiahook/daemons/direct/metrics.py
@@ -29,6 +29,7 @@
     lines += [
         f"sequoiahook_configuration_number {core.configuration_number}",
         f"sequoiahook_configuration_age_ms {-1 if age_ms is None else age_ms}",
+        f"sequoiahook_configuration_findings {_finding_count(core)}",
         f"sequoiahook_targets {len(core.targets.states_by_id)}",
         f"sequoiahook_instances {len(core.peers.instances_by_name) + 1}",
     ]
@@ -46,3 +47,8 @@
         )
     headers = ((b"content-type", b"text/plain; charset=utf-8"),)
     return CallerAnswer(200, headers, ("\n".join(lines) + "\n").encode())
+
+
+def _finding_count(core: DirectCore) -> int:
+    configuration = core.admission.configuration
+    return 0 if configuration is None else len(configuration.findings)
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -17,6 +17,9 @@
     "TargetObserver",
 ]
 
+FINDINGS_LOGGED_MAX = 50
+LOGGED_CHARACTERS_MAX = 500
+
 log = logbook.Logger("belief")
 
 
@@ -73,7 +76,10 @@
         if stored.problem:
             log.warning(
                 "invalid object ignored",
-                extra={"kind": self.kind.value, "problem": stored.problem[:500]},
+                extra={
+                    "kind": self.kind.value,
+                    "problem": stored.problem[:LOGGED_CHARACTERS_MAX],
+                },
             )
         if change.is_deleted or stored.value is None:
             self.values_by_name.pop(stored.name, None)
@@ -123,8 +129,22 @@
         for configuration in self.values_by_name.values():
             if self.core.configure(configuration, self.clock.now()):
                 self._log(f"configuration {configuration.number} in force", 0)
+                self._log_findings(configuration)
                 self._on_configured(configuration)
 
+    def _log_findings(self, configuration: RoutingConfiguration) -> None:
+        findings = configuration.findings
+        for finding in findings[:FINDINGS_LOGGED_MAX]:
+            log.error(
+                "entry of the configuration not readable",
+                extra={
+                    "configuration": configuration.number,
+                    "place": finding.place[:LOGGED_CHARACTERS_MAX],
+                    "problem": finding.problem[:LOGGED_CHARACTERS_MAX],
+                    "findings": len(findings),
+                },
+            )
+
     def _record(self, change: Change) -> None:
         super()._record(change)
         if change.object.problem and not change.is_deleted:
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -270,7 +270,11 @@
             future.set_result(answer)
 
     async def _answer(self, peer: str, request: StoreAsk) -> None:
-        kind = Kind(request.kind)
+        kind = _kind(request.kind)
+        if kind is None:
+            answer = StoreAnswer(request.ticket, NOT_FOLLOWED, 0, b"", 0, 0)
+            self._send(peer, answer)
+            return
         cache = self._caches_by_kind[kind]
         received_at = self._clock.now()
         is_empty = cache.confirmed_at is None
@@ -334,6 +338,11 @@
         return Change(stored, bool(entry.is_deleted))
 
 
+def _kind(text: str) -> Kind | None:
+    """Return the kind with a value; None if a peer's version has others."""
+    return next((kind for kind in Kind if kind.value == text), None)
+
+
 def _decompress(content: bytes) -> list:
     decompressor = zlib.decompressobj()
     decompressed = decompressor.decompress(content, CONTENT_BYTES_MAX)
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -18,7 +18,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from sequoiahook.clock import MS_PER_S
-from sequoiahook.errors import CodecError, LinkError
+from sequoiahook.errors import CodecError, LinkError, UnreadableMessageError
 from sequoiahook.messages.base import Envelope
 from sequoiahook.wire.codec import (
     ENVELOPE_BYTES_MAX,
@@ -55,6 +55,10 @@
 
 HANDSHAKES_MAX = 64
 OUTBOX_ENVELOPES_MAX = 4_096
+UNREADABLE_LOGGED_MAX = 10
+"""Number of different messages for each link that are logged as not readable."""
+
+LOGGED_CHARACTERS_MAX = 200
 
 log = logbook.Logger(__name__)
 
@@ -119,6 +123,7 @@
         self.incarnation = incarnation
         self.outbox: deque[Envelope] = deque()
         self.wake = asyncio.Event()
+        self.unreadable: set[str] = set()
 
 
 class Links:
@@ -331,6 +336,10 @@
         async for frame in link.connection:
             try:
                 envelope = decode_envelope(_binary(frame))
+            except UnreadableMessageError as error:
+                # The peer may run a newer version; its other messages are valid.
+                self._log_unreadable(link, error)
+                continue
             except CodecError as error:
                 log.warning(
                     "malformed frame on a link",
@@ -340,6 +349,14 @@
                 return
             self._emit_event(Received(link.name, envelope))
 
+    def _log_unreadable(self, link: _Link, error: UnreadableMessageError) -> None:
+        text = str(error)[:LOGGED_CHARACTERS_MAX]
+        if text not in link.unreadable and len(link.unreadable) < UNREADABLE_LOGGED_MAX:
+            link.unreadable.add(text)
+            log.warning(
+                "message of a peer ignored", extra={"peer": link.name, "error": text}
+            )
+
 
 def _binary(frame: str | bytes) -> bytes:
     if isinstance(frame, str):
--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -27,6 +27,8 @@
     Attributes:
         startup_retry_ms: Retry-after time while the instance has no configuration, or
             no share of the rates.
+        unreadable_retry_ms: Retry-after time for requests that depend on an entry of
+            the configuration that cannot be read.
         stale_retry_ms: Retry-after time while the configuration is too old; the caller
             then finds another instance.
         peer_token_wait_divisor: Divisor of the route's latency goal that gives the
@@ -37,6 +39,7 @@
 
     startup_retry_ms: int = 200
     stale_retry_ms: int = 50
+    unreadable_retry_ms: int = 1_000
     peer_token_wait_divisor: int = 3
     own_token_wait_divisor: int = 8
 
@@ -85,8 +88,10 @@
             return Refuse(Status.UNAVAILABLE, Cause.NO_CONFIGURATION, retry_ms)
         path = incoming.target_path.partition("?")[0]
         route = self._routes.find(incoming.host, path)
-        if route is None:
+        if route is None and not self._configuration.has_unknown_routes:
             return Refuse(Status.NOT_FOUND, Cause.NO_ROUTE)
+        if route is None or not route.is_readable:
+            return self._refuse_unreadable()
         key_name = None
         if self._needs_key(route):
             verdict = self.check_key(incoming.key, now)
@@ -104,9 +109,22 @@
             return Refuse(Status.UNAUTHORIZED, Cause.NO_KEY)
         verdict = self._keys.verify(key)
         if verdict.state is not KeyState.VALID:
-            return Refuse(Status.UNAUTHORIZED, Cause.UNKNOWN_KEY)
+            return self._refuse_key()
+        organisations = self._configuration.organisations_by_name
+        if not organisations[verdict.name.organisation].is_readable:
+            return self._refuse_unreadable()
         return verdict.name
 
+    def _refuse_key(self) -> Refuse:
+        """Refuse a key that is not valid; it may be one that could not be read."""
+        if self._configuration.has_unknown_keys:
+            return self._refuse_unreadable()
+        return Refuse(Status.UNAUTHORIZED, Cause.UNKNOWN_KEY)
+
+    def _refuse_unreadable(self) -> Refuse:
+        retry_ms = self._settings.unreadable_retry_ms
+        return Refuse(Status.UNAVAILABLE, Cause.UNREADABLE, retry_ms)
+
     def recheck_key(self, request: OpenRequest, now: int) -> Refuse | None:
         """Check the key again before a request is sent; return a refusal if invalid."""
         incoming = request.incoming
@@ -128,7 +146,7 @@
         is_newer = request.origin.configuration_number > self._keys.number
         if is_newer or self._keys.state(request.key_name) is KeyState.VALID:
             return None
-        return Refuse(Status.UNAUTHORIZED, Cause.UNKNOWN_KEY)
+        return self._refuse_key()
 
     def take_token(self, request: OpenRequest, now: int) -> Refuse | Hold | None:
         """Take a token before the first attempt of a request.
@@ -192,7 +210,11 @@
             self._rates.refund(request.organisation, now)
 
     def _needs_key(self, route: Route) -> bool:
-        return bool(self._configuration.organisations_by_name) and not route.is_open
+        configuration = self._configuration
+        has_keys = (
+            bool(configuration.organisations_by_name) or configuration.has_unknown_keys
+        )
+        return has_keys and not route.is_open
 
     def _open(
         self,
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -67,6 +67,7 @@
     SUSPECT = "targets ended under this request, and a trial is in progress"
     TOO_LATE = "no answer in time"
     UNKNOWN_KEY = "key unknown"
+    UNREADABLE = "entry of the configuration not readable"
     UNREACHABLE = "no connectivity to targets, and no other instance took the request"
 
 
--- a/sequoiahook/errors.py
+++ b/sequoiahook/errors.py
@@ -14,6 +14,7 @@
     "PlatformUnavailableError",
     "RelayUnavailableError",
     "SequoiahookError",
+    "UnreadableMessageError",
     "VersionConflictError",
 ]
 
@@ -53,6 +54,10 @@
     """Received bytes are not a known message."""
 
 
+class UnreadableMessageError(CodecError):
+    """A valid envelope holds a message that this version does not know."""
+
+
 class LinkError(SequoiahookError):
     """A link between instances is closed, refused or not authenticated."""
 
--- a/sequoiahook/options.py
+++ b/sequoiahook/options.py
@@ -126,16 +126,18 @@
         value = self._read(key, _MISSING)
         return None if value is _MISSING else value
 
-    def number(self, key: str, *, low: float, default: float = _MISSING) -> float:
-        """Read an integer or a float that is not below low."""
+    def number(
+        self, key: str, *, low: float, high: float, default: float = _MISSING
+    ) -> float:
+        """Read an integer or a float from low to high, inclusive."""
         value = self._read(key, default)
         if value is _MISSING:
             return low
         if type(value) not in (int, float):
             self.report(key, f"must be a number, not {_type_name(value)}")
             return low
-        if not value >= low:
-            self.report(key, f"must not be below {low}")
+        if not low <= value <= high:
+            self.report(key, f"must be from {low} to {high}, not {value}")
             return low
         return value
 
--- a/sequoiahook/platform/settings.py
+++ b/sequoiahook/platform/settings.py
@@ -15,6 +15,7 @@
 
 SETTINGS_VARIABLE = "SEQUOIAHOOK_BOOT"
 METRICS_PORT = 9464
+LINK_MBPS_MAX = 1_000_000
 """The metrics port that deploy/system.toml names; the settings file sets none."""
 
 
@@ -71,7 +72,7 @@
         handover_address=Address(host, ports[0] + 1) if ports[1] > ports[0] else None,
         metrics_address=Address(host, METRICS_PORT),
         bounds=_read_bounds(root),
-        link_mbps=int(limits.number("link_mbps", low=0, default=0)),
+        link_mbps=int(limits.number("link_mbps", low=0, high=LINK_MBPS_MAX, default=0)),
         is_first_start=root.boolean("bootstrap", default=False),
     )
     return PlatformSettings(
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -97,9 +97,10 @@
             for item in _required_field(page, "items", list):
                 stored = self.decode_object(kind, item)
                 objects_by_name[stored.name] = stored
-            if not page.get("has_more") or not page["items"]:
+            after = _last_name(page["items"])
+            if not page.get("has_more") or not after:
                 return Listing(objects_by_name, revision)
-            query = "?after=" + quote(stored.name, safe="")
+            query = "?after=" + quote(after, safe="")
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision."""
@@ -107,10 +108,11 @@
         answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
         changes = tuple(
             Change(
-                self.decode_object(kind, _required_field(event, "object", dict)),
+                self.decode_object(kind, event.get("object")),
                 bool(event.get("deleted")),
             )
             for event in _required_field(answer, "events", list)
+            if isinstance(event, Mapping)
         )
         return Changes(changes, _required_field(answer, "at", int))
 
@@ -156,12 +158,13 @@
         return _response_document(response, f"{method} {path}")
 
     def decode_object(self, kind: Kind, item: Any) -> StoredObject:
-        """Decode an object of the store."""
-        metadata = item.get("metadata") if isinstance(item, Mapping) else None
-        if not isinstance(metadata, Mapping):
-            raise PlatformError(f"object of kind {kind.value} has no metadata")
-        name = str(metadata.get("name", ""))
-        revision = metadata.get("revision", 0)
+        """Decode an object of the store; one without a name affects no other."""
+        name = _name_of(item)
+        if not name:
+            problem = f"object of kind {kind.value} has no name"
+            return StoredObject("", 0, None, problem)
+        revision = item["metadata"].get("revision", 0)
+        revision = revision if type(revision) is int else 0
         try:
             value = self._decode_value(kind, name, item)
         except CheckError as error:
@@ -182,6 +185,18 @@
         return name
 
 
+def _name_of(item: Any) -> str:
+    """Return the name of an object; empty if it has none."""
+    metadata = item.get("metadata") if isinstance(item, Mapping) else None
+    name = metadata.get("name") if isinstance(metadata, Mapping) else None
+    return name if isinstance(name, str) else ""
+
+
+def _last_name(items: list) -> str:
+    """Return the name after which the next page begins; empty if there is none."""
+    return next(filter(None, map(_name_of, reversed(items))), "")
+
+
 def _encode_value(kind: Kind, value: Any) -> Any:
     return instance_document(value) if kind is Kind.INSTANCES else value
 
@@ -201,7 +216,7 @@
         raise PlatformOutcomeUnknownError(f"{call}: status {status}")
     try:
         document = json.loads(response.body) if response.body else {}
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformOutcomeUnknownError(
             f"{call}: answer is not JSON: {error}"
         ) from error
--- a/sequoiahook/wire/codec.py
+++ b/sequoiahook/wire/codec.py
@@ -4,7 +4,7 @@
 from cattrs import Converter
 from cattrs.errors import BaseValidationError
 
-from sequoiahook.errors import CodecError
+from sequoiahook.errors import CodecError, UnreadableMessageError
 from sequoiahook.messages.base import Envelope, message_type
 
 __all__ = ["ENVELOPE_BYTES_MAX", "decode_envelope", "encode_envelope"]
@@ -42,7 +42,8 @@
     """Decode an envelope and check the type of each field.
 
     Raises:
-        CodecError: If the bytes are not a valid envelope with a known message.
+        UnreadableMessageError: If the message is unknown, or has other fields.
+        CodecError: If the bytes are not a valid envelope.
     """
     try:
         fields = cbor2.loads(data)
@@ -52,15 +53,18 @@
         raise CodecError("CBOR value is not an envelope")
     source, incarnation, sequence, destination, name, body = fields
     try:
-        body_type = message_type(_require_type(name, str))
-        return Envelope(
+        header = (
             _require_type(source, str),
             _require_type(incarnation, int),
             _require_type(sequence, int),
             _require_type(destination, str),
-            _converter.structure(body, body_type),
         )
+        _require_type(name, str)
+    except TypeError as error:
+        raise CodecError(f"malformed envelope: {error}") from error
+    try:
+        return Envelope(*header, _converter.structure(body, message_type(name)))
     except KeyError as error:
-        raise CodecError(f"unknown message type {name!r}") from error
+        raise UnreadableMessageError(f"unknown message type {name!r}") from error
     except (TypeError, ValueError, BaseValidationError) as error:
-        raise CodecError(f"malformed message: {error}") from error
+        raise UnreadableMessageError(f"malformed {name}: {error}") from error
--- a/sequoiahook/world/organisation.py
+++ b/sequoiahook/world/organisation.py
@@ -37,6 +37,9 @@
         regions: Names of the regions in which its requests may run; empty for all.
         priority: Priority of its requests, which overrides that of the route; None to
             use that of the route.
+        is_readable: Whether its rate and its regions are known; if not, its requests
+            are refused.
+        are_keys_known: Whether all of its keys are known.
     """
 
     name: str
@@ -45,6 +48,8 @@
     services: tuple[str, ...]
     regions: tuple[str, ...] = ()
     priority: int | None = None
+    is_readable: bool = True
+    are_keys_known: bool = True
 
     def may_use(self, service: str) -> bool:
         """Return whether the organisation may use the service."""
--- a/sequoiahook/world/routing.py
+++ b/sequoiahook/world/routing.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.errors import Finding
 from sequoiahook.world.organisation import Organisation
 
 __all__ = [
@@ -42,6 +43,8 @@
         is_open: Whether requests are accepted without a key.
         is_sticky: Whether a target handles an object faster once it has seen it.
         regions: Names of the regions in which requests may run; empty for all.
+        is_readable: Whether it is known where its requests may run; if not, they are
+            refused.
     """
 
     name: str
@@ -56,6 +59,7 @@
     is_open: bool
     is_sticky: bool
     regions: tuple[str, ...]
+    is_readable: bool = True
 
 
 class TargetService(NamedTuple):
@@ -103,6 +107,10 @@
         services_by_name: Services.
         organisations_by_name: Organisations; if empty, requests need no key.
         limits: Limits on requests from callers.
+        findings: Fields that could not be read.
+        has_unknown_routes: Whether it has routes whose host or path is unknown, so that
+            a request without a known route may belong to one of them.
+        has_unknown_keys: Whether it has keys that could not be read.
     """
 
     number: int
@@ -110,3 +118,6 @@
     services_by_name: dict[str, TargetService]
     organisations_by_name: dict[str, Organisation]
     limits: CallerLimits
+    findings: tuple[Finding, ...] = ()
+    has_unknown_routes: bool = False
+    has_unknown_keys: bool = False
