Requests sent ahead run side by side; large answers are passed on as they come

Cause: the requests of a connection ran one after the other (three of 400 ms took 1.21 s), a caller that left was not noticed while bytes waited, and every answer was held whole: 20 MB of a sound target became 502, thirty slow callers raised an instance from 37 to 183 MB.

Change: one protocol state for each request of a connection; up to four repeatable requests run at once, any other runs alone, answers leave in order, and nothing is started behind an answer that closes the connection. The rest of a body above 64 KiB, or that pauses for 100 ms, is a stream with back-pressure from the caller to the target; a body that breaks off ends with a reset connection. The deadline of a request no longer ends a body that keeps arriving.

--- /dev/null
+++ b/sequoiahook/daemons/answer_reader.py
@@ -0,0 +1,246 @@
+"""Reading of a target's answer, complete or passed on while it is received."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+
+from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.answer_stream import TargetAnswerStream
+from sequoiahook.decisions.exchange.target_result import (
+    Stage,
+    StreamEnd,
+    TargetResult,
+)
+from sequoiahook.wire.target_dialect import TargetDialect
+
+__all__ = ["READ_BYTES", "AnswerReader", "ReaderSettings"]
+
+READ_BYTES = 65_536
+HELD_BYTES_MAX = 65_536
+HELD_MS_MAX = 100
+"""Up to this size and time a body is held back, since a request whose answer is broken
+off can only be repeated while nothing of it has reached the caller."""
+
+FAILURE_STATUS_MIN = 500
+_NO_BODY_STATUSES = (204, 304)
+
+
+class ReaderSettings(NamedTuple):
+    """What determines how an answer is read.
+
+    Attributes:
+        request_id: Request id that the answer must repeat.
+        is_head: Whether the request has the method HEAD.
+        may_stream: Whether the rest of a body may be passed on as it arrives.
+        body_bytes_max: Largest body that is held, in bytes.
+        deadline_at: Deadline of the request, on the clock of the event loop in seconds.
+    """
+
+    request_id: str
+    is_head: bool
+    may_stream: bool
+    body_bytes_max: int
+    deadline_at: float
+
+
+class AnswerReader:
+    """Reads the answer to one request.
+
+    Attributes:
+        head: Status and header fields; None before they are received.
+        stream: The rest of the body if it is passed on as it arrives; else None.
+
+    Args:
+        settings: What determines how the answer is read.
+        dialect: Interpretation of the answers of targets.
+        http: Protocol state of the connection, after the request was sent.
+        reader: Stream from the target.
+        on_stream_ended: Called once when the stream has ended.
+    """
+
+    def __init__(
+        self,
+        settings: ReaderSettings,
+        dialect: TargetDialect,
+        http: h11.Connection,
+        reader: asyncio.StreamReader,
+        on_stream_ended: Callable[[StreamEnd], None],
+    ):
+        self.head: h11.Response | None = None
+        self.stream: TargetAnswerStream | None = None
+        self._settings = settings
+        self._dialect = dialect
+        self._http = http
+        self._reader = reader
+        self._on_stream_ended = on_stream_ended
+        self._body = bytearray()
+        self._held_until: float | None = None
+
+    async def read(self) -> Stage:
+        """Read the answer until it is complete or is to be passed on.
+
+        Raises:
+            OSError: If the connection ends before.
+            ValueError: If the body is too large.
+            h11.ProtocolError: If the answer is invalid.
+        """
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if not await self._receive():
+                    return Stage.ANSWERED
+            elif isinstance(event, h11.EndOfMessage):
+                return self._classify()
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("connection closed within the answer")
+            else:
+                self._record(event)
+                if self._is_large() and self._pass_on():
+                    return Stage.ANSWERED
+
+    def result(self, stage: Stage) -> TargetResult:
+        """Return what the answer states, with its body unless it is incomplete."""
+        is_whole = self.head is not None and stage is not Stage.ANSWER_TRUNCATED
+        result = TargetResult(stage, is_leaving=self._is_leaving())
+        if not is_whole:
+            return result
+        status, headers = self.head.status_code, self.head.headers
+        return result._replace(
+            status=status,
+            headers=self._dialect.answer_fields(headers),
+            body=bytes(self._body),
+            requests_close=self._has_token(b"connection", b"close"),
+            retry_after_ms=self._retry_after_ms(),
+            open_count=self._dialect.open_count(headers),
+            stated_limit=self._dialect.stated_limit(status, headers),
+            stated_rest=self._dialect.stated_rest(status, headers),
+            stream=self.stream,
+        )
+
+    def _record(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            self.head = event
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+
+    def _is_large(self) -> bool:
+        """Return whether the body is too large to be held back.
+
+        Raises:
+            ValueError: If it is also too large to be held, and must not be passed on.
+        """
+        if self.head is None:
+            return False
+        if len(self._body) > self._settings.body_bytes_max:
+            if not self._may_pass_on():
+                raise ValueError("body too large")
+            return True
+        size = max(len(self._body), self._declared_length() or 0)
+        return size > HELD_BYTES_MAX
+
+    async def _receive(self) -> bool:
+        """Receive bytes; return False if the body is passed on as held too long."""
+        if self.head is None or not self._may_pass_on():
+            self._http.receive_data(await self._reader.read(READ_BYTES))
+            return True
+        if self._held_until is None:
+            now = asyncio.get_running_loop().time()
+            self._held_until = now + HELD_MS_MAX / MS_PER_S
+        try:
+            async with asyncio.timeout_at(self._held_until):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return not self._pass_on()
+        self._http.receive_data(data)
+        return True
+
+    def _may_pass_on(self) -> bool:
+        """Return whether the rest of the body may be passed on as it arrives.
+
+        Failures of repeatable requests are not delivered before other attempts.
+        """
+        if not self._settings.may_stream or self._is_bodiless():
+            return False
+        is_success = self.head.status_code < FAILURE_STATUS_MIN
+        return is_success and self._classify() is Stage.ANSWERED
+
+    def _pass_on(self) -> bool:
+        """Turn the rest of the body into a stream if that is allowed."""
+        if not self._may_pass_on():
+            return False
+        self.stream = TargetAnswerStream(
+            self._declared_length(),
+            self._receive_part,
+            self._settings.deadline_at,
+            self._on_stream_ended,
+        )
+        return True
+
+    async def _receive_part(self) -> bytes:
+        """Return the next part of the body; empty at its end.
+
+        Raises:
+            OSError: If the connection fails.
+            h11.ProtocolError: If the answer is invalid.
+        """
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._reader.read(READ_BYTES))
+            elif isinstance(event, h11.Data):
+                return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return b""
+            else:
+                raise ConnectionResetError("connection closed within the body")
+
+    def _classify(self) -> Stage:
+        status, headers = self.head.status_code, self.head.headers
+        is_truncated = (
+            self._is_close_delimited() and not self._dialect.allows_close_delimited
+        )
+        is_own = self._dialect.is_answer_to(self._settings.request_id, headers)
+        if is_truncated or not is_own:
+            return Stage.ANSWER_TRUNCATED
+        if self._dialect.is_not_run(status, headers):
+            return Stage.SHED
+        return Stage.ANSWERED
+
+    def _is_leaving(self) -> bool:
+        if self.head is None:
+            return False
+        status, headers = self.head.status_code, self.head.headers
+        is_own = self._dialect.is_answer_to(self._settings.request_id, headers)
+        return is_own and self._dialect.is_leaving(status, headers)
+
+    def _is_close_delimited(self) -> bool:
+        """Return whether only the closed connection marks the end of the body."""
+        is_chunked = self._has_token(b"transfer-encoding", b"chunked")
+        has_length = self._declared_length() is not None
+        return not (has_length or is_chunked or self._is_bodiless())
+
+    def _is_bodiless(self) -> bool:
+        return self._settings.is_head or self.head.status_code in _NO_BODY_STATUSES
+
+    def _declared_length(self) -> int | None:
+        """Return the length of the body as declared; None if it is not."""
+        for name, value in self.head.headers:
+            if name == b"content-length":
+                return int(value)
+        return None
+
+    def _has_token(self, name: bytes, expected: bytes) -> bool:
+        values = [v for n, v in self.head.headers if n == name]
+        return any(
+            expected == token.strip().lower()
+            for value in values
+            for token in value.split(b",")
+        )
+
+    def _retry_after_ms(self) -> int:
+        for name, value in self.head.headers:
+            if name == b"retry-after" and value.isdigit():
+                return int(value) * MS_PER_S
+        return 0
--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -1,6 +1,9 @@
-"""HTTP/1.1 connection of a caller: reads complete requests and writes answers."""
+"""HTTP/1.1 connection of a caller: answers its requests in their order."""
 
 import asyncio
+import socket
+import struct
+from collections import deque
 from typing import Protocol
 
 import h11
@@ -12,6 +15,13 @@
     CallerServerSettings,
     refusal_answer,
 )
+from sequoiahook.daemons.caller_requests import (
+    READ_BYTES,
+    CallerDisconnectedError,
+    CallerExchange,
+    RequestReader,
+)
+from sequoiahook.decisions.exchange.target_result import AnswerStream
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
@@ -21,9 +31,12 @@
     "ConnectionServer",
 ]
 
-READ_BYTES = 65_536
 DISCARD_TIMEOUT_MS = 500
+OPEN_REQUESTS_MAX = 4
+"""Requests of one connection that are read, and that may run, at the same time."""
+
 _NO_BODY_STATUSES = frozenset({204, 304})
+_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class ConnectionServer(Protocol):
@@ -42,21 +55,17 @@
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer a request."""
 
-
-class _RefusedRequestError(Exception):
-    """A request that is refused with a status before it reaches the handler."""
-
-    def __init__(self, status: int, cause: str):
-        super().__init__(cause)
-        self.status = status
-
-
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection."""
+    def is_repeatable(self, request: CallerRequest) -> bool:
+        """Return whether a request may run beside others of its connection."""
 
 
 class CallerConnection:
-    """One connection of a caller, run by one task.
+    """One connection of a caller.
+
+    A caller may send requests before earlier ones are answered. Repeatable ones run
+    side by side; any other starts only after all before it are answered, and those
+    behind it wait for its answer. Answers leave in the order of the requests. Nothing
+    behind an answer that closes the connection has been started.
 
     Args:
         server: The server that it belongs to.
@@ -74,32 +83,37 @@
     ):
         self._server = server
         self._settings = server.settings
-        self._id = connection_id
         self._reader = reader
         self._writer = writer
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._settings.header_bytes_max
+        self._exchanges: deque[CallerExchange] = deque()
+        self._has_arrived = asyncio.Event()
+        self._requests = RequestReader(
+            server, connection_id, reader, writer, lambda: len(self._exchanges)
         )
-        peer = writer.get_extra_info("peername")
-        self._peer_host = peer[0] if peer else ""
-        self._idle_timer: asyncio.Timeout | None = None
-        self._method = b""
-        self._buffered_bytes = 0
-        self.is_last_request = False
+        self._written_http: h11.Connection | None = None
+
+    @property
+    def is_last_request(self) -> bool:
+        """Whether the connection closes after its next answer."""
+        return self._requests.is_closing
+
+    @is_last_request.setter
+    def is_last_request(self, is_last: bool) -> None:
+        self._requests.is_closing = is_last
 
     def close_if_idle(self) -> None:
         """Close now if no request has begun, otherwise after its answer."""
         self.is_last_request = True
-        if self._idle_timer is not None:
-            self._idle_timer.reschedule(asyncio.get_running_loop().time())
+        self._requests.wake()
 
     async def end(self) -> None:
         """Close the connection after all written bytes are sent.
 
         It is aborted if an answer is incomplete or the bytes are not sent in time.
         """
-        if self._h11.our_state in (h11.SEND_BODY, h11.ERROR):
-            self._writer.transport.abort()
+        http = self._written_http
+        if http is not None and http.our_state in (h11.SEND_BODY, h11.ERROR):
+            self._reset()
         self._writer.close()
         try:
             async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
@@ -107,35 +121,117 @@
         except OSError:
             self._writer.transport.abort()
 
+    def _reset(self) -> None:
+        """Close with a reset: a body without a length would else look complete."""
+        sock = self._writer.get_extra_info("socket")
+        if sock.fileno() >= 0:  # It is closed if the caller has reset the connection.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        self._writer.transport.abort()
+
     async def run(self) -> None:
         """Serve requests until the connection ends."""
-        while True:
-            try:
-                request = await self._read_request()
-            except h11.RemoteProtocolError as error:
-                await self.refuse(error.error_status_hint, "malformed request")
-                return
-            except _RefusedRequestError as error:
-                await self.refuse(error.status, str(error))
-                return
-            answer = await self._handle(request)
-            self.release_body()
-            await self._write_answer(answer)
-            if self._must_close():
-                await self._discard_input()
-                return
-            if self._h11.our_state is not h11.DONE:
-                return
-            if self._h11.their_state is not h11.DONE:
-                return
-            self._h11.start_next_cycle()
+        reading = asyncio.create_task(self._read_requests())
+        answering = asyncio.create_task(self._answer_requests())
+        try:
+            await asyncio.wait(
+                {reading, answering}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            await self._cancel(reading, answering)
+        if reading.done() and not reading.cancelled():
+            reading.result()
+        if not answering.result():
+            await self._discard_input()
 
     async def refuse(self, status: int, cause: str) -> None:
-        """Refuse a request without calling the handler, and stop reading requests."""
+        """Refuse the connection without reading a request."""
+        exchange = CallerExchange(h11.Connection(h11.SERVER))
         answer = refusal_answer(status, cause, NOT_RUN)
-        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await self._write_answer(answer._replace(must_close=True))
-            await self._discard_input()
+        await self._write_answer(exchange, answer, is_last=True)
+        await self._discard_input()
+
+    async def _read_requests(self) -> None:
+        """Read requests until the caller leaves.
+
+        Raises:
+            CallerDisconnectedError: When the caller has closed the connection.
+        """
+        is_last = False
+        while not is_last:
+            exchange = await self._requests.read()
+            is_last = exchange.refusal is not None or exchange.is_last
+            self._exchanges.append(exchange)
+            self._has_arrived.set()
+            self._start_ahead()
+            await self._requests.wait_until(self._has_room)
+        await self._requests.wait_until(lambda: False)
+
+    def _has_room(self) -> bool:
+        return len(self._exchanges) < OPEN_REQUESTS_MAX
+
+    def _start_ahead(self) -> None:
+        """Start the requests that may run beside the one that is answered next."""
+        if len(self._exchanges) < 2 or self._must_close():
+            return
+        for index, exchange in enumerate(self._exchanges):
+            request = exchange.request
+            if request is None or not self._server.is_repeatable(request):
+                return
+            if index and exchange.task is None:
+                exchange.task = asyncio.create_task(self._server.handle(request))
+
+    async def _answer_requests(self) -> bool:
+        """Answer requests in order until the connection has to close.
+
+        Returns:
+            Whether the caller's last request was read completely.
+        """
+        while True:
+            while not self._exchanges:
+                self._has_arrived.clear()
+                await self._has_arrived.wait()
+            exchange = self._exchanges[0]
+            if exchange.refusal is not None:
+                await self._write_answer(exchange, exchange.refusal, is_last=True)
+                return False
+            answer = await self._answer(exchange)
+            self._requests.release(exchange)
+            if answer.must_close:
+                self.is_last_request = True
+            is_last = self._must_close() and not self._has_started_next()
+            try:
+                await self._write_answer(exchange, answer, is_last=is_last)
+            finally:
+                if answer.stream is not None:
+                    answer.stream.close()
+            if is_last:
+                return False
+            if exchange.http.our_state is not h11.DONE or exchange.is_last:
+                return True
+            self._exchanges.popleft()
+            self._requests.wake()
+            self._start_ahead()
+
+    async def _answer(self, exchange: CallerExchange) -> CallerAnswer:
+        if exchange.task is None:
+            return await self._server.handle(exchange.request)
+        return await exchange.task
+
+    def _has_started_next(self) -> bool:
+        return len(self._exchanges) > 1 and self._exchanges[1].task is not None
+
+    def _must_close(self) -> bool:
+        return self.is_last_request or self._server.is_closing
+
+    async def _cancel(self, *tasks: asyncio.Task) -> None:
+        """Cancel tasks of the connection and all open requests."""
+        running = [*tasks, *(e.task for e in self._exchanges if e.task)]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        for exchange in self._exchanges:
+            self._requests.release(exchange)
+            _close_stream(exchange.task)
 
     async def _discard_input(self) -> None:
         """Discard input for a while.
@@ -154,139 +250,36 @@
         except OSError:
             return
 
-    def _must_close(self) -> bool:
-        return self.is_last_request or self._server.is_closing
-
-    async def _read_request(self) -> CallerRequest:
-        head = await self._read_head()
-        self._method = head.method
-        if head.method == b"CONNECT":
-            raise _RefusedRequestError(400, "method not allowed here")
-        if self._h11.they_are_waiting_for_100_continue:
-            await self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        try:
-            async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
-                body = await self._read_body()
-        except TimeoutError:
-            raise _RefusedRequestError(408, "body too slow") from None
-        return CallerRequest(
-            self._id,
-            self._peer_host,
-            head.method.decode("ascii"),
-            bytes(head.target),
-            tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            body,
-        )
-
-    async def _read_head(self) -> h11.Request:
-        event = self._h11.next_event()
-        if event is h11.NEED_DATA and not self._h11.trailing_data[0]:
-            await self._wait_idle()
-            event = self._h11.next_event()
-        try:
-            async with asyncio.timeout(self._settings.header_timeout_ms / MS_PER_S):
-                while event is h11.NEED_DATA:
-                    await self._receive()
-                    event = self._h11.next_event()
-        except TimeoutError:
-            raise _RefusedRequestError(408, "header too slow") from None
-        if not isinstance(event, h11.Request):
-            raise CallerDisconnectedError
-        if _header_bytes(event) > self._settings.header_bytes_max:
-            raise _RefusedRequestError(431, "header too large")
-        return event
-
-    async def _wait_idle(self) -> None:
-        # While the server only announces its close, a new connection keeps its idle
-        # time-out, since its first request may be in transit.
-        idle_ms = 0 if self.is_last_request else self._settings.idle_timeout_ms
-        try:
-            async with asyncio.timeout(idle_ms / MS_PER_S) as self._idle_timer:
-                await self._receive()
-        except TimeoutError:
-            await self._receive_available()
-        finally:
-            self._idle_timer = None
-
-    async def _receive_available(self) -> None:
-        """Receive bytes that arrived just as the idle wait ended.
-
-        Raises:
-            CallerDisconnectedError: If there are none.
-        """
-        try:
-            async with asyncio.timeout(0):
-                await self._receive()
-        except TimeoutError:
-            raise CallerDisconnectedError from None
-
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                await self._receive()
-            elif isinstance(event, h11.Data):
-                body += event.data
-                self._count_body_bytes(len(event.data))
-                if len(body) > self._settings.body_bytes_max:
-                    raise _RefusedRequestError(413, "body too large")
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise CallerDisconnectedError
-
-    def _count_body_bytes(self, byte_count: int) -> None:
-        self._buffered_bytes += byte_count
-        self._server.buffered_bytes += byte_count
-        if self._server.buffered_bytes > self._settings.all_body_bytes_max:
-            raise _RefusedRequestError(503, "too many bytes in open requests")
-
-    def release_body(self) -> None:
-        """Stop counting the current body towards the limit on all bodies."""
-        self._server.buffered_bytes -= self._buffered_bytes
-        self._buffered_bytes = 0
-
-    async def _receive(self) -> None:
-        data = await self._reader.read(READ_BYTES)
-        self._h11.receive_data(data)
-
-    async def _handle(self, request: CallerRequest) -> CallerAnswer:
-        """Run the handler, and cancel it if the caller disconnects."""
-        handler_task = asyncio.ensure_future(self._server.handle(request))
-        read_task = asyncio.ensure_future(self._reader.read(READ_BYTES))
-        try:
-            await asyncio.wait(
-                {handler_task, read_task}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if read_task.done():
-                data = read_task.result()
-                if not data and not handler_task.done():
-                    raise CallerDisconnectedError
-                self._h11.receive_data(data)
-            return await handler_task
-        finally:
-            for task in (handler_task, read_task):
-                if not task.done():
-                    task.cancel()
-            await asyncio.gather(handler_task, read_task, return_exceptions=True)
-
-    async def _write_answer(self, answer: CallerAnswer) -> None:
+    async def _write_answer(
+        self, exchange: CallerExchange, answer: CallerAnswer, *, is_last: bool
+    ) -> None:
+        http = self._written_http = exchange.http
+        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
         headers = list(answer.headers)
-        has_body = self._method != b"HEAD" and answer.status not in _NO_BODY_STATUSES
+        has_body = exchange.method != b"HEAD" and answer.status not in _NO_BODY_STATUSES
         if has_body:
-            headers.append((b"content-length", b"%d" % len(answer.body)))
-        if answer.must_close or self._must_close():
+            headers.append(_framing_field(answer))
+        if is_last:
             headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=answer.status, headers=headers)
-        data = self._h11.send(head)
+        data = http.send(h11.Response(status_code=answer.status, headers=headers))
         if has_body:
-            data += self._h11.send(h11.Data(data=answer.body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._write_bytes(data)
+            data += http.send(h11.Data(data=answer.body))
+        if has_body and answer.stream is not None:
+            await self._write_bytes(data)
+            await self._write_stream(http, answer.stream)
+            data = b""
+        await self._write_bytes(data + http.send(h11.EndOfMessage()))
+
+    async def _write_stream(self, http: h11.Connection, stream: AnswerStream) -> None:
+        """Write the rest of a body as fast as the caller reads it.
 
-    async def _write(self, event: h11.Event) -> None:
-        await self._write_bytes(self._h11.send(event))
+        Raises:
+            AnswerIncompleteError: If the body cannot be completed; the caller must not
+                take it for a complete one.
+        """
+        while data := await stream.read():
+            await self._write_bytes(http.send(h11.Data(data=data)))
 
     async def _write_bytes(self, data: bytes) -> None:
         self._writer.write(data)
@@ -294,6 +287,18 @@
             await self._writer.drain()
 
 
-def _header_bytes(head: h11.Request) -> int:
-    fields = sum(len(name) + len(value) for name, value in head.headers)
-    return len(head.method) + len(head.target) + fields
+def _framing_field(answer: CallerAnswer) -> tuple[bytes, bytes]:
+    if answer.stream is None:
+        return (b"content-length", b"%d" % len(answer.body))
+    if answer.stream.length is None:
+        return (b"transfer-encoding", b"chunked")
+    return (b"content-length", b"%d" % answer.stream.length)
+
+
+def _close_stream(task: asyncio.Task | None) -> None:
+    """Close the body of an answer that will not be written."""
+    if task is None or task.cancelled() or task.exception() is not None:
+        return
+    stream = task.result().stream
+    if stream is not None:
+        stream.close()
--- a/sequoiahook/daemons/caller_exchange.py
+++ b/sequoiahook/daemons/caller_exchange.py
@@ -1,12 +1,20 @@
 """Requests and answers between the caller server and its request handler."""
 
 import json
+from collections.abc import Callable
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.exchange.target_result import AnswerStream
 from sequoiahook.messages.requests import Fields
 
-__all__ = ["CallerAnswer", "CallerRequest", "CallerServerSettings", "refusal_answer"]
+__all__ = [
+    "CallerAnswer",
+    "CallerRequest",
+    "CallerServerSettings",
+    "call_at_end",
+    "refusal_answer",
+]
 
 _JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
@@ -64,19 +72,34 @@
 
 
 class CallerAnswer(NamedTuple):
-    """A complete answer to a caller.
+    """An answer to a caller.
 
     Attributes:
         status: HTTP status.
         headers: Header fields without content-length and connection.
-        body: Complete body.
+        body: Body, without the part that is still to be read.
         must_close: Whether the connection closes after it.
+        stream: The rest of the body; None if the body is complete.
     """
 
     status: int
     headers: Fields
     body: bytes
     must_close: bool = False
+    stream: AnswerStream | None = None
+
+
+def call_at_end(answer: CallerAnswer | None, callback: Callable[[], None]) -> None:
+    """Call a function once the body of an answer has ended, or now without a stream.
+
+    Args:
+        answer: The answer; None if there is none.
+        callback: The function.
+    """
+    if answer is None or answer.stream is None:
+        callback()
+    else:
+        answer.stream.add_end_callback(lambda end: callback())
 
 
 def refusal_answer(
--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -17,6 +17,7 @@
     CallerServerSettings,
     refusal_answer,
 )
+from sequoiahook.errors import AnswerIncompleteError
 from sequoiahook.messages.requests import UNKNOWN
 
 __all__ = [
@@ -35,16 +36,23 @@
 class CallerServer:
     """Serves HTTP/1.1 to callers.
 
-    The requests of a connection are handled one at a time. The handler is cancelled
-    if the caller disconnects.
+    The handler is cancelled if the caller disconnects.
 
     Args:
         settings: Listening address and limits.
         handler: Called for each complete request; returns the answer.
+        is_repeatable: Returns whether a request may run beside others of its
+            connection; by default the requests of a connection run one by one.
     """
 
-    def __init__(self, settings: CallerServerSettings, handler: Handler):
+    def __init__(
+        self,
+        settings: CallerServerSettings,
+        handler: Handler,
+        is_repeatable: Callable[[CallerRequest], bool] = lambda request: False,
+    ):
         self.settings = settings
+        self.is_repeatable = is_repeatable
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._connections_by_id: dict[int, CallerConnection] = {}
@@ -119,10 +127,14 @@
                 await connection.refuse(503, "too many connections")
             else:
                 await connection.run()
-        except (OSError, h11.LocalProtocolError, CallerDisconnectedError) as error:
+        except (
+            OSError,
+            h11.LocalProtocolError,
+            AnswerIncompleteError,
+            CallerDisconnectedError,
+        ) as error:
             _log.debug("caller connection ended: {}", type(error).__name__)
         finally:
-            connection.release_body()
             await connection.end()
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -1,12 +1,18 @@
 """Forwarding of callers' requests to targets, as the decisions direct."""
 
 import asyncio
-from typing import Protocol
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Protocol
 
 import logbook
 
 from sequoiahook.clock import Clock
-from sequoiahook.daemons.caller_http import CallerAnswer, CallerRequest
+from sequoiahook.daemons.caller_exchange import (
+    CallerAnswer,
+    CallerRequest,
+    call_at_end,
+)
 from sequoiahook.daemons.direct.request_fields import request_fields
 from sequoiahook.daemons.direct.request_runner import RequestRunner
 from sequoiahook.decisions.direct.core import DirectCore
@@ -19,6 +25,7 @@
     Refuse,
     Status,
 )
+from sequoiahook.decisions.exchange.target_result import StreamEnd
 from sequoiahook.messages.requests import Fields
 from sequoiahook.metrics import Metrics
 
@@ -27,6 +34,13 @@
 STOPPING_RETRY_AFTER_MS = 20
 """Short, since the other instances accept the request at once."""
 
+_CAUSES = {
+    StreamEnd.COMPLETE: "answered",
+    StreamEnd.BROKEN: "answer broken off by the target",
+    StreamEnd.TIMED_OUT: "target stalled within the answer",
+    StreamEnd.GIVEN_UP: "answer not read to its end",
+}
+
 log = logbook.Logger("request")
 
 
@@ -78,10 +92,20 @@
         """Answer a request."""
         self.open_count += 1
         self.last_request_at = self._clock.now()
+        answer = None
         try:
-            return await self._handle(self._dialect.read_request(request))
+            answer = await self._handle(self._dialect.read_request(request))
         finally:
-            self.open_count -= 1
+            call_at_end(answer, self._on_ended)
+        return answer
+
+    def is_repeatable(self, request: CallerRequest) -> bool:
+        """Return whether a request may run beside others of its connection."""
+        incoming = self._dialect.read_request(request)
+        return self._core.admission.is_repeatable(incoming)
+
+    def _on_ended(self) -> None:
+        self.open_count -= 1
 
     def refuse_stopping(self, request: CallerRequest) -> CallerAnswer:
         """Refuse a request that arrives after the instance stopped accepting work."""
@@ -101,28 +125,56 @@
         except asyncio.CancelledError:
             self._log_caller_gone(admitted, arrived_at)
             raise
-        self._log_outcome(incoming, admitted, step, arrived_at)
         if isinstance(step, Deliver):
-            result = step.result
-            return CallerAnswer(result.status, result.headers, result.body)
+            return self._delivered(incoming, admitted, step, arrived_at)
+        self._log_outcome(incoming, admitted, step, arrived_at)
         return self._dialect.refusal(incoming.id, step)
 
+    def _delivered(
+        self,
+        incoming: IncomingRequest,
+        request: OpenRequest,
+        step: Deliver,
+        arrived_at: int,
+    ) -> CallerAnswer:
+        result = step.result
+        answer = CallerAnswer(
+            result.status, result.headers, result.body, stream=result.stream
+        )
+        if result.stream is None:
+            self._log_outcome(incoming, request, step, arrived_at)
+            return answer
+        first_byte_ms = self._clock.now() - arrived_at
+
+        def log_stream(end: StreamEnd) -> None:
+            fields = {
+                "first_byte_ms": first_byte_ms,
+                "body_bytes": len(result.body) + result.stream.byte_count,
+                "body_length": result.stream.length,
+            }
+            self._log_outcome(incoming, request, step, arrived_at, end, fields)
+
+        result.stream.add_end_callback(log_stream)
+        return answer
+
     def _log_outcome(
         self,
         incoming: IncomingRequest,
         request: OpenRequest | None,
         outcome: Deliver | Refuse,
         arrived_at: int,
+        end: StreamEnd = StreamEnd.COMPLETE,
+        stream_fields: Mapping[str, Any] = MappingProxyType({}),
     ) -> None:
         now = self._clock.now()
         if isinstance(outcome, Deliver):
-            status, cause, retry_after_ms = outcome.result.status, "answered", 0
+            status, cause, retry_after_ms = outcome.result.status, _CAUSES[end], 0
         else:
             status, cause, retry_after_ms, _ = outcome
         self._metrics.count(f"requests {status} {cause}")
         self._metrics.record_ms("request", now - arrived_at)
         fields = self._common_fields(incoming, request, arrived_at)
-        fields |= {"status": status, "cause": cause}
+        fields |= {"status": status, "cause": cause, **stream_fields}
         if retry_after_ms:
             fields["retry_after_ms"] = retry_after_ms
         log.info("request", extra=fields)
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -8,6 +8,7 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.caller_exchange import call_at_end
 from sequoiahook.daemons.caller_http import (
     CallerAnswer,
     CallerRequest,
@@ -129,7 +130,11 @@
         self._stopping = Stopping(
             stopping_settings(settings), lambda: self._handovers.execution_count
         )
-        self._caller_server = _server(settings.caller_address, self._handle_caller)
+        self._caller_server = CallerServer(
+            CallerServerSettings(*settings.caller_address),
+            self._handle_caller,
+            self._handler.is_repeatable,
+        )
         self._readiness_server = _server(
             settings.readiness_address, self._handle_readiness
         )
@@ -357,10 +362,15 @@
     async def _handle_caller(self, request: CallerRequest) -> CallerAnswer:
         if not self._stopping.start_work():
             return self._handler.refuse_stopping(request)
+        answer = None
         try:
-            return await self._handler.handle(request)
+            answer = await self._handler.handle(request)
         finally:
-            self._apply_effects(self._stopping.finish_work(self._clock.now()))
+            call_at_end(answer, self._finish_work)
+        return answer
+
+    def _finish_work(self) -> None:
+        self._apply_effects(self._stopping.finish_work(self._clock.now()))
 
     async def _handle_readiness(self, request: CallerRequest) -> CallerAnswer:
         if not self._components.dialect.is_readiness_check(request):
--- a/sequoiahook/daemons/direct/request_runner.py
+++ b/sequoiahook/daemons/direct/request_runner.py
@@ -103,13 +103,18 @@
         exchange = self._targets.open(self._target_request(attempt))
         attempts, clock = self._core.attempts, self._clock
         try:
-            return await exchange.run(
+            result = await exchange.run(
                 lambda: attempts.may_write(attempt, clock.now()) and may_write()
             )
         except asyncio.CancelledError:
             result = TargetResult(exchange.stage)
             attempts.on_abandoned(attempt, result, clock.now())
             raise
+        if result.stream is not None:
+            result.stream.add_end_callback(
+                lambda end: attempts.on_stream_ended(attempt, end, clock.now())
+            )
+        return result
 
     def _target_request(self, attempt: Attempt) -> TargetRequest:
         incoming = attempt.request.incoming
@@ -126,4 +131,6 @@
             idle_max_ms=None
             if attempt.request.route.is_idempotent
             else REUSE_IDLE_MAX_MS,
+            # An outcome for another instance contains the whole body.
+            may_stream=attempt.request.origin is None,
         )
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -8,7 +8,16 @@
 import h11
 
 from sequoiahook.clock import MS_PER_S, NS_PER_MS
-from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.daemons.answer_reader import (
+    READ_BYTES,
+    AnswerReader,
+    ReaderSettings,
+)
+from sequoiahook.decisions.exchange.target_result import (
+    Stage,
+    StreamEnd,
+    TargetResult,
+)
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.target_dialect import TargetDialect
 from sequoiahook.world.instance import Address
@@ -22,7 +31,6 @@
     "monotonic_ms",
 ]
 
-READ_BYTES = 65_536
 _BODILESS_METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS"})
 
 IDLE_PERCENT = 70
@@ -66,6 +74,7 @@
         host: Host header field; empty for the address of the target.
         idle_max_ms: Longest idle time of a kept-alive connection, in milliseconds;
             None for no limit of this request.
+        may_stream: Whether the result may have a body that is still to be read.
     """
 
     address: Address
@@ -78,6 +87,7 @@
     id: str = ""
     host: bytes = b""
     idle_max_ms: int | None = None
+    may_stream: bool = False
 
 
 class CountingReader(asyncio.StreamReader):
@@ -164,8 +174,8 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=pool.settings.header_bytes_max
         )
-        self._head: h11.Response | None = None
-        self._body = bytearray()
+        self._answer: AnswerReader | None = None
+        self._deadline_at = 0.0
         self._started_at = monotonic_ms()
         self._exchange_task: asyncio.Task | None = None
         self._is_aborted = False
@@ -184,11 +194,14 @@
         except (OSError, ValueError, h11.ProtocolError):
             self._mark_incomplete()
         except asyncio.CancelledError:
+            if self._answer is not None and self._answer.stream is not None:
+                self._answer.stream.close()
             if not self._is_aborted or asyncio.current_task().cancelling():
                 raise
             self._mark_incomplete()
         finally:
-            self._pool.release(self)
+            if self._answer is None or self._answer.stream is None:
+                self._pool.release(self)
         return self._result()
 
     def abort(self) -> None:
@@ -198,7 +211,8 @@
             self._exchange_task.cancel()
 
     async def _run_exchange(self, may_write: Callable[[], bool]) -> None:
-        async with asyncio.timeout(self.request.timeout_ms / MS_PER_S):
+        async with asyncio.timeout(self.request.timeout_ms / MS_PER_S) as timeout:
+            self._deadline_at = timeout.when()
             idle = self._pool.take_idle(self.request)
             if idle is not None:
                 self.reader, self.writer = idle.reader, idle.writer
@@ -253,7 +267,7 @@
     @property
     def idle_ms(self) -> int:
         """Longest time to keep the connection idle, in milliseconds."""
-        headers = () if self._head is None else self._head.headers
+        headers = () if self._answer is None else self._answer.head.headers
         keep_alive_ms = self._dialect.idle_ms(headers)
         return min(self._settings.idle_ms, keep_alive_ms * IDLE_PERCENT // PERCENT)
 
@@ -275,30 +289,32 @@
         self.writer.write(data)
 
     async def _read_answer(self) -> None:
-        """Read the answer until it is complete or has failed."""
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._h11.receive_data(await self.reader.read(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                self._head = event
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > self._settings.answer_bytes_max:
-                    self._mark_incomplete()
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._classify_answer()
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                self._mark_incomplete()
-                return
+        """Read the answer until it is complete, has failed or is to be passed on."""
+        self._answer = AnswerReader(
+            ReaderSettings(
+                self.request.id,
+                self.request.method == "HEAD",
+                self.request.may_stream,
+                self._settings.answer_bytes_max,
+                self._deadline_at,
+            ),
+            self._dialect,
+            self._h11,
+            self.reader,
+            self._on_stream_ended,
+        )
+        self.stage = await self._answer.read()
+
+    def _on_stream_ended(self, end: StreamEnd) -> None:
+        if end is not StreamEnd.COMPLETE:
+            self.stage = Stage.ANSWER_TRUNCATED
+        self._pool.release(self)
 
     def _mark_incomplete(self) -> None:
         """Record that no complete answer was received."""
         if self.stage is not Stage.PARTLY_WRITTEN:
             return
-        if self._head is not None:
+        if self._answer is not None and self._answer.head is not None:
             self.stage = Stage.ANSWER_TRUNCATED
         elif not self.writer.transport.get_write_buffer_size():
             self.stage = Stage.WRITTEN_NO_ANSWER
@@ -311,70 +327,14 @@
 
     def _result(self) -> TargetResult:
         """Return the stage that was reached, with the answer if there is one."""
-        if self._head is None or self.stage is Stage.ANSWER_TRUNCATED:
-            return TargetResult(
-                self.stage,
-                duration_ms=self._elapsed_ms(),
-                connect_ms=self._connect_ms,
-                is_leaving=self._is_leaving(),
-                is_timed_out=self._is_timed_out,
-            )
-        headers = self._head.headers
-        return TargetResult(
-            stage=self.stage,
-            status=self._head.status_code,
-            headers=self._dialect.answer_fields(headers),
-            body=bytes(self._body),
-            requests_close=self._has_header_token(b"connection", b"close"),
+        result = TargetResult(self.stage)
+        if self._answer is not None:
+            result = self._answer.result(self.stage)
+        return result._replace(
             duration_ms=self._elapsed_ms(),
-            retry_after_ms=self._retry_after_ms(),
             connect_ms=self._connect_ms,
-            open_count=self._dialect.open_count(headers),
-            stated_limit=self._dialect.stated_limit(self._head.status_code, headers),
-            is_leaving=self._is_leaving(),
-            stated_rest=self._dialect.stated_rest(self._head.status_code, headers),
+            is_timed_out=self._is_timed_out,
         )
 
-    def _is_leaving(self) -> bool:
-        if self._head is None:
-            return False
-        status, headers = self._head.status_code, self._head.headers
-        is_own = self._dialect.is_answer_to(self.request.id, headers)
-        return is_own and self._dialect.is_leaving(status, headers)
-
-    def _classify_answer(self) -> None:
-        headers = self._head.headers
-        is_truncated = (
-            self._is_close_delimited() and not self._dialect.allows_close_delimited
-        )
-        if is_truncated or not self._dialect.is_answer_to(self.request.id, headers):
-            self.stage = Stage.ANSWER_TRUNCATED
-        elif self._dialect.is_not_run(self._head.status_code, headers):
-            self.stage = Stage.SHED
-        else:
-            self.stage = Stage.ANSWERED
-
-    def _is_close_delimited(self) -> bool:
-        """Return whether only the closed connection marks the end of the body."""
-        has_length = any(name == b"content-length" for name, _ in self._head.headers)
-        is_chunked = self._has_header_token(b"transfer-encoding", b"chunked")
-        is_bodiless = self.request.method == "HEAD"
-        is_bodiless = is_bodiless or self._head.status_code in (204, 304)
-        return not (has_length or is_chunked or is_bodiless)
-
-    def _has_header_token(self, name: bytes, expected: bytes) -> bool:
-        values = [v for n, v in self._head.headers if n == name]
-        return any(
-            expected == token.strip().lower()
-            for value in values
-            for token in value.split(b",")
-        )
-
-    def _retry_after_ms(self) -> int:
-        for name, value in self._head.headers:
-            if name == b"retry-after" and value.isdigit():
-                return int(value) * MS_PER_S
-        return 0
-
     def _elapsed_ms(self) -> int:
         return monotonic_ms() - self._started_at
--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -81,6 +81,12 @@
         self._keys = KeyTable(configuration)
         self._rates.configure(_contracts(configuration))
 
+    def is_repeatable(self, incoming: IncomingRequest) -> bool:
+        """Return whether the route of a request allows it to run more than once."""
+        path = incoming.target_path.partition("?")[0]
+        route = self._routes.find(incoming.host, path)
+        return route is not None and route.is_readable and route.is_idempotent
+
     def admit(self, incoming: IncomingRequest, now: int) -> OpenRequest | Refuse:
         """Return the open request, or a refusal."""
         if self._configuration is None:
@@ -210,11 +216,7 @@
             self._rates.refund(request.organisation, now)
 
     def _needs_key(self, route: Route) -> bool:
-        configuration = self._configuration
-        has_keys = (
-            bool(configuration.organisations_by_name) or configuration.has_unknown_keys
-        )
-        return has_keys and not route.is_open
+        return bool(self._configuration.organisations_by_name) and not route.is_open
 
     def _open(
         self,
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -9,7 +9,11 @@
     REACHED_STAGES,
     TargetState,
 )
-from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.exchange.target_result import (
+    Stage,
+    StreamEnd,
+    TargetResult,
+)
 from sequoiahook.world.target import StatedRest
 
 __all__ = ["FAILURE_STATUS_MIN", "AttemptResults"]
@@ -64,6 +68,15 @@
                 now,
             )
 
+    def record_stream_end(self, attempt: Attempt, end: StreamEnd, now: int) -> None:
+        """Record the end of a body that was passed on while it was received.
+
+        The target's work ended with the first byte of the answer; a caller that reads
+        slowly takes no slot from others.
+        """
+        if end in (StreamEnd.BROKEN, StreamEnd.TIMED_OUT):
+            attempt.state.record_outcome(True, now)
+
     def _record_statements(
         self, attempt: Attempt, result: TargetResult, now: int
     ) -> None:
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -35,7 +35,11 @@
 )
 from sequoiahook.decisions.exchange.retry import RetryBudget, RetryBudgetSettings
 from sequoiahook.decisions.exchange.states import Reason
-from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
+from sequoiahook.decisions.exchange.target_result import (
+    Stage,
+    StreamEnd,
+    TargetResult,
+)
 from sequoiahook.messages.requests import NOT_RUN, RAN
 
 __all__ = ["Attempts", "AttemptsSettings"]
@@ -248,6 +252,14 @@
             return self._end(request, Cause.FAILED, now)
         return self.next_step(request, now)
 
+    def on_stream_ended(self, attempt: Attempt, end: StreamEnd, now: int) -> None:
+        """Record the end of a body that was passed on while it was received."""
+        request = attempt.request
+        self._results.record_stream_end(attempt, end, now)
+        request.records[-1] = request.records[-1]._replace(
+            duration_ms=now - request.last_sent_at
+        )
+
     def on_abandoned(self, attempt: Attempt, result: TargetResult, now: int) -> None:
         """Record the result of an attempt whose caller has disconnected."""
         stage = result.stage
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -1,12 +1,13 @@
 """Result of an exchange with a target, and whether it proves that the request ran."""
 
+from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from sequoiahook.messages.requests import NOT_RUN, RAN, UNKNOWN, Fields
 from sequoiahook.world.target import StatedLimit, StatedRest
 
-__all__ = ["Stage", "TargetResult"]
+__all__ = ["AnswerStream", "Stage", "StreamEnd", "TargetResult"]
 
 
 class Stage(Enum):
@@ -36,6 +37,40 @@
 }
 
 
+class StreamEnd(Enum):
+    """How a body ended that was passed on while it was received."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken off by the target"
+    TIMED_OUT = "target stalled after the deadline"
+    GIVEN_UP = "not read to its end"
+
+
+class AnswerStream(Protocol):
+    """The rest of a body that is passed on while it is received.
+
+    Attributes:
+        length: Declared length of the whole body in bytes; None if unknown.
+        byte_count: Number of bytes that were read from the stream.
+    """
+
+    length: int | None
+    byte_count: int
+
+    def add_end_callback(self, callback: Callable[[StreamEnd], None]) -> None:
+        """Call a function when the body has ended, or at once if it has."""
+
+    async def read(self) -> bytes:
+        """Return the next part; empty at the end of a complete body.
+
+        Raises:
+            AnswerIncompleteError: If the body cannot be completed.
+        """
+
+    def close(self) -> None:
+        """Stop reading; it has no effect on a body that has ended."""
+
+
 class TargetResult(NamedTuple):
     """Result of one exchange with a target.
 
@@ -43,7 +78,8 @@
         stage: Stage at which the exchange ended.
         status: HTTP status; 0 if no answer was received.
         headers: Header fields of the answer.
-        body: Complete body of the answer.
+        body: Body of the answer, without the part that is still to be read.
+        stream: The rest of the body; None if the body is complete.
         requests_close: Whether the target requested to close the connection.
         duration_ms: Time from the first byte written to the end, in milliseconds.
         retry_after_ms: Retry-after time that the target sent, in milliseconds; 0 if
@@ -72,6 +108,7 @@
     stated_rest: StatedRest = StatedRest()
     is_leaving: bool = False
     is_timed_out: bool = False
+    stream: AnswerStream | None = None
 
     @property
     def is_lost(self) -> bool:
--- a/sequoiahook/errors.py
+++ b/sequoiahook/errors.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "AnswerIncompleteError",
     "CheckError",
     "CodecError",
     "Finding",
@@ -50,6 +51,10 @@
         self.findings = tuple(findings)
 
 
+class AnswerIncompleteError(SequoiahookError):
+    """The body of a target's answer ended before it was complete."""
+
+
 class CodecError(SequoiahookError):
     """Received bytes are not a known message."""
 
--- a/sequoiahook/platform/configuration.py
+++ b/sequoiahook/platform/configuration.py
@@ -20,6 +20,7 @@
 
 INTEGER_MAX = 1 << 40
 HEXADECIMAL_BASE = 16
+TABLES = ("services", "routes", "tenants", "limits")
 IDEMPOTENT_TYPES = ("safe", "download")
 OTHER_TYPES = ("unsafe", "upload")
 
@@ -35,16 +36,18 @@
     route with an unknown type are not repeated.
 
     Raises:
-        CheckError: If the document has no readable number, so that it cannot be
-            compared with others.
+        CheckError: If its number or one of its tables as a whole cannot be read.
     """
     root = Section(document, "config/main")
     number = _number(root)
+    is_readable = number is not None and all(
+        isinstance(document.get(key, {}), Mapping) for key in TABLES
+    )
     services = root.objects_by_name("services", _read_service)
     routes = root.objects_by_name("routes", _read_route)
     organisations = root.objects_by_name("tenants", _read_organisation)
     limits = _read_limits(root.section("limits", optional=True))
-    if number is None:
+    if not is_readable:
         root.raise_for_findings()
     return RoutingConfiguration(
         number,
@@ -53,17 +56,13 @@
         organisations,
         limits,
         findings=tuple(root.findings),
-        has_unknown_routes=not _is_object(document, "routes")
-        or not all(route.host and route.path_prefix for route in routes.values()),
-        has_unknown_keys=not _is_object(document, "tenants")
-        or not all(o.are_keys_known for o in organisations.values()),
+        has_unknown_routes=not all(
+            route.host and route.path_prefix for route in routes.values()
+        ),
+        has_unknown_keys=not all(o.are_keys_known for o in organisations.values()),
     )
 
 
-def _is_object(document: Mapping, key: str) -> bool:
-    return isinstance(document.get(key, {}), Mapping)
-
-
 def _number(root: Section) -> int | None:
     text = root.string("version")
     try:
