Restart of a whole fleet: one reader of the store for each region, shares at once

Cause: after a loss of power every instance listed all kinds itself, the targets page by page, and issued its first watches before a link to a peer was up; an instance that the store refused kept calling it, although peers could relay; groups had no leader for a second and leaders no share for 600 ms, and buckets started empty.

Change: instances wait up to a second, by rank, for a peer that relays, and at most 300 ms for its link; one that the store refuses reads through others, and one that is relayed itself does not relay. Lists of instances and of the secret may be stale after a restart. A member that all others vote for leads at once. Leaders use half of an equal share before the others' reports, and start with up to a token, 8 together. Soak: large answers and callers that send ahead.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -140,7 +140,8 @@
             await self._cancel(reading, answering)
         if reading.done() and not reading.cancelled():
             reading.result()
-        if not answering.result():
+        has_read_all = answering.result()
+        if not has_read_all:
             await self._discard_input()
 
     async def refuse(self, status: int, cause: str) -> None:
@@ -184,7 +185,7 @@
         """Answer requests in order until the connection has to close.
 
         Returns:
-            Whether the caller's last request was read completely.
+            Whether no bytes of the caller are left unread.
         """
         while True:
             while not self._exchanges:
@@ -207,7 +208,7 @@
             if is_last:
                 return False
             if exchange.http.our_state is not h11.DONE or exchange.is_last:
-                return True
+                return not exchange.http.trailing_data[0]
             self._exchanges.popleft()
             self._requests.wake()
             self._start_ahead()
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -140,9 +140,14 @@
         )
         self._lookup_server = _server(settings.lookup_address, self._handle_lookup)
         self._metrics_server = _server(settings.metrics_address, self._handle_metrics)
-        self._registration = Registration(components.store, me, settings.durations)
+        self._registration = Registration(
+            components.store,
+            me,
+            settings.durations,
+            is_first_start=settings.is_first_start,
+        )
         self._instance_observer = InstanceObserver(
-            self.core, self._clock, self._registration.request_write
+            self.core, self._clock, self._registration.check_entry
         )
         self._relay = Relay(
             me,
@@ -150,6 +155,7 @@
             self._clock,
             self._relay_peer,
             self._avoid_relay,
+            self._relay_rank,
             self._leads_region,
             is_first_start=settings.is_first_start,
         )
@@ -276,6 +282,9 @@
     def _relay_peer(self) -> LiveInstance | None:
         return self.core.relay_peer(self._clock.now())
 
+    def _relay_rank(self) -> int:
+        return self.core.relay_rank(self._clock.now())
+
     def _leads_region(self) -> bool:
         return self.core.leads_region(self._clock.now())
 
--- a/sequoiahook/daemons/direct/object_store.py
+++ b/sequoiahook/daemons/direct/object_store.py
@@ -105,6 +105,14 @@
 class ObjectStore(ObjectSource, Protocol):
     """The platform's object store."""
 
+    async def list_objects(self, kind: Kind, *, may_be_stale: bool = False) -> Listing:
+        """Return all objects of a kind.
+
+        Args:
+            kind: The kind of objects.
+            may_be_stale: Whether a list that is seconds old will do, which costs less.
+        """
+
     def decode_object(self, kind: Kind, document: Any) -> StoredObject:
         """Decode an object of the store."""
 
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -222,21 +222,35 @@
     Args:
         core: The decisions.
         clock: The clock.
-        on_missing: Called when the entry of this instance is missing.
+        check_entry: Called with whether the entry of this instance is present, and the
+            revision of the store at which that is so.
     """
 
     kind = Kind.INSTANCES
 
-    def __init__(self, core: DirectCore, clock: Clock, on_missing: Callable[[], None]):
+    def __init__(
+        self, core: DirectCore, clock: Clock, check_entry: Callable[[bool, int], None]
+    ):
         super().__init__(core, clock)
-        self._on_missing = on_missing
+        self._revision = 0
+        self._check_entry = check_entry
 
     def apply_all(self, as_of: int) -> None:
         """Apply the list of instances."""
         self.core.set_instances(self.values_by_name, self.clock.now())
         own = self.values_by_name.get(self.core.me.name)
-        if own is None or own.incarnation != self.core.me.incarnation:
-            self._on_missing()
+        is_present = own is not None and own.incarnation == self.core.me.incarnation
+        self._check_entry(is_present, self._revision)
+
+    def on_listed(self, listing: Listing, as_of: int) -> None:
+        """Replace all objects."""
+        self._revision = listing.revision
+        super().on_listed(listing, as_of)
+
+    def on_changed(self, changes: Changes, as_of: int) -> None:
+        """Apply changes."""
+        self._revision = changes.revision
+        super().on_changed(changes, as_of)
 
     def apply_changes(self, as_of: int) -> None:
         """Apply the list of instances."""
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -15,6 +15,9 @@
 
 SECRET_NAME = "fleet"
 SECRET_BYTES = 32
+STALE_MAX_S = 4.0
+"""Age of a list that may be stale, at most."""
+
 
 log = logbook.Logger("store")
 
@@ -26,19 +29,46 @@
         store: The store.
         me: This instance.
         durations: Durations of the daemon's tasks.
+        is_first_start: Whether the whole fleet starts; otherwise there probably are an
+            entry of this instance and a secret.
     """
 
-    def __init__(self, store: ObjectStore, me: LiveInstance, durations: Durations):
+    def __init__(
+        self,
+        store: ObjectStore,
+        me: LiveInstance,
+        durations: Durations,
+        *,
+        is_first_start: bool = False,
+    ):
+        self._is_first_start = is_first_start
         self._store = store
         self._me = me
         self._retry_s = durations.store_retry_ms / MS_PER_S
         self._revision = 0
         self._write_requested = asyncio.Event()
         self._write_requested.set()
+        self._check: asyncio.TimerHandle | None = None
 
-    def request_write(self) -> None:
-        """Request a write of the entry: it is missing or of another incarnation."""
-        self._write_requested.set()
+    def check_entry(self, is_present: bool, revision: int) -> None:
+        """Write the entry again if it is missing.
+
+        Args:
+            is_present: Whether the store has the entry, of this incarnation.
+            revision: Revision of the store at which that is so. A list from before the
+                last write does not show the entry; only if it stays missing, the store
+                has lost it.
+        """
+        if self._check is not None:
+            self._check.cancel()
+            self._check = None
+        if is_present:
+            return
+        if revision >= self._revision:
+            self._write_requested.set()
+            return
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(STALE_MAX_S, self._write_requested.set)
 
     async def run(self) -> None:
         """Write the entry whenever a write is requested, until cancelled."""
@@ -60,10 +90,16 @@
 
     async def secret(self) -> str:
         """Return the fleet's secret; the first instance creates it."""
+        may_be_stale = not self._is_first_start
         while True:
             try:
-                listing = await self._store.list_objects(Kind.SECRETS)
+                listing = await self._store.list_objects(
+                    Kind.SECRETS, may_be_stale=may_be_stale
+                )
                 stored = listing.objects_by_name.get(SECRET_NAME)
+                if stored is None and may_be_stale:
+                    may_be_stale = False
+                    continue
                 if stored is None:
                     value = secrets.token_hex(SECRET_BYTES)
                     stored = await self._store.create(Kind.SECRETS, SECRET_NAME, value)
@@ -74,12 +110,16 @@
 
     async def _write_entry(self) -> int:
         kind, name, me = Kind.INSTANCES, self._me.name, self._me
+        writes = [self._store.create, self._store.replace]
+        if not self._is_first_start:
+            writes.reverse()
+        first, second = writes
         while True:
             try:
                 try:
-                    return (await self._store.create(kind, name, me)).revision
+                    return (await first(kind, name, me)).revision
                 except VersionConflictError:
-                    return (await self._store.replace(kind, name, me)).revision
+                    return (await second(kind, name, me)).revision
             except PlatformError as error:
                 log.debug("entry not written", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -9,7 +9,8 @@
 import asyncio
 import itertools
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
 
 import cbor2
 import logbook
@@ -31,7 +32,11 @@
     SendFailed,
 )
 from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
-from sequoiahook.errors import HistoryExpiredError, RelayUnavailableError
+from sequoiahook.errors import (
+    HistoryExpiredError,
+    PlatformError,
+    RelayUnavailableError,
+)
 from sequoiahook.messages.base import Envelope
 from sequoiahook.messages.relay import StoreAnswer, StoreAsk
 from sequoiahook.world.instance import Address, LiveInstance
@@ -50,20 +55,35 @@
 LIST_WAIT_MS = 1_000
 """How long a peer without a list waits for its own list before it answers."""
 
-PEERS_CHECK_MS = 50
+PEERS_CHECK_MS = 20
 PEERS_MAX_WAIT_MS = 3_000
 """All instances start within 0.3 s; callers come about 10 s later."""
 
+REPORTS_WAIT_MS = 200
+"""Time after a restart in which the reports of peers in the region arrive."""
+
+RANK_WAIT_MS = 200
+RANK_MAX = 4
+"""The instances of a region that restarts read the store one after the other by their
+rank, until one of them relays it; those beyond this rank at the same time."""
+
+LINK_WAIT_MS = 300
+"""Longest wait for the link to a peer that can relay."""
+
 ENTRIES_WAIT_MS = 700
 """Time in which all instances of a first start create their entries in the store."""
 
-KINDS_AWAITING_PEERS = frozenset({Kind.CONFIGURATION, Kind.EVACUATIONS, Kind.TARGETS})
+UNAWAITED_KINDS = frozenset({Kind.INSTANCES, Kind.SECRETS})
+"""Kinds without which no peer can be found."""
+
 LIST_REVISION = -1
 
 # Values of the field "problem" of answers.
 HISTORY_GONE = "history gone"
 NOT_FOLLOWED = "not followed here"
 
+T = TypeVar("T")
+
 log = logbook.Logger("relay")
 
 
@@ -118,6 +138,7 @@
         clock: The clock.
         choose_peer: Returns the peer to read from; None to call the store itself.
         avoid_peer: Called with the name of a peer that did not answer.
+        rank: Returns how many instances of the region rank before this one.
         leads_region: Returns whether all other instances of the region report and this
             one ranks before them.
         is_first_start: Whether the whole fleet starts, without callers yet. Lists then
@@ -131,6 +152,7 @@
         clock: Clock,
         choose_peer: Callable[[], LiveInstance | None],
         avoid_peer: Callable[[str], None],
+        rank: Callable[[], int] = lambda: 0,
         leads_region: Callable[[], bool] = lambda: False,
         *,
         is_first_start: bool = False,
@@ -140,10 +162,11 @@
         self._clock = clock
         self._choose_peer = choose_peer
         self._avoid_peer = avoid_peer
+        self._rank = rank
         self._leads_region = leads_region
-        now = clock.now()
-        self._await_entries_until = now + ENTRIES_WAIT_MS if is_first_start else now
-        self._await_peers_until = now + PEERS_MAX_WAIT_MS if is_first_start else now
+        self._is_first_start = is_first_start
+        self._started_at = clock.now()
+        self._is_relayed = False
         self._links: Links | None = None
         self._address_by_peer: dict[str, Address] = {}
         self._caches_by_kind = {kind: StoreCache() for kind in Kind}
@@ -165,13 +188,11 @@
 
     async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
-        if kind in KINDS_AWAITING_PEERS:
-            await self._wait_for_peers()
-        elif kind is Kind.INSTANCES:
+        if kind is Kind.INSTANCES:
             await self._wait_for_entries()
-        peer = self._connected_peer()
+        peer = await self._relaying_peer(kind)
         if peer is None:
-            return await self._store.list_objects(kind)
+            return await self._call_store(self._list_store(kind))
         answer, age_ms = await self._request(peer, kind, LIST_REVISION, LIST_WAIT_MS)
         objects = [
             change.object for change in self._decode_changes(kind, answer.content)
@@ -181,9 +202,9 @@
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one."""
-        peer = self._connected_peer()
+        peer = await self._relaying_peer(kind)
         if peer is None:
-            return await self._store.watch(kind, revision, wait_ms)
+            return await self._call_store(self._store.watch(kind, revision, wait_ms))
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
         changes = tuple(self._decode_changes(kind, answer.content))
         return Changes(changes, answer.revision, age_ms)
@@ -210,19 +231,58 @@
         for task in self._tasks:
             task.cancel()
 
+    def _list_store(self, kind: Kind) -> Awaitable[Listing]:
+        # After a restart an older list of instances is enough to find peers, and the
+        # changes since are watched.
+        is_restart = kind is Kind.INSTANCES and not self._is_first_start
+        return self._store.list_objects(kind, may_be_stale=is_restart)
+
+    async def _call_store(self, call: Awaitable[T]) -> T:
+        """Call the store; if it fails, read through peers for a while."""
+        try:
+            result = await call
+        except HistoryExpiredError:
+            raise
+        except PlatformError:
+            self._avoid_peer(self._me.name)
+            raise
+        self._is_relayed = False
+        return result
+
     async def _wait_for_entries(self) -> None:
         """Wait until the instances that start together have created their entries."""
-        wait_ms = self._await_entries_until - self._clock.now()
+        if not self._is_first_start:
+            return
+        wait_ms = self._started_at + ENTRIES_WAIT_MS - self._clock.now()
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / MS_PER_S)
 
-    async def _wait_for_peers(self) -> None:
-        """Wait a limited time until a peer is available or this instance leads."""
-        while self._clock.now() < self._await_peers_until:
-            if self._leads_region() or self._connected_peer() is not None:
-                return
+    async def _relaying_peer(self, kind: Kind) -> LiveInstance | None:
+        """Return the peer to read from, after a limited wait; None for the store."""
+        awaited, link_until = "", 0
+        while True:
+            peer = self._connected_peer()
+            if peer is not None or kind in UNAWAITED_KINDS:
+                return peer
+            now = self._clock.now()
+            candidate = self._choose_peer() if self._links is not None else None
+            if candidate is None and now >= self._reads_store_from():
+                return None
+            if candidate is not None and candidate.name != awaited:
+                awaited, link_until = candidate.name, now + LINK_WAIT_MS
+            if candidate is not None and now >= link_until:
+                self._avoid_peer(candidate.name)
+                return None
             await asyncio.sleep(PEERS_CHECK_MS / MS_PER_S)
 
+    def _reads_store_from(self) -> int:
+        """Return from when this instance reads the store if no peer relays it."""
+        if self._is_first_start:
+            wait_ms = 0 if self._leads_region() else PEERS_MAX_WAIT_MS
+        else:
+            wait_ms = REPORTS_WAIT_MS + RANK_WAIT_MS * min(self._rank(), RANK_MAX)
+        return self._started_at + wait_ms
+
     def _connected_peer(self) -> LiveInstance | None:
         if self._links is None:
             return None
@@ -261,6 +321,7 @@
             self._avoid_peer(peer.name)
             cause = "no answer" if answer is None else answer.problem
             raise RelayUnavailableError(f"{peer.name}: {cause}")
+        self._is_relayed = True
         round_trip_ms = self._clock.now() - sent_at - answer.held_ms
         return answer, answer.age_ms + max(0, round_trip_ms)
 
@@ -281,7 +342,8 @@
         if is_empty or cache.changes_after(request.revision) == ():
             await self._wait_for_change(kind, request.wait_ms)
         held_ms = self._clock.now() - received_at
-        if cache.confirmed_at is None or self._lost_kinds:
+        # Two instances that read through each other would both miss all changes.
+        if cache.confirmed_at is None or self._lost_kinds or self._is_relayed:
             self._send(
                 peer, StoreAnswer(request.ticket, NOT_FOLLOWED, 0, b"", 0, held_ms)
             )
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -27,6 +27,11 @@
 SMALL_FLEET_INSTANCES = 12
 """Number of instances up to which reports are sent at the configured interval."""
 
+STARTUP_MS = 1_000
+STARTUP_REPORT_MS = 100
+"""Interval between the first reports, with which leaders are elected and shares of the
+rates granted."""
+
 SERVE_WAITING_INTERVAL_MS = 10
 """Interval at which a leader serves waiting token requests.
 
@@ -74,6 +79,7 @@
         self._settings = settings
         self._core = core
         self._clock = clock
+        self._started_at = clock.now()
         self._transport: asyncio.DatagramTransport | None = None
         self._is_refusal_logged = False
         self._is_serving_scheduled = False
@@ -101,9 +107,10 @@
         while True:
             self.send(includes_far=round_number % far_every == 0)
             round_number += 1
-            await asyncio.sleep(
-                durations.report_near_ms * self._interval_factor() / MS_PER_S
-            )
+            interval_ms = durations.report_near_ms * self._interval_factor()
+            if self._clock.now() - self._started_at < STARTUP_MS:
+                interval_ms = STARTUP_REPORT_MS
+            await asyncio.sleep(interval_ms / MS_PER_S)
 
     def _interval_factor(self) -> float:
         """Return the factor by which the report interval exceeds a small fleet's.
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -209,12 +209,18 @@
         """
         others = self.peers.instances_by_name
         for name in self._ranked_relays(self.fleet.near_peers(now)):
-            if name == self.me.name:
+            is_avoided = now < self._avoided_until_by_peer.get(name, 0)
+            if name == self.me.name and not is_avoided:
                 return None
-            if now >= self._avoided_until_by_peer.get(name, 0) and self._relays(name):
+            if name != self.me.name and not is_avoided and self._relays(name):
                 return others[name]
         return None
 
+    def relay_rank(self, now: int) -> int:
+        """Return how many instances of the region rank before this one as a relay."""
+        near = self.fleet.near_peers(now)
+        return self._ranked_relays(near).index(self.me.name)
+
     def leads_region(self, now: int) -> bool:
         """Return whether all peers of the region report and this instance is first."""
         others = self.peers.instances_by_name.values()
@@ -224,7 +230,10 @@
         return all_report and self._ranked_relays(near)[0] == self.me.name
 
     def avoid_relay(self, peer: str, now: int) -> None:
-        """Stop using a peer as a relay for a while."""
+        """Stop using an instance as a relay for a while.
+
+        For this instance itself it means to read through others if any can relay.
+        """
         self._avoided_until_by_peer[peer] = now + AVOID_RELAY_MS
 
     def _ranked_relays(self, near: list[str]) -> list[str]:
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -246,7 +246,7 @@
         return MemberReport(
             own,
             self.groups.vote,
-            rates.is_leader and rates.is_settled,
+            rates.is_leader and rates.has_shares,
             self._own_open_counts(),
             self._components.selector.home_shares.loads(),
         )
--- a/sequoiahook/decisions/direct/groups.py
+++ b/sequoiahook/decisions/direct/groups.py
@@ -7,8 +7,9 @@
 the rates. In a small fleet each instance is a group of its own and its own leader.
 
 Each member votes for a responsive leader, or for the first responsive member if there
-is no leader. A member leads while a majority of the group has voted for it recently,
-and only after the votes for its predecessor have expired.
+is no leader. A member leads while it and a majority of the group have voted for it
+recently, and only after the votes for its predecessor have expired, or if all members
+vote for it.
 
 Designed for fleets of tens to hundreds of instances: the cost of reports and the
 accuracy of rates do not depend on the number of instances, but some requests are
@@ -172,7 +173,7 @@
             self.vote = self._me.name
             return
         self.vote = self._choose_vote(now)
-        if self._has_majority(now):
+        if self.vote == self._me.name and self._has_majority(now):
             if self._elected_at is None:
                 self._elected_at = now
         else:
@@ -184,7 +185,10 @@
             return True
         if self._elected_at is None or not self._has_majority(now):
             return False
-        return now - self._elected_at >= self._settings.vote_lifetime_ms
+        has_predecessor_ended = (
+            now - self._elected_at >= self._settings.vote_lifetime_ms
+        )
+        return has_predecessor_ended or self._is_unanimous(now)
 
     def _choose_vote(self, now: int) -> str:
         """Return the member to vote for.
@@ -200,6 +204,20 @@
             return self.vote
         return (leaders or responsive)[0]
 
+    def _is_unanimous(self, now: int) -> bool:
+        """Return whether all members vote for this instance.
+
+        Then there is no predecessor: a leader votes for itself, and so does a member
+        that is about to lead. After a restart of the whole group this is known as soon
+        as all have reported.
+        """
+        oldest = now - self._settings.vote_lifetime_ms
+        return all(
+            self._voted_at_by_name.get(name, oldest - 1) >= oldest
+            for name in self._members
+            if name != self._me.name
+        )
+
     def _has_majority(self, now: int) -> bool:
         votes = int(self.vote == self._me.name)
         for name in self._members:
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -31,6 +31,13 @@
 __all__ = ["PERMILLE", "Quota", "QuotaSettings"]
 
 PERMILLE = 1000
+DEFAULT_SHARE_TOTAL = 0.5
+"""Sum of the shares that the members use before they have reports of each other.
+
+After a restart of all, no share is in use. If only some restart, the others keep their
+shares until the reports of the restarted ones arrive, within a second.
+"""
+
 LOAN_TOKENS_MIN = 0.1
 """Smallest loan, in tokens, that is worth a datagram."""
 
@@ -42,8 +49,11 @@
         demand_window_ms: Time over which demand is averaged.
         floor_permille: Minimum demand that each instance is counted with, in
             thousandths of an equal share of the rate.
-        settling_ms: Time after the start until a member without a report counts as
-            granting an equal share of half the rate.
+        settling_ms: Time after the start for which refused requests may retry at once,
+            since shares grow with the first reports of the other members.
+        initial_tokens_total: Tokens of an organisation that all members together start
+            with. It is part of what the platform tolerates above the rate, so that a
+            small rate does not yield its first token seconds after a restart.
         borrow_below_tokens: Tokens below which an instance requests more from peers.
         borrow_tokens_max: Tokens that it requests at most where several requests wait.
         reserve_ms: Time for which an instance reserves the tokens of its own demand.
@@ -57,6 +67,7 @@
     demand_window_ms: int = 4_000
     floor_permille: int = 500
     settling_ms: int = 600
+    initial_tokens_total: int = 8
     borrow_below_tokens: float = 1.0
     borrow_tokens_max: int = 8
     reserve_ms: int = 200
@@ -105,6 +116,11 @@
         self._requested_at_by_name: dict[str, int] = {}
         self._token_requests: list[tuple[str, TokenRequest]] = []
 
+    @property
+    def has_shares(self) -> bool:
+        """Whether the members are known, so that shares can be used."""
+        return self._has_members
+
     def configure(self, contracts_by_name: Mapping[str, Contract]) -> None:
         """Apply the contracts; an organisation without one is not limited."""
         self._contracts_by_name = dict(contracts_by_name)
@@ -112,7 +128,9 @@
         self._digest = crc32("\0".join(self._organisations).encode())
         for name in contracts_by_name:
             self._demands_by_name.setdefault(name, Demand())
-            self._buckets_by_name.setdefault(name, Bucket())
+            if name not in self._buckets_by_name:
+                bucket = self._buckets_by_name[name] = Bucket()
+                bucket.tokens = self._initial_tokens()
 
     def set_members(
         self, names: Iterable[str], now: int, near: Iterable[str] = ()
@@ -138,9 +156,17 @@
         ):
             for name in set(table) - self._members:
                 del table[name]
-        self._has_members = True
+        if not self._has_members:
+            self._has_members = True
+            for bucket in self._buckets_by_name.values():
+                bucket.tokens = self._initial_tokens()
         self.update(now)
 
+    def _initial_tokens(self) -> float:
+        if not self._has_members:
+            return 0.0
+        return min(1.0, self._settings.initial_tokens_total / len(self._members))
+
     def count_demand(self, organisation: str) -> None:
         """Count a request of an organisation as demand, whether or not it is sent."""
         demand = self._demands_by_name.get(organisation)
@@ -344,12 +370,6 @@
                 # Its demand counts in the total, and it uses only granted shares.
                 continue
             if granted is None:
-                granted = self._default_share(now)
+                granted = DEFAULT_SHARE_TOTAL / len(self._members)
             share = min(share, granted)
         return share
-
-    def _default_share(self, now: int) -> float:
-        """Return the share that a member counts as granting before its first report."""
-        if now - self._started_at < self._settings.settling_ms:
-            return 0.0
-        return 0.5 / len(self._members)
--- a/sequoiahook/decisions/direct/rates.py
+++ b/sequoiahook/decisions/direct/rates.py
@@ -60,6 +60,11 @@
         """Whether requests can get tokens."""
         return self.quota.is_settled if self.is_leader else self.has_leader
 
+    @property
+    def has_shares(self) -> bool:
+        """Whether this leader has shares of the rates, perhaps provisional ones."""
+        return self.quota.has_shares
+
     def configure(self, contracts_by_name: Mapping[str, Contract]) -> None:
         """Apply the contracts; an organisation without one is not limited."""
         self._contracts_by_name = dict(contracts_by_name)
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -82,11 +82,12 @@
             )
         )
 
-    async def list_objects(self, kind: Kind) -> Listing:
+    async def list_objects(self, kind: Kind, *, may_be_stale: bool = False) -> Listing:
         """Return all objects of a kind, page by page."""
         objects_by_name: dict[str, StoredObject] = {}
         revision = None
-        query = ""
+        stale = "stale_ok=1" if may_be_stale else ""
+        query = f"?{stale}" if stale else ""
         while True:
             page = await self._call("GET", _object_path(kind) + query)
             # A later page may show a later state; a watch from the revision of the
@@ -100,7 +101,7 @@
             after = _last_name(page["items"])
             if not page.get("has_more") or not after:
                 return Listing(objects_by_name, revision)
-            query = "?after=" + quote(after, safe="")
+            query = f"?after={quote(after, safe='')}" + (f"&{stale}" if stale else "")
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from sequoiahook.world.instance import Address
 from soak.observations import SentRequest
+from soak.sending_ahead import Answer, send_ahead
 from standins.platform_documents import PORTS
 from standins.platform_fleet import Request
 
@@ -34,6 +35,10 @@
 """Path prefix, method, whether requests are idempotent, and weight of each route."""
 
 UPLOAD_BYTES = 20_000
+AHEAD_SHARE = 0.1
+"""Share of the sends in which several requests are written before any answer."""
+
+AHEAD_MAX = 4
 CRASH_SHARE = 0.02
 """Share of the requests that are those on which targets end, while there are any."""
 
@@ -148,6 +153,8 @@
         self, connection, instance: str, rng: random.Random, is_reused: bool
     ) -> bool:
         """Send one request, record it and return whether the connection stays open."""
+        if rng.random() < AHEAD_SHARE:
+            return self._send_ahead(connection, instance, rng, is_reused)
         prefix, method, is_idempotent = self._draw_route(rng)
         request_id = f"{next(self._request_numbers)}-{rng.randrange(1 << 30):x}"
         key = "" if prefix == PUBLIC_PREFIX else rng.choice(self._keys())
@@ -191,6 +198,48 @@
         )
         return not response.will_close
 
+    def _send_ahead(
+        self, connection, instance: str, rng: random.Random, is_reused: bool
+    ) -> bool:
+        """Send several requests at once; return whether the connection stays open."""
+        sent_at = time.monotonic()
+        requests = []
+        for _ in range(rng.randint(2, AHEAD_MAX)):
+            request_id = f"{next(self._request_numbers)}-{rng.randrange(1 << 30):x}"
+            cookie = ("Cookie", f"Affinity-Key={rng.randrange(AFFINITY_KEY_COUNT)}")
+            requests.append(
+                Request(
+                    f"/look/{request_id}",
+                    key=rng.choice(self._keys()),
+                    id=request_id,
+                    deadline_ms=DEADLINE_MS,
+                    headers=(cookie,),
+                )
+            )
+        sent = [
+            SentRequest(
+                request.id, request.path, True, request.key, instance, sent_at, sent_at,
+                is_reused=is_reused or index > 0,
+            )
+            for index, request in enumerate(requests)
+        ]  # fmt: skip
+        is_open = True
+        try:
+            answers = list(send_ahead(connection, requests))
+        except OSError:
+            answers = [Answer(error="cut")] * len(requests)
+        for request, answer in zip(sent, answers, strict=True):
+            self._record(
+                request,
+                status=answer.status,
+                error=answer.error,
+                response_id=answer.headers.get("request-id", ""),
+                stamp=answer.headers.get("server-stamp", ""),
+                body=answer.body,
+            )
+            is_open = not answer.error and answer.headers.get("connection") != "close"
+        return is_open
+
     def _draw_route(self, rng: random.Random) -> tuple[str, str, bool]:
         extra_routes = [(prefix, "GET", True, 1) for prefix in self._extra_prefixes()]
         routes = [*ROUTES, *extra_routes]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,6 +7,7 @@
 from soak import statements
 from soak.observations import CutInterval, Observations, SentRequest, TargetRun
 from soak.statements import DRAIN_MAX_S
+from standins.platform_target import is_whole_body
 
 __all__ = ["Violation", "find_violations"]
 
@@ -92,7 +93,7 @@
             f"{run.target} ran {request.path}" for run in runs_by_id.get(request.id, ())
         }
         if (
-            request.body not in expected_bodies
+            not any(is_whole_body(request.body, body) for body in expected_bodies)
             or request.response_id != request.id
             or not request.stamp
         ):
@@ -103,6 +104,14 @@
             yield Violation("whole answers to their own requests", request.id, text)
 
 
+def _check_unread_requests(observations: Observations) -> Iterator[Violation]:
+    runs_by_id = _runs_by_id(observations)
+    for request in observations.requests:
+        if request.error == "unread" and request.id in runs_by_id:
+            text = f"ran at {runs_by_id[request.id][0].target}"
+            yield Violation("nothing runs behind the last answer", request.id, text)
+
+
 def _check_forwarded_requests(observations: Observations) -> Iterator[Violation]:
     requests_by_id = {request.id: request for request in observations.requests}
     for run in observations.runs:
@@ -359,6 +368,7 @@
     _check_at_most_once,
     _check_refusals,
     _check_responses,
+    _check_unread_requests,
     _check_forwarded_requests,
     _check_withdrawn_keys,
     _check_rate_limits,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -30,7 +30,8 @@
         sent_at: When the last byte was written to the socket.
         ended_at: When the response was complete or the caller gave up.
         status: HTTP status; 0 without a complete response.
-        error: ``""``, ``connect``, ``cut`` or ``timeout``.
+        error: ``""``, ``connect``, ``cut``, ``timeout``, or ``unread`` if it was sent
+            behind an answer that closes the connection.
         response_id: Request id in the response.
         stamp: The target's stamp in the response; empty if an instance responded.
         body: Response body.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,7 +14,8 @@
 
     Attributes:
         start_s: Start, in seconds after the start of the load.
-        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS, STATEMENT_KINDS or CUT_KINDS.
+        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS, STATEMENT_KINDS, CUT_KINDS or
+            DOWNLOAD_KINDS.
         subject: Affected instance, target or data centre; empty for the store and for
             actions of operators.
         duration_s: Duration in seconds.
@@ -94,6 +95,13 @@
 }
 """Statements of targets in their answers."""
 
+DOWNLOAD_KINDS = {
+    "target_large": FaultKind(
+        "target", 1, 5, ("", "truncate", "reset", "unframed", "slow")
+    ),
+}
+"""Large answers of targets, whole or broken off."""
+
 CUT_KINDS = {
     "target_cut": FaultKind("instance", 5, 9, CUTS),
     "target_cut_place": FaultKind("place", 5, 9, CUTS),
@@ -121,10 +129,13 @@
 
 STATEMENTS = AddedFaults("statements-7", STATEMENT_KINDS, 0.5, 4, 1.0)
 LOSSES = AddedFaults("ways", CUT_KINDS, 0.4, 3, 0.5)
+DOWNLOADS = AddedFaults("downloads", DOWNLOAD_KINDS, 0.5, 6, 1.0)
 LOSS_ALONE_SHARE = 0.3
 """Share of the seeds with losses whose plans have one loss and no other faults."""
 
-_ALL_KINDS = FAULT_KINDS | TARGET_FAULT_KINDS | STATEMENT_KINDS | CUT_KINDS
+_ALL_KINDS = (
+    FAULT_KINDS | TARGET_FAULT_KINDS | STATEMENT_KINDS | CUT_KINDS | DOWNLOAD_KINDS
+)
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
 FAULT_INTERVAL_MEAN_S = 0.7
 """Mean time between the starts of two faults; most faults last longer and overlap."""
@@ -151,6 +162,7 @@
         start_s += rng.expovariate(1 / FAULT_INTERVAL_MEAN_S)
     faults += _draw_target_faults(seed, seconds, subjects_by_type)
     faults += _draw_added(STATEMENTS, seed, seconds, subjects_by_type)
+    faults += _draw_added(DOWNLOADS, seed, seconds, subjects_by_type)
     losses = _draw_added(LOSSES, seed, seconds, subjects_by_type)
     if losses and random.Random(f"{seed}/alone").random() < LOSS_ALONE_SHARE:
         return Plan(seed, tuple(losses[:1]))
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 
 CALLER_COUNT = 12
 CRASH_PATH = "/open/crash"
+LARGE_BYTES = 300_000
 CRASH_CHECK_S = 0.2
 RECOVERY_TIMEOUT_S = 15.0
 RECOVERED_LOAD_S = 3.0
@@ -215,6 +216,13 @@
     await system.set_target_fault(target_id, "")
 
 
+async def _target_large(fault: Fault, system: System) -> None:
+    target_id = _target_id(fault, system)
+    await system.set_target_fault(target_id, fault.variant, LARGE_BYTES)
+    await asyncio.sleep(fault.duration_s)
+    await system.set_target_fault(target_id, "")
+
+
 async def _target_limit(fault: Fault, system: System) -> None:
     target_id = _target_id(fault, system)
     await system.state_limit(target_id, fault.variant, fault.duration_s)
@@ -272,6 +280,7 @@
     "target_pause": _target_pause,
     "target_link": _target_link,
     "target_fault": _target_fault,
+    "target_large": _target_large,
     "target_limit": _target_limit,
     "crashing_request": _crashing_request,
     "target_rest": _target_rest,
--- a/soak/system.py
+++ b/soak/system.py
@@ -47,6 +47,7 @@
 KEYS_BY_ORGANISATION = {
     name: [f"key-{name}-{i}" for i in range(8)] for name in RATE_LIMIT_BY_ORGANISATION
 }
+LARGE_PAUSE_MS = 200
 DRAINING_S = 6.0
 """Time for which a draining target continues to serve; longer than the drain limit."""
 
@@ -307,9 +308,17 @@
         """Make the store discard its event history."""
         await self._control_store(forget=True)
 
-    async def set_target_fault(self, target_id: str, variant: str) -> None:
-        """Set the fault of a target if its process runs; empty for none."""
-        await self._change_target(target_id, how=variant, work_ms=5)
+    async def set_target_fault(
+        self, target_id: str, variant: str, body_bytes: int = 0
+    ) -> None:
+        """Set the fault of a target and the size of its answers if its process runs."""
+        await self._change_target(
+            target_id,
+            how=variant,
+            work_ms=5,
+            body_bytes=body_bytes,
+            pause_ms=LARGE_PAUSE_MS,
+        )
 
     async def state_limit(self, target_id: str, text: str, duration_s: float) -> None:
         """Make a target state a limit for a time."""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -11,10 +11,12 @@
 
 import h11
 
-__all__ = ["PlatformTarget", "TargetFaults"]
+__all__ = ["PlatformTarget", "TargetFaults", "is_whole_body"]
 
 READ_BYTES = 65_536
 CRASH_EXIT_CODE = 3
+PADDING = "."
+PADDING_END = "$"
 
 
 class TargetFaults(NamedTuple):
@@ -148,7 +150,7 @@
 
     async def _respond(self, connection, writer, headers, path) -> bool:
         how = self.faults.how
-        body = f"{self.id} ran {path}".encode().ljust(self.faults.body_bytes, b".")
+        body = _padded(f"{self.id} ran {path}", self.faults.body_bytes).encode()
         if how == "lose":
             return False
         if how == "fail":
@@ -235,6 +237,18 @@
         return await self._send_response(connection, writer, {}, 200, report.encode())
 
 
+def is_whole_body(body: str, text: str) -> bool:
+    """Return whether a body is the whole text of a target, perhaps padded."""
+    is_padded = body.startswith(text + PADDING) and body.endswith(PADDING_END)
+    return body == text or is_padded
+
+
+def _padded(text: str, byte_count: int) -> str:
+    if byte_count <= len(text):
+        return text
+    return text.ljust(byte_count - len(PADDING_END), PADDING) + PADDING_END
+
+
 def _reset_connection(writer: asyncio.StreamWriter) -> None:
     linger_zero = struct.pack("ii", 1, 0)
     sock = writer.get_extra_info("socket")
--- a/tests/test_direct_attempts.py
+++ b/tests/test_direct_attempts.py
@@ -192,6 +192,8 @@
 def test_instance_without_known_share_does_not_refuse_as_over_rate():
     core = a_core(organisations=(an_organisation(rate_per_s=10, burst=10),))
     core.set_instances({"other": an_instance("other")}, 0)
+    first = core.admission.admit(a_request(id="first"), 0)
+    assert isinstance(core.attempts.next_step(first, 0), Attempt)
     request = core.admission.admit(a_request(), 0)
     hold = core.attempts.next_step(request, 0)
     assert isinstance(hold, Hold)
--- a/tests/test_direct_groups.py
+++ b/tests/test_direct_groups.py
@@ -244,6 +244,29 @@
     assert len(world.leaders() - paused) == len(REGIONS)
 
 
+def test_a_fleet_that_restarts_as_a_whole_serves_in_the_second_after_the_start():
+    """Before, groups had no leader, and leaders no share, for about two seconds."""
+    organisations = tuple(limited_organisation(f"o{i}", 12, 12) for i in range(6))
+    demand = {organisation.name: 8 for organisation in organisations}
+    world = World(organisations)
+    world.run(6_000, demand)
+    started_at = world.now
+    for name in world.instances:
+        world.start(name)
+    world.run(3_000, demand)
+    per_s = sum(demand.values())
+    runs = [at for ats in world.runs_by_organisation.values() for at in ats]
+    in_second = [
+        sum(
+            started_at + s * MS_PER_S < at <= started_at + (s + 1) * MS_PER_S
+            for at in runs
+        )
+        for s in range(3)
+    ]
+    assert in_second[1] >= 0.5 * per_s
+    assert in_second[2] >= 0.5 * per_s
+
+
 @settings(deadline=None, max_examples=12)
 @given(
     seed=st.integers(0, 1 << 32),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
     response_id="r1", stamp="stamp-i-1", body="i-1 ran /write/r1",
 )  # fmt: skip
 RUN = TargetRun("r1", "i-1", 100.05, "POST", "/write/r1", "one", 0, False)
+PADDED = "i-1 ran /write/r1....$"
 EMPTY = Observations(
     (), (), {"key-one-0": "one"}, {"one": (10, 10)}, {}, {}, {}, {}, (), (), ()
 )
@@ -90,6 +91,14 @@
             "whole answers to their own requests",
             observed([REQUEST._replace(response_id="r2")]),
         ),
+        (
+            "whole answers to their own requests",
+            observed([REQUEST._replace(body=PADDED[:-1])]),
+        ),
+        (
+            "nothing runs behind the last answer",
+            observed([REQUEST._replace(status=0, error="unread")]),
+        ),
         ("only what callers sent", observed(runs=(RUN, RUN._replace(id="r9")))),
         (
             "the organisation of the key",
