Test of leaving targets: wait until the target gets requests

Seen once more, in a whole run beside load: the assertion that failed was the precondition that the target gets requests at all before it leaves; after the tests of rests on the same fleet it may still be avoided. The check of the bound is unchanged.

--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -22,6 +22,12 @@
 
 
 def test_target_that_states_that_it_leaves_gets_nothing_after_the_bound(leaving, loads):
+    # After earlier tests of this fleet the target may be avoided for some seconds.
+    wait_for(
+        lambda: any(arrivals(leaving, time.monotonic() - 1).values()),
+        "the target gets requests",
+        10,
+    )
     begin = time.monotonic()
     leaving.control_target(TARGET, faults={"is_leaving": True})
     time.sleep(DRAIN_S)
