--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -74,7 +74,7 @@
 """Time in which all instances of a first start create their entries in the store."""
 
 UNAWAITED_KINDS = frozenset({Kind.INSTANCES, Kind.SECRETS})
-"""Kinds without which no peer can be found."""
+"""Kinds without whose list no peer can be found."""
 
 LIST_REVISION = -1
 
@@ -190,7 +190,9 @@
         """Return all objects of a kind."""
         if kind is Kind.INSTANCES:
             await self._wait_for_entries()
-        peer = await self._relaying_peer(kind)
+        peer = None
+        if kind not in UNAWAITED_KINDS:
+            peer = await self._relaying_peer()
         if peer is None:
             return await self._call_store(self._list_store(kind))
         answer, age_ms = await self._request(peer, kind, LIST_REVISION, LIST_WAIT_MS)
@@ -202,7 +204,7 @@
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one."""
-        peer = await self._relaying_peer(kind)
+        peer = await self._relaying_peer()
         if peer is None:
             return await self._call_store(self._store.watch(kind, revision, wait_ms))
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
@@ -257,12 +259,12 @@
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / MS_PER_S)
 
-    async def _relaying_peer(self, kind: Kind) -> LiveInstance | None:
+    async def _relaying_peer(self) -> LiveInstance | None:
         """Return the peer to read from, after a limited wait; None for the store."""
         awaited, link_until = "", 0
         while True:
             peer = self._connected_peer()
-            if peer is not None or kind in UNAWAITED_KINDS:
+            if peer is not None:
                 return peer
             now = self._clock.now()
             candidate = self._choose_peer() if self._links is not None else None
