A store that returns from a copy: no withdrawn key, no changes missed

Cause: nothing read the header with the store's era. A restarted instance that ranked first in its region read the older configuration although its peers knew a newer one; a relay whose revisions went back answered peers with higher ones that nothing had changed; its cache held the older configuration.

Change: a watch whose answer is of another era than the list ends like an expired history; a cache does not know revisions above its own after they went back; a relay keeps the newest configuration; an instance without a configuration reads through any peer that has one, and waits up to 1.5 s for one to confirm it.

--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -156,6 +156,7 @@
             self._relay_peer,
             self._avoid_relay,
             self._relay_rank,
+            self._awaits_peers,
             self._leads_region,
             is_first_start=settings.is_first_start,
         )
@@ -282,6 +283,9 @@
     def _relay_peer(self) -> LiveInstance | None:
         return self.core.relay_peer(self._clock.now())
 
+    def _awaits_peers(self) -> bool:
+        return self.core.awaits_peers(self._clock.now())
+
     def _relay_rank(self) -> int:
         return self.core.relay_rank(self._clock.now())
 
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -15,8 +15,8 @@
 
 SECRET_NAME = "fleet"
 SECRET_BYTES = 32
-STALE_MAX_S = 4.0
-"""Age of a list that may be stale, at most."""
+STALE_MAX_S = 1.5
+"""Time after which the changes since a list that may be stale are known."""
 
 
 log = logbook.Logger("store")
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -40,6 +40,7 @@
 from sequoiahook.messages.base import Envelope
 from sequoiahook.messages.relay import StoreAnswer, StoreAsk
 from sequoiahook.world.instance import Address, LiveInstance
+from sequoiahook.world.routing import RoutingConfiguration
 
 __all__ = ["Relay"]
 
@@ -67,6 +68,10 @@
 """The instances of a region that restarts read the store one after the other by their
 rank, until one of them relays it; those beyond this rank at the same time."""
 
+CONFIGURED_PEERS_WAIT_MS = 1_500
+"""Time after a restart in which peers that have a configuration confirm it again if the
+store was unavailable."""
+
 LINK_WAIT_MS = 300
 """Longest wait for the link to a peer that can relay."""
 
@@ -101,24 +106,39 @@
         self._cache = cache
         self._lost_kinds = lost_kinds
         self._notify = notify
+        self._newest: StoredObject | None = None
 
     def on_listed(self, listing: Listing, as_of: int) -> None:
         objects = tuple(
             CachedObject(stored.name, stored.document)
-            for stored in listing.objects_by_name.values()
+            for stored in map(self._newest_of, listing.objects_by_name.values())
         )
         self._cache.replace(objects, listing.revision, as_of)
         self._notify((self._kind,))
 
     def on_changed(self, changes: Changes, as_of: int) -> None:
+        newest = [(self._newest_of(c.object), c.is_deleted) for c in changes.changes]
         objects = tuple(
-            CachedObject(change.object.name, change.object.document, change.is_deleted)
-            for change in changes.changes
+            CachedObject(stored.name, stored.document, is_deleted)
+            for stored, is_deleted in newest
         )
         self._cache.apply_changes(objects, changes.revision, as_of)
         if objects:
             self._notify((self._kind,))
 
+    def _newest_of(self, stored: StoredObject) -> StoredObject:
+        """Return the newest configuration known; any other object as it is.
+
+        A store that returns from a copy holds an older configuration, whose withdrawn
+        keys an instance that starts must not accept.
+        """
+        if not isinstance(stored.value, RoutingConfiguration):
+            return stored
+        newest = self._newest
+        if newest is None or stored.value.number >= newest.value.number:
+            self._newest = newest = stored
+        return newest
+
     def on_store_lost(self) -> None:
         # A store that does not answer for one kind may not answer for the others
         # either: peers that wait for an answer should look elsewhere at once.
@@ -139,6 +159,8 @@
         choose_peer: Returns the peer to read from; None to call the store itself.
         avoid_peer: Called with the name of a peer that did not answer.
         rank: Returns how many instances of the region rank before this one.
+        awaits_peers: Returns whether this instance has no configuration, but peers of
+            its region have one.
         leads_region: Returns whether all other instances of the region report and this
             one ranks before them.
         is_first_start: Whether the whole fleet starts, without callers yet. Lists then
@@ -153,6 +175,7 @@
         choose_peer: Callable[[], LiveInstance | None],
         avoid_peer: Callable[[str], None],
         rank: Callable[[], int] = lambda: 0,
+        awaits_peers: Callable[[], bool] = lambda: False,
         leads_region: Callable[[], bool] = lambda: False,
         *,
         is_first_start: bool = False,
@@ -163,6 +186,7 @@
         self._choose_peer = choose_peer
         self._avoid_peer = avoid_peer
         self._rank = rank
+        self._awaits_peers = awaits_peers
         self._leads_region = leads_region
         self._is_first_start = is_first_start
         self._started_at = clock.now()
@@ -281,6 +305,8 @@
         """Return from when this instance reads the store if no peer relays it."""
         if self._is_first_start:
             wait_ms = 0 if self._leads_region() else PEERS_MAX_WAIT_MS
+        elif self._awaits_peers():
+            wait_ms = CONFIGURED_PEERS_WAIT_MS
         else:
             wait_ms = REPORTS_WAIT_MS + RANK_WAIT_MS * min(self._rank(), RANK_MAX)
         return self._started_at + wait_ms
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -205,12 +205,13 @@
         """Return the peer that relays the platform's store to this instance.
 
         The first instance of the region whose configuration is fresh watches the store
-        itself, without a relay. A peer that did not respond is not used for a while.
+        itself, without a relay; one that has none yet reads through any other. A peer
+        that did not respond is not used for a while.
         """
         others = self.peers.instances_by_name
         for name in self._ranked_relays(self.fleet.near_peers(now)):
             is_avoided = now < self._avoided_until_by_peer.get(name, 0)
-            if name == self.me.name and not is_avoided:
+            if name == self.me.name and not is_avoided and self.configuration_number:
                 return None
             if name != self.me.name and not is_avoided and self._relays(name):
                 return others[name]
@@ -221,6 +222,16 @@
         near = self.fleet.near_peers(now)
         return self._ranked_relays(near).index(self.me.name)
 
+    def awaits_peers(self, now: int) -> bool:
+        """Return whether peers have a configuration and this instance has none.
+
+        They may know a newer one than a store that has returned from a copy.
+        """
+        if self.configuration_number:
+            return False
+        near = self.fleet.near_peers(now)
+        return any(self.peers.configuration_age_ms(name) is not None for name in near)
+
     def leads_region(self, now: int) -> bool:
         """Return whether all peers of the region report and this instance is first."""
         others = self.peers.instances_by_name.values()
--- a/sequoiahook/decisions/direct/store_cache.py
+++ b/sequoiahook/decisions/direct/store_cache.py
@@ -30,13 +30,15 @@
 class StoreCache:
     """All objects of a kind, with the recent changes.
 
-    Revisions are those of the store, so they are the same on every instance.
+    Revisions are those of the store, so they are the same on every instance. They go
+    back if the store returns from a copy; revisions above its own are then unknown.
     """
 
     def __init__(self):
         self.revision: int | None = None
         self.confirmed_at: int | None = None
         self._history_start = 0
+        self._unknown_until = 0
         self._documents_by_name: dict[str, Any] = {}
         self._batches: deque[_Batch] = deque()
 
@@ -46,6 +48,8 @@
         """Replace all objects by a list that the store confirmed at a time."""
         self._documents_by_name = {o.name: o.document for o in objects}
         self._batches.clear()
+        if self.revision is not None and revision < self.revision:
+            self._unknown_until = max(self._unknown_until, self.revision)
         self._history_start = self.revision = revision
         self.confirmed_at = confirmed_at
 
@@ -73,13 +77,15 @@
         )
 
     def changes_after(self, revision: int) -> tuple[CachedObject, ...] | None:
-        """Return all changes after a revision, in order; None if no longer available.
+        """Return all changes after a revision, in order; None if not available.
 
         There are none after a revision newer than that of the cache. Changes that were
         received in one batch with later ones may be repeated.
         """
         if self.revision is None or revision < self._history_start:
             return None
+        if self.revision < revision <= self._unknown_until:
+            return None
         return tuple(
             cached
             for batch in self._batches
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -5,6 +5,8 @@
 from typing import Any
 from urllib.parse import quote
 
+import logbook
+
 from sequoiahook.daemons.direct.object_store import (
     Change,
     Changes,
@@ -48,7 +50,13 @@
 ANSWER_BYTES_FACTOR = 2
 """A page of a list may end with an object that exceeds the size of a page."""
 
+ERA_HEADER = "store-era"
+"""Header with a number that rises each time that the store returns from a copy."""
+
+ERA_DIGITS_MAX = 18
 CONFIGURATION_NAME = "main"
+log = logbook.Logger("store")
+
 _NAME_BY_KIND = {
     Kind.CONFIGURATION: "config",
     Kind.EVACUATIONS: "evacuations",
@@ -72,6 +80,8 @@
     """
 
     def __init__(self, settings: PlatformSettings):
+        self._era: int | None = None
+        self._listed_era_by_kind: dict[Kind, int | None] = {}
         self._region_by_data_centre = settings.direct.region_by_data_centre
         self._http = HttpClient(
             HttpClientSettings(
@@ -100,6 +110,7 @@
                 objects_by_name[stored.name] = stored
             after = _last_name(page["items"])
             if not page.get("has_more") or not after:
+                self._listed_era_by_kind[kind] = self._era
                 return Listing(objects_by_name, revision)
             query = f"?after={quote(after, safe='')}" + (f"&{stale}" if stale else "")
 
@@ -107,6 +118,9 @@
         """Return the changes after a revision."""
         path = f"{_object_path(kind)}?watch={revision}&wait_ms={wait_ms}"
         answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
+        if self._listed_era_by_kind.setdefault(kind, self._era) != self._era:
+            # Revisions are given out again, so that changes may have lower ones.
+            raise HistoryExpiredError(f"{kind.value}: store returned from a copy")
         changes = tuple(
             Change(
                 self.decode_object(kind, event.get("object")),
@@ -156,8 +170,19 @@
             raise PlatformUnavailableError(str(error)) from error
         except HttpAnswerLostError as error:
             raise PlatformOutcomeUnknownError(f"{method} {path}: {error}") from error
+        self._record_era(response)
         return _response_document(response, f"{method} {path}")
 
+    def _record_era(self, response: HttpResponse) -> None:
+        text = response.headers.get(ERA_HEADER, "")
+        if not text.isascii() or not text.isdigit() or len(text) > ERA_DIGITS_MAX:
+            return
+        era = int(text)
+        if self._era is not None and era > self._era:
+            fields = {"era": era, "previous": self._era}
+            log.warning("store returned from a copy", extra=fields)
+        self._era = era if self._era is None else max(era, self._era)
+
     def decode_object(self, kind: Kind, item: Any) -> StoredObject:
         """Decode an object of the store; one without a name affects no other."""
         name = _name_of(item)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -50,10 +50,12 @@
     Attributes:
         status: The HTTP status.
         value: Value of the body; None for no body.
+        headers: Additional header fields.
     """
 
     status: int
     value: Any = None
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -117,7 +119,7 @@
 
     async def _send(self, response: HttpResponse) -> None:
         body = b"" if response.value is None else json.dumps(response.value).encode()
-        headers = [("content-type", "application/json")]
+        headers = [("content-type", "application/json"), *response.headers]
         if response.status != 304:
             headers.append(("content-length", str(len(body))))
         events = [h11.Response(status_code=response.status, headers=headers)]
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the object store of the users' platform, with injectable faults."""
 
 import asyncio
+import copy
 import json
 import sys
 from collections import Counter, deque
@@ -47,6 +48,7 @@
 
     Attributes:
         revision: Revision of the last change.
+        era: Number of times that it returned from a copy, plus one.
         faults: Active faults.
         calls: Number of calls by HTTP method.
         lists: Number of list calls by kind of object.
@@ -54,6 +56,8 @@
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
+        self._copy: tuple[int, dict] = (1, {})
         self.faults = StoreFaults()
         self.calls = Counter()
         self.lists = Counter()
@@ -88,8 +92,24 @@
         self._events.clear()
         self._oldest_revision = self.revision
 
+    def keep_copy(self) -> None:
+        """Keep a copy of all objects, to which the store may return."""
+        self._copy = (self.revision, copy.deepcopy(self._objects_by_kind))
+
+    async def return_to_copy(self) -> None:
+        """Return to the copy: what was written since is gone, and revisions go back."""
+        self.revision, self._objects_by_kind = copy.deepcopy(self._copy)
+        self.era += 1
+        self.forget_history()
+        async with self._changed:
+            self._changed.notify_all()
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Handle a call and return the response."""
+        """Handle a call and return the response, which states the era."""
+        response = await self._handle(request)
+        return response._replace(headers=(("store-era", str(self.era)),))
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
         if request.path == CONTROL_PATH:
             return await self._control(request.json())
         self.calls[request.method] += 1
@@ -116,6 +136,10 @@
             await self.delete(kind, name)
         if document.get("forget"):
             self.forget_history()
+        if document.get("keep_copy"):
+            self.keep_copy()
+        if document.get("return_to_copy"):
+            await self.return_to_copy()
         counts = {"calls": dict(self.calls), "lists": dict(self.lists)}
         return HttpResponse(200, {"revision": self.revision, **counts})
 
@@ -136,17 +160,18 @@
         )
 
     async def _watch(self, kind: str, revision: int, wait_ms: int) -> HttpResponse:
-        if revision < self._oldest_revision:
+        if not self._oldest_revision <= revision <= self.revision:
             return HttpResponse(410)
+        era = self.era
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 async with self._changed:
                     await self._changed.wait_for(
-                        lambda: self._events_since(kind, revision)
+                        lambda: self._events_since(kind, revision) or era != self.era
                     )
         except TimeoutError:
             pass
-        if revision < self._oldest_revision:
+        if revision < self._oldest_revision or era != self.era:
             return HttpResponse(410)
         events = [
             {"object": event.object, "deleted": event.is_deleted}
--- a/tests/test_direct_relay.py
+++ b/tests/test_direct_relay.py
@@ -2,10 +2,12 @@
 
 from hypothesis import given, strategies as st
 
+from sequoiahook.daemons.direct.object_store import Kind, Listing, StoredObject
+from sequoiahook.daemons.direct.relay import _CacheObserver
 from sequoiahook.decisions.direct.core import RELAY_AGE_MAX_MS, DirectCore
 from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
 from sequoiahook.messages.reports import Datagram, GroupReport, QuotaTable
-from tests.direct_parts import an_instance
+from tests.direct_parts import a_configuration, an_instance
 from tests.test_direct_attempts import SETTINGS
 from tests.test_direct_peers import STATE
 
@@ -80,6 +82,7 @@
     cores = {name: DirectCore(SETTINGS, an_instance(name), 0) for name in names}
     instances = {name: an_instance(name) for name in names}
     for name, core in cores.items():
+        core.configure(a_configuration(), 0)
         core.set_instances(instances, 0)
         for other in names:
             if other != name:
@@ -91,6 +94,42 @@
     assert relays == set(direct_readers)
 
 
+def test_an_instance_without_a_configuration_reads_through_any_peer_that_has_one():
+    """A store that has returned from a copy may list an older configuration."""
+    for number in range(5):
+        core = DirectCore(SETTINGS, an_instance(f"n{number}"), 0)
+        core.set_instances({"other": an_instance("other")}, 0)
+        assert core.relay_peer(0) is None
+        assert not core.awaits_peers(0)
+        receive_report(core, "other", RELAY_AGE_MAX_MS + 1, 0, 1)
+        assert core.relay_peer(0) is None
+        assert core.awaits_peers(0)
+        receive_report(core, "other", 100, 0, 2)
+        assert core.relay_peer(0).name == "other"
+
+
+def test_a_cache_of_a_store_that_returned_from_a_copy_knows_no_later_revisions():
+    """A peer that asks with an earlier revision would never see the changes since."""
+    cache = StoreCache()
+    cache.replace((), 50, 0)
+    cache.replace((), 30, 1)
+    assert cache.changes_after(50) is None
+    assert cache.changes_after(31) is None
+    assert cache.changes_after(30) == ()
+    cache.apply_changes((CachedObject("a", 1),), 51, 2)
+    assert cache.changes_after(51) == ()
+
+
+def test_a_relay_keeps_the_newest_configuration_if_the_store_lists_an_older_one():
+    cache = StoreCache()
+    observer = _CacheObserver(Kind.CONFIGURATION, cache, set(), lambda kinds: None)
+    for revision, number in ((50, 11), (30, 5)):
+        stored = StoredObject("main", revision, a_configuration(number), "", number)
+        observer.on_listed(Listing({"main": stored}, revision), 0)
+    (cached,) = cache.all_objects()
+    assert cached.document == 11
+
+
 def test_a_peer_with_an_old_configuration_is_not_used_as_relay():
     core = DirectCore(SETTINGS, an_instance("me"), 0)
     core.set_instances({"n1": an_instance("n1"), "n2": an_instance("n2")}, 0)
