An instance that starts reads through peers that have a configuration, of any age

Change: lists are answered from the cache with their age, whatever the store does; an instance without a configuration asks the peer with the most recent one, and does not avoid it; it waits for the reports of all members, at most 500 ms. Choice of the relay and update of its cache in modules of their own.

--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -36,6 +36,7 @@
 from sequoiahook.daemons.direct.probing import Prober
 from sequoiahook.daemons.direct.registering import Registration
 from sequoiahook.daemons.direct.relay import Relay
+from sequoiahook.daemons.direct.relay_choice import CoreRelayChoice
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.direct.request_runner import RequestRunner
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
@@ -153,11 +154,7 @@
             me,
             components.store,
             self._clock,
-            self._relay_peer,
-            self._avoid_relay,
-            self._relay_rank,
-            self._awaits_peers,
-            self._leads_region,
+            CoreRelayChoice(self.core, self._clock),
             is_first_start=settings.is_first_start,
         )
         self._links: Links | None = None
@@ -280,21 +277,6 @@
             await self._handovers.run(secret)
         await asyncio.Event().wait()
 
-    def _relay_peer(self) -> LiveInstance | None:
-        return self.core.relay_peer(self._clock.now())
-
-    def _awaits_peers(self) -> bool:
-        return self.core.awaits_peers(self._clock.now())
-
-    def _relay_rank(self) -> int:
-        return self.core.relay_rank(self._clock.now())
-
-    def _leads_region(self) -> bool:
-        return self.core.leads_region(self._clock.now())
-
-    def _avoid_relay(self, peer: str) -> None:
-        self.core.avoid_relay(peer, self._clock.now())
-
     async def _delete_expired_entries(self) -> None:
         """Delete the entries of instances that no longer report, until cancelled."""
         kind = Kind.INSTANCES
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 import zlib
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Iterable
 from typing import TypeVar
 
 import cbor2
@@ -24,6 +24,8 @@
     ObjectStore,
     StoredObject,
 )
+from sequoiahook.daemons.direct.relay_cache import CacheObserver
+from sequoiahook.daemons.direct.relay_choice import RelayChoice
 from sequoiahook.daemons.links import (
     LinkEvent,
     Links,
@@ -40,7 +42,6 @@
 from sequoiahook.messages.base import Envelope
 from sequoiahook.messages.relay import StoreAnswer, StoreAsk
 from sequoiahook.world.instance import Address, LiveInstance
-from sequoiahook.world.routing import RoutingConfiguration
 
 __all__ = ["Relay"]
 
@@ -61,7 +62,9 @@
 """All instances start within 0.3 s; callers come about 10 s later."""
 
 REPORTS_WAIT_MS = 200
-"""Time after a restart in which the reports of peers in the region arrive."""
+REPORTS_MAX_WAIT_MS = 500
+"""Times after a restart in which the reports of peers in the region arrive: of others
+that restart, and of all."""
 
 RANK_WAIT_MS = 200
 RANK_MAX = 4
@@ -92,63 +95,6 @@
 log = logbook.Logger("relay")
 
 
-class _CacheObserver:
-    """Applies a follower's listings and changes to a cache."""
-
-    def __init__(
-        self,
-        kind: Kind,
-        cache: StoreCache,
-        lost_kinds: set[Kind],
-        notify: Callable[[Iterable[Kind]], None],
-    ):
-        self._kind = kind
-        self._cache = cache
-        self._lost_kinds = lost_kinds
-        self._notify = notify
-        self._newest: StoredObject | None = None
-
-    def on_listed(self, listing: Listing, as_of: int) -> None:
-        objects = tuple(
-            CachedObject(stored.name, stored.document)
-            for stored in map(self._newest_of, listing.objects_by_name.values())
-        )
-        self._cache.replace(objects, listing.revision, as_of)
-        self._notify((self._kind,))
-
-    def on_changed(self, changes: Changes, as_of: int) -> None:
-        newest = [(self._newest_of(c.object), c.is_deleted) for c in changes.changes]
-        objects = tuple(
-            CachedObject(stored.name, stored.document, is_deleted)
-            for stored, is_deleted in newest
-        )
-        self._cache.apply_changes(objects, changes.revision, as_of)
-        if objects:
-            self._notify((self._kind,))
-
-    def _newest_of(self, stored: StoredObject) -> StoredObject:
-        """Return the newest configuration known; any other object as it is.
-
-        A store that returns from a copy holds an older configuration, whose withdrawn
-        keys an instance that starts must not accept.
-        """
-        if not isinstance(stored.value, RoutingConfiguration):
-            return stored
-        newest = self._newest
-        if newest is None or stored.value.number >= newest.value.number:
-            self._newest = newest = stored
-        return newest
-
-    def on_store_lost(self) -> None:
-        # A store that does not answer for one kind may not answer for the others
-        # either: peers that wait for an answer should look elsewhere at once.
-        self._lost_kinds.add(self._kind)
-        self._notify(Kind)
-
-    def on_store_regained(self) -> None:
-        self._lost_kinds.discard(self._kind)
-
-
 class Relay:
     """Reads the store through a peer of the region, and answers peers' requests.
 
@@ -156,13 +102,7 @@
         me: This instance.
         store: The store itself.
         clock: The clock.
-        choose_peer: Returns the peer to read from; None to call the store itself.
-        avoid_peer: Called with the name of a peer that did not answer.
-        rank: Returns how many instances of the region rank before this one.
-        awaits_peers: Returns whether this instance has no configuration, but peers of
-            its region have one.
-        leads_region: Returns whether all other instances of the region report and this
-            one ranks before them.
+        choice: Decides through which peer to read.
         is_first_start: Whether the whole fleet starts, without callers yet. Lists then
             wait until a peer is available, so that not every instance reads the store.
     """
@@ -172,24 +112,16 @@
         me: LiveInstance,
         store: ObjectStore,
         clock: Clock,
-        choose_peer: Callable[[], LiveInstance | None],
-        avoid_peer: Callable[[str], None],
-        rank: Callable[[], int] = lambda: 0,
-        awaits_peers: Callable[[], bool] = lambda: False,
-        leads_region: Callable[[], bool] = lambda: False,
+        choice: RelayChoice,
         *,
         is_first_start: bool = False,
     ):
         self._me = me
         self._store = store
         self._clock = clock
-        self._choose_peer = choose_peer
-        self._avoid_peer = avoid_peer
-        self._rank = rank
-        self._awaits_peers = awaits_peers
-        self._leads_region = leads_region
+        self._choice = choice
         self._is_first_start = is_first_start
-        self._started_at = clock.now()
+        self._started_at = self._joined_at = clock.now()
         self._is_relayed = False
         self._links: Links | None = None
         self._address_by_peer: dict[str, Address] = {}
@@ -202,13 +134,15 @@
         self._tasks: set[asyncio.Task] = set()
 
     def set_links(self, links: Links) -> None:
-        """Set the links over which peers are reached."""
+        """Set the links over which peers are reached, once this instance may report."""
         self._links = links
+        if not self._is_first_start:
+            self._joined_at = self._clock.now()
 
-    def cache_observer(self, kind: Kind) -> _CacheObserver:
+    def cache_observer(self, kind: Kind) -> CacheObserver:
         """Return the observer with which a follower updates the cache of a kind."""
         cache = self._caches_by_kind[kind]
-        return _CacheObserver(kind, cache, self._lost_kinds, self._notify)
+        return CacheObserver(kind, cache, self._lost_kinds, self._notify)
 
     async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
@@ -270,7 +204,7 @@
         except HistoryExpiredError:
             raise
         except PlatformError:
-            self._avoid_peer(self._me.name)
+            self._choice.avoid(self._me.name)
             raise
         self._is_relayed = False
         return result
@@ -291,30 +225,33 @@
             if peer is not None:
                 return peer
             now = self._clock.now()
-            candidate = self._choose_peer() if self._links is not None else None
+            candidate = self._choice.peer() if self._links is not None else None
             if candidate is None and now >= self._reads_store_from():
                 return None
             if candidate is not None and candidate.name != awaited:
                 awaited, link_until = candidate.name, now + LINK_WAIT_MS
             if candidate is not None and now >= link_until:
-                self._avoid_peer(candidate.name)
+                self._choice.avoid(candidate.name)
                 return None
             await asyncio.sleep(PEERS_CHECK_MS / MS_PER_S)
 
     def _reads_store_from(self) -> int:
         """Return from when this instance reads the store if no peer relays it."""
+        choice = self._choice
         if self._is_first_start:
-            wait_ms = 0 if self._leads_region() else PEERS_MAX_WAIT_MS
-        elif self._awaits_peers():
+            wait_ms = 0 if choice.leads_region() else PEERS_MAX_WAIT_MS
+        elif choice.awaits_peers():
             wait_ms = CONFIGURED_PEERS_WAIT_MS
         else:
-            wait_ms = REPORTS_WAIT_MS + RANK_WAIT_MS * min(self._rank(), RANK_MAX)
-        return self._started_at + wait_ms
+            has_all = choice.has_all_reports()
+            reports_ms = REPORTS_WAIT_MS if has_all else REPORTS_MAX_WAIT_MS
+            wait_ms = reports_ms + RANK_WAIT_MS * min(choice.rank(), RANK_MAX)
+        return self._joined_at + wait_ms
 
     def _connected_peer(self) -> LiveInstance | None:
         if self._links is None:
             return None
-        peer = self._choose_peer()
+        peer = self._choice.peer()
         wanted = {} if peer is None else {peer.name: peer.report_address}
         # Keep a link until the last answer over it has arrived.
         for name, address in self._address_by_peer.items():
@@ -346,7 +283,11 @@
         if answer is not None and answer.problem == HISTORY_GONE:
             raise HistoryExpiredError(f"history of {kind.value} expired at {peer.name}")
         if answer is None or answer.problem:
-            self._avoid_peer(peer.name)
+            if answer is None or not self._choice.awaits_peers():
+                self._choice.avoid(peer.name)
+            else:
+                # No other peer may have the configuration.
+                await asyncio.sleep(REPORTS_WAIT_MS / MS_PER_S)
             cause = "no answer" if answer is None else answer.problem
             raise RelayUnavailableError(f"{peer.name}: {cause}")
         self._is_relayed = True
@@ -370,13 +311,16 @@
         if is_empty or cache.changes_after(request.revision) == ():
             await self._wait_for_change(kind, request.wait_ms)
         held_ms = self._clock.now() - received_at
-        # Two instances that read through each other would both miss all changes.
-        if cache.confirmed_at is None or self._lost_kinds or self._is_relayed:
+        # Two instances that read through each other would both miss all changes. A list
+        # is of use at any age to an instance that has none.
+        is_followed = not self._lost_kinds and not self._is_relayed
+        is_list = request.revision == LIST_REVISION
+        if cache.confirmed_at is None or not (is_followed or is_list):
             self._send(
                 peer, StoreAnswer(request.ticket, NOT_FOLLOWED, 0, b"", 0, held_ms)
             )
             return
-        if request.revision == LIST_REVISION:
+        if is_list:
             objects = cache.all_objects()
         else:
             objects = cache.changes_after(request.revision)
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -1,12 +1,11 @@
 """The next step of an open request: another attempt, an answer or a refusal."""
 
-from typing import NamedTuple
-
 from sequoiahook.decisions.direct.admission import Admission
 from sequoiahook.decisions.direct.attempt_results import (
     FAILURE_STATUS_MIN,
     AttemptResults,
 )
+from sequoiahook.decisions.direct.attempts_settings import AttemptsSettings
 from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.permits import Permits
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
@@ -50,27 +49,6 @@
 Step = Attempt | Deliver | ForwardToPeer | Hold | HoldPermit | HoldTrial | Refuse
 
 
-class AttemptsSettings(NamedTuple):
-    """Limits of attempts.
-
-    Attributes:
-        targets_max: Most targets to which one request is sent.
-        remaining_min_ms: Least time before its deadline at which a request is sent.
-        permit_wait_divisor: Divisor of the route's latency goal that gives the longest
-            wait for permits of targets that state a limit.
-        failed_retry_after_ms: Retry-after time if no target could be reached.
-        retry_percent: Retries allowed for each hundred requests of a service. It is
-            below the platform's ratio, since requests are spread unevenly over the
-            windows in which the platform counts them.
-    """
-
-    targets_max: int = 4
-    remaining_min_ms: int = 20
-    permit_wait_divisor: int = 3
-    failed_retry_after_ms: int = 100
-    retry_percent: int = 15
-
-
 class Attempts:
     """Decides each step of open requests.
 
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -209,19 +209,51 @@
         that did not respond is not used for a while.
         """
         others = self.peers.instances_by_name
+        if not self.configuration_number:
+            return self._configured_peer(now)
         for name in self._ranked_relays(self.fleet.near_peers(now)):
             is_avoided = now < self._avoided_until_by_peer.get(name, 0)
-            if name == self.me.name and not is_avoided and self.configuration_number:
+            if name == self.me.name and not is_avoided:
                 return None
             if name != self.me.name and not is_avoided and self._relays(name):
                 return others[name]
         return None
 
+    def _configured_peer(self, now: int) -> LiveInstance | None:
+        """Return the peer of the region with the most recently confirmed configuration.
+
+        Whatever its age, it may be newer than that of a store which has returned from a
+        copy; an instance that starts admits keys only once it is confirmed.
+        """
+        age_ms_by_name = {
+            name: self.peers.configuration_age_ms(name)
+            for name in self.fleet.near_peers(now)
+            if now >= self._avoided_until_by_peer.get(name, 0)
+        }
+        known = {name: age for name, age in age_ms_by_name.items() if age is not None}
+        if not known:
+            return None
+        return self.peers.instances_by_name[min(known, key=known.__getitem__)]
+
     def relay_rank(self, now: int) -> int:
         """Return how many instances of the region rank before this one as a relay."""
         near = self.fleet.near_peers(now)
         return self._ranked_relays(near).index(self.me.name)
 
+    def has_all_reports(self, now: int) -> bool:
+        """Return whether all peers that report to this instance have done so.
+
+        These are the members of its group, or all in its region in a small fleet.
+        """
+        groups = self.fleet.groups
+        members = set(groups.members)
+        if not groups.is_divided:
+            instances = self.peers.instances_by_name.values()
+            members = {i.name for i in instances if i.region == self.me.region}
+        others = members - {self.me.name}
+        is_listed = self.fleet.is_listed
+        return is_listed and all(self.peers.is_responsive(n, now) for n in others)
+
     def awaits_peers(self, now: int) -> bool:
         """Return whether peers have a configuration and this instance has none.
 
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -209,6 +209,11 @@
             loads.update(view.report.load_by_service)
         return loads
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the platform's list of instances is known."""
+        return self._is_listed
+
     def near_peers(self, now: int) -> list[str]:
         """Return the names of the responsive peers in the region of this instance."""
         return [
