--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -102,7 +102,7 @@
         self._components = components
         self._datagrams = DatagramFactory(me)
         self._report_round = 0
-        self._is_listed = False
+        self.is_listed = False
         self._reports_by_member: dict[str, MemberReport] = {}
         self._views_by_group: dict[str, _GroupView] = {}
 
@@ -110,7 +110,7 @@
         self, instances_by_name: Mapping[str, LiveInstance], now: int
     ) -> None:
         """Apply the platform's list of instances."""
-        self._is_listed = True
+        self.is_listed = True
         self.peers.set_instances(instances_by_name, now)
         others = self.peers.instances_by_name
         if self.groups.set_instances(others, now):
@@ -209,11 +209,6 @@
             loads.update(view.report.load_by_service)
         return loads
 
-    @property
-    def is_listed(self) -> bool:
-        """Whether the platform's list of instances is known."""
-        return self._is_listed
-
     def near_peers(self, now: int) -> list[str]:
         """Return the names of the responsive peers in the region of this instance."""
         return [
@@ -223,7 +218,7 @@
         ]
 
     def _update_role(self, now: int) -> None:
-        if not self._is_listed:
+        if not self.is_listed:
             return
         rates = self._components.rates
         groups = self.groups
--- a/tests/test_answer_streams.py
+++ b/tests/test_answer_streams.py
@@ -247,6 +247,65 @@
     assert ends == [StreamEnd.GIVEN_UP]
 
 
+class Repeating:
+    """A target that answers each request, and repeats an answer late."""
+
+    def __init__(self, size, delay_s):
+        self.size = size
+        self.delay_s = delay_s
+        self.requests = []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.split(b"request-id: ")[1].split(b"\r\n")[0]
+                self.requests.append(request_id)
+                answer = (
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nRequest-Id: %s\r\n\r\n"
+                    % (self.size, request_id)
+                ) + request_id.ljust(self.size, b".")
+                writer.write(answer)
+                await writer.drain()
+                await asyncio.sleep(self.delay_s)
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
+@pytest.mark.parametrize("size", [100, 200_000])
+@pytest.mark.parametrize("pause_s", [0.0, 0.1])
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_a_late_second_answer_never_reaches_the_next_caller(size, pause_s, delay_s):
+    """It arrives on a connection that is idle, or that carries the next request."""
+    target = Repeating(size, delay_s)
+
+    async def run():
+        server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+        client = a_client()
+        address = Address(*server.sockets[0].getsockname()[:2])
+        delivered = []
+        for number in range(6):
+            request_id = f"r{number}"
+            request = TargetRequest(
+                address, "GET", "/a", ((b"request-id", request_id.encode()),), b"",
+                DEADLINE_MS, may_reuse=True, id=request_id, may_stream=True,
+            )  # fmt: skip
+            result = await client.exchange(request, lambda: True)
+            if result.stage is Stage.ANSWERED:
+                body = result.body
+                if result.stream is not None:
+                    body += await read_all(result.stream)
+                delivered.append(body)
+                assert body.rstrip(b".") == request_id.encode()
+            await asyncio.sleep(pause_s)
+        client.close()
+        server.close()
+        return delivered
+
+    assert asyncio.run(asyncio.wait_for(run(), 20))
+
+
 class Relay:
     """A caller server whose handler passes the answers of a target on."""
 
