Relays of the store: four candidates of a region

Cause, by reading: an instance that the store refused would have asked every peer of its region in turn, each with a new link, since those that read through it relay nothing.

Change: only the first four of the ranking are asked before the store is called again.

--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -58,6 +58,7 @@
 
     Attributes:
         http: Protocol state of this request alone.
+        method: HTTP method; empty before the head was read.
         request: The complete request; None if it was refused while it was read.
         refusal: Answer to a request that was refused while it was read.
         task: Runs the handler; None before the start, or if the connection's own task
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -39,6 +39,10 @@
 A peer that watches the store has an answer to its last request or the one before.
 """
 
+RELAYS_MAX = 4
+"""Instances of a region that may relay the store; if none of them does, asking all
+others in turn would take longer than a call of the store."""
+
 AVOID_RELAY_MS = 3_000
 """Time for which a peer that did not respond is not used as a relay."""
 
@@ -211,7 +215,8 @@
         others = self.peers.instances_by_name
         if not self.configuration_number:
             return self._configured_peer(now)
-        for name in self._ranked_relays(self.fleet.near_peers(now)):
+        ranked = self._ranked_relays(self.fleet.near_peers(now))
+        for name in ranked[:RELAYS_MAX]:
             is_avoided = now < self._avoided_until_by_peer.get(name, 0)
             if name == self.me.name and not is_avoided:
                 return None
--- a/tests/test_direct_relay.py
+++ b/tests/test_direct_relay.py
@@ -4,7 +4,11 @@
 
 from sequoiahook.daemons.direct.object_store import Kind, Listing, StoredObject
 from sequoiahook.daemons.direct.relay_cache import CacheObserver
-from sequoiahook.decisions.direct.core import RELAY_AGE_MAX_MS, DirectCore
+from sequoiahook.decisions.direct.core import (
+    RELAY_AGE_MAX_MS,
+    RELAYS_MAX,
+    DirectCore,
+)
 from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
 from sequoiahook.messages.reports import Datagram, GroupReport, QuotaTable
 from tests.direct_parts import a_configuration, an_instance
@@ -106,6 +110,22 @@
         assert core.awaits_peers(0)
 
 
+def test_an_instance_that_the_store_refuses_asks_few_peers_before_it_calls_again():
+    for number in range(10):
+        core = DirectCore(SETTINGS, an_instance(f"n{number}"), 0)
+        core.configure(a_configuration(), 0)
+        others = {f"o{i}": an_instance(f"o{i}") for i in range(20)}
+        core.set_instances(others, 0)
+        for name in others:
+            receive_report(core, name, 100, 0, 1)
+        core.avoid_relay(core.me.name, 0)
+        asked = []
+        while (peer := core.relay_peer(1)) is not None:
+            asked.append(peer.name)
+            core.avoid_relay(peer.name, 1)
+        assert 3 <= len(asked) <= RELAYS_MAX
+
+
 def test_a_cache_of_a_store_that_returned_from_a_copy_knows_no_later_revisions():
     """A peer that asks with an earlier revision would never see the changes since."""
     cache = StoreCache()
