Only the first list of instances after a restart may be stale

Cause, by reading: with a store whose stale answers are seconds behind and whose history is gone, the list, the watch from its revision and the next list would repeat without a pause until the stale answers caught up.

Result: a test that failed before; the list after an expired history is current.

--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -122,6 +122,7 @@
         self._choice = choice
         self._is_first_start = is_first_start
         self._started_at = self._joined_at = clock.now()
+        self._has_listed_instances = is_first_start
         self._is_relayed = False
         self._links: Links | None = None
         self._address_by_peer: dict[str, Address] = {}
@@ -193,9 +194,11 @@
 
     def _list_store(self, kind: Kind) -> Awaitable[Listing]:
         # After a restart an older list of instances is enough to find peers, and the
-        # changes since are watched.
-        is_restart = kind is Kind.INSTANCES and not self._is_first_start
-        return self._store.list_objects(kind, may_be_stale=is_restart)
+        # changes since are watched. If their history is gone, the list must be newer.
+        is_instances = kind is Kind.INSTANCES
+        may_be_stale = is_instances and not self._has_listed_instances
+        self._has_listed_instances |= is_instances
+        return self._store.list_objects(kind, may_be_stale=may_be_stale)
 
     async def _call_store(self, call: Awaitable[T]) -> T:
         """Call the store; if it fails, read through peers for a while."""
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -180,6 +180,36 @@
     return relays["leader"], relays["me"], clock, avoided
 
 
+class ListingStore(ScriptedSource):
+    """Records which lists may be stale."""
+
+    async def list_objects(self, kind, *, may_be_stale=False):
+        self.requested.append((kind, may_be_stale))
+        return Listing({}, 1)
+
+
+@pytest.mark.parametrize("is_first_start", [True, False])
+def test_only_the_first_list_of_a_restart_may_be_stale(is_first_start):
+    """Its history may be gone, and so may that of the next one if it is stale too."""
+    store, clock = ListingStore(), ManualClock(10_000)
+    choice = FixedChoice(None, [])
+    relay = Relay(
+        an_instance("me"), store, clock, choice, is_first_start=is_first_start
+    )
+    clock.advance(10_000)
+
+    async def run():
+        for kind in (Kind.INSTANCES, Kind.INSTANCES, Kind.TARGETS):
+            await relay.list_objects(kind)
+
+    asyncio.run(run())
+    assert store.requested == [
+        (Kind.INSTANCES, not is_first_start),
+        (Kind.INSTANCES, False),
+        (Kind.TARGETS, False),
+    ]
+
+
 def an_object(name):
     return StoredObject(name, 1, name, document={"name": name})
 
