--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -83,8 +83,7 @@
 
     def is_repeatable(self, incoming: IncomingRequest) -> bool:
         """Return whether the route of a request allows it to run more than once."""
-        path = incoming.target_path.partition("?")[0]
-        route = self._routes.find(incoming.host, path)
+        route = self._route(incoming)
         return route is not None and route.is_readable and route.is_idempotent
 
     def admit(self, incoming: IncomingRequest, now: int) -> OpenRequest | Refuse:
@@ -92,8 +91,7 @@
         if self._configuration is None:
             retry_ms = self._settings.startup_retry_ms
             return Refuse(Status.UNAVAILABLE, Cause.NO_CONFIGURATION, retry_ms)
-        path = incoming.target_path.partition("?")[0]
-        route = self._routes.find(incoming.host, path)
+        route = self._route(incoming)
         if route is None and not self._configuration.has_unknown_routes:
             return Refuse(Status.NOT_FOUND, Cause.NO_ROUTE)
         if route is None or not route.is_readable:
@@ -215,6 +213,10 @@
         if request.key_name is not None and request.origin is None:
             self._rates.refund(request.organisation, now)
 
+    def _route(self, incoming: IncomingRequest) -> Route | None:
+        path = incoming.target_path.partition("?")[0]
+        return self._routes.find(incoming.host, path)
+
     def _needs_key(self, route: Route) -> bool:
         return bool(self._configuration.organisations_by_name) and not route.is_open
 
