--- /dev/null
+++ b/tests/configuration_orders.py
@@ -0,0 +1,407 @@
+"""Generated orders of faults around changes of the configuration, and what must hold.
+
+An order is drawn from a seed: the size of the fleet, up to six faults with any times
+between them, and the times of the operator's changes. The rules are judged by what callers
+and targets see.
+"""
+
+import random
+from typing import NamedTuple
+
+from standins.platform_documents import configuration_document
+from tests.virtual_platform import VirtualPlatform
+
+STABLE_S = 4.0
+"""Time without a disruption after which an instance is bound by the times below."""
+
+CONFIGURATION_S = 2.5
+WITHDRAWAL_S = 5.0
+DRAIN_S = 2.5
+DOWNGRADE_S = 0.25
+
+WARM_UP_S = 5.0
+FAULTS_S = 14.0
+SETTLE_S = 9.0
+PROBE_INTERVAL_S = 0.25
+FAULTS_MAX = 6
+ROUTES_KEPT = 30
+"""Versions for which the route that each of them adds stays."""
+
+KEY_VERSIONS = 2
+"""Versions in which a key is present; the next one withdraws it."""
+
+ZONES = ("north-a", "north-b", "north-a", "north-b", "north-a", "north-b", "south-a")
+LASTING_KEY = "key-one-a"
+TARGETS = ("i-1", "i-2", "i-3")
+DRAINED_TARGET = "i-3"
+
+
+class Fault(NamedTuple):
+    """A fault of an order.
+
+    Attributes:
+        at_s: Time since the end of the warm-up, in seconds.
+        how: What happens; the name of a method of :class:`Order` without its prefix.
+        names: The instances concerned.
+        for_s: How long it lasts, in seconds.
+        x: A further draw, from 0 to 1.
+    """
+
+    at_s: float
+    how: str
+    names: tuple[str, ...]
+    for_s: float
+    x: float
+
+
+class Order:
+    """One play.
+
+    Attributes:
+        faults: The faults in the order of their times.
+        violations: What broke a rule, as text.
+        platform: The platform on which it is played.
+
+    Args:
+        seed: Seed of the order.
+        kinds: Kinds of faults to draw from; all by default.
+        faults: The faults, instead of drawn ones.
+        count: The number of instances; drawn by default.
+    """
+
+    def __init__(self, seed, kinds=None, faults=None, count=None):
+        self._rng = random.Random(seed)
+        random.seed(seed)
+        kinds = kinds or KINDS
+        count = count or self._rng.randint(1, len(ZONES))
+        self._zone_by_name = {f"n{i + 1}": ZONES[i] for i in range(count)}
+        drawn = self._draw_faults(kinds)
+        self.faults = drawn if faults is None else faults
+        self.violations = []
+        self.platform = None
+        self._version = 0
+        self._acked_at = {}
+        self._drain_acked_at = None
+        self._disturbed = {name: [] for name in self._zone_by_name}
+        self._is_store_away = False
+
+    def __str__(self):
+        return "\n".join(map(str, (self._zone_by_name, *self.faults, *self.violations)))
+
+    def play(self):
+        """Play it; return the violations."""
+        with VirtualPlatform(self._zone_by_name, TARGETS) as self.platform:
+            self._change()
+            for name in self._zone_by_name:
+                self.platform.start(name)
+                self._disturb((name,), 0)
+            self.platform.run_for(WARM_UP_S)
+            start_s = self.platform.network.now_s
+            schedule = self.platform.network.schedule
+            for fault in self.faults:
+                schedule(fault.at_s, lambda fault=fault: self._apply(fault))
+            at_s = 0.0
+            while at_s < FAULTS_S + SETTLE_S / 2:
+                at_s += self._rng.choice((0.3, 0.5, 1.0, 2.0, 4.0))
+                schedule(at_s, self._change)
+            schedule(self._rng.uniform(1, FAULTS_S), self._drain)
+            end_s = start_s + FAULTS_S + SETTLE_S
+            while self.platform.network.now_s < end_s:
+                self._probe()
+                self.platform.run_for(PROBE_INTERVAL_S)
+            self.platform.run_for(4)
+            self._judge()
+        return self.violations
+
+    # What happens
+
+    def _draw_faults(self, kinds):
+        rng, names = self._rng, tuple(self._zone_by_name)
+        faults = []
+        for _ in range(rng.randint(1, FAULTS_MAX)):
+            chosen = rng.sample(names, min(len(names), rng.choice((1, 1, 1, 2, 2, 3))))
+            faults.append(
+                Fault(
+                    round(rng.uniform(0, FAULTS_S), 3),
+                    rng.choice(kinds),
+                    tuple(sorted(chosen)),
+                    round(rng.uniform(0.3, 5.0), 3),
+                    round(rng.random(), 3),
+                )
+            )
+        return sorted(faults)
+
+    def _apply(self, fault):
+        getattr(self, f"_{fault.how}")(fault)
+
+    def _disturb(self, names, for_s):
+        now_s = self.platform.network.now_s
+        for name in names:
+            self._disturbed[name].append((now_s, now_s + for_s))
+
+    def _running(self, fault):
+        loops = ((name, self.platform.loop(name)) for name in fault.names)
+        return [(name, loop) for name, loop in loops if loop is not None]
+
+    def _after(self, fault, action):
+        self.platform.network.schedule(fault.for_s, action)
+
+    def _restart(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        for name, _ in self._running(fault):
+            self.platform.kill(name, is_dark=fault.x < 0.5)
+            self._after(fault, lambda name=name: self._start(name))
+
+    def _terminate(self, fault):
+        self._disturb(fault.names, fault.for_s + 6)
+        for name, _ in self._running(fault):
+            self.platform.terminate(name)
+            self.platform.network.schedule(6, lambda name=name: self._start(name))
+
+    def _start(self, name):
+        self.platform.kill(name)
+        self._disturb((name,), 0)
+        self.platform.start(name)
+
+    def _freeze(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        for _, loop in self._running(fault):
+            loop.is_frozen = True
+            self._after(fault, lambda loop=loop: setattr(loop, "is_frozen", False))
+
+    def _suspend(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        for _, loop in self._running(fault):
+            if not loop.is_frozen:
+                self.platform.network.suspend(loop, fault.for_s)
+
+    def _store_cut(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        network = self.platform.network
+        for name in fault.names:
+            pair = (self.platform.host(name), self.platform.store_host(name))
+            pair = pair if fault.x < 0.6 else pair[::-1]
+            network.cut(*pair, is_one_way=fault.x > 0.3)
+            self._after(fault, lambda pair=pair: network.heal(*pair))
+
+    def _store_refuses(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        how = ("silent", "reset", 503, 429)[int(fault.x * 4)]
+        for name in fault.names:
+            self.platform.store_faults[name] = how
+            faults = self.platform.store_faults
+            self._after(fault, lambda name=name: faults.pop(name, None))
+
+    def _peers_cut(self, fault):
+        self._disturb(fault.names, fault.for_s)
+        network = self.platform.network
+        for name in fault.names:
+            for other in self._zone_by_name:
+                if other not in fault.names:
+                    pair = (self.platform.host(name), self.platform.host(other))
+                    network.cut(*pair, is_one_way=fault.x > 0.7)
+                    self._after(fault, lambda pair=pair: network.heal(*pair))
+
+    def _silence(self, fault):
+        self._disturb(self._zone_by_name, 0)
+        self.platform.network.silence()
+
+    def _reset(self, fault):
+        self._disturb(fault.names, 0)
+        for _, loop in self._running(fault):
+            self.platform.network.reset(loop)
+
+    def _store_away(self, fault):
+        self._disturb(self._zone_by_name, fault.for_s)
+        self._is_store_away = True
+        store = self.platform.store
+        name = "is_silent" if fault.x < 0.5 else "is_down"
+        store.faults = store.faults._replace(**{name: True})
+
+        def end():
+            store.faults = store.faults._replace(**{name: False})
+            self._is_store_away = False
+
+        self._after(fault, end)
+
+    def _history(self, fault):
+        self._disturb(self._zone_by_name, 0)
+        self.platform.store.forget_history()
+
+    def _drill(self, fault):
+        """The store goes away and comes back from a copy some seconds old."""
+        self._disturb(self._zone_by_name, fault.for_s)
+        platform, store = self.platform, self.platform.store
+        store.keep_copy()
+        away_s = fault.for_s * fault.x
+
+        def leave():
+            self._disturb(self._zone_by_name, away_s)
+            self._is_store_away = platform.is_operator_away = True
+            store.faults = store.faults._replace(is_silent=True)
+
+        def come_back():
+            self._disturb(self._zone_by_name, 1.0)
+            platform.return_to_copy()
+            store.faults = store.faults._replace(is_silent=False)
+            platform.network.schedule(self._rng.uniform(0, 0.4), rewrite)
+
+        def rewrite():
+            self._is_store_away = platform.is_operator_away = False
+            self._write()
+            for target_id in TARGETS:
+                is_drained = target_id == DRAINED_TARGET and self._drain_acked_at
+                if self._drain_acked_at is None or not is_drained:
+                    platform.write_target(target_id)
+                else:
+                    platform.write_target(target_id, "draining")
+
+        platform.network.schedule(fault.for_s - away_s, leave)
+        platform.network.schedule(fault.for_s, come_back)
+
+    # The operator and the callers
+
+    def _change(self):
+        if self._is_store_away:
+            return
+        self._version += 1
+        self._write()
+        self._acked_at[self._version] = self.platform.network.now_s
+
+    def _write(self):
+        version = self._version
+        document = configuration_document(version)
+        open_route = document["routes"]["open"]
+        for number in range(max(1, version - ROUTES_KEPT), version + 1):
+            added = {**open_route, "path_prefix": f"/added-{number}/"}
+            document["routes"][f"added-{number}"] = added
+        kept = range(max(1, version - KEY_VERSIONS + 1), version + 1)
+        keys = [LASTING_KEY, *(f"key-version-{number}" for number in kept)]
+        document["tenants"]["one"]["api_keys"] = keys
+        self.platform.put("config", "main", document)
+
+    def _drain(self):
+        if self._is_store_away:
+            return
+        self._drain_acked_at = self.platform.network.now_s
+        self.platform.drained.add(DRAINED_TARGET)
+        self.platform.write_target(DRAINED_TARGET, "draining")
+
+    def _probe(self):
+        version = self._version
+        for name in self._zone_by_name:
+            if self.platform.loop(name) is None:
+                continue
+            self.platform.send(name, f"/added-{version}/x")
+            self.platform.send(name, "/look/1", f"key-version-{version}")
+            old = version - KEY_VERSIONS
+            if old > 0:
+                self.platform.send(name, "/look/2", f"key-version-{old}")
+            self.platform.send(name, f"/open/{self._rng.randint(1, 9)}")
+
+    # The rules
+
+    def _judge(self):
+        runs_by_id = {
+            run["id"]: (target_id, run["at"])
+            for target_id, target in self.platform.targets_by_id.items()
+            for run in target.runs
+        }
+        newest_seen = {}
+        for answer in sorted(self.platform.answers):
+            self._judge_bounds(answer, answer.id in runs_by_id)
+            self._judge_downgrade(answer, newest_seen)
+            if answer.id in runs_by_id:
+                self._judge_drain(answer, *runs_by_id[answer.id])
+        self._judge_end()
+
+    def _report(self, answer, rule):
+        start_s = 1_000.0 + WARM_UP_S
+        self.violations.append(
+            f"{rule}: {answer.instance} at {answer.sent_at - start_s:.2f} s: "
+            f"{answer.path} {answer.key} {answer.status}"
+        )
+
+    def is_in_touch(self, name, at_s):
+        """Return whether an instance has been undisturbed for long enough."""
+        return not any(
+            begin < at_s and end > at_s - STABLE_S
+            for begin, end in self._disturbed[name]
+        )
+
+    def _judge_bounds(self, answer, has_run):
+        sent_at = answer.sent_at
+        is_in_touch = self.is_in_touch(answer.instance, sent_at)
+        version = _version_of(answer)
+        if version is None:
+            return
+        acked_at = self._acked_at[version]
+        if answer.status in (401, 404) and is_in_touch:
+            is_due = sent_at > acked_at + CONFIGURATION_S
+            withdrawn_at = self._acked_at.get(version + KEY_VERSIONS)
+            is_kept = answer.key == "" or withdrawn_at is None or sent_at < withdrawn_at
+            if is_due and is_kept:
+                self._report(answer, "handled as an older version says")
+        if answer.key and has_run:
+            withdrawn_at = self._acked_at.get(version + KEY_VERSIONS)
+            if withdrawn_at is not None and sent_at > withdrawn_at + WITHDRAWAL_S:
+                self._report(answer, "ran with a withdrawn key")
+
+    def _judge_downgrade(self, answer, newest_seen):
+        version = _version_of(answer)
+        if version is None or answer.key:
+            return
+        incarnation = (answer.instance, self._incarnation(answer))
+        if answer.status == 404:
+            seen, seen_at = newest_seen.get(incarnation, (0, 0))
+            if version <= seen and answer.sent_at > seen_at + DOWNGRADE_S:
+                self._report(answer, f"older than version {seen}, which it had")
+        elif answer.status == 200:
+            if version > newest_seen.get(incarnation, (0, 0))[0]:
+                newest_seen[incarnation] = (version, answer.sent_at)
+
+    def _incarnation(self, answer):
+        starts = self.platform.starts_by_name[answer.instance]
+        return sum(at <= answer.sent_at for at in starts)
+
+    def _judge_drain(self, answer, target_id, ran_at):
+        if target_id != DRAINED_TARGET or self._drain_acked_at is None:
+            return
+        if answer.sent_at < self._drain_acked_at + DRAIN_S:
+            return
+        if self.is_in_touch(answer.instance, answer.sent_at):
+            self._report(answer, f"ran at {target_id}, which is draining")
+
+    def _judge_end(self):
+        for name in self._zone_by_name:
+            last = [a for a in self.platform.answers if a.instance == name][-8:]
+            served = [a for a in last if a.status == 200]
+            if self.platform.loop(name) is not None and not served:
+                self.violations.append(f"{name} serves nothing at the end")
+
+
+def _version_of(answer):
+    for text in (answer.path, answer.key):
+        for prefix in ("/added-", "key-version-"):
+            if text.startswith(prefix):
+                return int(text.removeprefix(prefix).partition("/")[0])
+    return None
+
+
+KINDS = tuple(
+    name.removeprefix("_")
+    for name in (
+        "_restart",
+        "_terminate",
+        "_freeze",
+        "_suspend",
+        "_store_cut",
+        "_store_refuses",
+        "_peers_cut",
+        "_silence",
+        "_reset",
+        "_store_away",
+        "_history",
+        "_drill",
+    )
+)
--- /dev/null
+++ b/tests/virtual_network.py
@@ -0,0 +1,522 @@
+"""A network of processes in virtual time, for real daemons in one operating-system process.
+
+Each simulated process has an event loop of its own, so that it can be frozen, suspended or
+killed while the others run. Connections and datagrams between them can be cut, reset or
+silenced. Nothing waits in real time.
+"""
+
+import asyncio
+import heapq
+import itertools
+import math
+import socket
+from asyncio import events
+from collections import deque
+from typing import NamedTuple
+
+NEAR_DELAY_S = 0.001
+FAR_DELAY_S = 0.035
+CONNECT_RETRY_S = 1.0
+"""After a lost opening packet, the kernel sends the next one a second later."""
+
+CLOSING_ROUNDS = 20
+CLOSING_STEP_S = 0.5
+MAX_ROUNDS_AT_ONE_TIME = 100_000
+
+
+class Endpoint(NamedTuple):
+    host: str
+    port: int
+
+
+class _NoSelector:
+    def select(self, timeout):
+        return []
+
+    def close(self):
+        pass
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Event loop of one simulated process.
+
+    Attributes:
+        is_frozen: Whether no callback runs.
+        suspended_s: Time for which the machine was suspended, which its monotonic clock
+            does not count.
+    """
+
+    def __init__(self, network, name):
+        super().__init__()
+        self._selector = _NoSelector()
+        self._network = network
+        self.name = name
+        self.is_frozen = False
+        self.suspended_s = 0.0
+
+    def time(self):
+        return self._network.now_s - self.suspended_s
+
+    def _process_events(self, event_list):
+        pass
+
+    def _write_to_self(self):
+        pass
+
+    @property
+    def next_at_s(self):
+        """Time at which this loop has work to do; infinite if it has none."""
+        if self.is_frozen:
+            return math.inf
+        if self._ready:
+            return self._network.now_s
+        while self._scheduled and self._scheduled[0]._cancelled:
+            heapq.heappop(self._scheduled)._scheduled = False
+            self._timer_cancelled_count = max(0, self._timer_cancelled_count - 1)
+        if not self._scheduled:
+            return math.inf
+        return self._scheduled[0]._when + self.suspended_s
+
+    def run_ready(self):
+        """Run all callbacks that are ready now."""
+        events._set_running_loop(self)
+        try:
+            self._run_once()
+        finally:
+            events._set_running_loop(None)
+
+    async def create_connection(self, protocol_factory, host=None, port=None, **options):
+        return await self._network.connect(self, protocol_factory, Endpoint(host, port))
+
+    async def create_server(self, protocol_factory, host=None, port=None, **options):
+        return self._network.listen(self, protocol_factory, Endpoint(host, port))
+
+    async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **options):
+        return self._network.bind(self, protocol_factory, Endpoint(*local_addr))
+
+
+class _FakeSocket:
+    family = socket.AF_INET
+
+    def __init__(self, endpoint):
+        self._endpoint = endpoint
+
+    def getsockname(self):
+        return tuple(self._endpoint)
+
+    def fileno(self):
+        return -1
+
+
+class VirtualServer(asyncio.AbstractServer):
+    """A listening socket."""
+
+    def __init__(self, network, loop, endpoint):
+        self._network = network
+        self._endpoint = endpoint
+        self.loop = loop
+        self.sockets = (_FakeSocket(endpoint),)
+
+    def close(self):
+        self._network.unlisten(self._endpoint, self.loop)
+
+    def close_connections(self):
+        self.close()
+
+    async def wait_closed(self):
+        pass
+
+    def is_serving(self):
+        return True
+
+    def get_loop(self):
+        return self.loop
+
+
+class _Side:
+    """One end of a connection."""
+
+    def __init__(self, loop, host):
+        self.loop = loop
+        self.host = host
+        self.transport = None
+
+
+class Connection:
+    """A TCP connection between two processes.
+
+    Attributes:
+        is_silent: Whether all that is sent from now on is lost without a trace.
+    """
+
+    def __init__(self, network, sides):
+        self.network = network
+        self.sides = sides
+        self.is_silent = False
+        self.held = []
+
+    def deliver(self, receiver, action):
+        """Call an action in the receiver's loop after the delay, in order."""
+        sender = self.sides[1 - self.sides.index(receiver)]
+        if self.is_silent:
+            return
+        if self.held or self.network.is_cut(sender.host, receiver.host):
+            self.held.append((receiver, action))
+            return
+        delay_s = self.network.delay_s(sender.host, receiver.host)
+        self.network.schedule(delay_s, lambda: self._arrive(receiver, action))
+
+    def release_held(self):
+        """Deliver what was held up by a cut that has ended."""
+        held, self.held = self.held, []
+        for receiver, action in held:
+            self.deliver(receiver, action)
+
+    def _arrive(self, receiver, action):
+        if not self.is_silent and self.network.is_running(receiver.loop):
+            receiver.loop.call_soon(action)
+
+
+class VirtualTransport(asyncio.Transport):
+    def __init__(self, connection, side, other, protocol, port):
+        super().__init__()
+        self._connection = connection
+        self._side = side
+        self._other = other
+        self._protocol = protocol
+        self._port = port
+        self._is_closing = False
+        self._is_paused = False
+        self._unread = deque()
+        self._has_eof = False
+
+    def start(self):
+        self._protocol.connection_made(self)
+
+    def get_extra_info(self, name, default=None):
+        if name == "socket":
+            return _FakeSocket(Endpoint(self._side.host, self._port))
+        if name in ("peername", "sockname"):
+            side = self._other if name == "peername" else self._side
+            return (side.host, self._port)
+        return default
+
+    def set_protocol(self, protocol):
+        self._protocol = protocol
+
+    def get_protocol(self):
+        return self._protocol
+
+    def is_closing(self):
+        return self._is_closing
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def can_write_eof(self):
+        return True
+
+    def is_reading(self):
+        return not self._is_paused
+
+    def pause_reading(self):
+        self._is_paused = True
+
+    def resume_reading(self):
+        self._is_paused = False
+        while self._unread and not self._is_paused:
+            self._protocol.data_received(self._unread.popleft())
+        if self._has_eof and not self._unread:
+            self._on_eof()
+
+    def write(self, data):
+        if self._is_closing or not data:
+            return
+        data, peer = bytes(data), self._other.transport
+        self._connection.deliver(self._other, lambda: peer.on_data(data))
+
+    def write_eof(self):
+        peer = self._other.transport
+        self._connection.deliver(self._other, lambda: peer.on_eof())
+
+    def close(self):
+        if not self._is_closing:
+            self.write_eof()
+            self._end(None)
+
+    def abort(self):
+        if not self._is_closing:
+            peer = self._other.transport
+            self._connection.deliver(self._other, lambda: peer.on_reset())
+            self._end(None)
+
+    def on_data(self, data):
+        if self._protocol is None:
+            return
+        if self._is_closing:
+            peer = self._other.transport
+            self._connection.deliver(self._other, lambda: peer.on_reset())
+        elif self._is_paused or self._unread:
+            self._unread.append(data)
+        else:
+            self._protocol.data_received(data)
+
+    def on_eof(self):
+        self._has_eof = True
+        if not self._unread:
+            self._on_eof()
+
+    def on_reset(self):
+        if not self._is_closing:
+            self._end(ConnectionResetError("connection reset"))
+
+    def _on_eof(self):
+        if not self._is_closing and not self._protocol.eof_received():
+            self.close()
+
+    def _end(self, error):
+        self._is_closing = True
+        self._connection.network.forget(self._connection, self._side)
+        if not self._side.loop.is_closed():
+            self._side.loop.call_soon(self._protocol.connection_lost, error)
+
+
+class VirtualDatagrams(asyncio.DatagramTransport):
+    def __init__(self, network, loop, protocol, endpoint):
+        super().__init__()
+        self._network = network
+        self._loop = loop
+        self._protocol = protocol
+        self._endpoint = endpoint
+
+    def sendto(self, data, addr=None):
+        self._network.send_datagram(self._endpoint, Endpoint(*addr), bytes(data))
+
+    def receive(self, data, sender):
+        self._protocol.datagram_received(data, tuple(sender))
+
+    def close(self):
+        self._network.unbind(self._endpoint, self._loop)
+
+
+class VirtualNetwork:
+    """Virtual time, the processes in it, and the network between them.
+
+    Attributes:
+        now_s: The virtual time in seconds.
+        running: The loop whose callbacks run; None outside of all.
+        region_by_host: Region of each host; messages between regions take longer.
+    """
+
+    def __init__(self):
+        self.now_s = 1_000.0
+        self.running = None
+        self.region_by_host = {}
+        self._events = []
+        self._order = itertools.count()
+        self._loops = []
+        self._all_loops = []
+        self._is_closed = False
+        self._host_by_loop = {}
+        self._listeners = {}
+        self._datagrams = {}
+        self._connections = []
+        self._cut_pairs = set()
+        self._dark_hosts = set()
+        self._orphans_by_host = {}
+
+    # The processes
+
+    def start(self, name, host):
+        """Return the loop of a new process on a host."""
+        loop = VirtualLoop(self, name)
+        self._loops.append(loop)
+        self._all_loops.append(loop)
+        self._host_by_loop[loop] = host
+        self._dark_hosts.discard(host)
+        for side in self._orphans_by_host.pop(host, ()):
+            # The machine knows nothing of connections from before its loss of power.
+            self.schedule(NEAR_DELAY_S, side.transport.on_reset)
+        return loop
+
+    def is_running(self, loop):
+        return loop in self._host_by_loop
+
+    def close(self):
+        """Cancel all that still runs, in ended processes too."""
+        self._is_closed = True
+        for _ in range(CLOSING_ROUNDS):
+            self.now_s += CLOSING_STEP_S
+            for loop in self._all_loops:
+                for task in asyncio.all_tasks(loop):
+                    task.cancel()
+                loop.run_ready()
+        for loop in self._all_loops:
+            loop.close()
+
+    def kill(self, loop, *, is_dark=False):
+        """End a process; if its machine goes dark, its connections hang."""
+        host = self._host_by_loop.pop(loop)
+        self._loops.remove(loop)
+        if is_dark:
+            self._dark_hosts.add(host)
+        for connection in list(self._connections):
+            if loop not in (side.loop for side in connection.sides):
+                continue
+            for side in connection.sides:
+                if side.loop is not loop and is_dark:
+                    self._orphans_by_host.setdefault(host, []).append(side)
+                elif side.loop is not loop:
+                    connection.deliver(side, side.transport.on_reset)
+            self._connections.remove(connection)
+        for table in (self._listeners, self._datagrams):
+            for endpoint, (owner, *_) in list(table.items()):
+                if owner is loop:
+                    del table[endpoint]
+
+    def suspend(self, loop, duration_s):
+        """Suspend a machine: nothing runs, and its monotonic clock stands still."""
+        loop.is_frozen = True
+        self.schedule(duration_s, lambda: self._resume(loop, duration_s))
+
+    def _resume(self, loop, duration_s):
+        loop.suspended_s += duration_s
+        loop.is_frozen = False
+
+    # Time
+
+    def schedule(self, delay_s, action):
+        """Call an action of the world after a delay."""
+        if self._is_closed:
+            return
+        entry = (self.now_s + delay_s, next(self._order), action)
+        heapq.heappush(self._events, entry)
+
+    def run_for(self, duration_s):
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        rounds = 0
+        while True:
+            next_s = min((loop.next_at_s for loop in self._loops), default=math.inf)
+            if self._events:
+                next_s = min(next_s, self._events[0][0])
+            if next_s > end_s:
+                self.now_s = end_s
+                return
+            rounds = 0 if next_s > self.now_s else rounds + 1
+            assert rounds < MAX_ROUNDS_AT_ONE_TIME, "time stands still"
+            self.now_s = max(self.now_s, next_s)
+            self._step()
+
+    def _step(self):
+        while self._events and self._events[0][0] <= self.now_s:
+            heapq.heappop(self._events)[2]()
+        for loop in list(self._loops):
+            if self.is_running(loop) and loop.next_at_s <= self.now_s:
+                self.running = loop
+                loop.run_ready()
+                self.running = None
+
+    # The network
+
+    def delay_s(self, host, other):
+        regions = self.region_by_host
+        is_near = regions.get(host) == regions.get(other)
+        return NEAR_DELAY_S if is_near else FAR_DELAY_S
+
+    def is_cut(self, host, other):
+        if host in self._dark_hosts or other in self._dark_hosts:
+            return True
+        return (host, other) in self._cut_pairs
+
+    def cut(self, host, other, *, is_one_way=False):
+        """Lose all that is sent between two hosts until it is healed."""
+        self._cut_pairs.add((host, other))
+        if not is_one_way:
+            self._cut_pairs.add((other, host))
+
+    def heal(self, host, other):
+        self._cut_pairs -= {(host, other), (other, host)}
+        for connection in list(self._connections):
+            if {side.host for side in connection.sides} == {host, other}:
+                connection.release_held()
+
+    def silence(self):
+        """Silence all open connections for good; new ones work."""
+        for connection in self._connections:
+            connection.is_silent = True
+
+    def reset(self, loop):
+        """Reset all connections of a process."""
+        for connection in list(self._connections):
+            if loop in (side.loop for side in connection.sides):
+                for side in connection.sides:
+                    if side.transport is not None:
+                        side.loop.call_soon(side.transport.on_reset)
+
+    def listen(self, loop, factory, endpoint):
+        self._listeners[endpoint] = (loop, factory)
+        return VirtualServer(self, loop, endpoint)
+
+    def unlisten(self, endpoint, loop):
+        if self._listeners.get(endpoint, (None,))[0] is loop:
+            del self._listeners[endpoint]
+
+    def bind(self, loop, factory, endpoint):
+        protocol = factory()
+        transport = VirtualDatagrams(self, loop, protocol, endpoint)
+        self._datagrams[endpoint] = (loop, transport)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+    def unbind(self, endpoint, loop):
+        if self._datagrams.get(endpoint, (None,))[0] is loop:
+            del self._datagrams[endpoint]
+
+    def send_datagram(self, sender, receiver, data):
+        if not self.is_cut(sender.host, receiver.host):
+            delay_s = self.delay_s(sender.host, receiver.host)
+            self.schedule(delay_s, lambda: self._receive(sender, receiver, data))
+
+    def _receive(self, sender, receiver, data):
+        loop, transport = self._datagrams.get(receiver, (None, None))
+        if transport is not None:
+            loop.call_soon(transport.receive, data, sender)
+
+    async def connect(self, loop, factory, endpoint):
+        """Open a connection; raise ConnectionRefusedError if nobody listens."""
+        host = self._host_by_loop.get(loop)
+        if host is None or self._is_closed:
+            raise ConnectionRefusedError("the network is closed")
+        while self.is_cut(host, endpoint.host) or self.is_cut(endpoint.host, host):
+            await asyncio.sleep(CONNECT_RETRY_S)
+        await asyncio.sleep(2 * self.delay_s(host, endpoint.host))
+        if endpoint not in self._listeners:
+            raise ConnectionRefusedError(f"nobody listens at {endpoint}")
+        listening_loop, accept = self._listeners[endpoint]
+        sides = (_Side(loop, host), _Side(listening_loop, endpoint.host))
+        connection = Connection(self, sides)
+        protocols = (factory(), None)
+        for side, other in (sides, sides[::-1]):
+            side.transport = VirtualTransport(
+                connection, side, other, protocols[sides.index(side)], endpoint.port
+            )
+        self._connections.append(connection)
+        listening_loop.call_soon(self._accept, sides[1].transport, accept)
+        sides[0].transport.start()
+        return sides[0].transport, protocols[0]
+
+    def _accept(self, transport, factory):
+        if self._is_closed:
+            return
+        transport.set_protocol(factory())
+        transport.start()
+
+    def forget(self, connection, side):
+        others = [s for s in connection.sides if s is not side]
+        is_over = all(s.transport is None or s.transport.is_closing() for s in others)
+        if is_over and connection in self._connections:
+            self._connections.remove(connection)
