Log from where, and after what wait, an instance learns of a configuration

Cause: the line `configuration N in force` had neither revision nor source, and no line said how long an answer had been waited for, so that a chain of time-outs, a missed change and a peer of another version looked alike.

Change: source, revision and age in that line; kind, revision and wait in the lines of a failed read. No decision changed.

--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -78,30 +78,32 @@
         self._clock = clock
         self._observers = observers
         self._revision: int | None = None
+        self._requested_at = 0
         self._is_lost = False
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
+            self._requested_at = self._clock.now()
             try:
                 await self._step()
             except HistoryExpiredError:
+                log.info("history gone", extra=self._read_fields())
                 self._revision = None
-                log.info("history gone", extra={"kind": self._settings.kind.value})
             except RelayUnavailableError as error:
-                log.info("relay unavailable", extra={"error": str(error)})
+                fields = {**self._read_fields(), "error": str(error)}
+                log.info("relay unavailable", extra=fields)
             except PlatformError as error:
                 self._notify_lost(error)
                 await asyncio.sleep(self._settings.retry_ms / MS_PER_S)
 
     async def _step(self) -> None:
-        requested_at = self._clock.now()
         kind = self._settings.kind
         if self._revision is None:
             listing = await self._source.list_objects(kind)
             self._notify_regained()
             self._revision = listing.revision
-            as_of = self._as_of(listing.age_ms, requested_at)
+            as_of = self._as_of(listing.age_ms)
             for observer in self._observers:
                 observer.on_listed(listing, as_of)
             return
@@ -109,18 +111,26 @@
         changes = await self._source.watch(kind, self._revision, wait_ms)
         self._notify_regained()
         self._revision = changes.revision
-        as_of = self._as_of(changes.age_ms, requested_at)
+        as_of = self._as_of(changes.age_ms)
         for observer in self._observers:
             observer.on_changed(changes, as_of)
         if changes.changes:
             await asyncio.sleep(self._settings.batch_ms / MS_PER_S)
 
-    def _as_of(self, age_ms: int | None, requested_at: int) -> int:
-        return requested_at if age_ms is None else self._clock.now() - age_ms
+    def _as_of(self, age_ms: int | None) -> int:
+        return self._requested_at if age_ms is None else self._clock.now() - age_ms
+
+    def _read_fields(self) -> dict[str, str | int | None]:
+        """Return what identifies a read that failed, for the log."""
+        return {
+            "kind": self._settings.kind.value,
+            "revision": self._revision,
+            "waited_ms": self._clock.now() - self._requested_at,
+        }
 
     def _notify_lost(self, error: PlatformError) -> None:
         if not self._is_lost:
-            fields = {"kind": self._settings.kind.value, "error": str(error)}
+            fields = {**self._read_fields(), "error": str(error)}
             log.warning("store unavailable", extra=fields)
             for observer in self._observers:
                 observer.on_store_lost()
--- a/sequoiahook/daemons/direct/object_store.py
+++ b/sequoiahook/daemons/direct/object_store.py
@@ -50,11 +50,13 @@
         revision: Revision of the store that the listing shows.
         age_ms: Time since the listing was certainly current, in milliseconds; None if
             it was current after the call began.
+        source: Name of the peer that answered; empty for the store.
     """
 
     objects_by_name: dict[str, StoredObject]
     revision: int
     age_ms: int | None = None
+    source: str = ""
 
 
 class Change(NamedTuple):
@@ -72,11 +74,13 @@
         revision: Revision from which to continue.
         age_ms: Time since there were certainly no further changes, in milliseconds;
             None if there were none after the call began.
+        source: Name of the peer that answered; empty for the store.
     """
 
     changes: tuple[Change, ...]
     revision: int
     age_ms: int | None = None
+    source: str = ""
 
 
 class ObjectSource(Protocol):
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -112,15 +112,18 @@
         super().__init__(core, clock)
         self._on_configured = on_configured
         self._unreadable_names: set[str] = set()
+        self._source = ""
 
     def on_listed(self, listing: Listing, as_of: int) -> None:
         """Replace all objects; a readable list confirms the configuration."""
+        self._source = listing.source
         self._unreadable_names.clear()
         super().on_listed(listing, as_of)
         self._confirm(as_of)
 
     def on_changed(self, changes: Changes, as_of: int) -> None:
         """Apply changes; an answer without any confirms the configuration as well."""
+        self._source = changes.source
         super().on_changed(changes, as_of)
         self._confirm(as_of)
 
@@ -128,7 +131,14 @@
         """Put the configuration into force, if there is one."""
         for configuration in self.values_by_name.values():
             if self.core.configure(configuration, self.clock.now()):
-                self._log(f"configuration {configuration.number} in force", 0)
+                log.info(
+                    f"configuration {configuration.number} in force",
+                    extra={
+                        "revision": max(self.revision_by_name.values()),
+                        "source": self._source or "store",
+                        "age_ms": self.clock.now() - as_of,
+                    },
+                )
                 self._log_findings(configuration)
                 self._on_configured(configuration)
 
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -159,7 +159,7 @@
             change.object for change in self._decode_changes(kind, answer.content)
         ]
         objects_by_name = {stored.name: stored for stored in objects}
-        return Listing(objects_by_name, answer.revision, age_ms)
+        return Listing(objects_by_name, answer.revision, age_ms, peer.name)
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one."""
@@ -168,7 +168,7 @@
             return await self._call_store(self._store.watch(kind, revision, wait_ms))
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
         changes = tuple(self._decode_changes(kind, answer.content))
-        return Changes(changes, answer.revision, age_ms)
+        return Changes(changes, answer.revision, age_ms, peer.name)
 
     def on_link_event(self, event: LinkEvent) -> None:
         """Process an event of the links."""
