--- a/tests/configuration_orders.py
+++ b/tests/configuration_orders.py
@@ -1,8 +1,8 @@
 """Generated orders of faults around changes of the configuration, and what must hold.
 
 An order is drawn from a seed: the size of the fleet, up to six faults with any times
-between them, and the times of the operator's changes. The rules are judged by what callers
-and targets see.
+between them, and the times of the operator's changes. The rules are judged by what
+callers and targets see.
 """
 
 import random
@@ -24,6 +24,8 @@
 SETTLE_S = 9.0
 PROBE_INTERVAL_S = 0.25
 FAULTS_MAX = 6
+OPERATOR_REST_S = 8.0
+CHANGE_GAPS_S = (0.3, 0.5, 1.0, 2.0, 4.0, 9.0)
 ROUTES_KEPT = 30
 """Versions for which the route that each of them adds stays."""
 
@@ -32,8 +34,8 @@
 
 ZONES = ("north-a", "north-b", "north-a", "north-b", "north-a", "north-b", "south-a")
 LASTING_KEY = "key-one-a"
-TARGETS = ("i-1", "i-2", "i-3")
-DRAINED_TARGET = "i-3"
+TARGETS = tuple(f"i-{number + 1}" for number in range(8))
+DRAINED_TARGET = "i-8"
 
 
 class Fault(NamedTuple):
@@ -41,7 +43,7 @@
 
     Attributes:
         at_s: Time since the end of the warm-up, in seconds.
-        how: What happens; the name of a method of :class:`Order` without its prefix.
+        how: What happens, one of `KINDS`.
         names: The instances concerned.
         for_s: How long it lasts, in seconds.
         x: A further draw, from 0 to 1.
@@ -84,6 +86,7 @@
         self._drain_acked_at = None
         self._disturbed = {name: [] for name in self._zone_by_name}
         self._is_store_away = False
+        self._quiet_until_s = 0.0
 
     def __str__(self):
         return "\n".join(map(str, (self._zone_by_name, *self.faults, *self.violations)))
@@ -102,7 +105,7 @@
                 schedule(fault.at_s, lambda fault=fault: self._apply(fault))
             at_s = 0.0
             while at_s < FAULTS_S + SETTLE_S / 2:
-                at_s += self._rng.choice((0.3, 0.5, 1.0, 2.0, 4.0))
+                at_s += self._rng.choice(CHANGE_GAPS_S)
                 schedule(at_s, self._change)
             schedule(self._rng.uniform(1, FAULTS_S), self._drain)
             end_s = start_s + FAULTS_S + SETTLE_S
@@ -187,10 +190,10 @@
     def _store_refuses(self, fault):
         self._disturb(fault.names, fault.for_s)
         how = ("silent", "reset", 503, 429)[int(fault.x * 4)]
+        how_by_name = self.platform.store_faults
         for name in fault.names:
-            self.platform.store_faults[name] = how
-            faults = self.platform.store_faults
-            self._after(fault, lambda name=name: faults.pop(name, None))
+            how_by_name[name] = how
+            self._after(fault, lambda name=name: how_by_name.pop(name, None))
 
     def _peers_cut(self, fault):
         self._disturb(fault.names, fault.for_s)
@@ -237,7 +240,7 @@
 
         def leave():
             self._disturb(self._zone_by_name, away_s)
-            self._is_store_away = platform.is_operator_away = True
+            self._is_store_away = platform.are_targets_away = True
             store.faults = store.faults._replace(is_silent=True)
 
         def come_back():
@@ -247,14 +250,14 @@
             platform.network.schedule(self._rng.uniform(0, 0.4), rewrite)
 
         def rewrite():
-            self._is_store_away = platform.is_operator_away = False
+            self._is_store_away = platform.are_targets_away = False
             self._write()
+            if fault.x < 0.7:
+                # Any later change would mend an instance that missed this one.
+                self._change()
+                self._quiet_until_s = platform.network.now_s + OPERATOR_REST_S
             for target_id in TARGETS:
-                is_drained = target_id == DRAINED_TARGET and self._drain_acked_at
-                if self._drain_acked_at is None or not is_drained:
-                    platform.write_target(target_id)
-                else:
-                    platform.write_target(target_id, "draining")
+                platform.write_target(target_id)
 
         platform.network.schedule(fault.for_s - away_s, leave)
         platform.network.schedule(fault.for_s, come_back)
@@ -262,7 +265,7 @@
     # The operator and the callers
 
     def _change(self):
-        if self._is_store_away:
+        if self._is_store_away or self.platform.network.now_s < self._quiet_until_s:
             return
         self._version += 1
         self._write()
@@ -285,7 +288,7 @@
             return
         self._drain_acked_at = self.platform.network.now_s
         self.platform.drained.add(DRAINED_TARGET)
-        self.platform.write_target(DRAINED_TARGET, "draining")
+        self.platform.write_target(DRAINED_TARGET)
 
     def _probe(self):
         version = self._version
@@ -352,13 +355,12 @@
         if version is None or answer.key:
             return
         incarnation = (answer.instance, self._incarnation(answer))
-        if answer.status == 404:
-            seen, seen_at = newest_seen.get(incarnation, (0, 0))
-            if version <= seen and answer.sent_at > seen_at + DOWNGRADE_S:
-                self._report(answer, f"older than version {seen}, which it had")
-        elif answer.status == 200:
-            if version > newest_seen.get(incarnation, (0, 0))[0]:
-                newest_seen[incarnation] = (version, answer.sent_at)
+        seen, seen_at = newest_seen.get(incarnation, (0, 0))
+        if answer.status == 200 and version > seen:
+            newest_seen[incarnation] = (version, answer.sent_at)
+        is_older = answer.status == 404 and version <= seen
+        if is_older and answer.sent_at > seen_at + DOWNGRADE_S:
+            self._report(answer, f"older than version {seen}, which it had")
 
     def _incarnation(self, answer):
         starts = self.platform.starts_by_name[answer.instance]
@@ -388,20 +390,18 @@
     return None
 
 
-KINDS = tuple(
-    name.removeprefix("_")
-    for name in (
-        "_restart",
-        "_terminate",
-        "_freeze",
-        "_suspend",
-        "_store_cut",
-        "_store_refuses",
-        "_peers_cut",
-        "_silence",
-        "_reset",
-        "_store_away",
-        "_history",
-        "_drill",
-    )
+KINDS = (
+    "restart",
+    "terminate",
+    "freeze",
+    "suspend",
+    "store_cut",
+    "store_refuses",
+    "peers_cut",
+    "silence",
+    "reset",
+    "store_away",
+    "history",
+    "drill",
 )
+"""Kinds of faults; each is a method of :class:`Order` without the underscore."""
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -1,8 +1,8 @@
-"""A network of processes in virtual time, for real daemons in one operating-system process.
+"""A network of simulated processes in virtual time, in which real daemons run.
 
-Each simulated process has an event loop of its own, so that it can be frozen, suspended or
-killed while the others run. Connections and datagrams between them can be cut, reset or
-silenced. Nothing waits in real time.
+Each simulated process has an event loop of its own, so that it can be frozen, suspended
+or killed while the others run. Connections and datagrams between them can be cut, reset
+or silenced. Nothing waits in real time.
 """
 
 import asyncio
@@ -85,13 +85,17 @@
         finally:
             events._set_running_loop(None)
 
-    async def create_connection(self, protocol_factory, host=None, port=None, **options):
+    async def create_connection(
+        self, protocol_factory, host=None, port=None, **options
+    ):
         return await self._network.connect(self, protocol_factory, Endpoint(host, port))
 
     async def create_server(self, protocol_factory, host=None, port=None, **options):
         return self._network.listen(self, protocol_factory, Endpoint(host, port))
 
-    async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **options):
+    async def create_datagram_endpoint(
+        self, protocol_factory, local_addr=None, **options
+    ):
         return self._network.bind(self, protocol_factory, Endpoint(*local_addr))
 
 
@@ -364,19 +368,23 @@
         if is_dark:
             self._dark_hosts.add(host)
         for connection in list(self._connections):
-            if loop not in (side.loop for side in connection.sides):
-                continue
-            for side in connection.sides:
-                if side.loop is not loop and is_dark:
-                    self._orphans_by_host.setdefault(host, []).append(side)
-                elif side.loop is not loop:
-                    connection.deliver(side, side.transport.on_reset)
-            self._connections.remove(connection)
+            if loop in (side.loop for side in connection.sides):
+                self._connections.remove(connection)
+                self._orphan(connection, loop, host, is_dark)
         for table in (self._listeners, self._datagrams):
             for endpoint, (owner, *_) in list(table.items()):
                 if owner is loop:
                     del table[endpoint]
 
+    def _orphan(self, connection, loop, host, is_dark):
+        for side in connection.sides:
+            if side.loop is loop:
+                continue
+            if is_dark:
+                self._orphans_by_host.setdefault(host, []).append(side)
+            else:
+                connection.deliver(side, side.transport.on_reset)
+
     def suspend(self, loop, duration_s):
         """Suspend a machine: nothing runs, and its monotonic clock stands still."""
         loop.is_frozen = True
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -1,4 +1,4 @@
-"""Real instances, a store, targets and callers in virtual time, with injectable faults."""
+"""Real instances, a store, targets and callers in virtual time, with faults."""
 
 import asyncio
 import itertools
@@ -17,7 +17,12 @@
 from sequoiahook.platform.store import StoreClient
 from sequoiahook.world.instance import Address
 from standins.http_server import CloseConnectionError, HttpResponse, serve
-from standins.platform_documents import ZONES, settings_text, target_object
+from standins.platform_documents import (
+    PORTS,
+    ZONES,
+    settings_text,
+    target_object,
+)
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
 from tests.virtual_network import VirtualNetwork
@@ -99,7 +104,7 @@
         targets_by_id: The targets.
         store_faults: How the store treats the calls of single instances: ``silent``,
             ``reset``, or a status.
-        is_operator_away: Whether targets write nothing to the store.
+        are_targets_away: Whether targets write nothing to the store.
         log: All log records.
     """
 
@@ -110,12 +115,14 @@
         self.answers = []
         self.targets_by_id = {}
         self.store_faults = {}
-        self.is_operator_away = False
+        self.are_targets_away = False
         self.drained = set()
         self.starts_by_name = {name: [] for name in zone_by_name}
         self.log = _LogCapture(self.network)
         self._zone_by_name = zone_by_name
         self._loops_by_name = {}
+        self._instances_by_loop = {}
+        self._tasks = set()
         self._request_numbers = itertools.count(1)
         self._sequences = itertools.count(1)
         self._directory = tempfile.TemporaryDirectory(prefix="sequoiahook-")
@@ -162,10 +169,14 @@
 
     def start(self, name):
         """Start an instance."""
+        is_first_start = not self.starts_by_name[name]
         self.starts_by_name[name].append(self.network.now_s)
         host, store = self.host(name), Address(self.store_host(name), STORE_PORT)
         path = Path(self._directory.name) / f"{name}.toml"
-        path.write_text(settings_text(name, self._zone_by_name[name], host, store))
+        zone = self._zone_by_name[name]
+        path.write_text(
+            settings_text(name, zone, host, store, is_first_start=is_first_start)
+        )
         settings = read_settings(str(path))
         loop = self.network.start(name, host)
         self._loops_by_name[name] = loop
@@ -175,7 +186,6 @@
             PlatformTargetDialect(),
             _Clock(self.network),
         )
-        self._instances_by_loop = getattr(self, "_instances_by_loop", {})
         instance = DirectInstance(settings.direct, components)
         self._instances_by_loop[loop] = instance
         self._run(loop, self._run_instance(loop, instance))
@@ -244,12 +254,12 @@
     async def _heartbeats(self, target_id):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if not self.is_operator_away:
-                state = "draining" if target_id in self.drained else "ready"
-                self.write_target(target_id, state)
+            if not self.are_targets_away:
+                self.write_target(target_id)
 
-    def write_target(self, target_id, state="ready"):
+    def write_target(self, target_id):
         """Write the entry of a target."""
+        state = "draining" if target_id in self.drained else "ready"
         number = list(self.targets_by_id).index(target_id)
         address = Address(f"10.5.0.{number + 1}", TARGET_PORT)
         sequence = next(self._sequences)
@@ -272,8 +282,8 @@
         status = 0
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                port = 8388
-                reader, writer = await asyncio.open_connection(self.host(name), port)
+                address = (self.host(name), PORTS.callers)
+                reader, writer = await asyncio.open_connection(*address)
                 writer.write(head.encode())
                 line = await reader.readline()
                 status = int(line.split()[1]) if line else 0
@@ -284,12 +294,5 @@
 
     def _run(self, loop, work):
         task = loop.create_task(work)
-        loop.tasks = getattr(loop, "tasks", set())
-        loop.tasks.add(task)
-        task.add_done_callback(lambda done: _finish(loop, done))
-
-
-def _finish(loop, task):
-    loop.tasks.discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        raise task.exception()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
