Leave silent connections after one time-out, not after one for each

What callers saw: a route that had been added was answered 404, and a draining target got requests, more than the allowed time after the acknowledgement, on instances in touch, after open connections had gone silent without a reset (or the relay of the store had been frozen).

Cause: whatever had not failed counted as alive. An instance waited 1.2 s for its relay, then as long for the next peer over a link that was silent too, then 1.3 s for each idle connection of its pool to the store. Links had no time limit at all: after the pause of 3 s it asked over the same link again, and the watches of other kinds stayed there for up to 8.5 s.

Change: a time-out drops every link or connection on which nothing has arrived since the request was sent, and fails the reads that wait there. A link that was silent for a second is dialled anew before it is used, an idle connection to the store is used for a second only. After a peer that did not answer, the store itself is read.

Why it works: one time-out of 1.3 s, then one call over a new connection, is left between the silence and the next answer; the bound is 2.5 s.

--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -78,6 +78,12 @@
 LINK_WAIT_MS = 300
 """Longest wait for the link to a peer that can relay."""
 
+LINK_SILENT_MS = 1_000
+"""Time without a message after which a link is dialled anew before it is used.
+
+A link over which an instance reads carries an answer at least every 700 ms.
+"""
+
 ENTRIES_WAIT_MS = 700
 """Time in which all instances of a first start create their entries in the store."""
 
@@ -129,6 +135,7 @@
         self._caches_by_kind = {kind: StoreCache() for kind in Kind}
         self._changed_by_kind = {kind: asyncio.Event() for kind in Kind}
         self._lost_kinds: set[Kind] = set()
+        self._unanswered_kinds: set[Kind] = set()
         self._tickets = itertools.count(1)
         self._answers_by_ticket: dict[int, asyncio.Future] = {}
         self._tickets_by_peer: dict[str, set[int]] = {}
@@ -151,7 +158,7 @@
             await self._wait_for_entries()
         peer = None
         if kind not in UNAWAITED_KINDS:
-            peer = await self._relaying_peer()
+            peer = await self._source_of(kind)
         if peer is None:
             return await self._call_store(self._list_store(kind))
         answer, age_ms = await self._request(peer, kind, LIST_REVISION, LIST_WAIT_MS)
@@ -163,7 +170,7 @@
 
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one."""
-        peer = await self._relaying_peer()
+        peer = await self._source_of(kind)
         if peer is None:
             return await self._call_store(self._store.watch(kind, revision, wait_ms))
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
@@ -220,6 +227,17 @@
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / MS_PER_S)
 
+    async def _source_of(self, kind: Kind) -> LiveInstance | None:
+        """Return the peer from which to read a kind next; None for the store.
+
+        After a peer that did not answer comes the store, since the next peer may cost
+        another time-out.
+        """
+        if kind in self._unanswered_kinds:
+            self._unanswered_kinds.discard(kind)
+            return None
+        return await self._relaying_peer()
+
     async def _relaying_peer(self) -> LiveInstance | None:
         """Return the peer to read from, after a limited wait; None for the store."""
         awaited, link_until = "", 0
@@ -261,6 +279,8 @@
             if self._tickets_by_peer.get(name):
                 wanted.setdefault(name, address)
         self._address_by_peer = wanted
+        if peer is not None:
+            self._links.drop_silent(peer.name, LINK_SILENT_MS)
         self._links.set_peers(wanted)
         if peer is None or not self._links.is_connected(peer.name):
             return None
@@ -280,11 +300,14 @@
                 answer = await pending_answer
         except TimeoutError:
             answer = None
+            self._links.drop_silent(peer.name, self._clock.now() - sent_at)
         finally:
             del self._answers_by_ticket[ticket]
             self._tickets_by_peer.get(peer.name, set()).discard(ticket)
         if answer is not None and answer.problem == HISTORY_GONE:
             raise HistoryExpiredError(f"history of {kind.value} expired at {peer.name}")
+        if answer is None:
+            self._unanswered_kinds.add(kind)
         if answer is None or answer.problem:
             if answer is None or not self._choice.awaits_peers():
                 self._choice.avoid(peer.name)
--- a/sequoiahook/daemons/http_client.py
+++ b/sequoiahook/daemons/http_client.py
@@ -37,6 +37,8 @@
         connect_timeout_ms: Longest time to wait for a free connection slot and to
             connect, in milliseconds.
         body_bytes_max: Largest accepted answer body, in bytes.
+        idle_ms: How long an idle connection is kept for reuse, in milliseconds; one
+            that has gone silent meanwhile costs its next request a time-out.
     """
 
     host: str
@@ -44,6 +46,7 @@
     connections_max: int = 8
     connect_timeout_ms: int = 1000
     body_bytes_max: int = 4_000_000
+    idle_ms: int = 60_000
 
 
 class HttpResponse(NamedTuple):
@@ -64,12 +67,16 @@
     """Sends requests to one server.
 
     A connection returns to the pool only after a complete exchange and is closed
-    otherwise, so that no answer is assigned to another request.
+    otherwise, so that no answer is assigned to another request. If an exchange gets no
+    answer in time, all connections on which nothing has arrived since it began are
+    closed as well: what silenced one may have silenced the others, and each would cost
+    a time-out of its own.
     """
 
     def __init__(self, settings: HttpClientSettings):
         self._settings = settings
         self._idle: list[_Connection] = []
+        self._reading: set[_Connection] = set()
         self._slots = asyncio.Semaphore(settings.connections_max)
 
     async def request(
@@ -98,7 +105,10 @@
             HttpAnswerLostError: If no complete answer was received in time.
         """
         connection = await self._acquire(use_new_connection)
+        started_at = asyncio.get_running_loop().time()
         is_reusable = False
+        if method == "GET":
+            self._reading.add(connection)
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 response = await connection.exchange(
@@ -107,8 +117,11 @@
             is_reusable = connection.start_next_cycle()
             return response
         except (OSError, TimeoutError, h11.ProtocolError) as error:
+            if isinstance(error, TimeoutError):
+                self._close_silent(started_at)
             raise HttpAnswerLostError(f"no complete answer: {error!r}") from error
         finally:
+            self._reading.discard(connection)
             self._release(connection, is_reusable)
 
     def close(self) -> None:
@@ -133,13 +146,28 @@
     def _take_idle(self, use_new_connection: bool) -> "_Connection | None":
         if use_new_connection:
             return None
+        used_since = (
+            asyncio.get_running_loop().time() - self._settings.idle_ms / MS_PER_S
+        )
         while self._idle:
             connection = self._idle.pop()
-            if not connection.is_closed():
+            if not connection.is_closed() and connection.received_at >= used_since:
                 return connection
             connection.close()
         return None
 
+    def _close_silent(self, since: float) -> None:
+        """Close the connections on which nothing has arrived since a time.
+
+        Writes that wait for an answer go on: closing would make their outcome unknown.
+        """
+        for connection in self._idle:
+            if connection.received_at < since:
+                connection.close()
+        for connection in self._reading:
+            if connection.used_at <= since and connection.received_at < since:
+                connection.abort()
+
     async def _open(self) -> "_Connection":
         settings = self._settings
         reader, writer = await asyncio.open_connection(settings.host, settings.port)
@@ -166,6 +194,8 @@
         self._writer = writer
         self._body_bytes_max = body_bytes_max
         self._h11 = h11.Connection(h11.CLIENT)
+        self._loop = asyncio.get_running_loop()
+        self.used_at = self.received_at = self._loop.time()
 
     def is_closed(self) -> bool:
         return self._reader.at_eof() or self._writer.is_closing()
@@ -173,6 +203,11 @@
     def close(self) -> None:
         self._writer.close()
 
+    def abort(self) -> None:
+        """Close at once; an exchange under way fails with ConnectionAbortedError."""
+        self._writer.transport.abort()
+        self._reader.set_exception(ConnectionAbortedError("no sign of life"))
+
     def start_next_cycle(self) -> bool:
         try:
             self._h11.start_next_cycle()
@@ -181,6 +216,7 @@
         return True
 
     async def exchange(self, head: h11.Request, body: bytes) -> HttpResponse:
+        self.used_at = self._loop.time()
         data = self._h11.send(head)
         if body:
             data += self._h11.send(h11.Data(data=body))
@@ -211,7 +247,9 @@
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await self._reader.read(READ_BYTES))
+            data = await self._reader.read(READ_BYTES)
+            self.received_at = self._loop.time()
+            self._h11.receive_data(data)
 
 
 def _response(head: h11.Response, body: bytes) -> HttpResponse:
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -124,6 +124,7 @@
         self.outbox: deque[Envelope] = deque()
         self.wake = asyncio.Event()
         self.unreadable: set[str] = set()
+        self.received_at = asyncio.get_running_loop().time()
 
 
 class Links:
@@ -205,6 +206,25 @@
         """Return whether there is a link to a peer."""
         return bool(self._links_by_peer.get(peer))
 
+    def drop_silent(self, peer: str, silent_ms: int) -> None:
+        """Drop the links to a peer on which nothing has arrived for a time.
+
+        There is no closing handshake, which would have to be waited for. A link that is
+        wanted is dialled again.
+
+        Args:
+            peer: Name of the peer.
+            silent_ms: The time, in milliseconds.
+        """
+        now = asyncio.get_running_loop().time()
+        for link in list(self._links_by_peer.get(peer, ())):
+            quiet_ms = (now - link.received_at) * MS_PER_S
+            if quiet_ms >= silent_ms:
+                fields = {"peer": peer, "silent_ms": round(quiet_ms)}
+                log.info("silent link dropped", extra=fields)
+                link.connection.transport.abort()
+                self._remove_link(link)
+
     async def _maintain_link(self, name: str) -> None:
         delay_ms = DIAL_RETRY_MS_MIN
         while True:
@@ -310,7 +330,9 @@
             self._remove_link(link)
 
     def _remove_link(self, link: _Link) -> None:
-        links = self._links_by_peer[link.name]
+        links = self._links_by_peer.get(link.name, [])
+        if link not in links:
+            return  # It was dropped before its connection ended.
         links.remove(link)
         for envelope in link.outbox:
             self._emit_event(SendFailed(link.name, envelope))
@@ -334,6 +356,7 @@
 
     async def _read(self, link: _Link) -> None:
         async for frame in link.connection:
+            link.received_at = asyncio.get_running_loop().time()
             try:
                 envelope = decode_envelope(_binary(frame))
             except UnreadableMessageError as error:
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -47,6 +47,9 @@
 
 CONNECT_TIMEOUT_MS = 500
 CONNECTIONS_MAX = 8
+IDLE_MS = 1_000
+"""An instance that reads the store uses its connections more often."""
+
 ANSWER_BYTES_FACTOR = 2
 """A page of a list may end with an object that exceeds the size of a page."""
 
@@ -89,6 +92,7 @@
                 connections_max=CONNECTIONS_MAX,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 body_bytes_max=ANSWER_BYTES_FACTOR * settings.store_object_bytes_max,
+                idle_ms=IDLE_MS,
             )
         )
 
--- a/tests/configuration_orders.py
+++ b/tests/configuration_orders.py
@@ -207,7 +207,7 @@
 
     def _silence(self, fault):
         self._disturb(self._zone_by_name, 0)
-        self.platform.network.silence()
+        self.platform.network.silence(1.0 if fault.x <= 0.5 else fault.x)
 
     def _reset(self, fault):
         self._disturb(fault.names, 0)
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -143,6 +143,9 @@
     def set_peers(self, address_by_peer):
         pass
 
+    def drop_silent(self, peer, silent_ms):
+        pass
+
     def is_connected(self, peer):
         return True
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import math
+import random
 import socket
 from asyncio import events
 from collections import deque
@@ -452,10 +453,10 @@
             if {side.host for side in connection.sides} == {host, other}:
                 connection.release_held()
 
-    def silence(self):
-        """Silence all open connections for good; new ones work."""
+    def silence(self, share=1.0):
+        """Silence a share of the open connections for good; new ones work."""
         for connection in self._connections:
-            connection.is_silent = True
+            connection.is_silent |= random.random() < share
 
     def reset(self, loop):
         """Reset all connections of a process."""
