Revisions of the store carry their era, through relays as well

What callers saw: after the store returned from a copy, requests on a route or with a key that had been added were answered 404 or 401, and requests with a withdrawn key ran, on instances in touch, until the next change of the configuration.

Cause: revisions go back with the store and are given out again. An instance that had its list from a peer took the era of its first own watch for that of its revision, and a relay compared the number of a peer's revision with its own whatever era either was of. Once the new era had passed the number, the changes up to it were never sent, and the answer without them confirmed the old configuration as the newest.

Change: Revision(era, number) is what lists, watches, caches, registration and the messages between instances use; one of another era is never continued from. A relay that is behind the era of the one that asks refuses. Two new messages state the era; entries of instances state the version of their messages, and an instance reads through peers only that state it. Requests of earlier versions are answered as before, and refused once the era has changed.

Why it works: no comparison of numbers is left between eras, so that an answer covers every change of its era or is refused.

--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -13,6 +13,7 @@
     Listing,
     ObjectSource,
 )
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.errors import HistoryExpiredError, PlatformError, RelayUnavailableError
 
 __all__ = ["Follower", "FollowerSettings", "Observer"]
@@ -77,7 +78,7 @@
         self._source = source
         self._clock = clock
         self._observers = observers
-        self._revision: int | None = None
+        self._revision: Revision | None = None
         self._requested_at = 0
         self._is_lost = False
 
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -42,7 +42,7 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
-from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.core import PROTOCOL, DirectCore
 from sequoiahook.decisions.stopping import (
     AnnounceLeaving,
     CloseIdleConnections,
@@ -99,6 +99,7 @@
             settings.report_address,
             settings.link_mbps,
             settings.handover_address,
+            PROTOCOL,
         )
         now = self._clock.now()
         self.core = DirectCore(core_settings(settings), me, now)
--- a/sequoiahook/daemons/direct/object_store.py
+++ b/sequoiahook/daemons/direct/object_store.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
+from sequoiahook.decisions.direct.revisions import Revision
+
 __all__ = [
     "Change",
     "Changes",
@@ -33,6 +35,8 @@
         value: Decoded content; None if it is invalid.
         problem: Why the content is invalid; empty if it is valid.
         document: The undecoded object, as the store sent it.
+        era: Era of the store in which it was written; 0 unless this was the answer to
+            a write.
     """
 
     name: str
@@ -40,6 +44,7 @@
     value: Any
     problem: str = ""
     document: Any = None
+    era: int = 0
 
 
 class Listing(NamedTuple):
@@ -54,7 +59,7 @@
     """
 
     objects_by_name: dict[str, StoredObject]
-    revision: int
+    revision: Revision
     age_ms: int | None = None
     source: str = ""
 
@@ -78,7 +83,7 @@
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: Revision
     age_ms: int | None = None
     source: str = ""
 
@@ -93,7 +98,7 @@
     async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
 
-    async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
+    async def watch(self, kind: Kind, revision: Revision, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one.
 
         Args:
@@ -102,7 +107,8 @@
             wait_ms: Longest wait for a change, in milliseconds.
 
         Raises:
-            HistoryExpiredError: If the store no longer holds the changes.
+            HistoryExpiredError: If the store no longer holds the changes, or has begun
+                a new era since that revision.
         """
 
 
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -8,6 +8,7 @@
 from sequoiahook.clock import Clock
 from sequoiahook.daemons.direct.object_store import Change, Changes, Kind, Listing
 from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.world.routing import RoutingConfiguration
 
 __all__ = [
@@ -88,8 +89,11 @@
             self.values_by_name[stored.name] = stored.value
             self.revision_by_name[stored.name] = stored.revision
 
-    def _log(self, event: str, revision: int) -> None:
-        log.info(event, extra={"kind": self.kind.value, "revision": revision})
+    def _log(self, event: str, revision: Revision | None = None) -> None:
+        fields = {"kind": self.kind.value}
+        if revision is not None:
+            fields.update(era=revision.era, revision=revision.number)
+        log.info(event, extra=fields)
 
 
 class ConfigurationObserver(_TableObserver):
@@ -222,7 +226,7 @@
 
     def apply_changes(self, as_of: int) -> None:
         """Apply the evacuated data centres."""
-        self._log(f"evacuated data centres: {sorted(self.values_by_name)}", 0)
+        self._log(f"evacuated data centres: {sorted(self.values_by_name)}")
         self.apply_all(as_of)
 
 
@@ -239,10 +243,13 @@
     kind = Kind.INSTANCES
 
     def __init__(
-        self, core: DirectCore, clock: Clock, check_entry: Callable[[bool, int], None]
+        self,
+        core: DirectCore,
+        clock: Clock,
+        check_entry: Callable[[bool, Revision], None],
     ):
         super().__init__(core, clock)
-        self._revision = 0
+        self._revision = Revision(0, 0)
         self._check_entry = check_entry
 
     def apply_all(self, as_of: int) -> None:
@@ -264,5 +271,5 @@
 
     def apply_changes(self, as_of: int) -> None:
         """Apply the list of instances."""
-        self._log(f"instances listed: {len(self.values_by_name)}", 0)
+        self._log(f"instances listed: {len(self.values_by_name)}")
         self.apply_all(as_of)
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -8,6 +8,7 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.direct.object_store import Kind, ObjectStore
 from sequoiahook.daemons.direct.settings import Durations
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.errors import PlatformError, VersionConflictError
 from sequoiahook.world.instance import LiveInstance
 
@@ -45,12 +46,12 @@
         self._store = store
         self._me = me
         self._retry_s = durations.store_retry_ms / MS_PER_S
-        self._revision = 0
+        self._written = Revision(0, 0)
         self._write_requested = asyncio.Event()
         self._write_requested.set()
         self._check: asyncio.TimerHandle | None = None
 
-    def check_entry(self, is_present: bool, revision: int) -> None:
+    def check_entry(self, is_present: bool, revision: Revision) -> None:
         """Write the entry again if it is missing.
 
         Args:
@@ -64,7 +65,7 @@
             self._check = None
         if is_present:
             return
-        if revision >= self._revision:
+        if revision >= self._written:
             self._write_requested.set()
             return
         loop = asyncio.get_running_loop()
@@ -75,8 +76,9 @@
         while True:
             await self._write_requested.wait()
             self._write_requested.clear()
-            self._revision = await self._write_entry()
-            log.info("entry written", extra={"revision": self._revision})
+            self._written = await self._write_entry()
+            fields = {"era": self._written.era, "revision": self._written.number}
+            log.info("entry written", extra=fields)
 
     async def withdraw(self) -> None:
         """Delete the entry after the instance has stopped; try once.
@@ -84,7 +86,9 @@
         If that fails, the other instances count this one until its entry expires.
         """
         try:
-            await self._store.delete(Kind.INSTANCES, self._me.name, self._revision)
+            await self._store.delete(
+                Kind.INSTANCES, self._me.name, self._written.number
+            )
         except PlatformError as error:
             log.info("entry not deleted", extra={"error": str(error)})
 
@@ -108,7 +112,7 @@
                 log.debug("secret not read", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
 
-    async def _write_entry(self) -> int:
+    async def _write_entry(self) -> Revision:
         kind, name, me = Kind.INSTANCES, self._me.name, self._me
         writes = [self._store.create, self._store.replace]
         if not self._is_first_start:
@@ -117,9 +121,10 @@
         while True:
             try:
                 try:
-                    return (await first(kind, name, me)).revision
+                    stored = await first(kind, name, me)
                 except VersionConflictError:
-                    return (await second(kind, name, me)).revision
+                    stored = await second(kind, name, me)
+                return Revision(stored.era, stored.revision)
             except PlatformError as error:
                 log.debug("entry not written", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 import zlib
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable
 from typing import TypeVar
 
 import cbor2
@@ -24,6 +24,11 @@
     ObjectStore,
     StoredObject,
 )
+from sequoiahook.daemons.direct.relay_answers import (
+    HISTORY_GONE,
+    LIST_NUMBER,
+    RelayAnswers,
+)
 from sequoiahook.daemons.direct.relay_cache import CacheObserver
 from sequoiahook.daemons.direct.relay_choice import RelayChoice
 from sequoiahook.daemons.links import (
@@ -33,14 +38,20 @@
     Received,
     SendFailed,
 )
-from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
+from sequoiahook.decisions.direct.revisions import Revision
+from sequoiahook.decisions.direct.store_cache import CachedObject
 from sequoiahook.errors import (
     HistoryExpiredError,
     PlatformError,
     RelayUnavailableError,
 )
 from sequoiahook.messages.base import Envelope
-from sequoiahook.messages.relay import StoreAnswer, StoreAsk
+from sequoiahook.messages.relay import (
+    StoreAnswer,
+    StoreAsk,
+    StoreRead,
+    StoreReadAnswer,
+)
 from sequoiahook.world.instance import Address, LiveInstance
 
 __all__ = ["Relay"]
@@ -48,9 +59,6 @@
 ANSWER_MARGIN_MS = 500
 """Added to the wait of a request; a round trip inside a region takes about 2 ms."""
 
-COMPRESSION_LEVEL = 1
-"""The fastest level: documents repeat their field names, and links may be slow."""
-
 CONTENT_BYTES_MAX = 64_000_000
 """Largest content accepted; all objects of a kind take less."""
 
@@ -90,12 +98,6 @@
 UNAWAITED_KINDS = frozenset({Kind.INSTANCES, Kind.SECRETS})
 """Kinds without whose list no peer can be found."""
 
-LIST_REVISION = -1
-
-# Values of the field "problem" of answers.
-HISTORY_GONE = "history gone"
-NOT_FOLLOWED = "not followed here"
-
 T = TypeVar("T")
 
 log = logbook.Logger("relay")
@@ -129,12 +131,9 @@
         self._is_first_start = is_first_start
         self._started_at = self._joined_at = clock.now()
         self._has_listed_instances = is_first_start
-        self._is_relayed = False
         self._links: Links | None = None
         self._address_by_peer: dict[str, Address] = {}
-        self._caches_by_kind = {kind: StoreCache() for kind in Kind}
-        self._changed_by_kind = {kind: asyncio.Event() for kind in Kind}
-        self._lost_kinds: set[Kind] = set()
+        self._answers = RelayAnswers(clock)
         self._unanswered_kinds: set[Kind] = set()
         self._tickets = itertools.count(1)
         self._answers_by_ticket: dict[int, asyncio.Future] = {}
@@ -149,8 +148,7 @@
 
     def cache_observer(self, kind: Kind) -> CacheObserver:
         """Return the observer with which a follower updates the cache of a kind."""
-        cache = self._caches_by_kind[kind]
-        return CacheObserver(kind, cache, self._lost_kinds, self._notify)
+        return self._answers.cache_observer(kind)
 
     async def list_objects(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
@@ -161,21 +159,26 @@
             peer = await self._source_of(kind)
         if peer is None:
             return await self._call_store(self._list_store(kind))
-        answer, age_ms = await self._request(peer, kind, LIST_REVISION, LIST_WAIT_MS)
+        all_of_era = Revision(self._answers.newest_era, LIST_NUMBER)
+        answer, age_ms = await self._request(peer, kind, all_of_era, LIST_WAIT_MS)
         objects = [
             change.object for change in self._decode_changes(kind, answer.content)
         ]
         objects_by_name = {stored.name: stored for stored in objects}
-        return Listing(objects_by_name, answer.revision, age_ms, peer.name)
+        revision = Revision(answer.era, answer.revision)
+        return Listing(objects_by_name, revision, age_ms, peer.name)
 
-    async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
+    async def watch(self, kind: Kind, revision: Revision, wait_ms: int) -> Changes:
         """Return the changes after a revision, as soon as there is one."""
         peer = await self._source_of(kind)
         if peer is None:
             return await self._call_store(self._store.watch(kind, revision, wait_ms))
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
+        if answer.era != revision.era:
+            raise HistoryExpiredError(f"{kind.value}: {peer.name} is in another era")
         changes = tuple(self._decode_changes(kind, answer.content))
-        return Changes(changes, answer.revision, age_ms, peer.name)
+        new_revision = Revision(answer.era, answer.revision)
+        return Changes(changes, new_revision, age_ms, peer.name)
 
     def on_link_event(self, event: LinkEvent) -> None:
         """Process an event of the links."""
@@ -183,13 +186,13 @@
             for ticket in self._tickets_by_peer.pop(event.name, ()):
                 self._resolve(ticket, None)
         elif isinstance(event, SendFailed):
-            if isinstance(event.envelope.body, StoreAsk):
+            if isinstance(event.envelope.body, StoreRead):
                 self._resolve(event.envelope.body.ticket, None)
         elif isinstance(event, Received):
             body = event.envelope.body
-            if isinstance(body, StoreAnswer):
+            if isinstance(body, StoreReadAnswer):
                 self._resolve(body.ticket, body)
-            elif isinstance(body, StoreAsk):
+            elif isinstance(body, StoreRead | StoreAsk):
                 task = asyncio.create_task(self._answer(event.peer, body))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
@@ -216,7 +219,7 @@
         except PlatformError:
             self._choice.avoid(self._me.name)
             raise
-        self._is_relayed = False
+        self._answers.is_relayed = False
         return result
 
     async def _wait_for_entries(self) -> None:
@@ -287,14 +290,14 @@
         return peer
 
     async def _request(
-        self, peer: LiveInstance, kind: Kind, revision: int, wait_ms: int
-    ) -> tuple[StoreAnswer, int]:
+        self, peer: LiveInstance, kind: Kind, revision: Revision, wait_ms: int
+    ) -> tuple[StoreReadAnswer, int]:
         sent_at = self._clock.now()
         ticket = next(self._tickets)
         pending_answer = asyncio.get_running_loop().create_future()
         self._answers_by_ticket[ticket] = pending_answer
         self._tickets_by_peer.setdefault(peer.name, set()).add(ticket)
-        self._send(peer.name, StoreAsk(ticket, kind.value, revision, wait_ms))
+        self._send(peer.name, StoreRead(ticket, kind.value, *revision, wait_ms))
         try:
             async with asyncio.timeout((wait_ms + ANSWER_MARGIN_MS) / MS_PER_S):
                 answer = await pending_answer
@@ -316,72 +319,19 @@
                 await asyncio.sleep(REPORTS_WAIT_MS / MS_PER_S)
             cause = "no answer" if answer is None else answer.problem
             raise RelayUnavailableError(f"{peer.name}: {cause}")
-        self._is_relayed = True
+        self._answers.is_relayed = True
         round_trip_ms = self._clock.now() - sent_at - answer.held_ms
         return answer, answer.age_ms + max(0, round_trip_ms)
 
-    def _resolve(self, ticket: int, answer: StoreAnswer | None) -> None:
+    def _resolve(self, ticket: int, answer: StoreReadAnswer | None) -> None:
         future = self._answers_by_ticket.get(ticket)
         if future is not None and not future.done():
             future.set_result(answer)
 
-    async def _answer(self, peer: str, request: StoreAsk) -> None:
-        kind = _kind(request.kind)
-        if kind is None:
-            answer = StoreAnswer(request.ticket, NOT_FOLLOWED, 0, b"", 0, 0)
-            self._send(peer, answer)
-            return
-        cache = self._caches_by_kind[kind]
-        received_at = self._clock.now()
-        is_empty = cache.confirmed_at is None
-        if is_empty or cache.changes_after(request.revision) == ():
-            await self._wait_for_change(kind, request.wait_ms)
-        held_ms = self._clock.now() - received_at
-        # Two instances that read through each other would both miss all changes. A list
-        # is of use at any age to an instance that has none.
-        is_followed = not self._lost_kinds and not self._is_relayed
-        is_list = request.revision == LIST_REVISION
-        if cache.confirmed_at is None or not (is_followed or is_list):
-            self._send(
-                peer, StoreAnswer(request.ticket, NOT_FOLLOWED, 0, b"", 0, held_ms)
-            )
-            return
-        if is_list:
-            objects = cache.all_objects()
-        else:
-            objects = cache.changes_after(request.revision)
-        if objects is None:
-            self._send(
-                peer, StoreAnswer(request.ticket, HISTORY_GONE, 0, b"", 0, held_ms)
-            )
-            return
-        content = cbor2.dumps([tuple(cached) for cached in objects])
-        answer = StoreAnswer(
-            request.ticket,
-            "",
-            max(cache.revision, request.revision),
-            zlib.compress(content, COMPRESSION_LEVEL),
-            self._clock.now() - cache.confirmed_at,
-            held_ms,
-        )
-        self._send(peer, answer)
-
-    def _notify(self, kinds: Iterable[Kind]) -> None:
-        for kind in kinds:
-            self._changed_by_kind[kind].set()
-
-    async def _wait_for_change(self, kind: Kind, wait_ms: int) -> None:
-        if self._lost_kinds:
-            return
-        event = self._changed_by_kind[kind]
-        event.clear()
-        try:
-            async with asyncio.timeout(wait_ms / MS_PER_S):
-                await event.wait()
-        except TimeoutError:
-            return
+    async def _answer(self, peer: str, request: StoreRead | StoreAsk) -> None:
+        self._send(peer, await self._answers.answer(request))
 
-    def _send(self, peer: str, body: StoreAsk | StoreAnswer) -> None:
+    def _send(self, peer: str, body: StoreRead | StoreReadAnswer | StoreAnswer) -> None:
         if self._links is not None:
             me = self._me
             self._links.send(peer, Envelope(me.name, me.incarnation, 0, peer, body))
@@ -398,11 +348,6 @@
         return Change(stored, bool(entry.is_deleted))
 
 
-def _kind(text: str) -> Kind | None:
-    """Return the kind with a value; None if a peer's version has others."""
-    return next((kind for kind in Kind if kind.value == text), None)
-
-
 def _decompress(content: bytes) -> list:
     decompressor = zlib.decompressobj()
     decompressed = decompressor.decompress(content, CONTENT_BYTES_MAX)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -27,7 +27,13 @@
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
 
-__all__ = ["DirectCore", "DirectCoreSettings"]
+__all__ = ["PROTOCOL", "DirectCore", "DirectCoreSettings"]
+
+PROTOCOL = 2
+"""Version of the messages between instances: from 2 on, relays state the store's era.
+
+Instances read through peers of this version or a later one only.
+"""
 
 RELAY_HASH_KEY = "platform"
 """Rendezvous key of the order of relays, on which all instances must agree."""
@@ -215,7 +221,7 @@
         others = self.peers.instances_by_name
         if not self.configuration_number:
             return self._configured_peer(now)
-        ranked = self._ranked_relays(self.fleet.near_peers(now))
+        ranked = self._ranked_relays(self._near_relays(now))
         for name in ranked[:RELAYS_MAX]:
             is_avoided = now < self._avoided_until_by_peer.get(name, 0)
             if name == self.me.name and not is_avoided:
@@ -232,7 +238,7 @@
         """
         age_ms_by_name = {
             name: self.peers.configuration_age_ms(name)
-            for name in self.fleet.near_peers(now)
+            for name in self._near_relays(now)
             if now >= self._avoided_until_by_peer.get(name, 0)
         }
         known = {name: age for name, age in age_ms_by_name.items() if age is not None}
@@ -242,7 +248,7 @@
 
     def relay_rank(self, now: int) -> int:
         """Return how many instances of the region rank before this one as a relay."""
-        near = self.fleet.near_peers(now)
+        near = self._near_relays(now)
         return self._ranked_relays(near).index(self.me.name)
 
     def has_all_reports(self, now: int) -> bool:
@@ -266,7 +272,7 @@
         """
         if self.configuration_number:
             return False
-        near = self.fleet.near_peers(now)
+        near = self._near_relays(now)
         return any(self.peers.configuration_age_ms(name) is not None for name in near)
 
     def leads_region(self, now: int) -> bool:
@@ -284,6 +290,12 @@
         """
         self._avoided_until_by_peer[peer] = now + AVOID_RELAY_MS
 
+    def _near_relays(self, now: int) -> list[str]:
+        """Return the responsive peers of the region whose messages state the era."""
+        instances = self.peers.instances_by_name
+        near = self.fleet.near_peers(now)
+        return [name for name in near if instances[name].protocol >= PROTOCOL]
+
     def _ranked_relays(self, near: list[str]) -> list[str]:
         others = self.peers.instances_by_name
         return by_link_capacity(
--- a/sequoiahook/decisions/direct/store_cache.py
+++ b/sequoiahook/decisions/direct/store_cache.py
@@ -3,6 +3,8 @@
 from collections import deque
 from typing import Any, NamedTuple
 
+from sequoiahook.decisions.direct.revisions import Revision
+
 __all__ = ["CachedObject", "StoreCache"]
 
 BATCHES_MAX = 500
@@ -23,38 +25,43 @@
 
 
 class _Batch(NamedTuple):
-    revision: int
+    revision: Revision
     objects: tuple[CachedObject, ...]
 
 
 class StoreCache:
     """All objects of a kind, with the recent changes.
 
-    Revisions are those of the store, so they are the same on every instance. They go
-    back if the store returns from a copy; revisions above its own are then unknown.
+    Revisions are those of the store, so they are the same on every instance.
+
+    Attributes:
+        revision: Revision of the objects; None before the first list.
+        confirmed_at: Time at which the store last confirmed them, in milliseconds; None
+            before the first list.
+        has_changed_era: Whether lists of several eras of the store were received.
     """
 
     def __init__(self):
-        self.revision: int | None = None
+        self.revision: Revision | None = None
         self.confirmed_at: int | None = None
-        self._history_start = 0
-        self._unknown_until = 0
+        self.has_changed_era = False
+        self._history_start: Revision | None = None
         self._documents_by_name: dict[str, Any] = {}
         self._batches: deque[_Batch] = deque()
 
     def replace(
-        self, objects: tuple[CachedObject, ...], revision: int, confirmed_at: int
+        self, objects: tuple[CachedObject, ...], revision: Revision, confirmed_at: int
     ) -> None:
         """Replace all objects by a list that the store confirmed at a time."""
         self._documents_by_name = {o.name: o.document for o in objects}
         self._batches.clear()
-        if self.revision is not None and revision < self.revision:
-            self._unknown_until = max(self._unknown_until, self.revision)
+        if self.revision is not None and revision.era != self.revision.era:
+            self.has_changed_era = True
         self._history_start = self.revision = revision
         self.confirmed_at = confirmed_at
 
     def apply_changes(
-        self, objects: tuple[CachedObject, ...], revision: int, confirmed_at: int
+        self, objects: tuple[CachedObject, ...], revision: Revision, confirmed_at: int
     ) -> None:
         """Apply changes, in order."""
         for cached in objects:
@@ -76,15 +83,15 @@
             for name, document in self._documents_by_name.items()
         )
 
-    def changes_after(self, revision: int) -> tuple[CachedObject, ...] | None:
+    def changes_after(self, revision: Revision) -> tuple[CachedObject, ...] | None:
         """Return all changes after a revision, in order; None if not available.
 
         There are none after a revision newer than that of the cache. Changes that were
         received in one batch with later ones may be repeated.
         """
-        if self.revision is None or revision < self._history_start:
+        if self.revision is None or revision.era != self.revision.era:
             return None
-        if self.revision < revision <= self._unknown_until:
+        if revision < self._history_start:
             return None
         return tuple(
             cached
--- a/sequoiahook/platform/entries.py
+++ b/sequoiahook/platform/entries.py
@@ -14,6 +14,7 @@
 COLD_MS_MAX = 1 << 40
 INCARNATION_MAX = 1 << 63
 LINK_MBPS_MAX = 1_000_000
+PROTOCOL_MAX = 1_000_000
 READY = "ready"
 STATES = (READY, "draining")
 
@@ -72,6 +73,7 @@
         "caller_address": str(instance.caller_address),
         "report_address": str(instance.report_address),
         "link_mbps": instance.link_mbps,
+        "protocol": instance.protocol,
     }
     if instance.handover_address is not None:
         document["handover_address"] = str(instance.handover_address)
@@ -97,6 +99,7 @@
         read_host_port(spec, "handover_address")
         if spec.has("handover_address")
         else None,
+        spec.integer("protocol", low=1, high=PROTOCOL_MAX, default=1),
     )
     root.raise_for_findings()
     return entry
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -21,6 +21,7 @@
     HttpNotSentError,
     HttpResponse,
 )
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.errors import (
     CheckError,
     HistoryExpiredError,
@@ -83,8 +84,7 @@
     """
 
     def __init__(self, settings: PlatformSettings):
-        self._era: int | None = None
-        self._listed_era_by_kind: dict[Kind, int | None] = {}
+        self._newest_era = 0
         self._region_by_data_centre = settings.direct.region_by_data_centre
         self._http = HttpClient(
             HttpClientSettings(
@@ -103,28 +103,26 @@
         stale = "stale_ok=1" if may_be_stale else ""
         query = f"?{stale}" if stale else ""
         while True:
-            page = await self._call("GET", _object_path(kind) + query)
+            page, era = await self._call("GET", _object_path(kind) + query)
             # A later page may show a later state; a watch from the revision of the
             # first page returns the changes in between.
-            revision = (
-                _required_field(page, "at", int) if revision is None else revision
-            )
+            number = _required_field(page, "at", int)
+            revision = Revision(era, number) if revision is None else revision
+            _require_era(kind, era, revision)
             for item in _required_field(page, "items", list):
                 stored = self.decode_object(kind, item)
                 objects_by_name[stored.name] = stored
             after = _last_name(page["items"])
             if not page.get("has_more") or not after:
-                self._listed_era_by_kind[kind] = self._era
                 return Listing(objects_by_name, revision)
             query = f"?after={quote(after, safe='')}" + (f"&{stale}" if stale else "")
 
-    async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Changes:
+    async def watch(self, kind: Kind, revision: Revision, wait_ms: int) -> Changes:
         """Return the changes after a revision."""
-        path = f"{_object_path(kind)}?watch={revision}&wait_ms={wait_ms}"
-        answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
-        if self._listed_era_by_kind.setdefault(kind, self._era) != self._era:
-            # Revisions are given out again, so that changes may have lower ones.
-            raise HistoryExpiredError(f"{kind.value}: store returned from a copy")
+        path = f"{_object_path(kind)}?watch={revision.number}&wait_ms={wait_ms}"
+        timeout_ms = wait_ms + WATCH_MARGIN_MS
+        answer, era = await self._call("GET", path, timeout_ms=timeout_ms)
+        _require_era(kind, era, revision)
         changes = tuple(
             Change(
                 self.decode_object(kind, event.get("object")),
@@ -133,21 +131,20 @@
             for event in _required_field(answer, "events", list)
             if isinstance(event, Mapping)
         )
-        return Changes(changes, _required_field(answer, "at", int))
+        number = _required_field(answer, "at", int)
+        return Changes(changes, Revision(era, number))
 
     async def create(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Create an object."""
         body = {"metadata": {"name": name}, "spec": _encode_value(kind, value)}
-        return self.decode_object(
-            kind, await self._call("POST", _object_path(kind), body)
-        )
+        document, era = await self._call("POST", _object_path(kind), body)
+        return self.decode_object(kind, document)._replace(era=era)
 
     async def replace(self, kind: Kind, name: str, value: Any) -> StoredObject:
         """Replace the content of an object."""
         body = {"metadata": {"name": name}, "spec": _encode_value(kind, value)}
-        return self.decode_object(
-            kind, await self._call("PUT", _object_path(kind, name), body)
-        )
+        document, era = await self._call("PUT", _object_path(kind, name), body)
+        return self.decode_object(kind, document)._replace(era=era)
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Delete an object if it still has the given revision."""
@@ -163,7 +160,8 @@
         path: str,
         document: Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
+        """Return the document of the answer, and the era that it states."""
         body = b"" if document is None else json.dumps(document).encode()
         headers = _HEADERS if body else {}
         try:
@@ -174,18 +172,20 @@
             raise PlatformUnavailableError(str(error)) from error
         except HttpAnswerLostError as error:
             raise PlatformOutcomeUnknownError(f"{method} {path}: {error}") from error
-        self._record_era(response)
-        return _response_document(response, f"{method} {path}")
+        era = self._read_era(response)
+        return _response_document(response, f"{method} {path}"), era
 
-    def _record_era(self, response: HttpResponse) -> None:
+    def _read_era(self, response: HttpResponse) -> int:
+        """Return the era that an answer states; 0 if it states none."""
         text = response.headers.get(ERA_HEADER, "")
         if not text.isascii() or not text.isdigit() or len(text) > ERA_DIGITS_MAX:
-            return
+            return 0
         era = int(text)
-        if self._era is not None and era > self._era:
-            fields = {"era": era, "previous": self._era}
+        if 0 < self._newest_era < era:
+            fields = {"era": era, "previous": self._newest_era}
             log.warning("store returned from a copy", extra=fields)
-        self._era = era if self._era is None else max(era, self._era)
+        self._newest_era = max(era, self._newest_era)
+        return era
 
     def decode_object(self, kind: Kind, item: Any) -> StoredObject:
         """Decode an object of the store; one without a name affects no other."""
@@ -215,6 +215,15 @@
         return name
 
 
+def _require_era(kind: Kind, era: int, revision: Revision) -> None:
+    """Require that an answer is of the era of a revision.
+
+    Revisions are given out again in each era, so that changes may have lower ones.
+    """
+    if era != revision.era:
+        raise HistoryExpiredError(f"{kind.value}: store returned from a copy")
+
+
 def _name_of(item: Any) -> str:
     """Return the name of an object; empty if it has none."""
     metadata = item.get("metadata") if isinstance(item, Mapping) else None
--- a/sequoiahook/world/instance.py
+++ b/sequoiahook/world/instance.py
@@ -51,6 +51,8 @@
             unknown.
         handover_address: Address for links that carry requests; None if it accepts no
             requests of other instances.
+        protocol: Version of the messages that it understands; instances of earlier
+            versions state none.
     """
 
     name: str
@@ -61,6 +63,7 @@
     report_address: Address
     link_mbps: int = 0
     handover_address: Address | None = None
+    protocol: int = 1
 
 
 def read_address(section: Section) -> Address:
--- a/tests/direct_parts.py
+++ b/tests/direct_parts.py
@@ -1,5 +1,6 @@
 """Factories of routes, targets and requests for the tests of direct sending."""
 
+from sequoiahook.decisions.direct.core import PROTOCOL
 from sequoiahook.decisions.direct.placements import TargetQuery
 from sequoiahook.decisions.direct.requests import IncomingRequest
 from sequoiahook.world.contract import Contract
@@ -57,7 +58,13 @@
 
 def an_instance(name, **changes):
     instance = LiveInstance(
-        name, 1, "north-a", "north", Address(name, 80), Address(name, 81)
+        name,
+        1,
+        "north-a",
+        "north",
+        Address(name, 80),
+        Address(name, 81),
+        protocol=PROTOCOL,
     )
     return instance._replace(**changes)
 
--- a/tests/test_configuration_entries.py
+++ b/tests/test_configuration_entries.py
@@ -12,6 +12,7 @@
 from sequoiahook.daemons.direct.observers import ConfigurationObserver
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.requests import Cause, OpenRequest, Refuse, Status
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.errors import CheckError
 from sequoiahook.platform.configuration import read_routing
 from sequoiahook.platform.settings import read_settings
@@ -37,7 +38,7 @@
     core = DirectCore(SETTINGS, an_instance("me"), 0)
     observer = ConfigurationObserver(core, ManualClock(100), lambda _: None)
     stored = StoredObject("main", 1, read_routing(document))
-    observer.on_listed(Listing({"main": stored}, 1), 100)
+    observer.on_listed(Listing({"main": stored}, Revision(1, 1)), 100)
     return core
 
 
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -15,6 +15,7 @@
 )
 from sequoiahook.daemons.direct.relay import Relay
 from sequoiahook.daemons.links import Received
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.errors import (
     HistoryExpiredError,
     PlatformUnavailableError,
@@ -24,6 +25,11 @@
 
 SETTINGS = FollowerSettings(Kind.TARGETS, 100, 0, 0)
 LONG_S = 5
+ERA = 3
+
+
+def at(number):
+    return Revision(ERA, number)
 
 
 class ScriptedSource:
@@ -46,7 +52,8 @@
         return await self.next_result()
 
     async def watch(self, kind, revision, wait_ms):
-        self.requested.append(revision)
+        assert revision.era == ERA
+        self.requested.append(revision.number)
         return await self.next_result()
 
     def decode_object(self, kind, document):
@@ -60,10 +67,10 @@
         self.calls = []
 
     def on_listed(self, listing, as_of):
-        self.calls.append(("listed", listing.revision, as_of))
+        self.calls.append(("listed", listing.revision.number, as_of))
 
     def on_changed(self, changes, as_of):
-        self.calls.append(("changed", changes.revision, as_of))
+        self.calls.append(("changed", changes.revision.number, as_of))
 
     def on_store_lost(self):
         self.calls.append("lost")
@@ -89,21 +96,23 @@
 
 
 def test_follower_lists_and_then_watches_from_the_listed_revision():
-    source = ScriptedSource(Listing({}, 7), Changes((), 9))
+    source = ScriptedSource(Listing({}, at(7)), Changes((), at(9)))
     calls = follow(source)
     assert calls == [("listed", 7, 50), ("changed", 9, 50)]
     assert source.requested[:2] == ["list", 7]
 
 
 def test_follower_lists_again_when_the_history_is_gone():
-    source = ScriptedSource(Listing({}, 7), HistoryExpiredError("x"), Listing({}, 20))
+    source = ScriptedSource(
+        Listing({}, at(7)), HistoryExpiredError("x"), Listing({}, at(20))
+    )
     follow(source)
     assert source.requested[:3] == ["list", 7, "list"]
 
 
 def test_watch_continues_from_the_last_revision_after_an_outage():
     lost = PlatformUnavailableError("down")
-    source = ScriptedSource(Listing({}, 7), lost, lost, Changes((), 8))
+    source = ScriptedSource(Listing({}, at(7)), lost, lost, Changes((), at(8)))
     calls = follow(source)
     assert calls[1:3] == ["lost", "regained"]
     assert source.requested[:4] == ["list", 7, 7, 7]
@@ -112,14 +121,14 @@
 def test_a_peer_that_does_not_answer_is_not_reported_as_a_lost_store():
     """Targets that left meanwhile are removed at once: there was no outage."""
     lost = RelayUnavailableError("peer")
-    source = ScriptedSource(Listing({}, 7), lost, Changes((), 8))
+    source = ScriptedSource(Listing({}, at(7)), lost, Changes((), at(8)))
     calls = follow(source)
     assert "lost" not in calls
     assert "regained" not in calls
 
 
 def test_a_relayed_listing_has_the_age_that_the_peer_reports():
-    source = ScriptedSource(Listing({}, 7, age_ms=30))
+    source = ScriptedSource(Listing({}, at(7), age_ms=30))
     assert follow(source) == [("listed", 7, 20)]
 
 
@@ -188,7 +197,7 @@
 
     async def list_objects(self, kind, *, may_be_stale=False):
         self.requested.append((kind, may_be_stale))
-        return Listing({}, 1)
+        return Listing({}, at(1))
 
 
 @pytest.mark.parametrize("is_first_start", [True, False])
@@ -222,13 +231,13 @@
     observer = leader.cache_observer(Kind.TARGETS)
 
     async def run():
-        observer.on_listed(Listing({"a": an_object("a")}, 5), as_of=clock.now())
+        observer.on_listed(Listing({"a": an_object("a")}, at(5)), as_of=clock.now())
         clock.advance(100)
         return await me.list_objects(Kind.TARGETS)
 
     listing = asyncio.run(run())
     assert set(listing.objects_by_name) == {"a"}
-    assert listing.revision == 5
+    assert listing.revision == at(5)
     assert 100 <= listing.age_ms <= 140
 
 
@@ -237,18 +246,18 @@
     observer = leader.cache_observer(Kind.TARGETS)
 
     async def run():
-        observer.on_listed(Listing({}, 5), as_of=clock.now())
-        waiting = asyncio.create_task(me.watch(Kind.TARGETS, 5, 60_000))
+        observer.on_listed(Listing({}, at(5)), as_of=clock.now())
+        waiting = asyncio.create_task(me.watch(Kind.TARGETS, at(5), 60_000))
         for _ in range(5):
             await asyncio.sleep(0)
         change = Change(an_object("b"), is_deleted=False)
-        observer.on_changed(Changes((change,), 6), as_of=clock.now())
+        observer.on_changed(Changes((change,), at(6)), as_of=clock.now())
         async with asyncio.timeout(LONG_S):
             return await waiting
 
     changes = asyncio.run(run())
     assert [change.object.name for change in changes.changes] == ["b"]
-    assert changes.revision == 6
+    assert changes.revision == at(6)
 
 
 def test_a_peer_that_loses_the_store_answers_all_waiting_peers_at_once(pair):
@@ -256,8 +265,8 @@
 
     async def run():
         for kind in (Kind.TARGETS, Kind.CONFIGURATION):
-            leader.cache_observer(kind).on_listed(Listing({}, 5), as_of=clock.now())
-        waiting = asyncio.create_task(me.watch(Kind.TARGETS, 5, 60_000))
+            leader.cache_observer(kind).on_listed(Listing({}, at(5)), as_of=clock.now())
+        waiting = asyncio.create_task(me.watch(Kind.TARGETS, at(5), 60_000))
         for _ in range(5):
             await asyncio.sleep(0)
         leader.cache_observer(Kind.CONFIGURATION).on_store_lost()
--- a/tests/test_direct_relay.py
+++ b/tests/test_direct_relay.py
@@ -1,5 +1,6 @@
 """The store cache of a relay, and the choice of the peer that relays the store."""
 
+import pytest
 from hypothesis import given, strategies as st
 
 from sequoiahook.daemons.direct.object_store import Kind, Listing, StoredObject
@@ -9,6 +10,7 @@
     RELAYS_MAX,
     DirectCore,
 )
+from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
 from sequoiahook.messages.reports import Datagram, GroupReport, QuotaTable
 from tests.direct_parts import a_configuration, an_instance
@@ -29,6 +31,10 @@
 )
 
 
+def at(number, era=1):
+    return Revision(era, number)
+
+
 def apply(objects, table):
     for found in objects:
         if found.is_deleted:
@@ -40,38 +46,38 @@
 @given(batches, st.data())
 def test_changes_after_a_revision_lead_to_the_present_state(changes, data):
     cache = StoreCache()
-    cache.replace((CachedObject("a", 0),), 10, 0)
+    cache.replace((CachedObject("a", 0),), at(10), 0)
     state = {"a": 0}
     states_by_revision = {10: dict(state)}
     for index, objects in enumerate(changes):
         revision = 11 + index
-        cache.apply_changes(objects, revision, index)
+        cache.apply_changes(objects, at(revision), index)
         apply(objects, state)
         states_by_revision[revision] = dict(state)
     start = data.draw(st.sampled_from(sorted(states_by_revision)))
     follower = dict(states_by_revision[start])
-    apply(cache.changes_after(start), follower)
+    apply(cache.changes_after(at(start)), follower)
     assert follower == state
     assert {o.name: o.document for o in cache.all_objects()} == state
 
 
 def test_changes_after_an_unknown_revision_are_not_available():
     cache = StoreCache()
-    assert cache.changes_after(5) is None
-    cache.replace((), 10, 0)
-    assert cache.changes_after(9) is None
-    assert cache.changes_after(10) == ()
+    assert cache.changes_after(at(5)) is None
+    cache.replace((), at(10), 0)
+    assert cache.changes_after(at(9)) is None
+    assert cache.changes_after(at(10)) == ()
 
 
 def test_a_peer_ahead_of_the_cache_gets_only_later_changes():
     """It read from another instance before, which was ahead of this one."""
     cache = StoreCache()
-    cache.replace((), 10, 0)
-    assert cache.changes_after(15) == ()
-    cache.apply_changes((CachedObject("a", 1),), 12, 0)
-    assert cache.changes_after(15) == ()
-    cache.apply_changes((CachedObject("a", 2),), 17, 0)
-    assert cache.changes_after(15) == (CachedObject("a", 2),)
+    cache.replace((), at(10), 0)
+    assert cache.changes_after(at(15)) == ()
+    cache.apply_changes((CachedObject("a", 1),), at(12), 0)
+    assert cache.changes_after(at(15)) == ()
+    cache.apply_changes((CachedObject("a", 2),), at(17), 0)
+    assert cache.changes_after(at(15)) == (CachedObject("a", 2),)
 
 
 def receive_report(core, name, age_ms, now, sequence):
@@ -126,24 +132,24 @@
         assert 3 <= len(asked) <= RELAYS_MAX
 
 
-def test_a_cache_of_a_store_that_returned_from_a_copy_knows_no_later_revisions():
-    """A peer that asks with an earlier revision would never see the changes since."""
+@pytest.mark.parametrize("number", [10, 30, 31, 50, 51, 60])
+def test_no_revision_of_an_earlier_era_is_continued_from(number):
+    """A peer that asks with one would never see the changes up to that number."""
     cache = StoreCache()
-    cache.replace((), 50, 0)
-    cache.replace((), 30, 1)
-    assert cache.changes_after(50) is None
-    assert cache.changes_after(31) is None
-    assert cache.changes_after(30) == ()
-    cache.apply_changes((CachedObject("a", 1),), 51, 2)
-    assert cache.changes_after(51) == ()
+    cache.replace((), at(50), 0)
+    cache.replace((), at(30, era=2), 1)
+    cache.apply_changes((CachedObject("a", 1),), at(51, era=2), 2)
+    assert cache.changes_after(at(number)) is None
+    assert cache.changes_after(at(51, era=2)) == ()
+    assert cache.changes_after(at(30, era=2)) == (CachedObject("a", 1),)
 
 
 def test_a_relay_keeps_the_newest_configuration_if_the_store_lists_an_older_one():
     cache = StoreCache()
     observer = CacheObserver(Kind.CONFIGURATION, cache, set(), lambda kinds: None)
-    for revision, number in ((50, 11), (30, 5)):
+    for era, revision, number in ((1, 50, 11), (2, 30, 5)):
         stored = StoredObject("main", revision, a_configuration(number), "", number)
-        observer.on_listed(Listing({"main": stored}, revision), 0)
+        observer.on_listed(Listing({"main": stored}, at(revision, era)), 0)
     (cached,) = cache.all_objects()
     assert cached.document == 11
 
@@ -168,3 +174,18 @@
             assert core.relay_peer(1) is None
             return
     raise AssertionError("none of 20 peers ranked before this instance")
+
+
+def test_a_peer_of_an_earlier_version_is_not_used_as_relay():
+    """Its answers do not state the era of the store."""
+    for number in range(10):
+        core = DirectCore(SETTINGS, an_instance(f"n{number}"), 0)
+        earlier, present = an_instance("a", protocol=1), an_instance("b")
+        core.set_instances({"a": earlier}, 0)
+        receive_report(core, "a", 100, 0, 1)
+        assert core.relay_peer(0) is None
+        core.configure(a_configuration(), 0)
+        assert core.relay_peer(0) is None
+        core.set_instances({"a": earlier, "b": present}, 0)
+        receive_report(core, "b", 100, 0, 1)
+        assert core.relay_peer(0) in (None, present)
--- a/tests/test_link_messages.py
+++ b/tests/test_link_messages.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sequoiahook.daemons.direct.object_store import Kind
-from sequoiahook.daemons.direct.relay import _kind
+from sequoiahook.daemons.direct.relay_answers import _kind
 from sequoiahook.daemons.links import Received
 from sequoiahook.errors import CodecError, UnreadableMessageError
 from sequoiahook.messages.base import Envelope
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -329,6 +329,8 @@
         self._listeners = {}
         self._datagrams = {}
         self._connections = []
+        # Nothing else refers to a connection that has gone silent.
+        self._kept = []
         self._cut_pairs = set()
         self._dark_hosts = set()
         self._orphans_by_host = {}
@@ -366,6 +368,7 @@
         """End a process; if its machine goes dark, its connections hang."""
         host = self._host_by_loop.pop(loop)
         self._loops.remove(loop)
+        self._kept.extend(asyncio.all_tasks(loop))
         if is_dark:
             self._dark_hosts.add(host)
         for connection in list(self._connections):
@@ -514,6 +517,7 @@
                 connection, side, other, protocols[sides.index(side)], endpoint.port
             )
         self._connections.append(connection)
+        self._kept.extend(side.transport for side in sides)
         listening_loop.call_soon(self._accept, sides[1].transport, accept)
         sides[0].transport.start()
         return sides[0].transport, protocols[0]
