An odd entry of another writer harms only itself

What callers saw (reported by operators of similar systems): machines that read the list of targets ended again and again, or stopped following it.

Cause, found here: an answer of the store that contains one value nested more than about 990 levels deep, or a number of more than 4,300 digits, was unreadable as a whole, so that no later change was seen. A value nested 400 to 990 levels deep was stored, but no peer could decode the relay's answer, and asked again without a pause (9,500 times in 20 s). A name with a lone surrogate at the end of a page ended the process; in a document it failed the relay's answers to all peers.

Change: what exceeds the limits of depth or digits is parsed as null; whatever else an entry raises makes it an invalid entry, with a log line; names are quoted as they are; each document is encoded by itself between instances; a peer whose answer cannot be read is avoided for a while; addresses must be IP addresses, since host names cannot be looked up.

Why it works: reading is per value, and no exception of an entry leaves the function that decodes it.

--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -8,11 +8,9 @@
 
 import asyncio
 import itertools
-import zlib
 from collections.abc import Awaitable
 from typing import TypeVar
 
-import cbor2
 import logbook
 
 from sequoiahook.clock import MS_PER_S, Clock
@@ -31,6 +29,7 @@
 )
 from sequoiahook.daemons.direct.relay_cache import CacheObserver
 from sequoiahook.daemons.direct.relay_choice import RelayChoice
+from sequoiahook.daemons.direct.relay_content import decode_objects
 from sequoiahook.daemons.links import (
     LinkEvent,
     Links,
@@ -41,6 +40,7 @@
 from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.decisions.direct.store_cache import CachedObject
 from sequoiahook.errors import (
+    CodecError,
     HistoryExpiredError,
     PlatformError,
     RelayUnavailableError,
@@ -59,9 +59,6 @@
 ANSWER_MARGIN_MS = 500
 """Added to the wait of a request; a round trip inside a region takes about 2 ms."""
 
-CONTENT_BYTES_MAX = 64_000_000
-"""Largest content accepted; all objects of a kind take less."""
-
 LIST_WAIT_MS = 1_000
 """How long a peer without a list waits for its own list before it answers."""
 
@@ -161,10 +158,8 @@
             return await self._call_store(self._list_store(kind))
         all_of_era = Revision(self._answers.newest_era, LIST_NUMBER)
         answer, age_ms = await self._request(peer, kind, all_of_era, LIST_WAIT_MS)
-        objects = [
-            change.object for change in self._decode_changes(kind, answer.content)
-        ]
-        objects_by_name = {stored.name: stored for stored in objects}
+        changes = self._decode_changes(kind, peer.name, answer.content)
+        objects_by_name = {change.object.name: change.object for change in changes}
         revision = Revision(answer.era, answer.revision)
         return Listing(objects_by_name, revision, age_ms, peer.name)
 
@@ -176,7 +171,7 @@
         answer, age_ms = await self._request(peer, kind, revision, wait_ms)
         if answer.era != revision.era:
             raise HistoryExpiredError(f"{kind.value}: {peer.name} is in another era")
-        changes = tuple(self._decode_changes(kind, answer.content))
+        changes = tuple(self._decode_changes(kind, peer.name, answer.content))
         new_revision = Revision(answer.era, answer.revision)
         return Changes(changes, new_revision, age_ms, peer.name)
 
@@ -336,21 +331,14 @@
             me = self._me
             self._links.send(peer, Envelope(me.name, me.incarnation, 0, peer, body))
 
-    def _decode_changes(self, kind: Kind, content: bytes) -> list[Change]:
+    def _decode_changes(self, kind: Kind, peer: str, content: bytes) -> list[Change]:
         try:
-            entries = [CachedObject(*entry) for entry in _decompress(content)]
-        except (zlib.error, cbor2.CBORDecodeError, ValueError, TypeError) as error:
+            entries = decode_objects(content)
+        except CodecError as error:
+            self._choice.avoid(peer)
             raise RelayUnavailableError(f"unreadable answer: {error}") from error
         return [self._decode_entry(kind, entry) for entry in entries]
 
     def _decode_entry(self, kind: Kind, entry: CachedObject) -> Change:
         stored: StoredObject = self._store.decode_object(kind, entry.document)
-        return Change(stored, bool(entry.is_deleted))
-
-
-def _decompress(content: bytes) -> list:
-    decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(content, CONTENT_BYTES_MAX)
-    if not decompressor.eof:
-        raise ValueError("content truncated or too large")
-    return cbor2.loads(decompressed)
+        return Change(stored._replace(name=entry.name), entry.is_deleted)
--- a/sequoiahook/daemons/direct/relay_answers.py
+++ b/sequoiahook/daemons/direct/relay_answers.py
@@ -1,14 +1,12 @@
 """Answers to the instances that read the platform's store through this one."""
 
 import asyncio
-import zlib
 from collections.abc import Iterable
 
-import cbor2
-
 from sequoiahook.clock import MS_PER_S, Clock
 from sequoiahook.daemons.direct.object_store import Kind
 from sequoiahook.daemons.direct.relay_cache import CacheObserver
+from sequoiahook.daemons.direct.relay_content import encode_objects, encode_together
 from sequoiahook.decisions.direct.revisions import Revision
 from sequoiahook.decisions.direct.store_cache import CachedObject, StoreCache
 from sequoiahook.messages.relay import (
@@ -20,9 +18,6 @@
 
 __all__ = ["HISTORY_GONE", "LIST_NUMBER", "RelayAnswers"]
 
-COMPRESSION_LEVEL = 1
-"""The fastest level: documents repeat their field names, and links may be slow."""
-
 LIST_NUMBER = -1
 """Number of the revision in requests for all objects."""
 
@@ -64,6 +59,7 @@
     ) -> StoreReadAnswer | StoreAnswer:
         """Return the answer to a request, after the wait that it asks for."""
         received_at = self._clock.now()
+        is_earlier_version = isinstance(request, StoreAsk)
         kind = _kind(request.kind)
         problem, found = NOT_FOLLOWED, None
         if kind is not None:
@@ -76,14 +72,15 @@
         held_ms = self._clock.now() - received_at
         answer = StoreReadAnswer(request.ticket, problem, 0, 0, b"", 0, held_ms)
         if found is not None:
-            content = cbor2.dumps([tuple(cached) for cached in found])
+            encode = encode_together if is_earlier_version else encode_objects
+            content = encode(found)
             answer = answer._replace(
                 era=cache.revision.era,
                 revision=max(cache.revision.number, request.revision),
-                content=zlib.compress(content, COMPRESSION_LEVEL),
+                content=content,
                 age_ms=self._clock.now() - cache.confirmed_at,
             )
-        return _without_era(answer) if isinstance(request, StoreAsk) else answer
+        return _without_era(answer) if is_earlier_version else answer
 
     def _find(
         self, request: StoreRead | StoreAsk, revision: Revision, cache: StoreCache
--- a/sequoiahook/platform/addresses.py
+++ b/sequoiahook/platform/addresses.py
@@ -1,5 +1,7 @@
 """Addresses in the platform's notation."""
 
+import ipaddress
+
 from sequoiahook.options import Section
 from sequoiahook.world.instance import Address
 
@@ -9,14 +11,22 @@
 
 
 def read_host_port(section: Section, key: str) -> Address:
-    """Decode an address HOST:PORT; an invalid one is reported to the section.
+    """Decode an address IP:PORT; an invalid one is reported to the section.
 
     Returns:
         The address; an empty one if it is invalid.
     """
     host, _, port = section.string(key).rpartition(":")
     is_port = port.isascii() and port.isdigit() and 0 < int(port) <= PORT_MAX
-    if not host or not is_port:
-        section.report(key, "must be HOST:PORT")
+    if not is_port or not _is_ip_address(host):
+        section.report(key, "must be an IP address and a port, IP:PORT")
         return Address("", 0)
     return Address(host, int(port))
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -37,6 +37,7 @@
     read_target_entry,
 )
 from sequoiahook.platform.settings import PlatformSettings
+from sequoiahook.wire.lenient_json import parse_leniently
 
 __all__ = ["CALL_TIMEOUT_MS", "WATCH_MARGIN_MS", "StoreClient"]
 
@@ -115,7 +116,7 @@
             after = _last_name(page["items"])
             if not page.get("has_more") or not after:
                 return Listing(objects_by_name, revision)
-            query = f"?after={quote(after, safe='')}" + (f"&{stale}" if stale else "")
+            query = f"?after={_quoted(after)}" + (f"&{stale}" if stale else "")
 
     async def watch(self, kind: Kind, revision: Revision, wait_ms: int) -> Changes:
         """Return the changes after a revision."""
@@ -199,6 +200,10 @@
             value = self._decode_value(kind, name, item)
         except CheckError as error:
             return StoredObject(name, revision, None, str(error), item)
+        except Exception as error:
+            # Nothing that another writer leaves may end the task that reads it.
+            problem = f"{kind.value}/{name}: {type(error).__name__}: {error}"
+            return StoredObject(name, revision, None, problem, item)
         return StoredObject(name, revision, value, document=item)
 
     def _decode_value(self, kind: Kind, name: str, item: Mapping) -> Any:
@@ -231,6 +236,10 @@
     return name if isinstance(name, str) else ""
 
 
+def _quoted(name: str) -> str:
+    return quote(name, safe="", errors="surrogatepass")
+
+
 def _last_name(items: list) -> str:
     """Return the name after which the next page begins; empty if there is none."""
     return next(filter(None, map(_name_of, reversed(items))), "")
@@ -242,7 +251,7 @@
 
 def _object_path(kind: Kind, name: str | None = None) -> str:
     path = f"/-/objects/{_NAME_BY_KIND[kind]}"
-    return path if name is None else f"{path}/{quote(name, safe='')}"
+    return path if name is None else f"{path}/{_quoted(name)}"
 
 
 def _response_document(response: HttpResponse, call: str) -> dict[str, Any]:
@@ -254,7 +263,7 @@
     if status not in (*_SUCCESS_STATUSES, _CONFLICT_STATUS, _NOT_FOUND_STATUS):
         raise PlatformOutcomeUnknownError(f"{call}: status {status}")
     try:
-        document = json.loads(response.body) if response.body else {}
+        document = _parse_body(response.body)
     except (ValueError, RecursionError) as error:
         raise PlatformOutcomeUnknownError(
             f"{call}: answer is not JSON: {error}"
@@ -269,6 +278,19 @@
     return document
 
 
+def _parse_body(body: bytes) -> Any:
+    """Parse an answer; an entry of another writer in it may exceed the usual limits."""
+    if not body:
+        return {}
+    try:
+        return json.loads(body)
+    except json.JSONDecodeError:
+        raise
+    except (ValueError, RecursionError) as error:
+        log.warning("answer parsed without parts of it", extra={"error": str(error)})
+        return parse_leniently(body)
+
+
 def _required_field(document: Any, name: str, expected_type: type) -> Any:
     value = document.get(name) if isinstance(document, Mapping) else None
     if not isinstance(value, expected_type):
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -51,11 +51,13 @@
         status: The HTTP status.
         value: Value of the body; None for no body.
         headers: Additional header fields.
+        body: The encoded body, if it is not to be encoded from the value.
     """
 
     status: int
     value: Any = None
     headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -118,7 +120,9 @@
             self._connection.receive_data(await self._reader.read(READ_BYTES))
 
     async def _send(self, response: HttpResponse) -> None:
-        body = b"" if response.value is None else json.dumps(response.value).encode()
+        body = response.body
+        if not body and response.value is not None:
+            body = json.dumps(response.value).encode()
         headers = [("content-type", "application/json"), *response.headers]
         if response.status != 304:
             headers.append(("content-length", str(len(body))))
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -146,9 +146,9 @@
 
 
 def test_an_instance_entry_is_decoded_as_it_was_encoded():
-    instance = an_instance("n1")
+    instance = an_instance("10.0.0.1", handover_address=Address("10.0.0.1", 82))
     document = json.loads(json.dumps({"spec": instance_document(instance)}))
-    assert read_instance_entry("n1", document) == instance
+    assert read_instance_entry("10.0.0.1", document) == instance
 
 
 def test_an_evacuation_is_applied_in_time_although_its_watch_gets_no_answer():
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import tempfile
 import traceback
 from pathlib import Path
@@ -104,6 +105,8 @@
         targets_by_id: The targets.
         store_faults: How the store treats the calls of single instances: ``silent``,
             ``reset``, or a status.
+        raw_text_by_marker: Texts that the store's answers contain instead of a string;
+            they need not be valid values.
         are_targets_away: Whether targets write nothing to the store.
         log: All log records.
     """
@@ -116,6 +119,7 @@
         self.targets_by_id = {}
         self.store_faults = {}
         self.are_targets_away = False
+        self.raw_text_by_marker = {}
         self.drained = set()
         self.starts_by_name = {name: [] for name in zone_by_name}
         self.log = _LogCapture(self.network)
@@ -229,10 +233,16 @@
                 raise CloseConnectionError
             if fault is not None:
                 return HttpResponse(fault)
-            return await self.store.handle(request)
+            return self._with_raw_texts(await self.store.handle(request))
 
         await serve(handle, self.store_host(name), STORE_PORT)
 
+    def _with_raw_texts(self, response):
+        body = json.dumps(response.value)
+        for marker, text in self.raw_text_by_marker.items():
+            body = body.replace(f'"{marker}"', text)
+        return response._replace(body=body.encode())
+
     def put(self, kind, name, spec):
         """Write an object; it is acknowledged before time passes."""
         self._run(self._store_loop, self.store.put(kind, name, spec))
