A refusal that a target writes again is not taken for a later answer

What callers saw (reported by operators of similar systems): 'not run, try again' for requests that a target had run or was running, or a second run.

Cause, found here: a repeated refusal on a kept connection was told from the answer only by its request id. A request with the id of an earlier one over the same connection (a caller that sends an id again, a request that another instance hands over twice) took it for its own and counted as not run.

Why it works: where an id does not tell an answer from a repeated refusal, the connection cannot hold one.

--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -38,6 +38,9 @@
 
 PERCENT = 100
 
+REFUSED_IDS_MAX = 32
+"""Refused requests after which a connection is not used again."""
+
 
 class TargetClientSettings(NamedTuple):
     """Limits of the client.
@@ -123,12 +126,14 @@
         writer: Stream to the target.
         became_idle_at: Monotonic time at which it became idle, in milliseconds.
         expires_at: Monotonic time until which it may be used, in milliseconds.
+        refused_ids: Ids of the requests that the target refused over it.
     """
 
     reader: CountingReader
     writer: asyncio.StreamWriter
     became_idle_at: int
     expires_at: int
+    refused_ids: frozenset[str] = frozenset()
 
 
 class ConnectionPool(Protocol):
@@ -180,6 +185,7 @@
         self._exchange_task: asyncio.Task | None = None
         self._is_aborted = False
         self._is_timed_out = False
+        self._refused_ids: frozenset[str] = frozenset()
 
     async def run(self, may_write: Callable[[], bool]) -> TargetResult:
         """Connect, write and read; see :meth:`TargetClient.exchange`."""
@@ -216,6 +222,7 @@
             idle = self._pool.take_idle(self.request)
             if idle is not None:
                 self.reader, self.writer = idle.reader, idle.writer
+                self._refused_ids = idle.refused_ids
             elif not await self.connect():
                 return
             self.stage = Stage.NOTHING_WRITTEN
@@ -261,9 +268,18 @@
         is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         has_read_all = is_done and not self._h11.trailing_data[0]
         has_answer = self.stage in (Stage.ANSWERED, Stage.SHED)
+        if len(self._refused_ids) >= REFUSED_IDS_MAX:
+            return False
         has_sent_all = self.writer.transport.get_write_buffer_size() == 0
         return has_answer and has_read_all and has_sent_all and not self.is_closed
 
+    @property
+    def refused_ids(self) -> frozenset[str]:
+        """Ids of the requests that the target refused over the connection."""
+        if self.stage is Stage.SHED:
+            return self._refused_ids | {self.request.id}
+        return self._refused_ids
+
     @property
     def idle_ms(self) -> int:
         """Longest time to keep the connection idle, in milliseconds."""
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -88,11 +88,11 @@
                 return None  # The last connection has been idle for the shortest time.
             connections.pop()
             is_open = not idle.reader.at_eof() and not idle.writer.is_closing()
-            if (
-                monotonic_ms() <= idle.expires_at
-                and is_open
-                and not idle.reader.unread_bytes
-            ):
+            is_expired = monotonic_ms() > idle.expires_at
+            # A faulty target may write a refusal again, which only its id tells apart.
+            is_ambiguous = request.id in idle.refused_ids
+            has_unread = idle.reader.unread_bytes > 0
+            if is_open and not (is_expired or is_ambiguous or has_unread):
                 return idle
             idle.writer.close()
         return None
@@ -109,7 +109,11 @@
         if is_reusable and len(connections) < self.settings.idle_max:
             now = monotonic_ms()
             idle = IdleConnection(
-                exchange.reader, exchange.writer, now, now + exchange.idle_ms
+                exchange.reader,
+                exchange.writer,
+                now,
+                now + exchange.idle_ms,
+                exchange.refused_ids,
             )
             connections.append(idle)
         else:
