Soak: a store that returns from a copy, silent connections, added routes

Cause: the soak played neither fault, and checked removed routes only, so that a route that stayed unknown was not found.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -176,6 +176,22 @@
                 yield Violation("configurations are in force", request.id, prefix)
 
 
+def _check_added_routes(observations: Observations) -> Iterator[Violation]:
+    for request in observations.requests:
+        for prefix, added_at in observations.added_at_by_prefix.items():
+            if request.status != 404 or not request.path.startswith(prefix):
+                continue
+            removed_at = observations.removed_at_by_prefix.get(prefix, float("inf"))
+            is_due = request.sent_at > added_at + CONFIGURATION_MAX_S
+            # A route that is being removed may be gone before the store has answered.
+            is_kept = request.ended_at < removed_at - CONFIGURATION_MAX_S
+            if not is_due or not is_kept:
+                continue
+            if _is_undisturbed(observations, request.instance, request.sent_at):
+                text = f"{prefix} is unknown to {request.instance}"
+                yield Violation("configurations are in force", request.id, text)
+
+
 def _check_draining_targets(observations: Observations) -> Iterator[Violation]:
     for run, request in _runs_with_requests(observations):
         draining_at = observations.draining_at_by_target.get(run.target)
@@ -373,6 +389,7 @@
     _check_withdrawn_keys,
     _check_rate_limits,
     _check_removed_routes,
+    _check_added_routes,
     _check_draining_targets,
     _check_stated_limits,
     _check_crashing_requests,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -163,6 +163,7 @@
         crash_times_by_path: When targets ended under the requests of a path.
         cuts: Periods in which instances had lost connectivity to all targets.
         arrivals: All requests that arrived at targets.
+        added_at_by_prefix: When the store accepted the configuration with a new route.
     """
 
     requests: tuple[SentRequest, ...]
@@ -181,3 +182,4 @@
     crash_times_by_path: dict[str, list[float]] = {}
     cuts: tuple[CutInterval, ...] = ()
     arrivals: tuple[Arrival, ...] = ()
+    added_at_by_prefix: dict[str, float] = {}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,8 +14,8 @@
 
     Attributes:
         start_s: Start, in seconds after the start of the load.
-        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS, STATEMENT_KINDS, CUT_KINDS or
-            DOWNLOAD_KINDS.
+        kind: A key of FAULT_KINDS, TARGET_FAULT_KINDS, STATEMENT_KINDS, CUT_KINDS,
+            DOWNLOAD_KINDS or SOURCE_KINDS.
         subject: Affected instance, target or data centre; empty for the store and for
             actions of operators.
         duration_s: Duration in seconds.
@@ -109,6 +109,14 @@
 """Losses of connectivity to all targets."""
 
 
+SOURCE_KINDS = {
+    "store_copy": FaultKind("", 1.5, 4, ("0.3", "0.6", "0.9")),
+    "silence": FaultKind("", 0, 0, ("store", "all")),
+}
+"""A store that returns from a copy, after the part of the time that the variant states
+without it; and open connections that go silent for good."""
+
+
 class AddedFaults(NamedTuple):
     """Faults that are added to the plans of some seeds.
 
@@ -130,11 +138,17 @@
 STATEMENTS = AddedFaults("statements-7", STATEMENT_KINDS, 0.5, 4, 1.0)
 LOSSES = AddedFaults("ways", CUT_KINDS, 0.4, 3, 0.5)
 DOWNLOADS = AddedFaults("downloads", DOWNLOAD_KINDS, 0.5, 6, 1.0)
+SOURCES = AddedFaults("sources", SOURCE_KINDS, 0.5, 4, 1.0)
 LOSS_ALONE_SHARE = 0.3
 """Share of the seeds with losses whose plans have one loss and no other faults."""
 
 _ALL_KINDS = (
-    FAULT_KINDS | TARGET_FAULT_KINDS | STATEMENT_KINDS | CUT_KINDS | DOWNLOAD_KINDS
+    FAULT_KINDS
+    | TARGET_FAULT_KINDS
+    | STATEMENT_KINDS
+    | CUT_KINDS
+    | DOWNLOAD_KINDS
+    | SOURCE_KINDS
 )
 _PLANNED_KINDS = frozenset({"stop", "reload", "configure"})
 FAULT_INTERVAL_MEAN_S = 0.7
@@ -163,6 +177,7 @@
     faults += _draw_target_faults(seed, seconds, subjects_by_type)
     faults += _draw_added(STATEMENTS, seed, seconds, subjects_by_type)
     faults += _draw_added(DOWNLOADS, seed, seconds, subjects_by_type)
+    faults += _draw_added(SOURCES, seed, seconds, subjects_by_type)
     losses = _draw_added(LOSSES, seed, seconds, subjects_by_type)
     if losses and random.Random(f"{seed}/alone").random() < LOSS_ALONE_SHARE:
         return Plan(seed, tuple(losses[:1]))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -35,6 +35,7 @@
         self._destination = destination
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
         self._cleared = asyncio.Event()
 
     async def start(self) -> Address:
@@ -46,6 +47,7 @@
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self._server.close()
+        self._writers |= self._silent_writers
         self._reset_all()
 
     def inject(self, fault: str) -> None:
@@ -55,6 +57,10 @@
         if fault == "reset":
             self._reset_all()
 
+    def silence_open(self) -> None:
+        """Silence all open connections for good; new ones are forwarded."""
+        self._silent_writers |= self._writers
+
     def clear(self) -> None:
         """End the fault; connections that lost data are reset."""
         if self.fault in ("silence", "one_way"):
@@ -84,7 +90,8 @@
             pass  # The event loop is closing; nothing awaits this task.
         finally:
             self._writers.discard(writer)
-            writer.close()
+            if writer not in self._silent_writers:
+                writer.close()
 
     async def _forward(
         self,
@@ -95,6 +102,8 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if writer in self._silent_writers:
+                    continue
                 if self.fault == "delay":
                     await asyncio.sleep(DELAY_S)
                 if self.fault == "silence" or (self.fault == "one_way" and is_response):
@@ -105,7 +114,8 @@
         except ConnectionError:
             # Forwarded as a reset, since a clean close can mark the end of a response.
             _reset(writer)
-        writer.close()
+        if writer not in self._silent_writers:
+            writer.close()
         self._writers.discard(writer)
 
     def _reset_all(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -186,6 +186,15 @@
     await system.set_store_faults()
 
 
+async def _store_copy(fault: Fault, system: System) -> None:
+    away_s = fault.duration_s * float(fault.variant)
+    await system.return_store_to_copy(fault.duration_s - away_s, away_s)
+
+
+async def _silence(fault: Fault, system: System) -> None:
+    system.silence_connections(includes_targets=fault.variant == "all")
+
+
 async def _forget_history(_: Fault, system: System) -> None:
     await system.forget_history()
 
@@ -275,6 +284,8 @@
     "store_link": _store_link,
     "store": _store_fault,
     "forget": _forget_history,
+    "store_copy": _store_copy,
+    "silence": _silence,
     "target_kill": _target_kill,
     "target_drain": _target_drain,
     "target_pause": _target_pause,
--- a/soak/system.py
+++ b/soak/system.py
@@ -47,6 +47,9 @@
 KEYS_BY_ORGANISATION = {
     name: [f"key-{name}-{i}" for i in range(8)] for name in RATE_LIMIT_BY_ORGANISATION
 }
+REWRITTEN_KINDS = ("config", "evacuations", "servers")
+"""Kinds of objects that operators and targets write."""
+
 LARGE_PAUSE_MS = 200
 DRAINING_S = 6.0
 """Time for which a draining target continues to serve; longer than the drain limit."""
@@ -102,6 +105,7 @@
         self.fault_intervals: list[FaultInterval] = []
         self.exits: list[InstanceExit] = []
         self.withdrawn_at_by_key: dict[str, float] = {}
+        self.added_at_by_prefix: dict[str, float] = {}
         self.removed_at_by_prefix: dict[str, float] = {}
         self.draining_at_by_target: dict[str, float] = {}
         self.limits: list[LimitInterval] = []
@@ -157,8 +161,9 @@
 
     async def add_route(self) -> None:
         """Add a route with a new path prefix."""
-        self.extra_prefixes.append(f"/extra{next(self._numbers)}/")
-        await self.configure()
+        prefix = f"/extra{next(self._numbers)}/"
+        self.extra_prefixes.append(prefix)
+        self.added_at_by_prefix[prefix] = await self.configure()
 
     async def remove_route(self) -> None:
         """Remove the oldest added route, if there is one."""
@@ -304,6 +309,26 @@
         """Set the faults of the store; without arguments, clear them."""
         await self._control_store(faults=faults)
 
+    async def return_store_to_copy(self, copy_age_s: float, away_s: float) -> None:
+        """Let the store go away and come back from a copy.
+
+        What operators and targets wrote since is written again at once.
+        """
+        await self._control_store(keep_copy=True)
+        await asyncio.sleep(copy_age_s)
+        await self.set_store_faults(is_silent=True)
+        await asyncio.sleep(away_s)
+        await self._control_store(return_to_copy=True, rewritten=REWRITTEN_KINDS)
+        await self.set_store_faults()
+
+    def silence_connections(self, *, includes_targets: bool) -> None:
+        """Silence all open connections to the store, and to targets if included."""
+        proxies = list(self.fleet.store_proxy_by_instance.values())
+        if includes_targets:
+            proxies += self.fleet.proxy_by_target.values()
+        for proxy in proxies:
+            proxy.silence_open()
+
     async def forget_history(self) -> None:
         """Make the store discard its event history."""
         await self._control_store(forget=True)
@@ -386,6 +411,7 @@
             self.crash_times_by_path,
             tuple(self.cuts),
             tuple(self._read_lines("*.runs.arrivals", Arrival)),
+            self.added_at_by_prefix,
         )
 
     def close(self) -> None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from collections import Counter, deque
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from standins.http_server import (
@@ -96,13 +97,23 @@
         """Keep a copy of all objects, to which the store may return."""
         self._copy = (self.revision, copy.deepcopy(self._objects_by_kind))
 
-    async def return_to_copy(self) -> None:
-        """Return to the copy: what was written since is gone, and revisions go back."""
+    async def return_to_copy(self, rewritten: Iterable[str] = ()) -> None:
+        """Return to the copy: what was written since is gone, and revisions go back.
+
+        Args:
+            rewritten: Kinds whose objects are written again at once.
+        """
+        lost = {kind: self._objects_by_kind.get(kind, {}) for kind in rewritten}
         self.revision, self._objects_by_kind = copy.deepcopy(self._copy)
         self.era += 1
         self.forget_history()
         async with self._changed:
             self._changed.notify_all()
+        for kind, objects in lost.items():
+            for name in set(self._objects_by_kind.get(kind, {})) - set(objects):
+                await self.delete(kind, name)
+            for name, stored in objects.items():
+                await self.put(kind, name, stored["spec"])
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle a call and return the response, which states the era."""
@@ -139,7 +150,7 @@
         if document.get("keep_copy"):
             self.keep_copy()
         if document.get("return_to_copy"):
-            await self.return_to_copy()
+            await self.return_to_copy(document.get("rewritten", ()))
         counts = {"calls": dict(self.calls), "lists": dict(self.lists)}
         return HttpResponse(200, {"revision": self.revision, **counts})
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -222,3 +222,58 @@
         outcome = asyncio.run(run_seed(seed, seconds, fleet))
     assert outcome.violations == []
     assert outcome.served_count > 0
+
+
+def added_route(**changes):
+    request = REQUEST._replace(path="/extra1/r1", key="", stamp="", **changes)
+    return observed([request], [], added_at_by_prefix={"/extra1/": 97.0})
+
+
+@pytest.mark.parametrize(
+    ("observations", "is_found"),
+    [
+        (added_route(status=404), True),
+        (added_route(status=200), False),
+        (added_route(status=404, sent_at=99.4), False),
+        (
+            added_route(status=404)._replace(removed_at_by_prefix={"/extra1/": 99}),
+            False,
+        ),
+        (
+            added_route(status=404)._replace(
+                fault_intervals=(FaultInterval("n1", 97.0, 98.0, False),)
+            ),
+            False,
+        ),
+    ],
+)
+def test_added_route_that_is_unknown_too_late_is_found(observations, is_found):
+    names = {v.guarantee for v in find_violations(observations)}
+    assert ("configurations are in force" in names) is is_found
+
+
+def test_proxy_silences_open_connections_and_forwards_new_ones():
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+
+    async def exchange(reader, writer):
+        writer.write(b"x")
+        async with asyncio.timeout(0.2):
+            return await reader.read(100)
+
+    async def play():
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        proxy = FaultProxy(Address(*server.sockets[0].getsockname()))
+        address = await proxy.start()
+        earlier = await asyncio.open_connection(*address)
+        assert await exchange(*earlier) == b"x"
+        proxy.silence_open()
+        with pytest.raises(TimeoutError):
+            await exchange(*earlier)
+        later = await asyncio.open_connection(*address)
+        assert await exchange(*later) == b"x"
+        proxy.close()
+        server.close()
+
+    asyncio.run(play())
