Orders of faults: make orders, one module for faults, one for transports

Change: tests/order_faults.py, tests/virtual_transports.py, tests/orders.py; no change of what is checked.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 SECONDS ?= 60
+COUNT ?= 20
 SEED ?= -1
 export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo fuzz soak bench format environment
+.PHONY: test demo fuzz orders soak bench format environment
 
 environment: $(STAMP)
 
@@ -27,6 +28,9 @@
 fuzz: environment
 	PYTHONHASHSEED=random $(PYTHON) -m tests.fuzz --seconds $(SECONDS)
 
+orders: environment
+	$(PYTHON) -m tests.orders --count $(COUNT) --seed $(SEED)
+
 soak: environment
 	$(PYTHON) -m soak --seconds $(SECONDS) --seed $(SEED)
 
--- a/tests/configuration_orders.py
+++ b/tests/configuration_orders.py
@@ -6,9 +6,9 @@
 """
 
 import random
-from typing import NamedTuple
 
 from standins.platform_documents import configuration_document
+from tests.order_faults import KINDS, Fault, OrderFaults
 from tests.virtual_platform import VirtualPlatform
 
 STABLE_S = 4.0
@@ -24,7 +24,6 @@
 SETTLE_S = 9.0
 PROBE_INTERVAL_S = 0.25
 FAULTS_MAX = 6
-OPERATOR_REST_S = 8.0
 CHANGE_GAPS_S = (0.3, 0.5, 1.0, 2.0, 4.0, 9.0)
 ROUTES_KEPT = 30
 """Versions for which the route that each of them adds stays."""
@@ -38,25 +37,7 @@
 DRAINED_TARGETS = TARGETS[4:]
 
 
-class Fault(NamedTuple):
-    """A fault of an order.
-
-    Attributes:
-        at_s: Time since the end of the warm-up, in seconds.
-        how: What happens, one of `KINDS`.
-        names: The instances concerned.
-        for_s: How long it lasts, in seconds.
-        x: A further draw, from 0 to 1.
-    """
-
-    at_s: float
-    how: str
-    names: tuple[str, ...]
-    for_s: float
-    x: float
-
-
-class Order:
+class Order(OrderFaults):
     """One play.
 
     Attributes:
@@ -76,17 +57,13 @@
         random.seed(seed)
         kinds = kinds or KINDS
         count = count or self._rng.randint(1, len(ZONES))
-        self._zone_by_name = {f"n{i + 1}": ZONES[i] for i in range(count)}
+        super().__init__({f"n{i + 1}": ZONES[i] for i in range(count)})
         drawn = self._draw_faults(kinds)
         self.faults = drawn if faults is None else faults
         self.violations = []
-        self.platform = None
         self._version = 0
         self._acked_at = {}
         self._drain_acked_at_by_target = {}
-        self._disturbed = {name: [] for name in self._zone_by_name}
-        self._is_store_away = False
-        self._quiet_until_s = 0.0
 
     def __str__(self):
         return "\n".join(map(str, (self._zone_by_name, *self.faults, *self.violations)))
@@ -137,134 +114,6 @@
             )
         return sorted(faults)
 
-    def _apply(self, fault):
-        getattr(self, f"_{fault.how}")(fault)
-
-    def _disturb(self, names, for_s):
-        now_s = self.platform.network.now_s
-        for name in names:
-            self._disturbed[name].append((now_s, now_s + for_s))
-
-    def _running(self, fault):
-        loops = ((name, self.platform.loop(name)) for name in fault.names)
-        return [(name, loop) for name, loop in loops if loop is not None]
-
-    def _after(self, fault, action):
-        self.platform.network.schedule(fault.for_s, action)
-
-    def _restart(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        for name, _ in self._running(fault):
-            self.platform.kill(name, is_dark=fault.x < 0.5)
-            self._after(fault, lambda name=name: self._start(name))
-
-    def _terminate(self, fault):
-        self._disturb(fault.names, fault.for_s + 6)
-        for name, _ in self._running(fault):
-            self.platform.terminate(name)
-            self.platform.network.schedule(6, lambda name=name: self._start(name))
-
-    def _start(self, name):
-        self.platform.kill(name)
-        self._disturb((name,), 0)
-        self.platform.start(name)
-
-    def _freeze(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        for _, loop in self._running(fault):
-            loop.is_frozen = True
-            self._after(fault, lambda loop=loop: setattr(loop, "is_frozen", False))
-
-    def _suspend(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        for _, loop in self._running(fault):
-            if not loop.is_frozen:
-                self.platform.network.suspend(loop, fault.for_s)
-
-    def _store_cut(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        network = self.platform.network
-        for name in fault.names:
-            pair = (self.platform.host(name), self.platform.store_host(name))
-            pair = pair if fault.x < 0.6 else pair[::-1]
-            network.cut(*pair, is_one_way=fault.x > 0.3)
-            self._after(fault, lambda pair=pair: network.heal(*pair))
-
-    def _store_refuses(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        how = ("silent", "reset", 503, 429)[int(fault.x * 4)]
-        how_by_name = self.platform.store_faults
-        for name in fault.names:
-            how_by_name[name] = how
-            self._after(fault, lambda name=name: how_by_name.pop(name, None))
-
-    def _peers_cut(self, fault):
-        self._disturb(fault.names, fault.for_s)
-        network = self.platform.network
-        for name in fault.names:
-            for other in self._zone_by_name:
-                if other not in fault.names:
-                    pair = (self.platform.host(name), self.platform.host(other))
-                    network.cut(*pair, is_one_way=fault.x > 0.7)
-                    self._after(fault, lambda pair=pair: network.heal(*pair))
-
-    def _silence(self, fault):
-        self._disturb(self._zone_by_name, 0)
-        self.platform.network.silence(1.0 if fault.x <= 0.5 else fault.x)
-
-    def _reset(self, fault):
-        self._disturb(fault.names, 0)
-        for _, loop in self._running(fault):
-            self.platform.network.reset(loop)
-
-    def _store_away(self, fault):
-        self._disturb(self._zone_by_name, fault.for_s)
-        self._is_store_away = True
-        store = self.platform.store
-        name = "is_silent" if fault.x < 0.5 else "is_down"
-        store.faults = store.faults._replace(**{name: True})
-
-        def end():
-            store.faults = store.faults._replace(**{name: False})
-            self._is_store_away = False
-
-        self._after(fault, end)
-
-    def _history(self, fault):
-        self._disturb(self._zone_by_name, 0)
-        self.platform.store.forget_history()
-
-    def _drill(self, fault):
-        """The store goes away and comes back from a copy some seconds old."""
-        self._disturb(self._zone_by_name, fault.for_s)
-        platform, store = self.platform, self.platform.store
-        store.keep_copy()
-        away_s = fault.for_s * fault.x
-
-        def leave():
-            self._disturb(self._zone_by_name, away_s)
-            self._is_store_away = platform.are_targets_away = True
-            store.faults = store.faults._replace(is_silent=True)
-
-        def come_back():
-            self._disturb(self._zone_by_name, 1.0)
-            platform.return_to_copy()
-            store.faults = store.faults._replace(is_silent=False)
-            platform.network.schedule(self._rng.uniform(0, 0.4), rewrite)
-
-        def rewrite():
-            self._is_store_away = platform.are_targets_away = False
-            self._write()
-            if fault.x < 0.7:
-                # Any later change would mend an instance that missed this one.
-                self._change()
-                self._quiet_until_s = platform.network.now_s + OPERATOR_REST_S
-            for target_id in TARGETS:
-                platform.write_target(target_id)
-
-        platform.network.schedule(fault.for_s - away_s, leave)
-        platform.network.schedule(fault.for_s, come_back)
-
     # The operator and the callers
 
     def _change(self):
@@ -390,22 +239,3 @@
             if text.startswith(prefix):
                 return int(text.removeprefix(prefix).partition("/")[0])
     return None
-
-
-KINDS = tuple(
-    [
-        "restart",
-        "terminate",
-        "freeze",
-        "suspend",
-        "store_cut",
-        "store_refuses",
-        "peers_cut",
-        "silence",
-        "reset",
-        "store_away",
-        "history",
-        "drill",
-    ]
-)
-"""Kinds of faults; each is a method of :class:`Order` without the underscore."""
--- a/tests/test_configuration_orders.py
+++ b/tests/test_configuration_orders.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tests.configuration_orders import KINDS, Fault, Order
+from tests.configuration_orders import Order
+from tests.order_faults import KINDS, Fault
 
 SEEDS = range(1, 7)
 STORE_AND_PEERS = ("silence", "freeze", "store_cut", "reset", "drill")
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -10,10 +10,16 @@
 import itertools
 import math
 import random
-import socket
 from asyncio import events
-from collections import deque
-from typing import NamedTuple
+
+from tests.virtual_transports import (
+    Connection,
+    Endpoint,
+    Side,
+    VirtualDatagrams,
+    VirtualServer,
+    VirtualTransport,
+)
 
 NEAR_DELAY_S = 0.001
 FAR_DELAY_S = 0.035
@@ -25,11 +31,6 @@
 MAX_ROUNDS_AT_ONE_TIME = 100_000
 
 
-class Endpoint(NamedTuple):
-    host: str
-    port: int
-
-
 class _NoSelector:
     def select(self, timeout):
         return []
@@ -100,213 +101,6 @@
         return self._network.bind(self, protocol_factory, Endpoint(*local_addr))
 
 
-class _FakeSocket:
-    family = socket.AF_INET
-
-    def __init__(self, endpoint):
-        self._endpoint = endpoint
-
-    def getsockname(self):
-        return tuple(self._endpoint)
-
-    def fileno(self):
-        return -1
-
-
-class VirtualServer(asyncio.AbstractServer):
-    """A listening socket."""
-
-    def __init__(self, network, loop, endpoint):
-        self._network = network
-        self._endpoint = endpoint
-        self.loop = loop
-        self.sockets = (_FakeSocket(endpoint),)
-
-    def close(self):
-        self._network.unlisten(self._endpoint, self.loop)
-
-    def close_connections(self):
-        self.close()
-
-    async def wait_closed(self):
-        pass
-
-    def is_serving(self):
-        return True
-
-    def get_loop(self):
-        return self.loop
-
-
-class _Side:
-    """One end of a connection."""
-
-    def __init__(self, loop, host):
-        self.loop = loop
-        self.host = host
-        self.transport = None
-
-
-class Connection:
-    """A TCP connection between two processes.
-
-    Attributes:
-        is_silent: Whether all that is sent from now on is lost without a trace.
-    """
-
-    def __init__(self, network, sides):
-        self.network = network
-        self.sides = sides
-        self.is_silent = False
-        self.held = []
-
-    def deliver(self, receiver, action):
-        """Call an action in the receiver's loop after the delay, in order."""
-        sender = self.sides[1 - self.sides.index(receiver)]
-        if self.is_silent:
-            return
-        if self.held or self.network.is_cut(sender.host, receiver.host):
-            self.held.append((receiver, action))
-            return
-        delay_s = self.network.delay_s(sender.host, receiver.host)
-        self.network.schedule(delay_s, lambda: self._arrive(receiver, action))
-
-    def release_held(self):
-        """Deliver what was held up by a cut that has ended."""
-        held, self.held = self.held, []
-        for receiver, action in held:
-            self.deliver(receiver, action)
-
-    def _arrive(self, receiver, action):
-        if not self.is_silent and self.network.is_running(receiver.loop):
-            receiver.loop.call_soon(action)
-
-
-class VirtualTransport(asyncio.Transport):
-    def __init__(self, connection, side, other, protocol, port):
-        super().__init__()
-        self._connection = connection
-        self._side = side
-        self._other = other
-        self._protocol = protocol
-        self._port = port
-        self._is_closing = False
-        self._is_paused = False
-        self._unread = deque()
-        self._has_eof = False
-
-    def start(self):
-        self._protocol.connection_made(self)
-
-    def get_extra_info(self, name, default=None):
-        if name == "socket":
-            return _FakeSocket(Endpoint(self._side.host, self._port))
-        if name in ("peername", "sockname"):
-            side = self._other if name == "peername" else self._side
-            return (side.host, self._port)
-        return default
-
-    def set_protocol(self, protocol):
-        self._protocol = protocol
-
-    def get_protocol(self):
-        return self._protocol
-
-    def is_closing(self):
-        return self._is_closing
-
-    def set_write_buffer_limits(self, high=None, low=None):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def can_write_eof(self):
-        return True
-
-    def is_reading(self):
-        return not self._is_paused
-
-    def pause_reading(self):
-        self._is_paused = True
-
-    def resume_reading(self):
-        self._is_paused = False
-        while self._unread and not self._is_paused:
-            self._protocol.data_received(self._unread.popleft())
-        if self._has_eof and not self._unread:
-            self._on_eof()
-
-    def write(self, data):
-        if self._is_closing or not data:
-            return
-        data, peer = bytes(data), self._other.transport
-        self._connection.deliver(self._other, lambda: peer.on_data(data))
-
-    def write_eof(self):
-        peer = self._other.transport
-        self._connection.deliver(self._other, lambda: peer.on_eof())
-
-    def close(self):
-        if not self._is_closing:
-            self.write_eof()
-            self._end(None)
-
-    def abort(self):
-        if not self._is_closing:
-            peer = self._other.transport
-            self._connection.deliver(self._other, lambda: peer.on_reset())
-            self._end(None)
-
-    def on_data(self, data):
-        if self._protocol is None:
-            return
-        if self._is_closing:
-            peer = self._other.transport
-            self._connection.deliver(self._other, lambda: peer.on_reset())
-        elif self._is_paused or self._unread:
-            self._unread.append(data)
-        else:
-            self._protocol.data_received(data)
-
-    def on_eof(self):
-        self._has_eof = True
-        if not self._unread:
-            self._on_eof()
-
-    def on_reset(self):
-        if not self._is_closing:
-            self._end(ConnectionResetError("connection reset"))
-
-    def _on_eof(self):
-        if not self._is_closing and not self._protocol.eof_received():
-            self.close()
-
-    def _end(self, error):
-        self._is_closing = True
-        self._connection.network.forget(self._connection, self._side)
-        if not self._side.loop.is_closed():
-            self._side.loop.call_soon(self._protocol.connection_lost, error)
-
-
-class VirtualDatagrams(asyncio.DatagramTransport):
-    def __init__(self, network, loop, protocol, endpoint):
-        super().__init__()
-        self._network = network
-        self._loop = loop
-        self._protocol = protocol
-        self._endpoint = endpoint
-
-    def sendto(self, data, addr=None):
-        self._network.send_datagram(self._endpoint, Endpoint(*addr), bytes(data))
-
-    def receive(self, data, sender):
-        self._protocol.datagram_received(data, tuple(sender))
-
-    def close(self):
-        self._network.unbind(self._endpoint, self._loop)
-
-
 class VirtualNetwork:
     """Virtual time, the processes in it, and the network between them.
 
@@ -509,7 +303,7 @@
         if endpoint not in self._listeners:
             raise ConnectionRefusedError(f"nobody listens at {endpoint}")
         listening_loop, accept = self._listeners[endpoint]
-        sides = (_Side(loop, host), _Side(listening_loop, endpoint.host))
+        sides = (Side(loop, host), Side(listening_loop, endpoint.host))
         connection = Connection(self, sides)
         protocols = (factory(), None)
         for side, other in (sides, sides[::-1]):
