Only a time-out of a peer leads to the store, not the end of its link

What it cost: when the relay of a region stops, each of its followers would read each kind from the store once, four calls each, though the next peer is known and answers.

Cause: the fix of silent connections took every missing answer alike.

Change: a time-out marks the kinds that wait at the peer; a link that ends leads to the next peer, as before that fix.

--- a/sequoiahook/daemons/direct/relay.py
+++ b/sequoiahook/daemons/direct/relay.py
@@ -134,7 +134,7 @@
         self._unanswered_kinds: set[Kind] = set()
         self._tickets = itertools.count(1)
         self._answers_by_ticket: dict[int, asyncio.Future] = {}
-        self._tickets_by_peer: dict[str, set[int]] = {}
+        self._kinds_by_ticket_by_peer: dict[str, dict[int, Kind]] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def set_links(self, links: Links) -> None:
@@ -178,7 +178,7 @@
     def on_link_event(self, event: LinkEvent) -> None:
         """Process an event of the links."""
         if isinstance(event, PeerDown):
-            for ticket in self._tickets_by_peer.pop(event.name, ()):
+            for ticket in self._kinds_by_ticket_by_peer.pop(event.name, ()):
                 self._resolve(ticket, None)
         elif isinstance(event, SendFailed):
             if isinstance(event.envelope.body, StoreRead):
@@ -228,8 +228,8 @@
     async def _source_of(self, kind: Kind) -> LiveInstance | None:
         """Return the peer from which to read a kind next; None for the store.
 
-        After a peer that did not answer comes the store, since the next peer may cost
-        another time-out.
+        After a peer that did not answer in time comes the store, since the next peer
+        may cost another time-out. A link that has ended leads to the next peer.
         """
         if kind in self._unanswered_kinds:
             self._unanswered_kinds.discard(kind)
@@ -274,7 +274,7 @@
         wanted = {} if peer is None else {peer.name: peer.report_address}
         # Keep a link until the last answer over it has arrived.
         for name, address in self._address_by_peer.items():
-            if self._tickets_by_peer.get(name):
+            if self._kinds_by_ticket_by_peer.get(name):
                 wanted.setdefault(name, address)
         self._address_by_peer = wanted
         if peer is not None:
@@ -291,7 +291,8 @@
         ticket = next(self._tickets)
         pending_answer = asyncio.get_running_loop().create_future()
         self._answers_by_ticket[ticket] = pending_answer
-        self._tickets_by_peer.setdefault(peer.name, set()).add(ticket)
+        kinds_by_ticket = self._kinds_by_ticket_by_peer.setdefault(peer.name, {})
+        kinds_by_ticket[ticket] = kind
         self._send(peer.name, StoreRead(ticket, kind.value, *revision, wait_ms))
         try:
             async with asyncio.timeout((wait_ms + ANSWER_MARGIN_MS) / MS_PER_S):
@@ -299,14 +300,13 @@
         except TimeoutError:
             answer = None
             # The reads of other kinds wait for the same peer, some of them for longer.
+            self._unanswered_kinds.update(kinds_by_ticket.values())
             self._links.drop(peer.name)
         finally:
             del self._answers_by_ticket[ticket]
-            self._tickets_by_peer.get(peer.name, set()).discard(ticket)
+            kinds_by_ticket.pop(ticket, None)
         if answer is not None and answer.problem == HISTORY_GONE:
             raise HistoryExpiredError(f"history of {kind.value} expired at {peer.name}")
-        if answer is None:
-            self._unanswered_kinds.add(kind)
         if answer is None or answer.problem:
             if answer is None or not self._choice.awaits_peers():
                 self._choice.avoid(peer.name)
