An answer of the store that states no era is of the newest one known

Cause: read as era 0, each such answer to a watch would differ from the revision asked from, and lead to another list at once.

Change: the newest era known is assumed.

--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -162,7 +162,7 @@
         document: Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> tuple[dict[str, Any], int]:
-        """Return the document of the answer, and the era that it states."""
+        """Return the document of the answer, and the era of the store."""
         body = b"" if document is None else json.dumps(document).encode()
         headers = _HEADERS if body else {}
         try:
@@ -177,10 +177,13 @@
         return _response_document(response, f"{method} {path}"), era
 
     def _read_era(self, response: HttpResponse) -> int:
-        """Return the era that an answer states; 0 if it states none."""
+        """Return the era that an answer states, or else the newest one known.
+
+        It is 0 if the store has stated none so far.
+        """
         text = response.headers.get(ERA_HEADER, "")
         if not text.isascii() or not text.isdigit() or len(text) > ERA_DIGITS_MAX:
-            return 0
+            return self._newest_era
         era = int(text)
         if 0 < self._newest_era < era:
             fields = {"era": era, "previous": self._newest_era}
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,6 +8,7 @@
 from sequoiahook.daemons.direct.object_store import Kind
 from sequoiahook.daemons.direct.relay import ANSWER_MARGIN_MS
 from sequoiahook.daemons.direct.settings import Durations
+from sequoiahook.daemons.http_client import HttpResponse
 from sequoiahook.errors import CheckError
 from sequoiahook.platform.configuration import read_routing
 from sequoiahook.platform.entries import (
@@ -157,3 +158,13 @@
     watch_ms = durations.evacuation_wait_ms + WATCH_MARGIN_MS
     retry_ms = CALL_TIMEOUT_MS + durations.store_retry_ms
     assert watch_ms + retry_ms + ANSWER_MARGIN_MS <= EVACUATION_TIMEOUT_MS
+
+
+@pytest.mark.parametrize("text", [None, "", "x", "-1", "9" * 30])
+def test_an_answer_without_an_era_is_of_the_newest_one_known(tmp_path, text):
+    """Otherwise every watch after it would lead to another list."""
+    client = StoreClient(read_settings(settings_file(tmp_path)))
+    without = HttpResponse(200, {} if text is None else {"store-era": text}, b"")
+    assert client._read_era(without) == 0
+    assert client._read_era(HttpResponse(200, {"store-era": "3"}, b"")) == 3
+    assert client._read_era(without) == 3
