--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -19,7 +19,7 @@
     "reset",
     "store_away",
     "history",
-    "drill",
+    "store_copy",
 )
 """Kinds of faults; each is a method of :class:`OrderFaults` without the underscore."""
 
@@ -45,6 +45,8 @@
 class OrderFaults:
     """Applies faults to a platform; the base of an order.
 
+    The order itself defines the random numbers and what the operator writes.
+
     Attributes:
         platform: The platform.
     """
@@ -154,7 +156,7 @@
         self._disturb(self._zone_by_name, 0)
         self.platform.store.forget_history()
 
-    def _drill(self, fault):
+    def _store_copy(self, fault):
         """The store goes away and comes back from a copy some seconds old."""
         self._disturb(self._zone_by_name, fault.for_s)
         platform, store = self.platform, self.platform.store
--- a/tests/test_configuration_orders.py
+++ b/tests/test_configuration_orders.py
@@ -12,7 +12,7 @@
 from tests.order_faults import KINDS, Fault
 
 SEEDS = range(1, 7)
-STORE_AND_PEERS = ("silence", "freeze", "store_cut", "reset", "drill")
+STORE_AND_PEERS = ("silence", "freeze", "store_cut", "reset", "store_copy")
 
 
 def silence_at(at_s):
@@ -36,8 +36,8 @@
         rng.uniform(3, 5),
         rng.uniform(0.3, 0.7),
     )
-    drill = Fault(at_s, "drill", (), for_s, away_share)
-    assert_holds(Order(seed, faults=[drill], count=rng.randint(2, 6)))
+    store_copy = Fault(at_s, "store_copy", (), for_s, away_share)
+    assert_holds(Order(seed, faults=[store_copy], count=rng.randint(2, 6)))
 
 
 @pytest.mark.parametrize("seed", SEEDS)
