A document nested too deeply no longer fails answers to earlier versions

Cause: found on re-reading. The content for an instance of an earlier version was encoded and decoded again without the replacement for a document that CBOR encodes but does not decode (more than 400 levels), so that the answer was never sent.

Change: it goes through the same decoding as a peer's answer, which has the replacement; the replacement is no longer encoded to be decoded at once.

--- a/sequoiahook/daemons/direct/relay_content.py
+++ b/sequoiahook/daemons/direct/relay_content.py
@@ -64,28 +64,30 @@
     try:
         document = cbor2.dumps(cached.document)
     except _ENCODING_ERRORS as error:
-        document = _unreadable(cached.name, error)
+        document = cbor2.dumps(_unreadable(cached.name, error))
     return name, document, cached.is_deleted
 
 
 def _decode_object(name: bytes, document: bytes, is_deleted: bool) -> CachedObject:
     text = name.decode("utf-8", NAME_ERRORS)
     try:
-        return CachedObject(text, cbor2.loads(document), bool(is_deleted))
+        decoded = cbor2.loads(document)
     except _ENCODING_ERRORS as error:
-        decoded = cbor2.loads(_unreadable(text, error))
-        return CachedObject(text, decoded, bool(is_deleted))
+        decoded = _unreadable(text, error)
+    return CachedObject(text, decoded, bool(is_deleted))
 
 
 def _encodable(cached: CachedObject) -> CachedObject:
-    """Return an object with a replacement for a document that cannot be encoded."""
-    name, document, _ = _encode_object(cached)
-    text = name.decode("utf-8", "replace")
-    return cached._replace(name=text, document=cbor2.loads(document))
+    """Return an object with a replacement for a document that a peer cannot decode."""
+    decoded = _decode_object(*_encode_object(cached))
+    return decoded._replace(name=_printable(cached.name))
 
 
-def _unreadable(name: str, error: Exception) -> bytes:
+def _unreadable(name: str, error: Exception) -> dict[str, dict[str, str]]:
     """Return a document with nothing but a name, in place of one that is unreadable."""
     log.warning("document not relayed", extra={"name": name, "error": str(error)})
-    text = name.encode("utf-8", "replace").decode()
-    return cbor2.dumps({"metadata": {"name": text}})
+    return {"metadata": {"name": _printable(name)}}
+
+
+def _printable(name: str) -> str:
+    return name.encode("utf-8", "replace").decode()
