Tests: one function that resets a connection

Cause: two tests and the stand-in of targets each had the same four lines.

Change: reset_connection of the stand-in serves all three; no assertion changed.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -11,7 +11,7 @@
 
 import h11
 
-__all__ = ["PlatformTarget", "TargetFaults", "is_whole_body"]
+__all__ = ["PlatformTarget", "TargetFaults", "is_whole_body", "reset_connection"]
 
 READ_BYTES = 65_536
 CRASH_EXIT_CODE = 3
@@ -171,7 +171,7 @@
         await asyncio.sleep(self.faults.pause_ms / 1000)
         if how == "reset":
             await asyncio.sleep(0.05)
-            _reset_connection(writer)
+            reset_connection(writer)
         elif how in ("unframed", "slow"):
             writer.write(body[len(body) // 2 :])
             await writer.drain()
@@ -249,7 +249,8 @@
     return text.ljust(byte_count - len(PADDING_END), PADDING) + PADDING_END
 
 
-def _reset_connection(writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of a clean end."""
     linger_zero = struct.pack("ii", 1, 0)
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -19,6 +17,7 @@
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.platform.dialect import PlatformTargetDialect
 from sequoiahook.world.instance import Address
+from standins.platform_target import reset_connection
 
 TIMEOUT_MS = 1_000
 BODY = b"whole body"
@@ -75,10 +74,7 @@
         await writer.drain()
         if self.resets:
             await asyncio.sleep(0.02)
-            linger_zero = struct.pack("ii", 1, 0)
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
-            writer.transport.abort()
+            reset_connection(writer)
         else:
             writer.close()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,6 @@
 """The checks, the proxy and the plans of the fault soak, and short seeded runs."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -20,6 +18,7 @@
 from soak.proxy import FaultProxy
 from soak.run import FAULT_PHASE_S, run_seed
 from soak.system import INSTANCES, ProxiedFleet
+from standins.platform_target import reset_connection
 
 FAILED_SEEDS = (18, 4064898615)
 """Seeds that failed in the past; docs/soak.md names the cause of each."""
@@ -178,10 +177,7 @@
         writer.write(b"half")
         await writer.drain()
         if is_reset:
-            linger_zero = struct.pack("ii", 1, 0)
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
-            writer.transport.abort()
+            reset_connection(writer)
         else:
             writer.close()
 
