Tests: a simulated transport that resumes delivers what waited later

A reader resumes its transport before it waits for data. What the transport delivered within that call was never noticed, so that callers in virtual time that read large bodies waited for ever. A connection that ended before it was accepted raised AttributeError.

Seen with a body of 200 kB: callers had no answer that the instance had written.

--- a/tests/virtual_transports.py
+++ b/tests/virtual_transports.py
@@ -143,9 +143,13 @@
 
     def resume_reading(self):
         self._is_paused = False
+        # A reader that resumes starts to wait only after this call.
+        self._side.loop.call_soon(self._deliver_unread)
+
+    def _deliver_unread(self):
         while self._unread and not self._is_paused:
             self._protocol.data_received(self._unread.popleft())
-        if self._has_eof and not self._unread:
+        if self._has_eof and not self._unread and not self._is_paused:
             self._on_eof()
 
     def write(self, data):
@@ -182,7 +186,7 @@
 
     def on_eof(self):
         self._has_eof = True
-        if not self._unread:
+        if not self._unread and self._protocol is not None:
             self._on_eof()
 
     def on_reset(self):
@@ -196,7 +200,8 @@
     def _end(self, error):
         self._is_closing = True
         self._connection.network.forget(self._connection, self._side)
-        if not self._side.loop.is_closed():
+        # A connection may end before it is accepted.
+        if self._protocol is not None and not self._side.loop.is_closed():
             self._side.loop.call_soon(self._protocol.connection_lost, error)
 
 
