A stopping instance passes on only requests that end before its exit

Cause: a stopping instance accepts requests until look-up answers have expired, whatever time they need. Nothing compared a request's deadline with the time of the exit, neither at its arrival, nor before a further attempt, nor for requests that peers hand over.

Change: an exit limit. While the instance stops, a request is sent to a target only if its deadline lies before the exit; otherwise it gets 503, not run, with a short Retry-After. This covers arrivals, requests that wait for tokens or permits, retries, the check before the first byte, and handed over requests, which the next candidate gets.

Why it works: an answer is due at the deadline at the latest, so that nothing that a target works on is left at the exit.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -18,12 +18,10 @@
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.requests import (
     Attempt,
-    Cause,
     Deliver,
     IncomingRequest,
     OpenRequest,
     Refuse,
-    Status,
 )
 from sequoiahook.decisions.exchange.target_result import StreamEnd
 from sequoiahook.messages.requests import Fields
@@ -31,9 +29,6 @@
 
 __all__ = ["CallerHandler", "Dialect"]
 
-STOPPING_RETRY_AFTER_MS = 20
-"""Short, since the other instances accept the request at once."""
-
 _CAUSES = {
     StreamEnd.COMPLETE: "answered",
     StreamEnd.BROKEN: "answer broken off by the target",
@@ -110,7 +105,7 @@
     def refuse_stopping(self, request: CallerRequest) -> CallerAnswer:
         """Refuse a request that arrives after the instance stopped accepting work."""
         incoming = self._dialect.read_request(request)
-        refusal = Refuse(Status.UNAVAILABLE, Cause.STOPPING, STOPPING_RETRY_AFTER_MS)
+        refusal = self._core.exit_limit.refusal()
         self._log_outcome(incoming, None, refusal, self._clock.now())
         return self._dialect.refusal(incoming.id, refusal)
 
--- a/sequoiahook/daemons/direct/executions.py
+++ b/sequoiahook/daemons/direct/executions.py
@@ -89,6 +89,7 @@
             self._core.connectivity.is_available(now) and self._core.is_serving(now),
             self._lag_ms(),
             self._executor.outcome_bytes,
+            self._core.exit_limit,
         )
         self._apply(self._executor.received(peer, handover, now), body)
 
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -221,6 +221,8 @@
         """
         self.core.freshness.settings = freshness_settings(bounds)
         self.settings = self.settings._replace(bounds=bounds)
+        if self._stop_at is not None:
+            self._leave()
         log.info("reload", extra=bounds._asdict())
 
     def _background_coroutines(self) -> list:
@@ -302,10 +304,14 @@
             self._apply_effects(self._stopping.tick(now))
             if self._is_unused(now):
                 self._apply_effects(self._stopping.signal(now))
-            bounds, durations = self.settings.bounds, self.settings.durations
-            if now - self._stop_at >= bounds.stop_ms - durations.exit_ms:
+            if now - self._stop_at >= self.settings.stopping_ms:
                 self._apply_effects([Exit(0)])
 
+    def _leave(self) -> None:
+        """Allow only requests that are answered before the exit."""
+        last_answer_ms = self.settings.durations.last_answer_ms
+        self.core.leave(self._stop_at + self.settings.stopping_ms - last_answer_ms)
+
     def _is_unused(self, now: int) -> bool:
         """Return whether callers no longer use this stopping instance."""
         lifetime_ms = self.settings.durations.lookup_lifetime_ms
@@ -317,7 +323,7 @@
     def _apply_effects(self, effects: list) -> None:
         for effect in effects:
             if isinstance(effect, AnnounceLeaving):
-                self.core.is_leaving = True
+                self._leave()
                 self._caller_server.announce_close()
                 self._reporter.send(includes_far=True)
             elif isinstance(effect, CloseIdleConnections):
--- a/sequoiahook/daemons/direct/settings.py
+++ b/sequoiahook/daemons/direct/settings.py
@@ -50,6 +50,7 @@
         lookup_lifetime_ms: Lifetime of a look-up answer; some callers keep it for
             three times as long, and an instance that stops serves until then.
         exit_ms: Time reserved for the exit between the signal to stop and the kill.
+        last_answer_ms: Time reserved before the exit for writing the last answers.
         settings_check_ms: Interval between checks of the settings file.
     """
 
@@ -65,6 +66,7 @@
     expire_after_ms: int = 30_000
     lookup_lifetime_ms: int = 1_500
     exit_ms: int = 400
+    last_answer_ms: int = 100
     settings_check_ms: int = 2_000
 
 
@@ -105,6 +107,11 @@
     durations: Durations = Durations()
     handover_address: Address | None = None
 
+    @property
+    def stopping_ms(self) -> int:
+        """Longest time from the signal to stop to the exit, in milliseconds."""
+        return self.bounds.stop_ms - self.durations.exit_ms
+
     @property
     def regions(self) -> tuple[str, ...]:
         """All regions."""
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -7,6 +7,7 @@
 )
 from sequoiahook.decisions.direct.attempts_settings import AttemptsSettings
 from sequoiahook.decisions.direct.connectivity import Connectivity
+from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.permits import Permits
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.region_summary import PlacedBy
@@ -63,6 +64,7 @@
         permits: Permits for targets that state a limit.
         suspects: Requests under which targets ended.
         connectivity: Whether connectivity to targets is lost.
+        exit_limit: Limit on requests while this instance is stopping.
         results: Records what the results of attempts show.
     """
 
@@ -75,10 +77,12 @@
         permits: Permits,
         suspects: Suspects,
         connectivity: Connectivity,
+        exit_limit: ExitLimit,
         results: AttemptResults,
     ):
         self.retry_burst = 1
         self._connectivity = connectivity
+        self._exit_limit = exit_limit
         self._results = results
         self._settings = settings
         self._admission = admission
@@ -113,6 +117,9 @@
         """Return the step of a request that must not be sent now; None if it may."""
         if request.deadline_at - now < self._settings.remaining_min_ms:
             return self._end(request, Cause.DEADLINE, now)
+        if not self._exit_limit.allows(request.deadline_at):
+            refusal = self._exit_limit.refusal()
+            return self._end(request, refusal.cause, now, refusal.retry_after_ms)
         refusal = self._admission.recheck_key(request, now)
         if refusal is not None:
             return self._refuse(request, refusal, now)
@@ -208,6 +215,8 @@
             return False
         if now >= attempt.request.deadline_at or now < state.rest_until:
             return False
+        if not self._exit_limit.allows(attempt.request.deadline_at):
+            return False
         return self._admission.recheck_key(attempt.request, now) is None
 
     def on_ended(self, attempt: Attempt, result: TargetResult, now: int) -> Step:
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.direct.admission import Admission, AdmissionSettings
 from sequoiahook.decisions.direct.attempt_results import AttemptResults
 from sequoiahook.decisions.direct.attempts import Attempts, AttemptsSettings
+from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.fleet import (
     Fleet,
     FleetComponents,
@@ -104,6 +105,7 @@
         self.connectivity = self.fleet.connectivity
         self.connectivity.on_lost = self._forget_failures
         self.admission = Admission(settings.admission, self.freshness, self.rates)
+        self.exit_limit = ExitLimit()
         results = AttemptResults(self.admission, self.selector, self.fleet)
         self.attempts = Attempts(
             settings.attempts,
@@ -113,6 +115,7 @@
             self.permits,
             self.fleet.suspects,
             self.connectivity,
+            self.exit_limit,
             results,
         )
         self.is_leaving = False
@@ -162,6 +165,16 @@
             return True
         return self.freshness.allows_keys(now) and self.rates.is_settled
 
+    def leave(self, last_answer_at: int) -> None:
+        """Prepare for the end of this instance.
+
+        Args:
+            last_answer_at: Time by which all requests must be answered, in
+                milliseconds.
+        """
+        self.is_leaving = True
+        self.exit_limit.last_answer_at = last_answer_at
+
     def is_ready(self, now: int) -> bool:
         """Return whether callers should be directed to the instance."""
         return self.is_serving(now) and not self.is_leaving
--- a/sequoiahook/decisions/direct/handed_over.py
+++ b/sequoiahook/decisions/direct/handed_over.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.requests import (
     CAUSES,
     ForwardToPeer,
@@ -55,11 +56,13 @@
         is_available: Whether it reaches targets and may admit keys.
         lag_ms: Delay of its event loop.
         outcome_bytes: Size of the answers that were not acknowledged yet.
+        exit_limit: Limit on requests while it is stopping.
     """
 
     is_available: bool
     lag_ms: int
     outcome_bytes: int
+    exit_limit: ExitLimit
 
 
 class DirectPool:
@@ -73,7 +76,7 @@
     OUTCOME_BYTES_MAX = 32 * 1024 * 1024
 
     def __init__(self):
-        self.state = AdmissionState(False, 0, 0)
+        self.state = AdmissionState(False, 0, 0, ExitLimit())
 
     def submit(
         self,
@@ -89,7 +92,8 @@
             state.lag_ms > self.LAG_MAX_MS
             or state.outcome_bytes > self.OUTCOME_BYTES_MAX
         )
-        if is_busy or not state.is_available:
+        may_end = state.exit_limit.allows(deadline_at)
+        if is_busy or not state.is_available or not may_end:
             return [Refuse(request_id, RefuseReason.BUSY, BUSY_RETRY_MS)]
         return [Start(request_id, "")]
 
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -284,6 +284,10 @@
         """Send a request to an instance; its answer is recorded when it arrives."""
         self._run(self._callers_loop, self._call(name, path, key))
 
+    def run_caller(self, work):
+        """Run a coroutine among the callers."""
+        self._run(self._callers_loop, work)
+
     async def _call(self, name, path, key):
         sent_at = self.network.now_s
         request_id = f"r{next(self._request_numbers)}"
