An instance that starts in a shrunken fleet divides it as the others do

Cause: the fleet is divided into groups from 24 instances on and stays divided, but an instance that starts among fewer did not divide it. Instances of either kind drop the reports of the other kind, take each other for gone, delete each other's entries after 30 s, and spend the rate once on each side.

Change: an instance that gets a message which only a divided fleet sends divides the fleet too: reports of members, digests, and group reports for a group that is not an instance.

Why it works: leaders of other groups report to the members of a group in turn while they know no leader, and members report to each other, so that a started instance learns of the division from any other instance that it can reach, however many restart together.

--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -4,7 +4,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from sequoiahook.decisions.direct.groups import Groups, GroupSettings
+from sequoiahook.decisions.direct.groups import (
+    Groups,
+    GroupSettings,
+    is_of_divided_fleet,
+)
 from sequoiahook.decisions.direct.outgoing import (
     DatagramFactory,
     OutgoingBody,
@@ -122,6 +126,15 @@
             del self._views_by_group[group]
         self._update_role(now)
 
+    def _divide(self, now: int) -> None:
+        """Divide the fleet as its other instances have.
+
+        Instances of either kind ignore the reports of the other kind.
+        """
+        self.groups.divide(now)
+        self._views_by_group.clear()
+        self._update_role(now)
+
     def tick(self, now: int) -> None:
         """Update the election and the role of this instance."""
         self.groups.tick(now)
@@ -177,6 +190,8 @@
         if not self.peers.accept(datagram, now):
             return []
         sender, body = datagram.sender, datagram.body
+        if not self.groups.is_divided and is_of_divided_fleet(sender, body):
+            self._divide(now)
         if isinstance(body, MemberReport):
             self._apply_member_report(sender, body, now)
         elif isinstance(body, GroupReport):
--- a/sequoiahook/decisions/direct/groups.py
+++ b/sequoiahook/decisions/direct/groups.py
@@ -4,7 +4,9 @@
 a small rate divided over many instances leaves each of them less than one token. Larger
 fleets are therefore divided into groups, one for each data centre. The leader of a
 group exchanges reports with the leaders of the others, and holds the group's share of
-the rates. In a small fleet each instance is a group of its own and its own leader.
+the rates. In a small fleet each instance is a group of its own and its own leader. An
+instance that starts in a fleet that has shrunk since it was divided learns of the
+division from the messages of the others.
 
 Each member votes for a responsive leader, or for the first responsive member if there
 is no leader. A member leads while it and a majority of the group have voted for it
@@ -20,9 +22,10 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.rendezvous import order
+from sequoiahook.messages.reports import GroupDigest, GroupReport, MemberReport
 from sequoiahook.world.instance import LiveInstance
 
-__all__ = ["GroupSettings", "Groups", "by_link_capacity"]
+__all__ = ["GroupSettings", "Groups", "by_link_capacity", "is_of_divided_fleet"]
 
 LEADER_KEY = "keeper"
 """Rendezvous key of the voting order; fixed, since all instances must agree on it."""
@@ -125,6 +128,16 @@
         is_large = len(instances_by_name) + 1 >= self._settings.divided_size_min
         is_new = is_large and not self.is_divided
         self.is_divided = self.is_divided or is_large
+        self._form_groups(now)
+        return is_new
+
+    def divide(self, now: int) -> None:
+        """Divide the fleet, whatever its size, as other instances have."""
+        self.is_divided = True
+        self._form_groups(now)
+
+    def _form_groups(self, now: int) -> None:
+        instances_by_name = self._instances_by_name
         own = self.own_name
         others = instances_by_name.values()
         near = [i for i in others if i.region == self._me.region]
@@ -135,7 +148,6 @@
         for name in self._members:
             self._seen_at_by_name.setdefault(name, now)
         self.tick(now)
-        return is_new
 
     def record_vote(self, member: str, vote: str, now: int, *, is_leader: bool) -> None:
         """Record a report of a member of the group.
@@ -240,6 +252,13 @@
         )
 
 
+def is_of_divided_fleet(sender: str, body: tuple) -> bool:
+    """Return whether a message shows that its sender's fleet is divided."""
+    if isinstance(body, GroupReport):
+        return body.group != sender
+    return isinstance(body, MemberReport | GroupDigest)
+
+
 def by_link_capacity(key: str, instances: Iterable[LiveInstance]) -> list[str]:
     """Return names in the order in which instances should do work for others.
 
