A group of two has one leader after freezes and lost datagrams

Cause: with two members present each could lead without the other's vote, and an elected member kept its vote, whatever the other reported. The other groups accepted reports of both in turn and granted shares to each; grants stay in force. In larger groups a leader that was frozen still took tokens between its end and its next tick.

Change: a member leads a pair alone only while leaders of other groups report to it, and gives way to a leader that ranks before it. An instance whose last tick is longer ago than votes last starts its election anew, also before it takes a token or processes a datagram.

Why it works: of two members that do not hear each other at most one is accepted by the others, which are the witness that a pair lacks; the other one gets no reports and no shares. A frozen one cannot continue, because it notices the gap before it acts. A whole data centre that is cut off keeps both votes and goes on.

The views of other groups are a class of their own, and so are the settings of the fleet.

--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -3,7 +3,7 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.decisions.direct.attempts import AttemptsSettings
 from sequoiahook.decisions.direct.core import DirectCoreSettings
-from sequoiahook.decisions.direct.fleet import FleetSettings
+from sequoiahook.decisions.direct.fleet_settings import FleetSettings
 from sequoiahook.decisions.direct.freshness import FreshnessSettings
 from sequoiahook.decisions.direct.home_share import HomeShareSettings
 from sequoiahook.decisions.direct.peers import PeerSettings
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -7,11 +7,8 @@
 from sequoiahook.decisions.direct.attempt_results import AttemptResults
 from sequoiahook.decisions.direct.attempts import Attempts, AttemptsSettings
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
-from sequoiahook.decisions.direct.fleet import (
-    Fleet,
-    FleetComponents,
-    FleetSettings,
-)
+from sequoiahook.decisions.direct.fleet import Fleet
+from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
 from sequoiahook.decisions.direct.freshness import Freshness, FreshnessSettings
 from sequoiahook.decisions.direct.groups import by_link_capacity
 from sequoiahook.decisions.direct.outgoing import OutgoingDatagram
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -2,11 +2,15 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from typing import NamedTuple
 
+from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
+from sequoiahook.decisions.direct.group_views import (
+    GroupView,
+    GroupViews,
+    GroupViewSettings,
+)
 from sequoiahook.decisions.direct.groups import (
     Groups,
-    GroupSettings,
     is_of_divided_fleet,
 )
 from sequoiahook.decisions.direct.outgoing import (
@@ -16,12 +20,8 @@
 )
 from sequoiahook.decisions.direct.peer_exchanges import (
     PeerExchanges,
-    PeerExchangeSettings,
 )
-from sequoiahook.decisions.direct.peers import Peers, PeerSettings
-from sequoiahook.decisions.direct.rates import Rates
-from sequoiahook.decisions.direct.target_registry import TargetRegistry
-from sequoiahook.decisions.direct.target_selection import TargetSelector
+from sequoiahook.decisions.direct.peers import Peers
 from sequoiahook.decisions.direct.token_server import TokenAnswer
 from sequoiahook.messages.reports import (
     Datagram,
@@ -35,46 +35,12 @@
 )
 from sequoiahook.world.instance import LiveInstance
 
-__all__ = ["Fleet", "FleetComponents", "FleetSettings"]
+__all__ = ["Fleet"]
 
 OTHER_GROUPS = "other groups"
 """Name under which a member counts the open requests of all other groups."""
 
 
-class FleetSettings(NamedTuple):
-    """Settings of the exchange between instances.
-
-    Attributes:
-        peers: When peers count as unresponsive.
-        groups: Division of the fleet and election of leaders.
-        exchanges: Permits, suspect requests and lost connectivity to targets.
-    """
-
-    peers: PeerSettings = PeerSettings()
-    groups: GroupSettings = GroupSettings()
-    exchanges: PeerExchangeSettings = PeerExchangeSettings()
-
-
-class FleetComponents(NamedTuple):
-    """Components that reports are built from and applied to.
-
-    Attributes:
-        targets: The targets, with the open requests of all peers.
-        selector: Holds the region's shares of objects by service.
-        rates: Holds the group's shares of the rates.
-    """
-
-    targets: TargetRegistry
-    selector: TargetSelector
-    rates: Rates
-
-
-class _GroupView(NamedTuple):
-    leader: str
-    report: GroupReport
-    received_at: int
-
-
 class Fleet:
     """Exchanges reports in the group and, as its leader, with the other groups.
 
@@ -102,13 +68,15 @@
         self.suspects = self._exchanges.suspects
         self.connectivity = self._exchanges.connectivity
         self.leaves = self._exchanges.leaves
-        self._unresponsive_after_ms = settings.peers.unresponsive_after_ms
         self._components = components
         self._datagrams = DatagramFactory(me)
         self._report_round = 0
         self.is_listed = False
         self._reports_by_member: dict[str, MemberReport] = {}
-        self._views_by_group: dict[str, _GroupView] = {}
+        components.rates.renew_role = self.renew_role
+        self._views = GroupViews(
+            GroupViewSettings(settings.peers.unresponsive_after_ms)
+        )
 
     def set_instances(
         self, instances_by_name: Mapping[str, LiveInstance], now: int
@@ -118,12 +86,11 @@
         self.peers.set_instances(instances_by_name, now)
         others = self.peers.instances_by_name
         if self.groups.set_instances(others, now):
-            self._views_by_group.clear()
+            self._views.clear()
         members = set(self.groups.members)
         for name in self._reports_by_member.keys() - members:
             del self._reports_by_member[name]
-        for group in self._views_by_group.keys() - self.groups.names:
-            del self._views_by_group[group]
+        self._views.retain(self.groups.names)
         self._update_role(now)
 
     def _divide(self, now: int) -> None:
@@ -132,7 +99,7 @@
         Instances of either kind ignore the reports of the other kind.
         """
         self.groups.divide(now)
-        self._views_by_group.clear()
+        self._views.clear()
         self._update_role(now)
 
     def tick(self, now: int) -> None:
@@ -140,6 +107,11 @@
         self.groups.tick(now)
         self._update_role(now)
 
+    def renew_role(self, now: int) -> None:
+        """Update the role before the next tick if this instance was suspended."""
+        if self.groups.was_suspended(now):
+            self.tick(now)
+
     def reports(
         self, own: PeerState, now: int, *, includes_far: bool
     ) -> list[OutgoingDatagram]:
@@ -182,7 +154,7 @@
         return [
             OutgoingDatagram(view.leader, self._datagrams.datagram(request))
             for group, request in rates.quota.pop_token_requests()
-            if (view := self._views_by_group.get(group)) is not None
+            if (view := self._views.get(group)) is not None
         ]
 
     def receive(self, datagram: Datagram, now: int) -> list[OutgoingDatagram]:
@@ -190,6 +162,7 @@
         if not self.peers.accept(datagram, now):
             return []
         sender, body = datagram.sender, datagram.body
+        self.renew_role(now)
         if not self.groups.is_divided and is_of_divided_fleet(sender, body):
             self._divide(now)
         if isinstance(body, MemberReport):
@@ -248,13 +221,9 @@
         is_responsive = groups.is_responsive(groups.vote, now)
         rates.has_leader = is_responsive and report is not None and report.is_leader
 
-    def _near_views(self, now: int) -> dict[str, _GroupView]:
-        near = self.groups.near_names
-        return {
-            group: view
-            for group, view in self._views_by_group.items()
-            if group in near and now - view.received_at <= self._unresponsive_after_ms
-        }
+    def _near_views(self, now: int) -> dict[str, GroupView]:
+        near, views = self.groups.near_names, self._views.current(now)
+        return {group: view for group, view in views.items() if group in near}
 
     def _member_report(self, own: PeerState) -> MemberReport:
         rates = self._components.rates
@@ -269,10 +238,9 @@
     def _digest(self, now: int) -> GroupDigest:
         states: dict[str, PeerState] = {}
         open_counts: Counter[str] = Counter()
-        for view in self._views_by_group.values():
-            if now - view.received_at <= self._unresponsive_after_ms:
-                states.update(view.report.state_by_member)
-                open_counts.update(view.report.open_by_target)
+        for view in self._views.current(now).values():
+            states.update(view.report.state_by_member)
+            open_counts.update(view.report.open_by_target)
         return GroupDigest(states, dict(open_counts), self._home_permille())
 
     def _group_reports(
@@ -289,22 +257,17 @@
         )
         outgoing = []
         for group in sorted(groups):
-            receiver = self._receiver_in(group, now)
-            if receiver is None or not (includes_far or group in near):
+            if not (includes_far or group in near):
+                continue
+            members = self.groups.members_of(group)
+            receiver = self._views.receiver(group, members, self._report_round, now)
+            if receiver is None:
                 continue
             table = self._components.rates.quota.table_for(group)
             body = GroupReport(*fields, quota=table)
             outgoing.append(OutgoingDatagram(receiver, self._datagrams.datagram(body)))
         return outgoing
 
-    def _receiver_in(self, group: str, now: int) -> str | None:
-        """Return the leader of a group; its members in turn while it is unknown."""
-        view = self._views_by_group.get(group)
-        if view is not None and now - view.received_at <= self._unresponsive_after_ms:
-            return view.leader
-        members = self.groups.members_of(group)
-        return members[self._report_round % len(members)] if members else None
-
     def _state_by_member(self, now: int) -> dict[str, PeerState]:
         return {
             name: report.state
@@ -349,6 +312,8 @@
     def _apply_group_report(
         self, datagram: Datagram, report: GroupReport, now: int
     ) -> list[OutgoingDatagram]:
+        if report.group in self.groups.names - {self.groups.own_name}:
+            self.groups.record_contact(now)
         if not self.groups.is_leader(now):
             is_forwarded = self.groups.vote != self.me.name
             return (
@@ -359,7 +324,9 @@
             or report.group not in self.groups.names
         ):
             return []
-        self._views_by_group[report.group] = _GroupView(datagram.sender, report, now)
+        instances = self.peers.instances_by_name.keys()
+        if not self._views.record(datagram.sender, report, now, instances):
+            return []
         for name, state in report.state_by_member.items():
             self.peers.record_state(name, state, now)
         self._components.rates.quota.receive_table(report.group, report.quota, now)
--- a/sequoiahook/decisions/direct/groups.py
+++ b/sequoiahook/decisions/direct/groups.py
@@ -11,7 +11,9 @@
 Each member votes for a responsive leader, or for the first responsive member if there
 is no leader. A member leads while it and a majority of the group have voted for it
 recently, and only after the votes for its predecessor have expired, or if all members
-vote for it.
+vote for it. With two members there is no majority without the other: one of them leads
+alone while leaders of other groups report to it, which accept one leader of a group at
+a time. A member that was suspended for longer than votes last starts anew.
 
 Designed for fleets of tens to hundreds of instances: the cost of reports and the
 accuracy of rates do not depend on the number of instances, but some requests are
@@ -31,7 +33,7 @@
 """Rendezvous key of the voting order; fixed, since all instances must agree on it."""
 
 PAIR_SIZE = 2
-"""Number of present members up to which each may lead without a majority."""
+"""Number of present members with which one may lead without a majority."""
 
 
 class GroupSettings(NamedTuple):
@@ -79,6 +81,8 @@
         self._voted_at_by_name: dict[str, int] = {}
         self._leaders: set[str] = set()
         self._elected_at: int | None = None
+        self._ticked_at: int | None = None
+        self._contact_at: int | None = None
 
     @property
     def own_name(self) -> str:
@@ -169,6 +173,15 @@
         else:
             self._voted_at_by_name.pop(member, None)
 
+    def record_contact(self, now: int) -> None:
+        """Record that the leader of another group reported to this instance."""
+        self._contact_at = now
+
+    def was_suspended(self, now: int) -> bool:
+        """Return whether the last tick is longer ago than votes last."""
+        is_first = self._ticked_at is None
+        return not is_first and now - self._ticked_at > self._settings.vote_lifetime_ms
+
     def is_responsive(self, member: str, now: int) -> bool:
         """Return whether a member has reported recently; this instance always has."""
         if member == self._me.name:
@@ -181,11 +194,15 @@
 
     def tick(self, now: int) -> None:
         """Update the vote of this instance and the outcome of the election."""
+        if self.was_suspended(now):
+            self._elected_at = None
+        self._ticked_at = now
         if not self.is_divided:
             self.vote = self._me.name
             return
         self.vote = self._choose_vote(now)
-        if self.vote == self._me.name and self._has_majority(now):
+        is_candidate = self._has_majority(now) or self._is_pair(now)
+        if self.vote == self._me.name and is_candidate:
             if self._elected_at is None:
                 self._elected_at = now
         else:
@@ -195,7 +212,9 @@
         """Return whether this instance is the leader of its group."""
         if not self.is_divided:
             return True
-        if self._elected_at is None or not self._has_majority(now):
+        if self._elected_at is None or self.was_suspended(now):
+            return False
+        if not self._has_majority(now) and not self._may_lead_alone(now):
             return False
         has_predecessor_ended = (
             now - self._elected_at >= self._settings.vote_lifetime_ms
@@ -206,12 +225,16 @@
         """Return the member to vote for.
 
         This instance if it is elected, else a responsive leader, preferably the present
-        choice, else the first responsive member.
+        choice, else the first responsive member. One that leads alone gives way to a
+        leader that ranks before it.
         """
-        if self.vote == self._me.name and self._elected_at is not None:
-            return self.vote
         responsive = [name for name in self._members if self.is_responsive(name, now)]
         leaders = [name for name in responsive if name in self._leaders]
+        if self.vote == self._me.name and self._elected_at is not None:
+            rank = self._members.index
+            is_first = all(rank(self._me.name) < rank(name) for name in leaders)
+            if self._has_majority(now) or (is_first and self.is_leader(now)):
+                return self.vote
         if self.vote in leaders:
             return self.vote
         return (leaders or responsive)[0]
@@ -239,9 +262,19 @@
                 and now - voted_at <= self._settings.vote_lifetime_ms
             ):
                 votes += 1
-        present = self._present_count(now)
-        # With two members there is no majority without the other: each may lead alone.
-        return votes * 2 > present or present <= PAIR_SIZE
+        return votes * 2 > self._present_count(now)
+
+    def _is_pair(self, now: int) -> bool:
+        return self._present_count(now) == PAIR_SIZE
+
+    def _may_lead_alone(self, now: int) -> bool:
+        """Return whether this instance may lead a pair without the other's vote."""
+        if not self._is_pair(now):
+            return False
+        if self._names == {self.own_name}:
+            return True
+        contact_at, lifetime_ms = self._contact_at, self._settings.unresponsive_after_ms
+        return contact_at is not None and now - contact_at <= lifetime_ms
 
     def _present_count(self, now: int) -> int:
         oldest = now - self._settings.absent_after_ms
--- a/sequoiahook/decisions/direct/rates.py
+++ b/sequoiahook/decisions/direct/rates.py
@@ -4,7 +4,7 @@
 directly. Other members send it a token request for each request.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.quota import Quota, QuotaSettings
@@ -39,6 +39,8 @@
         quota: The group's shares; unused while another member is the leader.
         is_leader: Whether this instance is the leader of its group.
         has_leader: Whether another member is the leader and is responsive.
+        renew_role: Called before a token is taken, with the time in milliseconds; may
+            set the role.
 
     Args:
         settings: The settings.
@@ -49,6 +51,7 @@
     def __init__(self, settings: RateSettings, group: str, now: int):
         self.is_leader = True
         self.has_leader = False
+        self.renew_role: Callable[[int], None] = lambda now: None
         self.quota = Quota(settings.quota, group, now)
         self._settings = settings
         self._client = TokenClient(settings.client)
@@ -119,6 +122,7 @@
         """
         if organisation not in self._contracts_by_name:
             return 0
+        self.renew_role(now)
         if self.is_leader:
             return self.quota.take(organisation, now)
         return self._client.take(
