A connection accepted as listening stops is not forgotten

Cause: asyncio creates the transport of an accepted connection one round of the loop later, and asserts there that the server is not closed. The error is dropped, and the connection with it.

Change: accepting stops first, and the server is closed one round later.

Those that were not accepted are reset, which the caller may repeat.

--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -90,13 +90,21 @@
         self.is_closing = True
 
     def stop_listening(self) -> None:
-        """Accept no more connections; open connections continue."""
-        self._server.close()
+        """Accept no more connections; open connections continue.
+
+        A connection that was accepted in this round of the event loop gets its
+        transport in the next one. If the server is closed by then, the loop forgets the
+        connection without closing it.
+        """
+        loop = asyncio.get_running_loop()
+        for listening in self._server.sockets:
+            loop.remove_reader(listening)
+        loop.call_soon(self._server.close)
 
     async def close_gracefully(self) -> None:
         """Stop accepting, close idle connections and wait for all others to end."""
         self.is_closing = True
-        self._server.close()
+        self.stop_listening()
         for connection in list(self._connections_by_id.values()):
             connection.close_if_idle()
         tasks = list(self._tasks_by_id.values())
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -286,3 +287,25 @@
 def test_retry_after_is_rounded_up(retry_after_ms, seconds):
     answer = refusal_answer(429, "rate", "not run", retry_after_ms)
     assert dict(answer.headers)[b"retry-after"] == seconds
+
+
+@pytest.mark.parametrize("rounds", range(5))
+def test_connection_accepted_as_listening_stops_is_answered_or_reset(rounds):
+    """Before, the event loop forgot it, and its caller waited for an answer."""
+
+    async def use(server):
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
+            caller.sendall(GET)
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+            server.stop_listening()
+            caller.setblocking(False)
+            try:
+                return await asyncio.wait_for(loop.sock_recv(caller, 4096), 3)
+            except ConnectionResetError:
+                return None
+
+    answer = serve(use, settings=CallerServerSettings())
+    assert answer is None or answer.startswith(b"HTTP/1.1 200")
+    assert answer is not None or rounds < 2
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -87,6 +87,9 @@
         finally:
             events._set_running_loop(None)
 
+    def remove_reader(self, fd):
+        """Do nothing: connections are not accepted by reading."""
+
     async def create_connection(
         self, protocol_factory, host=None, port=None, **options
     ):
