--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON := $(VENV)/bin/python
 SECONDS ?= 60
 COUNT ?= 20
+FAMILY ?= configuration
 SEED ?= -1
 export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
@@ -29,7 +30,7 @@
 	PYTHONHASHSEED=random $(PYTHON) -m tests.fuzz --seconds $(SECONDS)
 
 orders: environment
-	$(PYTHON) -m tests.orders --count $(COUNT) --seed $(SEED)
+	$(PYTHON) -m tests.orders --count $(COUNT) --seed $(SEED) --family $(FAMILY)
 
 soak: environment
 	$(PYTHON) -m soak --seconds $(SECONDS) --seed $(SEED)
