--- a/tests/orders.py
+++ b/tests/orders.py
@@ -12,7 +12,6 @@
 from tests.order_faults import KINDS
 from tests.stop_orders import StopOrder
 
-
 Family = Literal["configuration", "groups", "stops"]
 
 
