Tests: a freeze no longer wakes a suspended machine

Orders with a freeze inside a suspension ended the suspension early, and set the machine's monotonic clock back when it was due to end.

--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -94,8 +94,10 @@
     def _freeze(self, fault):
         self._disturb(fault.names, fault.for_s)
         for _, loop in self._running(fault):
-            loop.is_frozen = True
-            self._after(fault, lambda loop=loop: setattr(loop, "is_frozen", False))
+            # A suspended machine would wake, and its clock go back at the end.
+            if not loop.is_frozen:
+                loop.is_frozen = True
+                self._after(fault, lambda loop=loop: setattr(loop, "is_frozen", False))
 
     def _suspend(self, fault):
         self._disturb(fault.names, fault.for_s)
