Members of other groups are ranked only while a group has no leader

The reports of leaders ranked the members of each other group before they looked for its leader: a rendezvous hash for each instance and report, on fleets of any size.

--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -259,8 +259,7 @@
         for group in sorted(groups):
             if not (includes_far or group in near):
                 continue
-            members = self.groups.members_of(group)
-            receiver = self._views.receiver(group, members, self._report_round, now)
+            receiver = self._views.leader(group, now) or self._member_in_turn(group)
             if receiver is None:
                 continue
             table = self._components.rates.quota.table_for(group)
@@ -268,6 +267,13 @@
             outgoing.append(OutgoingDatagram(receiver, self._datagrams.datagram(body)))
         return outgoing
 
+    def _member_in_turn(self, group: str) -> str | None:
+        """Return a member of a group without a leader, a different one each round."""
+        members = self.groups.members_of(group)
+        silent = self._views.last_leader(group)
+        members = [name for name in members if name != silent] or members
+        return members[self._report_round % len(members)] if members else None
+
     def _state_by_member(self, now: int) -> dict[str, PeerState]:
         return {
             name: report.state
@@ -312,7 +318,7 @@
     def _apply_group_report(
         self, datagram: Datagram, report: GroupReport, now: int
     ) -> list[OutgoingDatagram]:
-        if report.group in self.groups.names - {self.groups.own_name}:
+        if report.group != self.groups.own_name:
             self.groups.record_contact(now)
         if not self.groups.is_leader(now):
             is_forwarded = self.groups.vote != self.me.name
--- a/sequoiahook/decisions/direct/group_views.py
+++ b/sequoiahook/decisions/direct/group_views.py
@@ -87,23 +87,15 @@
         views = self._views_by_group.items()
         return {group: view for group, view in views if view.received_at >= oldest}
 
-    def receiver(
-        self, group: str, members: list[str], report_round: int, now: int
-    ) -> str | None:
-        """Return whom to send a report to; the members in turn without a leader.
+    def leader(self, group: str, now: int) -> str | None:
+        """Return the accepted leader of a group; None if there is none."""
+        view = self._views_by_group.get(group)
+        return None if view is None or self._is_silent(view, now) else view.leader
 
-        Args:
-            group: The group.
-            members: Names of its members.
-            report_round: Number of the round of reports.
-            now: The time in milliseconds.
-        """
+    def last_leader(self, group: str) -> str:
+        """Return the last accepted leader of a group; empty if there was none."""
         view = self._views_by_group.get(group)
-        if view is not None and not self._is_silent(view, now):
-            return view.leader
-        if view is not None:
-            members = [name for name in members if name != view.leader] or members
-        return members[report_round % len(members)] if members else None
+        return "" if view is None else view.leader
 
     def _is_silent(self, view: GroupView, now: int) -> bool:
         return now - view.received_at > self._settings.succeeded_after_ms
