An instance that reads through a peer refuses waiting peers at once

Cause: the store answered 503 for 0.2 s to the instances that read it for two regions. They read through peers then, while some of these still read through them: two instances read through each other. Such a read was refused, but only after its wait: 0.7 s for the configuration, 3 s for the targets. Both regions learned of the drain 3.2 s late, and seven instances at once ("relay unavailable ... waited_ms 3025 ... not followed here").

Change: an instance that itself reads through a peer refuses a watch at once, and those that already wait when it begins to. Lists are answered as before.

Why it works: no read waits in a circle any more; the one that is refused goes on to its next peer or to the store within a round trip.

--- a/sequoiahook/daemons/direct/relay_answers.py
+++ b/sequoiahook/daemons/direct/relay_answers.py
@@ -29,20 +29,30 @@
 class RelayAnswers:
     """Answers requests of peers from what this instance has read.
 
-    Attributes:
-        is_relayed: Whether this instance itself reads through a peer.
-
     Args:
         clock: The clock.
     """
 
     def __init__(self, clock: Clock):
-        self.is_relayed = False
+        self._is_relayed = False
         self._clock = clock
         self._caches_by_kind = {kind: StoreCache() for kind in Kind}
         self._changed_by_kind = {kind: asyncio.Event() for kind in Kind}
         self._lost_kinds: set[Kind] = set()
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether this instance itself reads through a peer."""
+        return self._is_relayed
+
+    @is_relayed.setter
+    def is_relayed(self, is_relayed: bool) -> None:
+        has_begun = is_relayed and not self._is_relayed
+        self._is_relayed = is_relayed
+        if has_begun:
+            # Peers that wait here would miss what this instance learns late.
+            self._notify(Kind)
+
     @property
     def newest_era(self) -> int:
         """Newest era of the store in which this instance knows any objects."""
@@ -66,7 +76,8 @@
             cache = self._caches_by_kind[kind]
             revision = _requested_revision(request, cache)
             is_empty = cache.confirmed_at is None
-            if is_empty or cache.changes_after(revision) == ():
+            is_watch = not is_empty and cache.changes_after(revision) == ()
+            if is_empty or (is_watch and not self.is_relayed):
                 await self._wait_for_change(kind, request.wait_ms)
             problem, found = self._find(request, revision, cache)
         held_ms = self._clock.now() - received_at
