--- a/sequoiahook/decisions/direct/groups.py
+++ b/sequoiahook/decisions/direct/groups.py
@@ -13,7 +13,7 @@
 recently, and only after the votes for its predecessor have expired, or if all members
 vote for it. With two members there is no majority without the other: one of them leads
 alone while leaders of other groups report to it, which accept one leader of a group at
-a time. A member that was suspended for longer than votes last starts anew.
+a time. A member that was suspended until another one may lead starts anew.
 
 Designed for fleets of tens to hundreds of instances: the cost of reports and the
 accuracy of rates do not depend on the number of instances, but some requests are
@@ -178,9 +178,11 @@
         self._contact_at = now
 
     def was_suspended(self, now: int) -> bool:
-        """Return whether the last tick is longer ago than votes last."""
+        """Return whether the last tick is so long ago that another one may lead."""
+        settings = self._settings
+        succeeded_after_ms = settings.unresponsive_after_ms + settings.vote_lifetime_ms
         is_first = self._ticked_at is None
-        return not is_first and now - self._ticked_at > self._settings.vote_lifetime_ms
+        return not is_first and now - self._ticked_at > succeeded_after_ms
 
     def is_responsive(self, member: str, now: int) -> bool:
         """Return whether a member has reported recently; this instance always has."""
