Invalid statuses and responses cut off during an upload are not passed on

A status of 600 to 999 reached the caller, on the direct path and through a peer (test_faulty_answers.py, test_platform_handovers.py). The response now counts as truncated, so that `Not-Executed` in it proves nothing and the target is not suspected of a crash. The entry checks statuses that an executor of an earlier release reports (test_entry.py).

The end of the connection now ends a body only once the whole request was written.

The reader looped without end if a connection changed its protocol (101 to a request with `Upgrade`, CONNECT). Callers' requests cannot cause this, as both are removed or refused before.

--- a/sequoiahook/daemons/answer_reader.py
+++ b/sequoiahook/daemons/answer_reader.py
@@ -1,7 +1,7 @@
 """Reading of a target's answer, complete or passed on while it is received."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import h11
@@ -12,6 +12,7 @@
     Stage,
     StreamEnd,
     TargetResult,
+    is_final_status,
 )
 from sequoiahook.wire.target_dialect import TargetDialect
 
@@ -57,6 +58,8 @@
         dialect: Interpretation of the answers of targets.
         http: Protocol state of the connection, after the request was sent.
         reader: Stream from the target.
+        drain_request: Waits until the whole request is written; raises `OSError` if the
+            connection fails before.
         on_stream_ended: Called once when the stream has ended.
     """
 
@@ -66,6 +69,7 @@
         dialect: TargetDialect,
         http: h11.Connection,
         reader: asyncio.StreamReader,
+        drain_request: Callable[[], Awaitable[None]],
         on_stream_ended: Callable[[StreamEnd], None],
     ):
         self.head: h11.Response | None = None
@@ -74,6 +78,7 @@
         self._dialect = dialect
         self._http = http
         self._reader = reader
+        self._drain_request = drain_request
         self._on_stream_ended = on_stream_ended
         self._body = bytearray()
         self._held_until: float | None = None
@@ -93,8 +98,8 @@
                     return Stage.ANSWERED
             elif isinstance(event, h11.EndOfMessage):
                 return self._classify()
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("connection closed within the answer")
+            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("connection ended within the answer")
             else:
                 self._record(event)
                 if self._is_large() and self._pass_on():
@@ -122,6 +127,8 @@
     def _record(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             self.head = event
+            if not is_final_status(event.status_code):
+                raise ValueError(f"invalid status {event.status_code}")
         elif isinstance(event, h11.Data):
             self._body += event.data
 
@@ -143,19 +150,30 @@
     async def _receive(self) -> bool:
         """Receive bytes; return False if the body is passed on as held too long."""
         if self.head is None or not self._may_pass_on():
-            self._http.receive_data(await self._reader.read(READ_BYTES))
+            await self._receive_bytes()
             return True
         if self._held_until is None:
             now = asyncio.get_running_loop().time()
             self._held_until = now + HELD_MS_MAX / MS_PER_S
         try:
             async with asyncio.timeout_at(self._held_until):
-                data = await self._reader.read(READ_BYTES)
+                await self._receive_bytes()
         except TimeoutError:
             return not self._pass_on()
-        self._http.receive_data(data)
         return True
 
+    async def _receive_bytes(self) -> None:
+        """Receive bytes, or the end of the connection.
+
+        A target that closes the connection before it has read the request resets it as
+        soon as more of the request arrives. A body that ends with the connection is
+        therefore complete only after the whole request was written.
+        """
+        data = await self._reader.read(READ_BYTES)
+        if not data and self.head is not None and self._is_close_delimited():
+            await self._drain_request()
+        self._http.receive_data(data)
+
     def _may_pass_on(self) -> bool:
         """Return whether the rest of the body may be passed on as it arrives.
 
@@ -188,7 +206,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._reader.read(READ_BYTES))
+                await self._receive_bytes()
             elif isinstance(event, h11.Data):
                 return bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -317,10 +317,15 @@
             self._dialect,
             self._h11,
             self.reader,
+            self._drain,
             self._on_stream_ended,
         )
         self.stage = await self._answer.read()
 
+    async def _drain(self) -> None:
+        self.writer.transport.set_write_buffer_limits(high=0)
+        await self.writer.drain()
+
     def _on_stream_ended(self, end: StreamEnd) -> None:
         if end is not StreamEnd.COMPLETE:
             self.stage = Stage.ANSWER_TRUNCATED
--- a/sequoiahook/decisions/exchange/entry.py
+++ b/sequoiahook/decisions/exchange/entry.py
@@ -21,6 +21,7 @@
 from sequoiahook.decisions.exchange.settings import EntrySettings
 from sequoiahook.decisions.exchange.stamps import StampTable
 from sequoiahook.decisions.exchange.states import EntryState, Reason, http_status
+from sequoiahook.decisions.exchange.target_result import is_final_status
 from sequoiahook.decisions.pool.effects import RefuseReason
 from sequoiahook.messages.requests import (
     NOT_RUN,
@@ -336,6 +337,11 @@
         exchange = self._exchanges_by_id.get(outcome.id)
         if exchange is None or exchange.candidate != source:
             return effects
+        if outcome.ran == RAN and not is_final_status(outcome.status):
+            # An executor of an earlier release passes on what a target sent.
+            return effects + self._end_attempt(
+                exchange, Reason.INVALID_ANSWER, UNKNOWN, now
+            )
         if outcome.ran == RAN:
             return effects + self._answer(exchange, outcome)
         return effects + self._end_attempt(
--- a/sequoiahook/decisions/exchange/states.py
+++ b/sequoiahook/decisions/exchange/states.py
@@ -30,6 +30,7 @@
 
     CANCELLED = "cancelled"
     DEADLINE = "deadline too near"
+    INVALID_ANSWER = "invalid answer"
     KEY_WITHDRAWN = "key withdrawn"
     LINK_LOST = "link to the executing instance lost"
     LINK_FULL = "the link to the data centre is full"
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -7,7 +7,11 @@
 from sequoiahook.messages.requests import NOT_RUN, RAN, UNKNOWN, Fields
 from sequoiahook.world.target import StatedLimit, StatedRest
 
-__all__ = ["AnswerStream", "Stage", "StreamEnd", "TargetResult"]
+__all__ = ["AnswerStream", "Stage", "StreamEnd", "TargetResult", "is_final_status"]
+
+FINAL_STATUS_MIN = 200
+FINAL_STATUS_MAX = 599
+"""RFC 9110, 15: a status is between 100 and 599, and 1xx only precede the answer."""
 
 
 class Stage(Enum):
@@ -37,6 +41,11 @@
 }
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status may be that of an answer."""
+    return FINAL_STATUS_MIN <= status <= FINAL_STATUS_MAX
+
+
 class StreamEnd(Enum):
     """How a body ended that was passed on while it was received."""
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -15,6 +15,7 @@
 
 READ_BYTES = 65_536
 CRASH_EXIT_CODE = 3
+STATUS_BY_FAULT = {"fail": 500, "invalid": 600}
 PADDING = "."
 PADDING_END = "$"
 
@@ -24,11 +25,11 @@
 
     Attributes:
         how: ``""`` for none, or one of ``shed``, ``fail``, ``lose`` (closes after the
-            run without a response), ``truncate``, ``extra`` (sends a second
-            response), ``foreign`` (responds with the id of another request),
-            ``unframed`` (sends no content length), ``slow`` (pauses within the body)
-            and ``reset`` (sends no content length and resets the connection within the
-            body).
+            run without a response), ``invalid`` (responds with a status outside the
+            range of HTTP), ``truncate``, ``extra`` (sends a second response),
+            ``foreign`` (responds with the id of another request), ``unframed`` (sends
+            no content length), ``slow`` (pauses within the body) and ``reset`` (sends
+            no content length and resets the connection within the body).
         crash_path: Path of a request that ends the process as soon as it runs; empty
             for none.
         limit: Value of the header that states the target's limit; empty for none.
@@ -153,8 +154,9 @@
         body = _padded(f"{self.id} ran {path}", self.faults.body_bytes).encode()
         if how == "lose":
             return False
-        if how == "fail":
-            return await self._send_response(connection, writer, headers, 500, body)
+        if how in STATUS_BY_FAULT:
+            status = STATUS_BY_FAULT[how]
+            return await self._send_response(connection, writer, headers, status, body)
         if how in ("", "extra", "foreign"):
             if how == "foreign":
                 headers = headers | {"request-id": "another"}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -91,6 +91,22 @@
     assert entry.reserved(1, 78, 500, 6) == [Release(78)]
 
 
+@pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_invalid_status_from_an_older_executor_is_no_answer(status, idempotent):
+    entry = new_entry()
+    handover = request(1, idempotent=idempotent)
+    send = sent_handover(entry.admit(handover, ("a",), 0))
+    effects = entry.received("a", outcome(send, "ran")._replace(status=status), 5)
+    assert effects[1] == Commit(1)
+    if idempotent:
+        assert effects[2] == Reserve(1, "o")
+        effects = [*effects[:2], *entry.not_reserved(1, 0, 6)]
+    refusal = effects[2]
+    assert (refusal.status, refusal.ran) == (502, "unknown")
+    assert refusal.cause == Reason.INVALID_ANSWER
+
+
 def test_request_without_another_right_is_refused_with_its_first_failure():
     entry = new_entry()
     send = sent_handover(entry.admit(request(1, idempotent=True), ("a",), 0))
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -79,17 +79,17 @@
             writer.close()
 
 
-def exchange(target, *request_ids):
+def exchange(target, *request_ids, method="GET", fields=(), body=b"", may_stream=False):
     async def play():
         server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
         address = Address(*server.sockets[0].getsockname())
         client = TargetClient(TargetClientSettings(), PlatformTargetDialect())
         results = []
         for request_id in request_ids:
-            fields = ((b"request-id", request_id.encode()),)
+            headers = ((b"request-id", request_id.encode()), *fields)
             request = TargetRequest(
-                address, "GET", "/", fields, b"", TIMEOUT_MS, True, request_id
-            )
+                address, method, "/", headers, body, TIMEOUT_MS, True, request_id
+            )._replace(may_stream=may_stream)
             results.append(await client.exchange(request, lambda: True))
             await asyncio.sleep(0.01)
         client.close()
@@ -145,3 +145,66 @@
     for result in exchange(target, *["a"] * len(cuts)):
         assert result.stage is Stage.ANSWER_TRUNCATED
         assert result.body == b""
+
+
+INVALID_STATUSES = (
+    "000",
+    "099",
+    "20",
+    "abc",
+    "600",
+    "601",
+    "777",
+    "999",
+    "1000",
+    "-20",
+)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("upload", [b"", b"x" * 4_000_000])
+@pytest.mark.parametrize("size", [len(BODY), 200_000])
+def test_status_outside_the_range_is_no_answer(status, upload, size):
+    """It may not be passed on, nor show that the request ran or did not run."""
+    fields = (f"Content-Length: {size}", "Not-Executed: 1")
+    data = head("a", f"{status} No", fields) + b"x" * size
+    target = Target(lambda _: data)
+    (result,) = exchange(target, "a", body=upload, may_stream=True)
+    assert result.stage.ran == "unknown"
+    assert (result.status, result.body, result.stream) == (0, b"", None)
+
+
+@pytest.mark.parametrize("status", ["200", "299", "404", "599"])
+def test_status_within_the_range_is_passed_on(status):
+    target = Target(lambda _: head("a", status, ("Content-Length: 0",)))
+    (result,) = exchange(target, "a")
+    assert (result.stage, result.status) == (Stage.ANSWERED, int(status))
+
+
+@pytest.mark.parametrize("status", ["100", "101", "102", "103", "199"])
+@pytest.mark.parametrize("method", ["GET", "CONNECT"])
+@pytest.mark.parametrize("fields", [(), ((b"upgrade", b"websocket"),)])
+@pytest.mark.parametrize("ends", [False, True])
+def test_interim_status_is_no_final_answer(status, method, fields, ends):
+    """An accepted change of protocol must not stop the reading of all answers."""
+    data = (
+        head("a", f"{status} No", ("Upgrade: websocket", "Content-Length: 2")) + b"ok"
+    )
+    target = (EndingTarget if ends else Target)(lambda _: data)
+    (result,) = exchange(target, "a", method=method, fields=fields)
+    assert result.stage.ran == "unknown"
+    assert (result.status, result.body) == (0, b"")
+
+
+@pytest.mark.parametrize("status", ["100", "102", "103"])
+def test_final_answer_after_an_interim_one_is_passed_on(status):
+    target = Target(lambda _: head("a", f"{status} No") + whole("a"))
+    (result,) = exchange(target, "a")
+    assert (result.stage, result.body) == (Stage.ANSWERED, BODY)
+
+
+def test_accepted_tunnel_is_no_answer():
+    """Nothing on the connection belongs to HTTP after a target accepts CONNECT."""
+    (result,) = exchange(Target(whole), "a", method="CONNECT")
+    assert result.stage.ran == "unknown"
+    assert (result.status, result.body) == (0, b"")
--- a/tests/test_platform_handovers.py
+++ b/tests/test_platform_handovers.py
@@ -155,3 +155,19 @@
     wait_for(lambda: execution_lines(fleet, "leaves"), "the execution has ended", 2)
     (line,) = execution_lines(fleet, "leaves")
     assert (line["cause"], line["duration_ms"] < 1_400) == ("cancelled", True)
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+@pytest.mark.parametrize("path", ["/write/invalid", "/look/invalid"])
+def test_invalid_status_never_reaches_the_caller(fleet, is_cut, path):
+    """Neither on the direct path nor through the peer that runs the request."""
+    wait_for(lambda: send(fleet)[1].status == 200, "targets are reached")
+    if is_cut:
+        fleet.cut("n1", "refuse")
+        wait_for(lambda: send(fleet)[1].status == 200, "requests are handed over")
+    for target_id in TARGETS:
+        fleet.control_target(target_id, faults={"how": "invalid"})
+    request_id, reply = send(fleet, path)
+    assert reply.status == 502
+    assert runs_of(fleet, request_id)
+    assert len(execution_lines(fleet, request_id)) == 0 or is_cut
