Lost and late token messages no longer lead to 429 within the rate

A member of a group sent its token request to the leader once. If the request or its grant was lost, the caller got 429, in proportion to the loss and whatever the organisation used of its rate. A member now repeats the request every 50 ms while it waits.

Late token messages were dropped as superseded, like reports. They are now accepted once each, within 256 sequence numbers.

The two tests that took the first wait for the whole wait now follow all waits and check their sum against the bound.

--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -33,6 +33,9 @@
             then finds another instance.
         peer_token_wait_divisor: Divisor of the route's latency goal that gives the
             longest wait for tokens of a peer.
+        token_retry_ms: Time after which a waiting request tries again to take a token:
+            the instance's own rate may yield one by then, and the message to a leader
+            or its answer may have been lost.
         own_token_wait_divisor: Divisor of the route's latency goal that gives the
             longest wait for a token of the instance's own rate.
     """
@@ -41,6 +44,7 @@
     stale_retry_ms: int = 50
     unreadable_retry_ms: int = 1_000
     peer_token_wait_divisor: int = 3
+    token_retry_ms: int = 50
     own_token_wait_divisor: int = 8
 
 
@@ -164,7 +168,10 @@
         is_first = request.hold_until is None
         if is_first:
             self._rates.count_demand(organisation)
-        max_wait_ms = self._max_wait_ms(request, now)
+        if is_first:
+            max_wait_ms = self._max_wait_ms(request, now)
+        else:
+            max_wait_ms = max(0, request.hold_until - now)
         wait_ms = self._rates.take(
             organisation, now, is_first=is_first, max_wait_ms=max_wait_ms
         )
@@ -174,7 +181,7 @@
             request.hold_until = now + self._token_wait_ms(request, wait_ms, now)
         left_ms = request.hold_until - now
         if left_ms > 0 and self._rates.may_receive_token(organisation, wait_ms, now):
-            return Hold(organisation, left_ms)
+            return Hold(organisation, min(left_ms, self._settings.token_retry_ms))
         if left_ms > 0 and wait_ms <= left_ms:
             return Hold(organisation, wait_ms)
         return self._refuse(organisation, now)
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from sequoiahook.messages.reports import Datagram, PeerState
+from sequoiahook.messages.reports import (
+    Datagram,
+    PeerState,
+    TokenDenial,
+    TokenGrant,
+    TokenRequest,
+)
 from sequoiahook.world.instance import Address, LiveInstance
 
 __all__ = ["PeerSettings", "Peers"]
@@ -14,6 +20,13 @@
 NEAR_ADDRESSES_MIN = 2
 """Callers of a region with fewer usable instances get those of all regions."""
 
+LATE_MAX = 256
+"""Sequence numbers by which a token message may be late. A sender numbers its datagrams
+to all receivers together, and a leader sends a few hundred a second."""
+
+_ALL_RECEIVED = (1 << LATE_MAX) - 1
+_TOKEN_MESSAGES = (TokenRequest, TokenGrant, TokenDenial)
+
 
 class PeerSettings(NamedTuple):
     """Time limits on missing reports.
@@ -30,10 +43,30 @@
 
 
 class _DatagramPosition(NamedTuple):
-    """Position in a peer's datagrams: its incarnation and last sequence number."""
+    """Position in a peer's datagrams.
+
+    Attributes:
+        incarnation: Incarnation of the peer.
+        sequence: Last sequence number.
+        received: Bit i tells whether the one that is i before the last was received;
+            those before the first are taken for received.
+    """
 
     incarnation: int
     sequence: int
+    received: int
+
+    def with_newer(self, sequence: int) -> "_DatagramPosition":
+        skipped = min(sequence - self.sequence, LATE_MAX)
+        received = (self.received << skipped | 1) & _ALL_RECEIVED
+        return self._replace(sequence=sequence, received=received)
+
+    def with_late(self, sequence: int) -> "_DatagramPosition | None":
+        """Return the position after a late datagram; None if it was received before."""
+        bit = 1 << min(self.sequence - sequence, LATE_MAX)
+        if bit > _ALL_RECEIVED or self.received & bit:
+            return None
+        return self._replace(received=self.received | bit)
 
 
 class _PeerReport(NamedTuple):
@@ -77,7 +110,8 @@
     def accept(self, datagram: Datagram, now: int) -> bool:
         """Record a datagram; return whether it is new.
 
-        Repeated and late datagrams and those of past incarnations are not new.
+        Repeated datagrams and those of past incarnations are not new. A late report is
+        superseded; a late token message is not.
         """
         sender = datagram.sender
         if sender == self._me.name or datagram.incarnation in self._past_incarnations:
@@ -86,12 +120,18 @@
         if last is not None and last.incarnation != datagram.incarnation:
             self._past_incarnations.add(last.incarnation)
             last = None
-        if last is not None and datagram.sequence <= last.sequence:
-            return False
-        self._positions_by_name[sender] = _DatagramPosition(
-            datagram.incarnation, datagram.sequence
-        )
-        return True
+        incarnation, sequence = datagram.incarnation, datagram.sequence
+        if last is None:
+            position = _DatagramPosition(incarnation, sequence, _ALL_RECEIVED)
+        elif sequence > last.sequence:
+            position = last.with_newer(sequence)
+        elif isinstance(datagram.body, _TOKEN_MESSAGES):
+            position = last.with_late(sequence)
+        else:
+            position = None
+        if position is not None:
+            self._positions_by_name[sender] = position
+        return position is not None
 
     def record_state(self, name: str, state: PeerState, now: int) -> None:
         """Record the state of a peer, reported by itself or by its group's leader."""
--- a/sequoiahook/decisions/direct/token_client.py
+++ b/sequoiahook/decisions/direct/token_client.py
@@ -2,18 +2,23 @@
 
 The leader counts each token request as demand and grants it a token from its bucket,
 queues it until one is available, or denies it. A lost grant is a lost token; a grant
-that arrives when no request waits is stored for the next one.
+that arrives when no request waits is stored for the next one. While a request waits,
+its token request is repeated, so that a lost datagram does not lead to a refusal.
 """
 
 from typing import NamedTuple
 
 from sequoiahook.messages.reports import TokenDenial, TokenGrant, TokenRequest
 
-__all__ = ["NEVER_MS", "TokenClient", "TokenClientSettings"]
+__all__ = ["NEVER_MS", "REPEATED_TOKENS", "TokenClient", "TokenClientSettings"]
 
 NEVER_MS = 1 << 40
 """Wait time returned when no token will be granted."""
 
+REPEATED_TOKENS = 0.5
+"""Tokens in a repeated token request; leaders of earlier releases take it for another
+request, whose token is stored."""
+
 
 class TokenClientSettings(NamedTuple):
     """Settings of the token client.
@@ -24,11 +29,13 @@
         stored_ms: Time for which they are stored.
         denial_lifetime_ms: Time within which a denial ends the wait of a request;
             waiting requests check for it as soon as it arrives.
+        repeat_ms: Time without an answer after which a token request is repeated.
     """
 
     stored_tokens_max: int = 4
     stored_ms: int = 1_000
     denial_lifetime_ms: int = 50
+    repeat_ms: int = 40
 
 
 class _Account:
@@ -40,6 +47,7 @@
         self.denials = 0
         self.denied_at = 0
         self.retry_after_ms = 0
+        self.requested_at = 0
 
 
 class TokenClient:
@@ -63,7 +71,7 @@
             organisation: Name of the organisation.
             now: The time in milliseconds.
             is_first: Whether this is the request's first try to take a token.
-            max_wait_ms: How long the request waits for a token.
+            max_wait_ms: How long the request still waits for a token.
 
         Returns:
             0 if there was a token, else the time in milliseconds until one may arrive,
@@ -76,13 +84,16 @@
             account.tokens -= 1
             return 0
         if is_first:
-            self._token_requests.append(TokenRequest(organisation, 1, max_wait_ms))
+            self._request(account, TokenRequest(organisation, 1, max_wait_ms), now)
         elif (
             account.denials
             and now - account.denied_at <= self._settings.denial_lifetime_ms
         ):
             account.denials -= 1
             return NEVER_MS
+        elif max_wait_ms and now - account.requested_at >= self._settings.repeat_ms:
+            repeated = TokenRequest(organisation, REPEATED_TOKENS, max_wait_ms)
+            self._request(account, repeated, now)
         return max(1, max_wait_ms)
 
     def retry_after_ms(self, organisation: str) -> int:
@@ -111,6 +122,10 @@
         requests, self._token_requests = self._token_requests, []
         return requests
 
+    def _request(self, account: _Account, request: TokenRequest, now: int) -> None:
+        account.requested_at = now
+        self._token_requests.append(request)
+
     def _store(self, account: _Account, tokens: int, now: int) -> None:
         account.tokens = min(self._settings.stored_tokens_max, account.tokens + tokens)
         account.stored_at = now
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -1,8 +1,9 @@
 """Datagrams between instances that send to targets themselves.
 
 A report is a complete statement of its sender's state at a moment, so a lost one is
-superseded by the next. Repeated and late datagrams of all kinds are recognised by their
-sequence number and ignored. A lost token request, grant or denial costs tokens or time.
+superseded by the next. Repeated datagrams of all kinds and late reports are recognised
+by their sequence number and ignored; late token messages count. A lost token request,
+grant or denial costs tokens or time; a member repeats its request while it waits.
 """
 
 from typing import NamedTuple
@@ -116,7 +117,8 @@
 
     Attributes:
         organisation: Name of the organisation.
-        tokens: Number of tokens; may be fractional between leaders.
+        tokens: Number of tokens; may be fractional between leaders. Less than one from
+            a member that repeats the request for a token which it still awaits.
         max_wait_ms: How long a member's request waits for its token, in milliseconds; 0
             between leaders.
     """
--- a/tests/test_direct_attempts.py
+++ b/tests/test_direct_attempts.py
@@ -15,6 +15,7 @@
 from sequoiahook.messages.reports import TokenDenial, TokenGrant
 from tests.direct_parts import (
     KEY,
+    LATENCY_GOAL_MS,
     a_configuration,
     a_request,
     a_route,
@@ -197,11 +198,25 @@
     request = core.admission.admit(a_request(), 0)
     hold = core.attempts.next_step(request, 0)
     assert isinstance(hold, Hold)
-    refusal = core.attempts.next_step(request, hold.max_wait_ms)
+    refusal = wait_out(core, request, hold)
     assert (refusal.status, refusal.cause) == (503, Cause.NO_SHARE)
     assert 0 < refusal.retry_after_ms < 1_000
 
 
+def wait_out(core, request, step):
+    """Let a request wait without a message; return its next step.
+
+    The whole wait must end within a third of the latency goal.
+    """
+    now = 0
+    while isinstance(step, Hold):
+        now += step.max_wait_ms
+        assert step.max_wait_ms > 0
+        assert now <= LATENCY_GOAL_MS // 3
+        step = core.attempts.next_step(request, now)
+    return step
+
+
 def a_member():
     """Return a core that requests its tokens from the leader of its group."""
     core = a_core(organisations=(an_organisation(rate_per_s=10, burst=10),))
@@ -230,5 +245,20 @@
     request = core.admission.admit(a_request(), 0)
     hold = core.attempts.next_step(request, 0)
     core.rates.has_leader = False
-    refusal = core.attempts.next_step(request, hold.max_wait_ms)
+    refusal = wait_out(core, request, hold)
     assert (refusal.status, refusal.cause) == (503, Cause.NO_SHARE)
+
+
+def test_token_request_is_repeated_while_no_answer_comes():
+    """A lost datagram would otherwise lead to a refusal within the rate."""
+    core = a_member()
+    request = core.admission.admit(a_request(), 0)
+    hold = core.attempts.next_step(request, 0)
+    (first,) = core.rates.pop_token_requests()
+    now = hold.max_wait_ms
+    assert isinstance(core.attempts.next_step(request, now), Hold)
+    (repeated,) = core.rates.pop_token_requests()
+    assert 0 < repeated.tokens < 1 == first.tokens
+    assert repeated.max_wait_ms == first.max_wait_ms - now
+    assert isinstance(core.attempts.next_step(request, now + 1), Hold)
+    assert core.rates.pop_token_requests() == []
--- a/tests/test_direct_groups.py
+++ b/tests/test_direct_groups.py
@@ -58,6 +58,23 @@
     assert refused < fixed / 5
 
 
+def test_lost_datagrams_cause_few_refusals_within_the_rate():
+    """Before, the loss of a token request or of its grant was a refusal."""
+    world = World((limited_organisation("one", 200, 200),), loss=0.03)
+    world.run(4_000, {})
+    world.run(10_000, {"one": 100})
+    served = len(world.runs_by_organisation["one"])
+    assert served > 900
+    assert len(world.refusals) < 0.01 * served
+
+
+def test_repeated_token_requests_keep_the_rate():
+    world = World((limited_organisation("one", 40, 40),), loss=0.1)
+    world.run(4_000, {})
+    world.run(15_000, {"one": 150})
+    assert world.most_in_a_window("one") <= bound(40, 40)
+
+
 def test_groups_recover_within_seconds_from_the_loss_of_all_leaders():
     world = World((limited_organisation("one", 60, 60),))
     world.run(4_000, {"one": 30})
--- a/tests/test_direct_peers.py
+++ b/tests/test_direct_peers.py
@@ -1,7 +1,17 @@
 """Selection of the addresses given to callers, and expiry of peers."""
 
+import pytest
+from hypothesis import given, strategies as st
+
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
-from sequoiahook.messages.reports import Datagram, MemberReport, PeerState
+from sequoiahook.messages.reports import (
+    Datagram,
+    MemberReport,
+    PeerState,
+    TokenDenial,
+    TokenGrant,
+    TokenRequest,
+)
 from sequoiahook.world.instance import Address
 from tests.direct_parts import an_instance
 
@@ -64,6 +74,45 @@
     assert hosts(peers) == {"me", "near"}
 
 
+@pytest.mark.parametrize(
+    "body",
+    [TokenRequest("o", 1, 100), TokenGrant("o", 1), TokenDenial("o", 100)],
+    ids=lambda body: type(body).__name__,
+)
+def test_late_token_messages_are_accepted_once(body):
+    """One that a later datagram overtook would otherwise lead to a refusal."""
+    peers = some_peers("a")
+
+    def accepts(sequence, incarnation=1):
+        return peers.accept(Datagram("a", incarnation, sequence, body), 0)
+
+    assert accepts(1_000)
+    assert not accepts(999)
+    assert accepts(1_010)
+    assert receive(peers, "a", 1_011)
+    assert not receive(peers, "a", 1_006)
+    assert [accepts(n) for n in (1_005, 1_005, 1_010, 1_000, 998)] == [
+        True,
+        *[False] * 4,
+    ]
+    assert accepts(5_000)
+    assert [accepts(n) for n in (1_004, 4_999, 4_999)] == [False, True, False]
+    assert accepts(7, incarnation=2)
+    assert not accepts(5_001)
+    assert not accepts(6, incarnation=2)
+
+
+@given(st.lists(st.integers(1, 600), max_size=200))
+def test_no_token_message_is_accepted_twice(sequences):
+    peers = some_peers("a")
+    accepted = [
+        number
+        for number in sequences
+        if peers.accept(Datagram("a", 1, number, TokenGrant("o", 1)), 0)
+    ]
+    assert len(accepted) == len(set(accepted))
+
+
 def test_repeated_late_and_past_run_datagrams_are_not_accepted():
     peers = some_peers("a")
     assert receive(peers, "a", sequence=5)
