Explain where a request would go now

`GET /explain` on the metrics address and `python -m sequoiahook explain` show the route, the order of regions, every candidate and the decision. The refusals before the selection of a target are compared with those of real requests, and the whole state of a core is compared before and after.

--- a/sequoiahook/cli/main.py
+++ b/sequoiahook/cli/main.py
@@ -5,7 +5,7 @@
 
 import defopt
 
-from sequoiahook.cli import creation, instances, patches
+from sequoiahook.cli import creation, explanations, instances, patches
 from sequoiahook.cli.exit_codes import ExitCode
 from sequoiahook.cli.operator_client import OperatorError
 from sequoiahook.cli.output import Result, findings_result, render
@@ -20,6 +20,7 @@
     "create-service": creation.create_service,
     "create-target": creation.create_target,
     "drain-target": creation.drain_target,
+    "explain": explanations.explain,
     "grant-key": creation.grant_key,
     "measures": instances.measures,
     "patch": patches.patch,
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -23,6 +23,7 @@
     freshness_settings,
     stopping_settings,
 )
+from sequoiahook.daemons.direct.explain import explain_answer, is_explain_call
 from sequoiahook.daemons.direct.following import Follower, FollowerSettings, Observer
 from sequoiahook.daemons.direct.handovers import Handovers
 from sequoiahook.daemons.direct.metrics import metrics_answer
@@ -390,7 +391,10 @@
         return self._components.dialect.lookup_answer(addresses, lifetime_ms)
 
     async def _handle_metrics(self, request: CallerRequest) -> CallerAnswer:
-        return metrics_answer(self.metrics, self.core, self._clock.now())
+        now = self._clock.now()
+        if is_explain_call(request):
+            return explain_answer(request, self.core, self.core.selector, now)
+        return metrics_answer(self.metrics, self.core, now)
 
 
 def _server(
