Average a small demand over more requests, so that shares follow chance less

A group with 1.4 requests a second of an organisation counted about 6 of them in the window of 4 s, so that its share of the rate moved by 28 % (standard deviation) without any change of the demand. The window is now up to three times as long where it has fewer than 24 requests; it is as before from 6 a second on.

--- a/sequoiahook/decisions/direct/bucket.py
+++ b/sequoiahook/decisions/direct/bucket.py
@@ -12,15 +12,25 @@
 """Longest retry-after time; no caller waits for longer."""
 
 
+WINDOW_FACTOR_MAX = 3
+"""Largest factor by which the window of a small demand is longer."""
+
+
 class Demand:
     """Arrival rate, averaged exponentially.
 
     Attributes:
         per_s: Arrivals per second.
+
+    Args:
+        arrivals_min: Arrivals over which to average at least, where the window has
+            fewer.
     """
 
-    def __init__(self):
+    def __init__(self, arrivals_min: int = 0):
         self.per_s = 0.0
+        self._arrivals_min = arrivals_min
+        self._recent_per_s = 0.0
         self._arrival_count = 0
         self._updated_at: int | None = None
 
@@ -36,10 +46,12 @@
         elapsed_ms = now - self._updated_at
         if elapsed_ms <= 0:
             return
+        per_s = self._arrival_count * MS_PER_S / elapsed_ms
         weight = min(1.0, elapsed_ms / window_ms)
-        self.per_s += weight * (
-            self._arrival_count * MS_PER_S / elapsed_ms - self.per_s
-        )
+        self._recent_per_s += weight * (per_s - self._recent_per_s)
+        expected = max(1.0, self._recent_per_s * window_ms / MS_PER_S)
+        factor = min(WINDOW_FACTOR_MAX, max(1.0, self._arrivals_min / expected))
+        self.per_s += weight / factor * (per_s - self.per_s)
         self._arrival_count = 0
         self._updated_at = now
 
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -47,6 +47,9 @@
 
     Attributes:
         demand_window_ms: Time over which demand is averaged.
+        demand_arrivals_min: Requests over which demand is averaged at least, for up to
+            three times that time. Over fewer, chance moves the shares more than the
+            demand does.
         floor_permille: Minimum demand that each instance is counted with, in
             thousandths of an equal share of the rate.
         settling_ms: Time after the start for which refused requests may retry at once,
@@ -65,6 +68,7 @@
     """
 
     demand_window_ms: int = 4_000
+    demand_arrivals_min: int = 24
     floor_permille: int = 500
     settling_ms: int = 600
     initial_tokens_total: int = 8
@@ -127,7 +131,9 @@
         self._organisations = tuple(sorted(contracts_by_name))
         self._digest = crc32("\0".join(self._organisations).encode())
         for name in contracts_by_name:
-            self._demands_by_name.setdefault(name, Demand())
+            self._demands_by_name.setdefault(
+                name, Demand(self._settings.demand_arrivals_min)
+            )
             if name not in self._buckets_by_name:
                 bucket = self._buckets_by_name[name] = Bucket()
                 bucket.tokens = self._initial_tokens()
--- a/tests/test_direct_quota.py
+++ b/tests/test_direct_quota.py
@@ -1,11 +1,13 @@
 """Rates shared by all instances hold under delay, loss, partitions and restarts."""
 
 import random
+import statistics
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.decisions.direct.bucket import Demand
 from sequoiahook.decisions.direct.quota import (
     DEFAULT_SHARE_TOTAL,
     Quota,
@@ -291,3 +293,30 @@
     assert retry_after_ms[0] <= 100
     assert retry_after_ms[-1] - retry_after_ms[0] == 19 * 100
     assert quota.retry_after_ms("o", 60_000) <= 100
+
+
+def estimates_of(arrival_counts, arrivals_min):
+    """Return the estimates after each interval of 300 ms."""
+    demand = Demand(arrivals_min)
+    demand.update(4_000, 0)
+    estimates = []
+    for index, count in enumerate(arrival_counts):
+        for _ in range(count):
+            demand.add()
+        demand.update(4_000, (index + 1) * 300)
+        estimates.append(demand.per_s)
+    return estimates
+
+
+def test_chance_moves_the_estimate_of_a_small_demand_little():
+    """Shares that follow chance refuse requests of organisations within their rate."""
+    rng = random.Random(4)
+    counts = [sum(rng.random() < 0.042 for _ in range(10)) for _ in range(4_000)]
+    settled = estimates_of(counts, QuotaSettings().demand_arrivals_min)[100:]
+    assert statistics.stdev(settled) < 0.22 * statistics.mean(settled)
+    assert statistics.mean(settled) == pytest.approx(1.4, rel=0.1)
+
+
+def test_the_estimate_follows_a_demand_that_grows_at_once():
+    estimates = estimates_of([15] * 20, QuotaSettings().demand_arrivals_min)
+    assert estimates[13] >= 0.6 * 50
