Read the pace in Server-Load; services that state their pace

A fourth figure made the decoder drop the whole field. The report of load is now a LoadReport, and TargetSelector.states_pace tells which services state a pace.

--- a/sequoiahook/daemons/answer_reader.py
+++ b/sequoiahook/daemons/answer_reader.py
@@ -113,7 +113,7 @@
             body=bytes(self._body),
             requests_close=self._has_token(b"connection", b"close"),
             retry_after_ms=self._retry_after_ms(),
-            open_count=self._dialect.open_count(headers),
+            load=self._dialect.load_report(status, headers),
             stated_limit=self._dialect.stated_limit(status, headers),
             stated_rest=self._dialect.stated_rest(status, headers),
             stream=self.stream,
--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -84,8 +84,8 @@
         state = attempt.state
         if result.is_leaving:
             self._leaves.record_answer(state.record.id, state.record.started_at)
-        if result.open_count is not None:
-            state.record_load(result.open_count, now)
+        if result.load is not None:
+            self._selector.record_load(state, result.load, now)
         if result.stated_limit is not None:
             state.stated_limit = result.stated_limit
             sent_at = attempt.request.last_sent_at
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -39,6 +39,7 @@
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.rendezvous import order
+from sequoiahook.world.target import LoadReport
 
 __all__ = ["TargetSelectionSettings", "TargetSelector"]
 
@@ -121,6 +122,17 @@
         self._checked_at = now - settings.check_interval_ms
         self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._rankings_version = -1
+        self._paced_services: set[str] = set()
+
+    def states_pace(self, service: str) -> bool:
+        """Return whether an answer of one of a service's targets stated its pace."""
+        return service in self._paced_services
+
+    def record_load(self, state: TargetState, report: LoadReport, now: int) -> None:
+        """Record the load that a target reports."""
+        state.record_load(report, now)
+        if report.pace is not None:
+            self._paced_services.add(state.record.service)
 
     def choose(self, query: TargetQuery, now: int) -> Placement:
         """Return the target of a request, or the cause of a refusal."""
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -4,7 +4,7 @@
 
 from sequoiahook.decisions.exchange.retry import SuspensionSettings, TargetSuspension
 from sequoiahook.decisions.exchange.target_result import Stage
-from sequoiahook.world.target import LiveTarget, StatedLimit, StatedRest
+from sequoiahook.world.target import LiveTarget, LoadReport, StatedLimit, StatedRest
 
 __all__ = [
     "CONNECT_FAILED_STAGES",
@@ -16,6 +16,10 @@
 
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 20.0
+PACE_FACTOR_MIN = 0.5
+"""A target that reports a better pace, perhaps falsely, gains nothing more by it."""
+
+PERCENT = 100
 NEVER = -(1 << 40)
 """Reading of the clock before any other."""
 
@@ -34,6 +38,8 @@
         decay_ms: Time without results after which a target is treated as normal again.
         peer_count_valid_ms: Time for which a peer's count of open requests is used.
         load_valid_ms: Time for which a target's own report of its load is used.
+        pace_decay_ms: Time over which the effect of a reported pace ends. It changes
+            many times a second.
     """
 
     suspension: SuspensionSettings = SuspensionSettings(
@@ -44,6 +50,7 @@
     decay_ms: int = 3_000
     peer_count_valid_ms: int = 1_000
     load_valid_ms: int = 300
+    pace_decay_ms: int = 600
 
 
 class _ReportedCount(NamedTuple):
@@ -111,6 +118,8 @@
         self._was_unreachable = False
         self._peer_counts_by_name: dict[str, _ReportedCount] = {}
         self._load = _ReportedCount(0, now - settings.load_valid_ms - 1)
+        self._pace_factor = 1.0
+        self._paced_at = now
 
     def update_record(self, record: LiveTarget, now: int) -> None:
         """Apply a newer record of the same run of the target."""
@@ -202,9 +211,22 @@
         ratio = min(SLOWNESS_MAX, max(SLOWNESS_MIN, ratio))
         self._slowness += self._settings.slowness_weight * (ratio - self._slowness)
 
-    def record_load(self, open_count: int, now: int) -> None:
-        """Record the number of requests that the target itself reports."""
-        self._load = _ReportedCount(open_count, now)
+    def record_load(self, report: LoadReport, now: int) -> None:
+        """Record the load that the target itself reports."""
+        self._load = _ReportedCount(report.open_count, now)
+        if report.pace is not None:
+            self._pace_factor = max(PACE_FACTOR_MIN, report.pace / PERCENT)
+            self._paced_at = now
+
+    def report_age_ms(self, now: int) -> int:
+        """Return the age of the target's last report of its load."""
+        return now - self._load.reported_at
+
+    def pace_factor(self, now: int) -> float:
+        """Return how long work takes at present, relative to the usual time."""
+        age_ms = now - self._paced_at
+        weight = max(0.0, 1.0 - age_ms / self._settings.pace_decay_ms)
+        return 1.0 + (self._pace_factor - 1.0) * weight
 
     def record_peer_count(self, peer: str, open_count: int, now: int) -> None:
         """Record the number of open requests that a peer has at the target."""
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from sequoiahook.messages.requests import NOT_RUN, RAN, UNKNOWN, Fields
-from sequoiahook.world.target import StatedLimit, StatedRest
+from sequoiahook.world.target import LoadReport, StatedLimit, StatedRest
 
 __all__ = ["AnswerStream", "Stage", "StreamEnd", "TargetResult"]
 
@@ -86,7 +86,7 @@
             none.
         connect_ms: Time to open the connection, in milliseconds; None if a kept-alive
             one was used or none was opened.
-        open_count: Open requests that the target reported; None if it did not.
+        load: Load that the target reported; None if it did not.
         stated_limit: What the answer states about the requests that the target accepts;
             None without an answer of this target.
         stated_rest: For how long the target wants no requests of this instance.
@@ -103,7 +103,7 @@
     duration_ms: int = 0
     retry_after_ms: int = 0
     connect_ms: int | None = None
-    open_count: int | None = None
+    load: LoadReport | None = None
     stated_limit: StatedLimit | None = None
     stated_rest: StatedRest = StatedRest()
     is_leaving: bool = False
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -13,7 +13,7 @@
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import connection_fields
 from sequoiahook.world.instance import Address
-from sequoiahook.world.target import StatedLimit, StatedRest
+from sequoiahook.world.target import LoadReport, StatedLimit, StatedRest
 
 __all__ = ["CallerDialect", "LookupQuery", "PlatformTargetDialect"]
 
@@ -30,7 +30,15 @@
 ORGANISATION = b"tenant"
 NOT_RUN = b"not-executed"
 LOAD = b"server-load"
-"""Header with the target's running requests, waiting requests and slots."""
+"""Header with the target's running requests, waiting requests, slots and pace.
+
+Targets that do not know their pace report three figures.
+"""
+
+LOAD_FIGURES_MIN = 3
+PACE_MAX = 10_000
+FIGURE_MAX = 10**9
+"""Larger figures are read as this one: `int` rejects texts of thousands of digits."""
 
 LIMIT = b"server-limit"
 """Header with the requests a second that the target accepts from all instances."""
@@ -156,12 +164,21 @@
         dropped = connection_fields(headers) | _FRAMING_FIELDS
         return tuple((n, v) for n, v in headers if n not in dropped)
 
-    def open_count(self, headers: Headers) -> int | None:
-        """Return the number of running and waiting requests; None if not reported."""
+    def load_report(self, status: int, headers: Headers) -> LoadReport | None:
+        """Return the reported load; None if it is not reported or not readable.
+
+        Further figures than the known ones are not used. The pace of another target
+        than the expected one is not used either.
+        """
         parts = (_first_value(headers, LOAD) or b"").split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        if len(parts) < LOAD_FIGURES_MIN:
             return None
-        return int(parts[0]) + int(parts[1])
+        if not all(part.strip().isdigit() for part in parts):
+            return None
+        running, waiting, slots, *others = [_figure(part.strip()) for part in parts]
+        pace = others[0] if others and status != WRONG_TARGET_STATUS else 0
+        is_valid = 0 < pace <= PACE_MAX
+        return LoadReport(running + waiting, slots, pace if is_valid else None)
 
     def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
         """Return the limit that an answer states; None if it comes from another."""
@@ -199,6 +216,13 @@
         return DEFAULT_IDLE_MS
 
 
+def _figure(digits: bytes) -> int:
+    digits = digits.lstrip(b"0")
+    if len(digits) >= len(str(FIGURE_MAX)):
+        return FIGURE_MAX
+    return int(digits or b"0")
+
+
 def _single_decimal(values: Sequence[bytes], maximum: float) -> float | None:
     """Return the only value of a field; None if it is repeated, invalid or larger."""
     if len(values) != 1 or _DECIMAL.fullmatch(values[0]) is None:
--- a/sequoiahook/wire/target_dialect.py
+++ b/sequoiahook/wire/target_dialect.py
@@ -5,7 +5,7 @@
 
 from sequoiahook.messages.requests import Fields
 from sequoiahook.wire.fields import RAN_FIELD, response_fields
-from sequoiahook.world.target import StatedLimit, StatedRest
+from sequoiahook.world.target import LoadReport, StatedLimit, StatedRest
 
 __all__ = ["NATIVE_DIALECT", "NativeDialect", "TargetDialect"]
 
@@ -35,8 +35,8 @@
     def answer_fields(self, headers: Headers) -> Fields:
         """Return the fields of an answer that are forwarded to the caller."""
 
-    def open_count(self, headers: Headers) -> int | None:
-        """Return the reported number of open requests; None if not reported."""
+    def load_report(self, status: int, headers: Headers) -> LoadReport | None:
+        """Return the load that an answer reports; None if it does not."""
 
     def stated_limit(self, status: int, headers: Headers) -> StatedLimit | None:
         """Return the limit that an answer states; None if it comes from another."""
@@ -69,7 +69,7 @@
         """Return all fields except those of this connection and of this project."""
         return response_fields(headers)
 
-    def open_count(self, headers: Headers) -> int | None:
+    def load_report(self, status: int, headers: Headers) -> LoadReport | None:
         """Return None: answers do not report the load of targets."""
         return None
 
--- a/sequoiahook/world/target.py
+++ b/sequoiahook/world/target.py
@@ -8,6 +8,7 @@
 __all__ = [
     "TARGET_STATES",
     "LiveTarget",
+    "LoadReport",
     "StatedLimit",
     "StatedRest",
     "Target",
@@ -82,6 +83,21 @@
     cold_ms: int
 
 
+class LoadReport(NamedTuple):
+    """What one answer of a target reports about its load.
+
+    Attributes:
+        open_count: Number of running and waiting requests.
+        slots: Number of requests that it can run at a time.
+        pace: How long work takes on its machine at present, in percent of the usual
+            time; None if it is not reported or out of range.
+    """
+
+    open_count: int
+    slots: int
+    pace: int | None = None
+
+
 class StatedLimit(NamedTuple):
     """What one answer of a target states about the requests that it accepts.
 
