Place requests by expected completion where services state their pace

Requests were refused while targets of the region stood idle, since only two targets of an object's order were tried there.

--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -2,6 +2,7 @@
 
 from sequoiahook.decisions.direct.admission import Admission
 from sequoiahook.decisions.direct.fleet import Fleet
+from sequoiahook.decisions.direct.placements import target_query
 from sequoiahook.decisions.direct.requests import Attempt
 from sequoiahook.decisions.direct.target_selection import TargetSelector
 from sequoiahook.decisions.direct.target_state import (
@@ -41,6 +42,7 @@
     def record(self, attempt: Attempt, result: TargetResult, now: int) -> None:
         """Record what a result shows about the target."""
         state = attempt.state
+        self._selector.record_ended(attempt)
         self._record_connection(state, result, now)
         if self._connectivity.is_lost and result.stage not in REACHED_STAGES:
             # The network path failed, whatever the target did.
@@ -59,14 +61,9 @@
         state.record_outcome(is_failure, now)
         if is_answer and not is_failure and not state.is_cold(now):
             request = attempt.request
-            self._selector.estimates.record_answer(
-                request.route,
-                request.incoming.object_key,
-                state,
-                attempt.in_flight,
-                result.duration_ms,
-                now,
-            )
+            service = self._admission.service(request.service)
+            query = target_query(request, service, request.deadline_at - now)
+            self._selector.record_answer(attempt, query, result.duration_ms, now)
 
     def record_stream_end(self, attempt: Attempt, end: StreamEnd, now: int) -> None:
         """Record the end of a body that was passed on while it was received.
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -9,7 +9,7 @@
 from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.permits import Permits
-from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery, target_query
 from sequoiahook.decisions.direct.region_summary import PlacedBy
 from sequoiahook.decisions.direct.requests import (
     CAUSES,
@@ -254,6 +254,7 @@
         attempt.request.records[-1] = record._replace(stage=stage.value)
         if stage in CONNECT_FAILED_STAGES:
             stage = Stage.NOTHING_WRITTEN  # The connection might have been opened.
+        self._selector.record_ended(attempt)
         attempt.state.on_ended(stage, now)
         if result.stage.ran == NOT_RUN and not attempt.request.may_have_run:
             self._admission.return_token(attempt.request, now)
@@ -339,7 +340,9 @@
                 placement.placed_by,
             )
         )
-        return Attempt(request, state, placement.in_flight, remaining_ms)
+        return Attempt(
+            request, state, placement.in_flight, remaining_ms, placement.open_work
+        )
 
     def _end(
         self, request: OpenRequest, cause: str, now: int, retry_after_ms: int = 0
@@ -365,16 +368,8 @@
         return Refuse(Status.BAD_GATEWAY, refusal.cause)
 
     def _target_query(self, request: OpenRequest, remaining_ms: int) -> TargetQuery:
-        return TargetQuery(
-            self._admission.service(request.service),
-            request.route,
-            request.incoming.object_key,
-            request.priority,
-            request.regions,
-            remaining_ms,
-            frozenset(request.tried_ids | request.passed_over_ids),
-            () if request.origin is None else request.origin.region_order,
-        )
+        service = self._admission.service(request.service)
+        return target_query(request, service, remaining_ms)
 
     def _budget(self, service: str, now: int) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -93,7 +93,12 @@
         self.rates = Rates(settings.rates, me.name, now)
         self.targets = TargetRegistry(settings.targets)
         self.selector = TargetSelector(
-            settings.selection, me.region, settings.regions, self.targets, now
+            settings.selection,
+            me.region,
+            settings.regions,
+            self.targets,
+            now,
+            me.data_centre,
         )
         components = FleetComponents(self.targets, self.selector, self.rates)
         self.fleet = Fleet(settings.fleet, me, components, now)
--- a/sequoiahook/decisions/direct/estimates.py
+++ b/sequoiahook/decisions/direct/estimates.py
@@ -64,7 +64,7 @@
     def answer_ms(self, work_ms: float, state: TargetState, in_flight: int) -> int:
         """Return the expected response time, with the queue and the round trip."""
         return int(
-            work_ms * _queue_factor(state, in_flight) + self._round_trip_ms(state)
+            work_ms * _queue_factor(state, in_flight) + self.round_trip_ms(state)
         )
 
     def unknown_object_work_ms(self, work_ms: float) -> float:
@@ -107,24 +107,35 @@
             now: The time in milliseconds.
         """
         is_known = self.is_known(route, object_key, state, now)
-        self._known.record_handled(
-            qualified_key(route, object_key), state.record.id, now
-        )
+        self.record_handled(route, object_key, state, now)
         if object_key and not is_known:
             return
-        work_ms = max(1, elapsed_ms - self._round_trip_ms(state))
+        work_ms = max(1, elapsed_ms - self.round_trip_ms(state))
         typical_work_ms = self.typical_work_ms(route)
         ratio = work_ms / (typical_work_ms * _queue_factor(state, in_flight))
         state.record_slowness(ratio, now)
+        self.record_work(route, ratio * typical_work_ms)
+
+    def record_handled(
+        self, route: Route, object_key: str, state: TargetState, now: int
+    ) -> None:
+        """Record that a target has handled an object."""
+        key = qualified_key(route, object_key)
+        self._known.record_handled(key, state.record.id, now)
+
+    def record_work(self, route: Route, work_ms: float) -> None:
+        """Update a route's typical work from one request with a cached object."""
+        typical_work_ms = self.typical_work_ms(route)
         step = self._settings.typical_work_step
         # A step of fixed size tracks the median, which slow targets do not affect.
-        factor = 1 + step if ratio > 1 else 1 - step
+        factor = 1 + step if work_ms > typical_work_ms else 1 - step
         typical_work_ms = min(
             max(typical_work_ms * factor, 1.0), float(route.timeout_ms)
         )
         self._typical_work_ms_by_route[route.name] = typical_work_ms
 
-    def _round_trip_ms(self, state: TargetState) -> int:
+    def round_trip_ms(self, state: TargetState) -> int:
+        """Return the round trip time to a target; 0 within the region."""
         region = state.record.region
         if region == self._region:
             return 0
--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -3,10 +3,12 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.region_summary import PlacedBy
+from sequoiahook.decisions.direct.requests import OpenRequest
+from sequoiahook.decisions.direct.target_backlog import OpenWork
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.world.routing import Route, TargetService
 
-__all__ = ["Placement", "TargetQuery"]
+__all__ = ["Placement", "TargetQuery", "target_query"]
 
 
 class TargetQuery(NamedTuple):
@@ -21,6 +23,8 @@
         remaining_ms: Time until its deadline.
         tried_ids: Ids of the targets that it was sent to before.
         region_order: Order of the regions, if another instance has determined it.
+        organisation: Name of the organisation; empty if no key is required.
+        body_bytes: Size of the body.
     """
 
     service: TargetService
@@ -31,6 +35,8 @@
     remaining_ms: int
     tried_ids: frozenset[str]
     region_order: tuple[str, ...] = ()
+    organisation: str = ""
+    body_bytes: int = 0
 
 
 class Placement(NamedTuple):
@@ -43,6 +49,10 @@
         retry_after_ms: Time after which the caller should retry if there is no target.
         cause: Reason why there is no target.
         placed_by: What determined the region; one of `PlacedBy`.
+        start_ms: Expected time until the target begins the request.
+        work_ms: Expected time for which it runs there.
+        open_work: The work to add to the target's backlog; None if the service does
+            not state its pace.
     """
 
     state: TargetState | None
@@ -51,8 +61,35 @@
     retry_after_ms: int = 0
     cause: str = ""
     placed_by: str = ""
+    start_ms: int = 0
+    work_ms: int = 0
+    open_work: OpenWork | None = None
 
     @property
     def is_moved(self) -> bool:
         """Whether the target is in another region than the object's owner."""
         return self.placed_by == PlacedBy.OVERFLOW
+
+
+def target_query(
+    request: OpenRequest, service: TargetService, remaining_ms: int
+) -> TargetQuery:
+    """Return the properties of a request that determine its target.
+
+    Args:
+        request: The request.
+        service: Service that runs it.
+        remaining_ms: Time until its deadline.
+    """
+    return TargetQuery(
+        service,
+        request.route,
+        request.incoming.object_key,
+        request.priority,
+        request.regions,
+        remaining_ms,
+        frozenset(request.tried_ids | request.passed_over_ids),
+        () if request.origin is None else request.origin.region_order,
+        request.organisation,
+        len(request.incoming.body),
+    )
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.target_backlog import OpenWork
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.keys import KeyName
@@ -257,12 +258,15 @@
         state: The target.
         in_flight: Requests known to be queued or running at the target.
         timeout_ms: Time until the request's deadline.
+        open_work: Its entry in the target's backlog; None if the service does not state
+            its pace.
     """
 
     request: OpenRequest
     state: TargetState
     in_flight: int
     timeout_ms: int
+    open_work: OpenWork | None = None
 
 
 class Deliver(NamedTuple):
--- /dev/null
+++ b/sequoiahook/decisions/direct/target_backlog.py
@@ -0,0 +1,114 @@
+"""The work that a target still has to do, and when it has a free slot again."""
+
+import heapq
+from collections.abc import Sequence
+from typing import NamedTuple
+
+__all__ = ["OpenWork", "TargetBacklog"]
+
+REMAINING_MIN_RATIO = 0.1
+"""Least remaining work of a request that runs, as a ratio of its mean work: that it has
+lasted as long as expected does not mean that it ends at once."""
+
+
+class OpenWork(NamedTuple):
+    """The work that one open request of this instance is expected to need.
+
+    Attributes:
+        sent_at: When it was sent, in milliseconds.
+        begins_at: When the target is expected to begin it, in milliseconds.
+        mean_ms: Mean work at the usual pace.
+        tail_ms: Work at the usual pace that few requests exceed.
+        start_ms: Expected time until it begins, at the usual pace.
+        pace_factor: Pace of the target when it was sent; 1 is as usual.
+        is_cached: Whether the target was assumed to have the object cached.
+    """
+
+    sent_at: int
+    begins_at: int
+    mean_ms: float
+    tail_ms: float
+    start_ms: float = 0.0
+    pace_factor: float = 1.0
+    is_cached: bool = True
+
+    def remaining_ms(self, factor: float, now: int) -> float:
+        """Return the work that it is still expected to need.
+
+        The longer a request has lasted beyond its mean work, the more likely it is one
+        of the few that need much more.
+
+        Args:
+            factor: How long work takes at the target, relative to the usual time.
+            now: The time in milliseconds.
+        """
+        mean_ms = self.mean_ms * factor
+        elapsed_ms = max(0, now - self.begins_at)
+        least_ms = mean_ms * REMAINING_MIN_RATIO
+        if elapsed_ms <= mean_ms:
+            return max(least_ms, mean_ms - elapsed_ms)
+        weight = min(1.0, (elapsed_ms - mean_ms) / max(1.0, mean_ms))
+        return max(least_ms, weight * (self.tail_ms * factor - elapsed_ms))
+
+
+class TargetBacklog:
+    """The open requests of this instance at one target, in the order of sending."""
+
+    def __init__(self):
+        self._open: list[OpenWork] = []
+
+    def __len__(self):
+        return len(self._open)
+
+    def add(self, work: OpenWork) -> None:
+        """Add a request that is sent."""
+        self._open.append(work)
+
+    def remove(self, work: OpenWork) -> None:
+        """Remove a request that has ended; equal ones are interchangeable."""
+        if work in self._open:
+            self._open.remove(work)
+
+    def start_ms(
+        self, slots: int, in_flight: int, typical_ms: float, factor: float, now: int
+    ) -> float:
+        """Return the expected time until a slot is free for a further request.
+
+        Args:
+            slots: Requests that the target runs at a time.
+            in_flight: Requests known to be queued or running at it, of all instances.
+            typical_ms: Work of a request of another instance, at the usual pace.
+            factor: How long work takes at the target, relative to the usual time.
+            now: The time in milliseconds.
+        """
+        if in_flight < slots or slots <= 0:
+            return 0.0
+        remaining = [work.remaining_ms(factor, now) for work in self._open]
+        others = max(0, in_flight - len(remaining))
+        return _time_to_free_slot(slots, remaining, others, typical_ms * factor)
+
+
+def _time_to_free_slot(
+    slots: int, remaining: Sequence[float], other_count: int, typical_ms: float
+) -> float:
+    """Return the time until a slot is free, with first come, first served.
+
+    The requests of others that run have been running for unknown times, so that their
+    ends are spread evenly over the typical work. The oldest requests run.
+    """
+    count = len(remaining) + other_count
+    # Those of this instance and those of others run in proportion to their numbers.
+    running = min(slots, count)
+    other_running = round(running * other_count / count) if count else 0
+    own_running = min(len(remaining), running - other_running)
+    other_running = min(other_count, running - own_running)
+    ends = [*remaining[:own_running]]
+    ends += [
+        typical_ms * (index + 1) / (other_running + 1) for index in range(other_running)
+    ]
+    heapq.heapify(ends)
+    queued = [*remaining[own_running:]]
+    queued += [typical_ms] * (other_count - other_running)
+    for work_ms in queued:
+        heapq.heapreplace(ends, ends[0] + work_ms)
+    return ends[0]
--- /dev/null
+++ b/sequoiahook/decisions/direct/target_evaluation.py
@@ -0,0 +1,165 @@
+"""The expected response time of a candidate target, and whether it has room.
+
+For services whose targets state their pace, it is the time until a slot is free, the
+expected work at the present pace and slowness of the target, and the round trip. For
+other services, it is the typical work of the route times the length of the queue.
+"""
+
+from collections.abc import Sequence
+
+from sequoiahook.decisions.direct.estimates import Estimates
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.target_backlog import OpenWork
+from sequoiahook.decisions.direct.target_selection_settings import (
+    TargetSelectionSettings,
+)
+from sequoiahook.decisions.direct.target_state import TargetState
+from sequoiahook.decisions.direct.work_estimates import ExpectedWork, WorkEstimates
+
+__all__ = ["Evaluation", "earliest", "is_single_region"]
+
+PERCENT = 100
+
+
+class Evaluation:
+    """Evaluates candidates.
+
+    Args:
+        settings: Settings of target selection.
+        estimates: Response times by route and target.
+        work: Expected work of requests.
+    """
+
+    def __init__(
+        self,
+        settings: TargetSelectionSettings,
+        estimates: Estimates,
+        work: WorkEstimates,
+    ):
+        self._settings = settings
+        self._estimates = estimates
+        self._work = work
+
+    def evaluate(
+        self, state: TargetState, query: TargetQuery, *, is_owner: bool, now: int
+    ) -> Placement | None:
+        """Return a candidate with its expected response time; None if unsuitable."""
+        in_flight = state.in_flight(now)
+        estimates = self._estimates
+        work_ms = estimates.work_ms(query.route, state, now)
+        is_known = estimates.is_known(query.route, query.object_key, state, now)
+        if query.object_key and not is_owner and not is_known:
+            if in_flight >= state.record.slots and not is_single_region(query):
+                return None
+            work_ms = estimates.unknown_object_work_ms(work_ms)
+        expected_ms = estimates.answer_ms(work_ms, state, in_flight)
+        expected_ms += self._failure_ms(state, query, now)
+        return Placement(state, int(expected_ms), in_flight)
+
+    def evaluate_paced(
+        self, state: TargetState, query: TargetQuery, work: ExpectedWork, now: int
+    ) -> Placement:
+        """Return a candidate with its expected completion.
+
+        Args:
+            state: The target, of a service whose targets state their pace.
+            query: Properties of the request.
+            work: The work that it is expected to need.
+            now: The time in milliseconds.
+        """
+        in_flight = state.in_flight(now)
+        is_cached = not query.object_key or self._estimates.is_known(
+            query.route, query.object_key, state, now
+        )
+        pace_factor = state.pace_factor(now)
+        slowness = state.slowness(now)
+        factor = pace_factor * slowness
+        mean_ms = work.mean_ms(is_cached=is_cached)
+        start_ms = 0.0
+        if in_flight >= state.record.slots:
+            typical_ms = self._work.typical_ms(query.service.name, query.route)
+            start_ms = state.backlog.start_ms(
+                state.record.slots, in_flight, typical_ms, factor, now
+            )
+        round_trip_ms = self._estimates.round_trip_ms(state)
+        expected_ms = start_ms + mean_ms * factor + round_trip_ms
+        expected_ms += self._failure_ms(state, query, now)
+        open_work = OpenWork(
+            now,
+            now + int(start_ms + round_trip_ms / 2),
+            mean_ms,
+            mean_ms * work.tail_ratio,
+            start_ms / slowness,
+            pace_factor,
+            is_cached,
+        )
+        return Placement(
+            state,
+            int(expected_ms),
+            in_flight,
+            start_ms=int(start_ms),
+            work_ms=int(mean_ms * factor),
+            open_work=open_work,
+        )
+
+    def max_wait_ms(self, query: TargetQuery) -> float:
+        """Return the longest expected response time at which a request may queue."""
+        settings = self._settings
+        steps = max(0, settings.priority_count - 1 - query.priority)
+        percent = settings.max_wait_percent + steps * settings.max_wait_step_percent
+        if is_single_region(query):
+            percent += settings.single_region_percent
+        return query.route.latency_goal_ms * percent / PERCENT
+
+    def has_room(self, placement: Placement, query: TargetQuery) -> bool:
+        """Return whether a target has room for a request."""
+        slots = placement.state.record.slots
+        if placement.in_flight < slots:
+            return True
+        if placement.in_flight >= slots * self._settings.limit_percent // PERCENT:
+            return False
+        return placement.expected_ms <= self.max_wait_ms(query)
+
+    def time_to_room_ms(
+        self, placement: Placement, query: TargetQuery, now: int
+    ) -> int:
+        """Return the expected time until the target has room for the request."""
+        state = placement.state
+        over_ms = int(placement.expected_ms - self.max_wait_ms(query))
+        work_ms = self._estimates.work_ms(query.route, state, now)
+        return max(int(work_ms / max(1, state.record.slots)), over_ms)
+
+    def best(self, placements: Sequence[Placement]) -> Placement | None:
+        """Return the candidate with the earliest expected completion.
+
+        For services whose targets state their pace, one with the object cached, or that
+        comes first, is preferred if its time is about equal.
+        """
+        first = earliest(placements)
+        if first is None or first.open_work is None:
+            return first
+        equal_ms = first.work_ms * self._settings.paced.equal_percent / PERCENT
+        return next(
+            placement
+            for placement in sorted(
+                placements, key=lambda placement: not placement.open_work.is_cached
+            )
+            if placement.expected_ms <= first.expected_ms + equal_ms
+        )
+
+    def _failure_ms(self, state: TargetState, query: TargetQuery, now: int) -> float:
+        """Return the expected delay by failures of the target."""
+        failure_ratio = state.failure_ratio(now)
+        if failure_ratio > self._settings.failure_ratio_max:
+            return failure_ratio * 2 * query.route.latency_goal_ms
+        return 0
+
+
+def earliest(placements: Sequence[Placement]) -> Placement | None:
+    """Return the candidate with the shortest expected response time."""
+    return min(placements, key=lambda placement: placement.expected_ms, default=None)
+
+
+def is_single_region(query: TargetQuery) -> bool:
+    """Return whether a request may run in one region only."""
+    return len(query.regions) == 1
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -15,82 +15,38 @@
 """
 
 from collections.abc import Sequence
-from typing import NamedTuple
 
-from sequoiahook.clock import MS_PER_S
-from sequoiahook.decisions.direct.estimates import (
-    Estimates,
-    EstimateSettings,
-    qualified_key,
-)
-from sequoiahook.decisions.direct.lost_capacity import (
-    LostCapacity,
-    LostCapacitySettings,
-    TargetSlots,
-)
+from sequoiahook.decisions.direct.estimates import Estimates
+from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
-from sequoiahook.decisions.direct.region_owners import (
-    RegionOwners,
-    RegionOwnerSettings,
-)
+from sequoiahook.decisions.direct.region_owners import RegionOwners
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
-from sequoiahook.decisions.direct.requests import Cause
-from sequoiahook.decisions.direct.shift_limit import ShiftLimit, ShiftSettings
+from sequoiahook.decisions.direct.requests import Attempt, Cause
+from sequoiahook.decisions.direct.shift_limit import ShiftLimit
+from sequoiahook.decisions.direct.target_candidates import TargetCandidates
+from sequoiahook.decisions.direct.target_evaluation import Evaluation, earliest
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
+from sequoiahook.decisions.direct.target_selection_settings import (
+    TargetSelectionSettings,
+)
 from sequoiahook.decisions.direct.target_state import TargetState
-from sequoiahook.decisions.rendezvous import order
+from sequoiahook.decisions.direct.work_estimates import WorkEstimates
 from sequoiahook.world.target import LoadReport
 
 __all__ = ["TargetSelectionSettings", "TargetSelector"]
 
-RANKINGS_MAX = 20_000
-PERCENT = 100
-
-
-class TargetSelectionSettings(NamedTuple):
-    """Settings of target selection.
-
-    Attributes:
-        limit_percent: Most requests at a target, as a percentage of its slots.
-        max_wait_percent: Longest expected response time, as a percentage of the
-            route's latency goal, at which requests of the lowest priority queue at a
-            target without free slots.
-        max_wait_step_percent: Addition to it for each step of priority.
-        single_region_percent: Addition to it for requests that may run in one region
-            only, since other requests can run elsewhere.
-        priority_count: Number of priorities that are distinguished.
-        failure_ratio_max: Ratio of failed results above which a target is penalised.
-        estimates: Settings of the response time estimates.
-        owners: Settings of the regions that own objects.
-        shift: Limit on requests that run outside the region of their object's owner.
-        lost_capacity: Settings of the lost capacity, which extends that limit.
-        check_interval_ms: Time between two checks of which targets are usable.
-    """
-
-    limit_percent: int = 300
-    max_wait_percent: int = 90
-    max_wait_step_percent: int = 25
-    single_region_percent: int = 100
-    priority_count: int = 3
-    failure_ratio_max: float = 0.2
-    estimates: EstimateSettings = EstimateSettings()
-    owners: RegionOwnerSettings = RegionOwnerSettings()
-    shift: ShiftSettings = ShiftSettings()
-    lost_capacity: LostCapacitySettings = LostCapacitySettings()
-    check_interval_ms: int = 400
-
 
 class TargetSelector:
     """Selects the targets of requests.
 
     Attributes:
-        region_instance_count: Instances in the region of this one, itself included.
-        region_instance_rank: Number of those whose names come first.
         summary: Counts of requests by region, for logs.
         owners: The regions that own objects.
         home_shares: Shares of the own region by service.
         shift_limit: Limit on requests that run outside their owner's region.
         lost_capacity: Capacity that the regions lost recently.
+        estimates: Response times by route and target.
+        work: Expected work of requests.
 
     Args:
         settings: Settings of target selection.
@@ -98,6 +54,7 @@
         regions: All regions.
         targets: Registry of targets.
         now: The time in milliseconds.
+        data_centre: Data centre of this instance; empty if unknown.
     """
 
     def __init__(
@@ -107,11 +64,13 @@
         regions: Sequence[str],
         targets: TargetRegistry,
         now: int = 0,
+        data_centre: str = "",
     ):
-        self.region_instance_count = 1
-        self.region_instance_rank = 0
+        self._candidates = TargetCandidates(region, data_centre, targets)
         self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
+        self.work = WorkEstimates(settings.paced.work)
+        self._evaluation = Evaluation(settings, self.estimates, self.work)
         self._settings = settings
         self._region = region
         self._targets = targets
@@ -120,10 +79,26 @@
         self.shift_limit = ShiftLimit(settings.shift)
         self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
-        self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
-        self._rankings_version = -1
         self._paced_services: set[str] = set()
 
+    @property
+    def region_instance_count(self) -> int:
+        """Instances in the region of this one, itself included."""
+        return self._candidates.region_instance_count
+
+    @region_instance_count.setter
+    def region_instance_count(self, count: int) -> None:
+        self._candidates.region_instance_count = count
+
+    @property
+    def region_instance_rank(self) -> int:
+        """Number of those whose names come first."""
+        return self._candidates.region_instance_rank
+
+    @region_instance_rank.setter
+    def region_instance_rank(self, rank: int) -> None:
+        self._candidates.region_instance_rank = rank
+
     def states_pace(self, service: str) -> bool:
         """Return whether an answer of one of a service's targets stated its pace."""
         return service in self._paced_services
@@ -142,21 +117,24 @@
         return placement
 
     def _choose(self, query: TargetQuery, now: int) -> Placement:
-        candidates = self._candidates(query, now)
+        candidates = self._evaluated(query, now)
         if not candidates:
             return self._no_target(query, now)
+        evaluation = self._evaluation
         fitting = [
-            placement for placement in candidates if self._has_room(placement, query)
+            placement
+            for placement in candidates
+            if evaluation.has_room(placement, query)
         ]
         if not fitting:
-            fastest = min(candidates, key=lambda placement: placement.expected_ms)
-            room_after_ms = self._time_to_room_ms(fastest, query, now)
+            fastest = earliest(candidates)
+            room_after_ms = evaluation.time_to_room_ms(fastest, query, now)
             return Placement(
                 None, retry_after_ms=room_after_ms, cause=Cause.TARGETS_FULL
             )
         best = self._fastest_allowed(candidates, fitting, query, now)
         if best is None:
-            room_after_ms = self._time_to_room_ms(candidates[0], query, now)
+            room_after_ms = evaluation.time_to_room_ms(candidates[0], query, now)
             return Placement(
                 None, retry_after_ms=room_after_ms, cause=Cause.SHIFT_LIMIT
             )
@@ -167,9 +145,51 @@
 
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
+        if placement.open_work is not None:
+            placement.state.backlog.add(placement.open_work)
         self.shift_limit.record_request(now, is_moved=placement.is_moved)
         self.summary.record_sent(placement.state.record.region, placement.placed_by)
 
+    def record_ended(self, attempt: Attempt) -> None:
+        """Remove an attempt that has ended, however it did, from the backlog."""
+        if attempt.open_work is not None:
+            attempt.state.backlog.remove(attempt.open_work)
+
+    def record_answer(
+        self, attempt: Attempt, query: TargetQuery, duration_ms: int, now: int
+    ) -> None:
+        """Update the estimates from the duration of an answer.
+
+        Args:
+            attempt: The attempt that was answered.
+            query: Properties of its request.
+            duration_ms: Time from the first byte written to the end of the answer.
+            now: The time in milliseconds.
+        """
+        state, work = attempt.state, attempt.open_work
+        if work is None:
+            self.estimates.record_answer(
+                query.route,
+                query.object_key,
+                state,
+                attempt.in_flight,
+                duration_ms,
+                now,
+            )
+            return
+        elapsed_ms = max(1, duration_ms - self.estimates.round_trip_ms(state))
+        # The answer shows the pace at its end; the work took place at both.
+        pace_factor = (work.pace_factor + state.pace_factor(now)) / 2
+        paced_ms = work.mean_ms * pace_factor
+        ratio = elapsed_ms / max(1.0, work.start_ms + paced_ms)
+        weight = paced_ms / max(1.0, work.start_ms + paced_ms)
+        self.work.record(query, work.mean_ms * ratio, weight, is_cached=work.is_cached)
+        self.estimates.record_handled(query.route, query.object_key, state, now)
+        if work.is_cached:
+            slowness = min(ratio, self._settings.paced.slowness_max)
+            state.record_slowness(slowness, now)
+            self.estimates.record_work(query.route, work.mean_ms * ratio)
+
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
         if now - self._checked_at < self._settings.check_interval_ms:
@@ -201,14 +221,16 @@
             query: Properties of the request.
             now: The time in milliseconds.
         """
-        best = _fastest(fitting)
+        best = self._evaluation.best(fitting)
         # Without a usable target in the owner's region, all candidates are moved.
         is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
             query, now
         )
         if not best.is_moved or is_unlimited or self.shift_limit.may_move(now):
             return best
-        return _fastest([placement for placement in fitting if not placement.is_moved])
+        return self._evaluation.best(
+            [placement for placement in fitting if not placement.is_moved]
+        )
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused as they asked for."""
@@ -245,13 +267,17 @@
             query.route, query.service.name, query.object_key, query.regions, now
         )
 
-    def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
+    def _evaluated(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
+        if self.states_pace(query.service.name):
+            return self._paced_candidates(query, now)
         candidates: list[Placement] = []
         for index, region in enumerate(self.region_order(query, now)):
-            usable = self._usable(query, region, now)
-            for state in usable[: 1 if candidates else 2]:
-                placement = self._evaluate(
+            count = 1 if candidates else 2
+            for state in self._candidates.usable(query, region, 2, now, is_near=False)[
+                :count
+            ]:
+                placement = self._evaluation.evaluate(
                     state, query, is_owner=not candidates, now=now
                 )
                 if placement is not None:
@@ -259,6 +285,24 @@
                     candidates.append(placement._replace(placed_by=placed_by))
         return candidates
 
+    def _paced_candidates(self, query: TargetQuery, now: int) -> list[Placement]:
+        """Return the candidates among targets of a service that states its pace."""
+        settings = self._settings.paced
+        work = self.work.expect(query)
+        candidates: list[Placement] = []
+        for index, region in enumerate(self.region_order(query, now)):
+            is_near = region == self._region
+            count = (
+                settings.own_region_count if is_near else settings.other_region_count
+            )
+            placed_by = self._placed_by(region, query, index)
+            for state in self._candidates.usable(
+                query, region, count, now, is_near=is_near
+            ):
+                placement = self._evaluation.evaluate_paced(state, query, work, now)
+                candidates.append(placement._replace(placed_by=placed_by))
+        return candidates
+
     def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
         if index > 0:
             return PlacedBy.OVERFLOW
@@ -268,117 +312,5 @@
             return PlacedBy.REQUIRED_REGIONS
         return PlacedBy.SHARE
 
-    def _usable(self, query: TargetQuery, region: str, now: int) -> list[TargetState]:
-        """Return up to two usable targets, by preference.
-
-        Cold targets are returned only if there are no others, since they respond
-        slowly.
-        """
-        warm: list[TargetState] = []
-        cold: list[TargetState] = []
-        for state in self._ranked(query, region):
-            if state.record.id in query.tried_ids or not state.may_send(now):
-                continue
-            if state.is_blocked(now) or state.is_resting(now):
-                continue
-            if not state.is_cold(now):
-                warm.append(state)
-            elif self._accepts_cold(state, query, region, now):
-                cold.append(state)
-            if len(warm) == 2:
-                break
-        return (warm or cold)[:2]
-
-    def _accepts_cold(
-        self, state: TargetState, query: TargetQuery, region: str, now: int
-    ) -> bool:
-        """Return whether a cold target accepts another request of this instance.
-
-        Only the instances of its own region use it, each for an equal part of its rate,
-        and one after the other: all parts at once would be too much for it.
-        """
-        if region != self._region or query.service.cold_per_s <= 0:
-            return False
-        turn_ms = MS_PER_S / query.service.cold_per_s
-        if now < state.cold_since + self.region_instance_rank * turn_ms:
-            return False
-        if state.sent_cold_at is None:
-            return True
-        return now - state.sent_cold_at >= turn_ms * max(1, self.region_instance_count)
-
-    def _ranked(self, query: TargetQuery, region: str) -> list[TargetState]:
-        group = self._targets.group(query.service.name, region)
-        if not query.route.is_sticky or not query.object_key:
-            return sorted(group, key=lambda state: state.open_count)
-        if self._rankings_version != self._targets.version:
-            self._rankings_by_key.clear()
-            self._rankings_version = self._targets.version
-        key = (
-            query.service.name,
-            region,
-            qualified_key(query.route, query.object_key),
-        )
-        states = self._rankings_by_key.get(key)
-        if states is None:
-            if len(self._rankings_by_key) >= RANKINGS_MAX:
-                self._rankings_by_key.clear()
-            by_id = {state.record.id: state for state in group}
-            states = [by_id[name] for name in order(key[-1], by_id)]
-            self._rankings_by_key[key] = states
-        return states
-
-    def _evaluate(
-        self, state: TargetState, query: TargetQuery, *, is_owner: bool, now: int
-    ) -> Placement | None:
-        """Return a candidate with its expected response time; None if unsuitable."""
-        in_flight = state.in_flight(now)
-        estimates = self.estimates
-        work_ms = estimates.work_ms(query.route, state, now)
-        is_known = estimates.is_known(query.route, query.object_key, state, now)
-        if query.object_key and not is_owner and not is_known:
-            if in_flight >= state.record.slots and not _is_single_region(query):
-                return None
-            work_ms = estimates.unknown_object_work_ms(work_ms)
-        expected_ms = estimates.answer_ms(work_ms, state, in_flight)
-        failure_ratio = state.failure_ratio(now)
-        if failure_ratio > self._settings.failure_ratio_max:
-            expected_ms += failure_ratio * 2 * query.route.latency_goal_ms
-        return Placement(state, int(expected_ms), in_flight)
-
-    def _max_wait_ms(self, query: TargetQuery) -> float:
-        """Return the longest expected response time at which a request may queue."""
-        settings = self._settings
-        steps = max(0, settings.priority_count - 1 - query.priority)
-        percent = settings.max_wait_percent + steps * settings.max_wait_step_percent
-        if _is_single_region(query):
-            percent += settings.single_region_percent
-        return query.route.latency_goal_ms * percent / PERCENT
-
-    def _has_room(self, placement: Placement, query: TargetQuery) -> bool:
-        slots = placement.state.record.slots
-        if placement.in_flight < slots:
-            return True
-        if placement.in_flight >= slots * self._settings.limit_percent // PERCENT:
-            return False
-        return placement.expected_ms <= self._max_wait_ms(query)
-
-    def _time_to_room_ms(
-        self, placement: Placement, query: TargetQuery, now: int
-    ) -> int:
-        """Return the expected time until the target has room for the request."""
-        state = placement.state
-        over_ms = int(placement.expected_ms - self._max_wait_ms(query))
-        work_ms = self.estimates.work_ms(query.route, state, now)
-        return max(int(work_ms / max(1, state.record.slots)), over_ms)
-
     def _retry_ms(self, query: TargetQuery) -> int:
         return max(1, int(self.estimates.typical_work_ms(query.route)))
-
-
-def _fastest(candidates: Sequence[Placement]) -> Placement | None:
-    return min(candidates, key=lambda placement: placement.expected_ms, default=None)
-
-
-def _is_single_region(query: TargetQuery) -> bool:
-    """Return whether a request may run in one region only."""
-    return len(query.regions) == 1
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.target_backlog import TargetBacklog
 from sequoiahook.decisions.exchange.retry import SuspensionSettings, TargetSuspension
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.world.target import LiveTarget, LoadReport, StatedLimit, StatedRest
@@ -63,6 +64,7 @@
 
     Attributes:
         open_count: Requests of this instance that are open at the target.
+        backlog: Expected work of those of them whose service states its pace.
         cold_since: When it last became cold.
         cold_until: Until when it is cold.
         is_leaving: Whether this run of it has stated that it leaves.
@@ -93,6 +95,7 @@
     def __init__(self, record: LiveTarget, settings: TargetSettings, now: int):
         self.record = record
         self.open_count = 0
+        self.backlog = TargetBacklog()
         self.sent_count = 0
         self.stated_limit = StatedLimit(None)
         self.stated_rest = StatedRest()
