Charge work without a cached object; hot objects in the own data centre first

The owner counts as having the object cached, as other instances use it as well. Two copies of each object in a region exceed the caches, so that only objects with many requests have an owner in each data centre.

--- a/sequoiahook/decisions/direct/object_owners.py
+++ b/sequoiahook/decisions/direct/object_owners.py
@@ -4,10 +4,13 @@
 import math
 from collections.abc import Mapping
 
-__all__ = ["KnownObjects", "hash_permille", "region_order"]
+__all__ = ["HotObjects", "KnownObjects", "hash_permille", "region_order"]
 
 HASH_BITS = 64
 PERMILLE = 1000
+PERCENT = 100
+HOT_COUNT_MIN = 2.0
+"""Least requests of a hot object: a single request shows nothing about the next."""
 
 
 def hash_permille(key: str) -> int:
@@ -63,3 +66,44 @@
         """Return whether a target is assumed to have an object cached."""
         seen_at = self._seen_at_by_target_by_object.get(key, {}).get(target_id)
         return seen_at is not None and now - seen_at <= self._known_ms
+
+
+class HotObjects:
+    """Objects that this instance requests more often than others.
+
+    Args:
+        hot_percent: Least requests of a hot object, as a percentage of the mean of all
+            objects with requests.
+        half_life_ms: Time after which the counts of requests are halved.
+        objects_max: Most objects that are stored.
+    """
+
+    def __init__(self, hot_percent: int, half_life_ms: int, objects_max: int):
+        self._hot_percent = hot_percent
+        self._half_life_ms = half_life_ms
+        self._objects_max = objects_max
+        self._counts_by_key: dict[str, float] = {}
+        self._total = 0.0
+        self._halved_at = 0
+
+    def record(self, key: str, now: int) -> None:
+        """Count a request for an object."""
+        if now - self._halved_at >= self._half_life_ms:
+            self._halved_at = now
+            self._counts_by_key = {
+                key: count / 2
+                for key, count in self._counts_by_key.items()
+                if count > HOT_COUNT_MIN / 8
+            }
+            self._total = sum(self._counts_by_key.values())
+        if key in self._counts_by_key or len(self._counts_by_key) < self._objects_max:
+            self._counts_by_key[key] = self._counts_by_key.get(key, 0.0) + 1
+            self._total += 1
+
+    def is_hot(self, key: str) -> bool:
+        """Return whether an object is hot."""
+        count = self._counts_by_key.get(key, 0.0)
+        if count < HOT_COUNT_MIN:
+            return False
+        mean = self._total / len(self._counts_by_key)
+        return count * PERCENT >= mean * self._hot_percent
--- a/sequoiahook/decisions/direct/target_backlog.py
+++ b/sequoiahook/decisions/direct/target_backlog.py
@@ -22,6 +22,8 @@
         start_ms: Expected time until it begins, at the usual pace.
         pace_factor: Pace of the target when it was sent; 1 is as usual.
         is_cached: Whether the target was assumed to have the object cached.
+        is_known: Whether it was known to have it cached.
+        uncached_ratio: Part of the work that it would not need with a cached object.
     """
 
     sent_at: int
@@ -31,6 +33,8 @@
     start_ms: float = 0.0
     pace_factor: float = 1.0
     is_cached: bool = True
+    is_known: bool = True
+    uncached_ratio: float = 0.0
 
     def remaining_ms(self, factor: float, now: int) -> float:
         """Return the work that it is still expected to need.
--- a/sequoiahook/decisions/direct/target_candidates.py
+++ b/sequoiahook/decisions/direct/target_candidates.py
@@ -61,7 +61,7 @@
             region: Region of the targets.
             count: Most targets to return.
             now: The time in milliseconds.
-            is_near: Whether targets of the own data centre come first.
+            is_near: Whether a target of the own data centre comes first.
         """
         warm: list[TargetState] = []
         cold: list[TargetState] = []
@@ -126,7 +126,10 @@
             by_id = {state.record.id: state for state in group}
             states = [by_id[name] for name in order(object_key, by_id)]
             if is_near:
-                states.sort(key=self._is_far)
+                # Otherwise the order is that of the other data centre: the targets'
+                # caches do not hold each object for both.
+                near = [state for state in states if not self._is_far(state)][:1]
+                states = near + [state for state in states if state not in near]
             self._rankings_by_key[key] = states
         return states
 
--- a/sequoiahook/decisions/direct/target_evaluation.py
+++ b/sequoiahook/decisions/direct/target_evaluation.py
@@ -57,7 +57,13 @@
         return Placement(state, int(expected_ms), in_flight)
 
     def evaluate_paced(
-        self, state: TargetState, query: TargetQuery, work: ExpectedWork, now: int
+        self,
+        state: TargetState,
+        query: TargetQuery,
+        work: ExpectedWork,
+        *,
+        is_owner: bool,
+        now: int,
     ) -> Placement:
         """Return a candidate with its expected completion.
 
@@ -65,12 +71,15 @@
             state: The target, of a service whose targets state their pace.
             query: Properties of the request.
             work: The work that it is expected to need.
+            is_owner: Whether the target owns the object: it is assumed to have it
+                cached, since all other instances send its requests there, too.
             now: The time in milliseconds.
         """
         in_flight = state.in_flight(now)
-        is_cached = not query.object_key or self._estimates.is_known(
+        is_known = not query.object_key or self._estimates.is_known(
             query.route, query.object_key, state, now
         )
+        is_cached = is_known or is_owner
         pace_factor = state.pace_factor(now)
         slowness = state.slowness(now)
         factor = pace_factor * slowness
@@ -92,6 +101,8 @@
             start_ms / slowness,
             pace_factor,
             is_cached,
+            is_known,
+            0.0 if is_cached else 1 - work.cached_ms / work.uncached_ms,
         )
         return Placement(
             state,
@@ -138,14 +149,28 @@
         first = earliest(placements)
         if first is None or first.open_work is None:
             return first
-        equal_ms = first.work_ms * self._settings.paced.equal_percent / PERCENT
-        return next(
+        costs = [
+            placement.expected_ms + self._charge_ms(placement)
+            for placement in placements
+        ]
+        least = min(costs)
+        first = placements[costs.index(least)]
+        highest = least + first.work_ms * self._settings.paced.equal_percent / PERCENT
+        equal = [
             placement
-            for placement in sorted(
-                placements, key=lambda placement: not placement.open_work.is_cached
-            )
-            if placement.expected_ms <= first.expected_ms + equal_ms
-        )
+            for placement, cost in zip(placements, costs, strict=True)
+            if cost <= highest
+        ]
+        return next((p for p in equal if p.open_work.is_cached), equal[0])
+
+    def _charge_ms(self, placement: Placement) -> float:
+        """Return the charge for work that the target cannot do for others."""
+        if placement.open_work.is_cached:
+            return 0.0
+        use = min(1.0, placement.in_flight / max(1, placement.state.record.slots))
+        additional_ms = placement.work_ms * placement.open_work.uncached_ratio
+        percent = self._settings.paced.uncached_charge_percent
+        return additional_ms * use * percent / PERCENT
 
     def _failure_ms(self, state: TargetState, query: TargetQuery, now: int) -> float:
         """Return the expected delay by failures of the target."""
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -16,8 +16,10 @@
 
 from collections.abc import Sequence
 
-from sequoiahook.decisions.direct.estimates import Estimates
+from sequoiahook.decisions.direct.estimates import Estimates, qualified_key
+from sequoiahook.decisions.direct.home_share import PERMILLE
 from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
+from sequoiahook.decisions.direct.object_owners import HotObjects
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.region_owners import RegionOwners
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
@@ -70,6 +72,10 @@
         self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
         self.work = WorkEstimates(settings.paced.work)
+        paced = settings.paced
+        self._hot_objects = HotObjects(
+            paced.hot_percent, paced.hot_half_life_ms, paced.hot_objects_max
+        )
         self._evaluation = Evaluation(settings, self.estimates, self.work)
         self._settings = settings
         self._region = region
@@ -183,9 +189,14 @@
         paced_ms = work.mean_ms * pace_factor
         ratio = elapsed_ms / max(1.0, work.start_ms + paced_ms)
         weight = paced_ms / max(1.0, work.start_ms + paced_ms)
-        self.work.record(query, work.mean_ms * ratio, weight, is_cached=work.is_cached)
         self.estimates.record_handled(query.route, query.object_key, state, now)
-        if work.is_cached:
+        if query.object_key:
+            key = qualified_key(query.route, query.object_key)
+            self._hot_objects.record(key, now)
+        if work.is_known or not work.is_cached:
+            work_ms = work.mean_ms * ratio
+            self.work.record(query, work_ms, weight, is_cached=work.is_known)
+        if work.is_known:
             slowness = min(ratio, self._settings.paced.slowness_max)
             state.record_slowness(slowness, now)
             self.estimates.record_work(query.route, work.mean_ms * ratio)
@@ -291,18 +302,27 @@
         work = self.work.expect(query)
         candidates: list[Placement] = []
         for index, region in enumerate(self.region_order(query, now)):
-            is_near = region == self._region
-            count = (
-                settings.own_region_count if is_near else settings.other_region_count
-            )
+            is_own = region == self._region
+            count = settings.own_region_count if is_own else settings.other_region_count
             placed_by = self._placed_by(region, query, index)
             for state in self._candidates.usable(
-                query, region, count, now, is_near=is_near
+                query, region, count, now, is_near=is_own and self._is_near(query)
             ):
-                placement = self._evaluation.evaluate_paced(state, query, work, now)
+                placement = self._evaluation.evaluate_paced(
+                    state, query, work, is_owner=not candidates, now=now
+                )
                 candidates.append(placement._replace(placed_by=placed_by))
         return candidates
 
+    def _is_near(self, query: TargetQuery) -> bool:
+        """Return whether a request prefers the own data centre."""
+        if not query.object_key or not query.route.is_sticky:
+            return True
+        share = self.home_shares.permille_by_service.get(query.service.name, PERMILLE)
+        if share < self._settings.paced.near_share_permille:
+            return False
+        return self._hot_objects.is_hot(qualified_key(query.route, query.object_key))
+
     def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
         if index > 0:
             return PlacedBy.OVERFLOW
--- a/sequoiahook/decisions/direct/target_selection_settings.py
+++ b/sequoiahook/decisions/direct/target_selection_settings.py
@@ -20,6 +20,16 @@
         equal_percent: Difference of the expected completion, as a percentage of the
             expected work, up to which an earlier candidate is preferred: other targets
             than the first ones would have to cache the object as well.
+        uncached_charge_percent: Part of the additional work of an uncached object that
+            is added to the expected completion at a target without free slots, in
+            proportion to its use: that work is lost for other requests.
+        hot_percent: Least requests of an object that is handled in the own data centre
+            first, as a percentage of the mean of all objects. The caches of a region's
+            targets do not hold every object twice.
+        near_share_permille: Least share of objects that the own region owns, at which
+            they are. A region with fewer targets has no room for objects twice.
+        hot_half_life_ms: Time after which the counts of these requests are halved.
+        hot_objects_max: Most objects whose requests are counted.
         slowness_max: Highest ratio of a measured to an expected duration that counts as
             slowness. The pace shows slow targets; longer durations are mostly those of
             expensive requests.
@@ -29,6 +39,11 @@
     own_region_count: int = 6
     other_region_count: int = 2
     equal_percent: int = 15
+    uncached_charge_percent: int = 100
+    hot_percent: int = 100
+    near_share_permille: int = 500
+    hot_half_life_ms: int = 10_000
+    hot_objects_max: int = 20_000
     slowness_max: float = 4.0
     work: WorkEstimateSettings = WorkEstimateSettings()
 
--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -124,7 +124,7 @@
         self._order = itertools.count()
         self._number = 0
         self.instances = {
-            f"north-{i}": an_instance(f"north-{i}", data_centre="north-a")
+            f"north-{i}": an_instance(f"north-{i}", data_centre=self._data_centre(i))
             for i in range(instance_count)
         }
         self.targets = {}
@@ -148,6 +148,10 @@
             self._at(index * REPORT_MS // instance_count, self._report, name)
         self.configure()
 
+    def _data_centre(self, index):
+        """Return the data centre of an instance."""
+        return f"{OWN_REGION}-a"
+
     def start(self, name):
         """Start an instance, or restart it without its state."""
         instance = self.instances[name]._replace(incarnation=self._rng.getrandbits(32))
