--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -338,6 +338,9 @@
                 placement.expected_ms,
                 placement.in_flight,
                 placement.placed_by,
+                start_ms=placement.start_ms,
+                work_ms=placement.work_ms,
+                report_age_ms=state.report_age_ms(now),
             )
         )
         return Attempt(
--- a/sequoiahook/decisions/direct/region_owners.py
+++ b/sequoiahook/decisions/direct/region_owners.py
@@ -4,6 +4,7 @@
 proportion to their slots.
 """
 
+import copy
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -87,6 +88,13 @@
         others = {r: slots_by_region[r] for r in allowed if r != self._region}
         return [*region_order(key, others), self._region]
 
+    def trial_copy(self) -> "RegionOwners":
+        """Return a copy whose use moves no share of this one."""
+        copied = copy.copy(self)
+        copied.home_shares = copy.deepcopy(self.home_shares)
+        copied._ramp = copy.deepcopy(self._ramp)
+        return copied
+
     def target_use(self, service: str, now: int) -> TargetUse:
         """Return the use of a service's targets, in this region and overall."""
         in_flight_by_region = {
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -122,6 +122,10 @@
         stage: Stage at which the exchange ended; empty while it runs.
         status: HTTP status; 0 without an answer.
         duration_ms: Duration of the exchange.
+        start_ms: Expected time until the target begins it; 0 if the service does not
+            state its pace.
+        work_ms: Expected time for which it runs; 0 likewise.
+        report_age_ms: Age of the target's last report of its load; -1 without one.
     """
 
     target: str
@@ -133,6 +137,9 @@
     stage: str = ""
     status: int = 0
     duration_ms: int = 0
+    start_ms: int = 0
+    work_ms: int = 0
+    report_age_ms: int = -1
 
 
 class CrashEvidence(NamedTuple):
--- a/sequoiahook/decisions/direct/target_candidates.py
+++ b/sequoiahook/decisions/direct/target_candidates.py
@@ -5,27 +5,16 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.direct.estimates import qualified_key
 from sequoiahook.decisions.direct.placements import TargetQuery
+from sequoiahook.decisions.direct.target_explanation import Obstacle
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.rendezvous import order
 
-__all__ = ["Obstacle", "TargetCandidates"]
+__all__ = ["TargetCandidates"]
 
 RANKINGS_MAX = 20_000
 
 
-class Obstacle:
-    """Why a target cannot be used for a request at present."""
-
-    TRIED = "was tried before"
-    SUSPENDED = "suspended after failures"
-    LIMITED = "no permit below the limit that it states"
-    RESTING = "has asked this instance for rest"
-    COLD = "cold"
-    FULL = "has no free slot"
-    SHIFT_LIMIT = "change of region is at its limit"
-
-
 class TargetCandidates:
     """Ranks the targets of each object, and finds those that can be used.
 
--- a/sequoiahook/decisions/direct/target_evaluation.py
+++ b/sequoiahook/decisions/direct/target_evaluation.py
@@ -140,15 +140,24 @@
         work_ms = self._estimates.work_ms(query.route, state, now)
         return max(int(work_ms / max(1, state.record.slots)), over_ms)
 
-    def best(self, placements: Sequence[Placement]) -> Placement | None:
+    def best(
+        self, placements: Sequence[Placement], remaining_ms: int
+    ) -> Placement | None:
         """Return the candidate with the earliest expected completion.
 
         For services whose targets state their pace, one with the object cached, or that
         comes first, is preferred if its time is about equal.
+
+        Args:
+            placements: The candidates.
+            remaining_ms: Time until the deadline.
         """
         first = earliest(placements)
         if first is None or first.open_work is None:
             return first
+        if first.expected_ms > remaining_ms:
+            return first
+        placements = [p for p in placements if p.expected_ms <= remaining_ms]
         costs = [
             placement.expected_ms + self._charge_ms(placement)
             for placement in placements
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -14,12 +14,13 @@
 urgent requests are refused so that the others are answered in time.
 """
 
+import copy
 from collections.abc import Sequence
 
-from sequoiahook.decisions.direct.estimates import Estimates, qualified_key
+from sequoiahook.decisions.direct.estimates import Estimates
 from sequoiahook.decisions.direct.home_share import PERMILLE
+from sequoiahook.decisions.direct.learning import Learning
 from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
-from sequoiahook.decisions.direct.object_owners import HotObjects
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.region_owners import RegionOwners
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
@@ -27,6 +28,12 @@
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit
 from sequoiahook.decisions.direct.target_candidates import TargetCandidates
 from sequoiahook.decisions.direct.target_evaluation import Evaluation, earliest
+from sequoiahook.decisions.direct.target_explanation import (
+    ExplainedTarget,
+    Explanation,
+    Obstacle,
+    explained,
+)
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_selection_settings import (
     TargetSelectionSettings,
@@ -72,10 +79,7 @@
         self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
         self.work = WorkEstimates(settings.paced.work)
-        paced = settings.paced
-        self._hot_objects = HotObjects(
-            paced.hot_percent, paced.hot_half_life_ms, paced.hot_objects_max
-        )
+        self._learning = Learning(settings.paced, self.estimates, self.work)
         self._evaluation = Evaluation(settings, self.estimates, self.work)
         self._settings = settings
         self._region = region
@@ -149,6 +153,62 @@
             return Placement(None, retry_after_ms=retry_after_ms, cause=Cause.TOO_LATE)
         return best
 
+    def explain(self, query: TargetQuery, now: int) -> Explanation:
+        """Return where a request would go now, and why; this changes nothing."""
+        trial = copy.copy(self)
+        trial._candidates = self._candidates.trial_copy()
+        trial.summary = RegionSummary()
+        trial.owners = self.owners.trial_copy()
+        trial.home_shares = trial.owners.home_shares
+        trial.shift_limit = copy.deepcopy(self.shift_limit)
+        return trial._explain(query, now)
+
+    def _explain(self, query: TargetQuery, now: int) -> Explanation:
+        """Return where a request would go; called on a copy, since it moves shares."""
+        order = self.region_order(query, now)
+        decision = self._choose(query, now)
+        candidates = self._evaluated(query, now)
+        by_id = {placement.state.record.id: placement for placement in candidates}
+        targets: list[ExplainedTarget] = []
+        for region in order:
+            count, is_near = self._search(query, region)
+            usable = self._candidates.usable(query, region, count, now, is_near=is_near)
+            obstacles = dict(
+                self._candidates.unusable(query, region, usable, now, is_near=is_near)
+            )
+            for state in self._candidates.ranked(query, region, is_near=is_near):
+                if state not in usable and state not in obstacles:
+                    continue
+                placement = by_id.get(state.record.id)
+                obstacle = obstacles.get(state) or self._obstacle(
+                    placement, candidates, decision, query, now
+                )
+                round_trip_ms = self.estimates.round_trip_ms(state)
+                targets.append(
+                    explained(state, placement, obstacle, round_trip_ms, now)
+                )
+        is_paced = self.states_pace(query.service.name)
+        return Explanation(is_paced, tuple(order), tuple(targets), decision)
+
+    def _obstacle(
+        self,
+        placement: Placement | None,
+        candidates: list[Placement],
+        decision: Placement,
+        query: TargetQuery,
+        now: int,
+    ) -> str:
+        """Return what ruled a usable target out; empty if it would be used."""
+        if placement is None:
+            return Obstacle.LATER
+        if not self._evaluation.has_room(placement, query):
+            return Obstacle.FULL
+        if placement.is_moved and not self._may_move(candidates, query, now):
+            return Obstacle.SHIFT_LIMIT
+        if placement.expected_ms > query.remaining_ms:
+            return Obstacle.TOO_LATE
+        return "" if placement.state is decision.state else Obstacle.LATER
+
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
         if placement.open_work is not None:
@@ -183,23 +243,7 @@
                 now,
             )
             return
-        elapsed_ms = max(1, duration_ms - self.estimates.round_trip_ms(state))
-        # The answer shows the pace at its end; the work took place at both.
-        pace_factor = (work.pace_factor + state.pace_factor(now)) / 2
-        paced_ms = work.mean_ms * pace_factor
-        ratio = elapsed_ms / max(1.0, work.start_ms + paced_ms)
-        weight = paced_ms / max(1.0, work.start_ms + paced_ms)
-        self.estimates.record_handled(query.route, query.object_key, state, now)
-        if query.object_key:
-            key = qualified_key(query.route, query.object_key)
-            self._hot_objects.record(key, now)
-        if work.is_known or not work.is_cached:
-            work_ms = work.mean_ms * ratio
-            self.work.record(query, work_ms, weight, is_cached=work.is_known)
-        if work.is_known:
-            slowness = min(ratio, self._settings.paced.slowness_max)
-            state.record_slowness(slowness, now)
-            self.estimates.record_work(query.route, work.mean_ms * ratio)
+        self._learning.record_answer(state, work, query, duration_ms, now)
 
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
@@ -232,16 +276,23 @@
             query: Properties of the request.
             now: The time in milliseconds.
         """
-        best = self._evaluation.best(fitting)
+        best = self._evaluation.best(fitting, query.remaining_ms)
+        if not best.is_moved or self._may_move(candidates, query, now):
+            return best
+        return self._evaluation.best(
+            [placement for placement in fitting if not placement.is_moved],
+            query.remaining_ms,
+        )
+
+    def _may_move(
+        self, candidates: list[Placement], query: TargetQuery, now: int
+    ) -> bool:
+        """Return whether a request may run in another region than its owner's."""
         # Without a usable target in the owner's region, all candidates are moved.
         is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
             query, now
         )
-        if not best.is_moved or is_unlimited or self.shift_limit.may_move(now):
-            return best
-        return self._evaluation.best(
-            [placement for placement in fitting if not placement.is_moved]
-        )
+        return is_unlimited or self.shift_limit.may_move(now)
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused as they asked for."""
@@ -298,15 +349,13 @@
 
     def _paced_candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidates among targets of a service that states its pace."""
-        settings = self._settings.paced
         work = self.work.expect(query)
         candidates: list[Placement] = []
         for index, region in enumerate(self.region_order(query, now)):
-            is_own = region == self._region
-            count = settings.own_region_count if is_own else settings.other_region_count
+            count, is_near = self._search(query, region)
             placed_by = self._placed_by(region, query, index)
             for state in self._candidates.usable(
-                query, region, count, now, is_near=is_own and self._is_near(query)
+                query, region, count, now, is_near=is_near
             ):
                 placement = self._evaluation.evaluate_paced(
                     state, query, work, is_owner=not candidates, now=now
@@ -314,6 +363,14 @@
                 candidates.append(placement._replace(placed_by=placed_by))
         return candidates
 
+    def _search(self, query: TargetQuery, region: str) -> tuple[int, bool]:
+        """Return the number of candidates in a region, and whether near ones lead."""
+        if not self.states_pace(query.service.name):
+            return 2, False
+        if region != self._region:
+            return self._settings.paced.other_region_count, False
+        return self._settings.paced.own_region_count, self._is_near(query)
+
     def _is_near(self, query: TargetQuery) -> bool:
         """Return whether a request prefers the own data centre."""
         if not query.object_key or not query.route.is_sticky:
@@ -321,7 +378,7 @@
         share = self.home_shares.permille_by_service.get(query.service.name, PERMILLE)
         if share < self._settings.paced.near_share_permille:
             return False
-        return self._hot_objects.is_hot(qualified_key(query.route, query.object_key))
+        return self._learning.is_hot(query)
 
     def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
         if index > 0:
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -121,6 +121,7 @@
         self._was_unreachable = False
         self._peer_counts_by_name: dict[str, _ReportedCount] = {}
         self._load = _ReportedCount(0, now - settings.load_valid_ms - 1)
+        self._has_reported = False
         self._pace_factor = 1.0
         self._paced_at = now
 
@@ -217,13 +218,14 @@
     def record_load(self, report: LoadReport, now: int) -> None:
         """Record the load that the target itself reports."""
         self._load = _ReportedCount(report.open_count, now)
+        self._has_reported = True
         if report.pace is not None:
             self._pace_factor = max(PACE_FACTOR_MIN, report.pace / PERCENT)
             self._paced_at = now
 
     def report_age_ms(self, now: int) -> int:
-        """Return the age of the target's last report of its load."""
-        return now - self._load.reported_at
+        """Return the age of the target's last report of its load; -1 without one."""
+        return now - self._load.reported_at if self._has_reported else -1
 
     def pace_factor(self, now: int) -> float:
         """Return how long work takes at present, relative to the usual time."""
