--- /dev/null
+++ b/tests/test_uneven_load.py
@@ -0,0 +1,99 @@
+"""Uneven demand: what callers get with and without a stated pace.
+
+The failure guarded against: a hot object fills its first two targets, and its requests
+are refused while other targets of the region are idle. Each test plays the same seeds
+with targets that state their pace, and with targets that do not.
+"""
+
+import pytest
+
+from tests.region_simulation import Load, largest_change
+from tests.test_region_shift import SHIFT_MAX
+from tests.uneven_load import UnevenLoad
+
+SEEDS = (1, 2, 3)
+LEAD_MS = 1_000
+DURATION_MS = 20_000
+LARGE = {"east": 27, "north": 27, "south": 6}
+LONG = Load(per_s=270, work_ms=1_300, object_count=200)
+SHORT = Load(per_s=300, work_ms=440, object_count=220)
+LONG_TIMES = {"goal_ms": 1_120, "deadline_ms": 9_000, "slots": 9}
+SHORT_TIMES = {"goal_ms": 407, "deadline_ms": 2_000, "slots": 3}
+
+
+def play(targets, load, seed, *, is_paced, **times):
+    world = UnevenLoad(
+        targets, [load], seed, is_paced=is_paced, instance_count=6, **times
+    )
+    world.idle(LEAD_MS)
+    world.run(DURATION_MS)
+    ratios = {name: round(world.ratio(name), 3) for name in ("in time", "refusals")}
+    busy = round(world.busy_ratio("north", DURATION_MS), 2)
+    print(f"seed {seed}, pace {is_paced}: {ratios}, busy {busy}, {world.causes}")
+    return world
+
+
+def play_both(targets, load, **times):
+    """Return the mean ratios without and with a stated pace."""
+    results = []
+    for is_paced in (False, True):
+        worlds = [
+            play(targets, load, seed, is_paced=is_paced, **times) for seed in SEEDS
+        ]
+        results.append(
+            {
+                name: sum(world.ratio(name) for world in worlds) / len(worlds)
+                for name in ("in time", "refused", "refusals", "near")
+            }
+        )
+    return results
+
+
+@pytest.mark.parametrize(
+    ("load", "times"), [(LONG, LONG_TIMES), (SHORT, SHORT_TIMES)], ids=["long", "short"]
+)
+def test_hot_objects_use_idle_targets(load, times):
+    """The region has room for all requests, but not at the owners of hot objects."""
+    plain, paced = play_both(LARGE, load, **times)
+    assert plain["refusals"] > 0.03
+    assert paced["refusals"] < plain["refusals"] / 4
+    assert paced["in time"] > plain["in time"] + 0.05
+
+
+def test_quiet_region_loses_nothing_and_crosses_less_between_data_centres():
+    plain, paced = play_both(LARGE, LONG._replace(per_s=110), **LONG_TIMES)
+    assert paced["in time"] > plain["in time"] - 0.02
+    assert paced["refusals"] == 0
+    assert paced["near"] > plain["near"] + 0.1
+
+
+@pytest.mark.parametrize(
+    ("targets", "per_s"),
+    [({"east": 20, "north": 7, "south": 20}, 195), ({"north": 14, "south": 8}, 300)],
+    ids=["few targets", "overload"],
+)
+def test_short_region_serves_no_fewer_requests(targets, per_s):
+    """Work without a cached object must not displace that of others."""
+    load = SHORT._replace(per_s=per_s, object_count=150)
+    plain, paced = play_both(targets, load, **SHORT_TIMES)
+    assert paced["in time"] > plain["in time"] - 0.03
+    assert paced["refusals"] < plain["refusals"]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_requests_change_region_gradually(seed):
+    """More candidates in other regions must not move more requests at once."""
+    targets = {"east": 27, "north": 14, "south": 27}
+    world = UnevenLoad(
+        targets, [SHORT], seed, is_paced=True, instance_count=6, **SHORT_TIMES
+    )
+    world.idle(LEAD_MS)
+    world.run(12_000)
+    since = world.now - 4_000
+    world.loads = [SHORT._replace(per_s=500)]
+    world.run(4_000)
+    world.loads = [SHORT]
+    world.run(6_000)
+    change, at = largest_change(world.runs_and_refusals(), since)
+    print(f"seed {seed}: largest change {change:.3f} at {at}")
+    assert change <= SHIFT_MAX
--- a/tests/uneven_load.py
+++ b/tests/uneven_load.py
@@ -22,6 +22,7 @@
     ROUND_TRIP_MS,
     SHED,
     RegionSimulation,
+    Run,
     SimulatedTarget,
 )
 
@@ -189,6 +190,7 @@
         end = ended_at + way_ms
         self._at(math.ceil(ended_at), self._answer, core, attempt, arrival, done, pace)
         if done is not None:
+            self.runs.append(Run(self.now, record.region))
             self.counts["own region"] += is_own
             self.counts["near"] += record.data_centre == core.me.data_centre
             self.counts["runs"] += 1
