--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.target_backlog import OpenWork
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.keys import KeyName
@@ -121,6 +122,10 @@
         stage: Stage at which the exchange ended; empty while it runs.
         status: HTTP status; 0 without an answer.
         duration_ms: Duration of the exchange.
+        start_ms: Expected time until the target begins it; 0 if the service does not
+            state its pace.
+        work_ms: Expected time for which it runs; 0 likewise.
+        report_age_ms: Age of the target's last report of its load; -1 without one.
     """
 
     target: str
@@ -132,6 +137,9 @@
     stage: str = ""
     status: int = 0
     duration_ms: int = 0
+    start_ms: int = 0
+    work_ms: int = 0
+    report_age_ms: int = -1
 
 
 class CrashEvidence(NamedTuple):
@@ -257,12 +265,15 @@
         state: The target.
         in_flight: Requests known to be queued or running at the target.
         timeout_ms: Time until the request's deadline.
+        open_work: Its entry in the target's backlog; None if the service does not state
+            its pace.
     """
 
     request: OpenRequest
     state: TargetState
     in_flight: int
     timeout_ms: int
+    open_work: OpenWork | None = None
 
 
 class Deliver(NamedTuple):
