Pass request bodies on in parts, without further copies

A body was copied when it was complete, again by h11 and twice by the transport: one body of 64 MB took 284 MB. It is now written to the target in parts while the answer is awaited: 99 MB.

--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -1,6 +1,7 @@
 """Reading of a caller's requests, also of those sent ahead of earlier answers."""
 
 import asyncio
+import io
 from collections.abc import Callable
 from typing import Protocol
 
@@ -264,7 +265,8 @@
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._http.send(interim))
-        body = bytearray()
+        # Unlike that of a bytearray, the content becomes bytes without a copy.
+        body = io.BytesIO()
         try:
             async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
                 while not isinstance(event, h11.EndOfMessage):
@@ -272,17 +274,17 @@
                     event = self._http.next_event()
         except TimeoutError:
             raise _RefusedRequestError(408, "body too slow") from None
-        return bytes(body)
+        return body.getvalue()
 
     async def _add_to_body(
-        self, exchange: CallerExchange, body: bytearray, event: h11.Event
+        self, exchange: CallerExchange, body: io.BytesIO, event: h11.Event
     ) -> None:
         if event is h11.NEED_DATA:
             await self._receive()
         elif isinstance(event, h11.Data):
-            body += event.data
+            body.write(event.data)
             self._count_body_bytes(exchange, len(event.data))
-            if len(body) > self._settings.body_bytes_max:
+            if body.tell() > self._settings.body_bytes_max:
                 raise _RefusedRequestError(413, "body too large")
         else:
             raise CallerDisconnectedError
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of one request with a target over HTTP/1.1."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -9,7 +10,6 @@
 
 from sequoiahook.clock import MS_PER_S, NS_PER_MS
 from sequoiahook.daemons.answer_reader import (
-    READ_BYTES,
     AnswerReader,
     ReaderSettings,
 )
@@ -38,6 +38,16 @@
 
 PERCENT = 100
 
+PART_BYTES = 65_536
+"""Largest part of a body that is passed to the transport at a time. It copies what it
+cannot write at once."""
+
+UNREAD_BYTES_MAX = 32_768
+"""Received bytes beyond twice of which reading from the connection stops."""
+
+RECEIVE_BYTES = 65_536
+"""Most bytes that are received at once; the transport's own limit is 262,144."""
+
 REFUSED_IDS_MAX = 32
 """Refused requests after which a connection is not used again."""
 
@@ -183,6 +193,7 @@
         self._deadline_at = 0.0
         self._started_at = monotonic_ms()
         self._exchange_task: asyncio.Task | None = None
+        self._write_task: asyncio.Task | None = None
         self._is_aborted = False
         self._is_timed_out = False
         self._refused_ids: frozenset[str] = frozenset()
@@ -228,7 +239,9 @@
             self.stage = Stage.NOTHING_WRITTEN
             if self.is_closed or not may_write():
                 return
-            self._write()
+            self._write_first_part()
+            if self._h11.our_state is h11.SEND_BODY:
+                self._write_task = asyncio.create_task(self._write_rest())
             await self._read_answer()
 
     async def connect(self) -> bool:
@@ -249,11 +262,12 @@
 
     async def _open_connection(self) -> None:
         loop = asyncio.get_running_loop()
-        reader = CountingReader(READ_BYTES)
+        reader = CountingReader(UNREAD_BYTES_MAX)
         protocol = asyncio.StreamReaderProtocol(reader)
         transport, _ = await loop.create_connection(
             lambda: protocol, *self.request.address
         )
+        transport.max_size = RECEIVE_BYTES
         self.reader = reader
         self.writer = asyncio.StreamWriter(transport, protocol, reader, loop)
 
@@ -270,8 +284,13 @@
         has_answer = self.stage in (Stage.ANSWERED, Stage.SHED)
         if len(self._refused_ids) >= REFUSED_IDS_MAX:
             return False
-        has_sent_all = self.writer.transport.get_write_buffer_size() == 0
-        return has_answer and has_read_all and has_sent_all and not self.is_closed
+        return has_answer and has_read_all and self._has_sent_all and not self.is_closed
+
+    @property
+    def _has_sent_all(self) -> bool:
+        """Whether the system has taken the whole request."""
+        is_written = self._h11.our_state in (h11.DONE, h11.MUST_CLOSE)
+        return is_written and not self.writer.transport.get_write_buffer_size()
 
     @property
     def refused_ids(self) -> frozenset[str]:
@@ -287,8 +306,8 @@
         keep_alive_ms = self._dialect.idle_ms(headers)
         return min(self._settings.idle_ms, keep_alive_ms * IDLE_PERCENT // PERCENT)
 
-    def _write(self) -> None:
-        """Pass the whole request to the transport in one call, without an await."""
+    def _write_first_part(self) -> None:
+        """Pass the head and the first part of the body on, without an await."""
         request = self.request
         host = request.host or str(request.address).encode("ascii")
         fields = [(b"host", host), *request.headers]
@@ -298,12 +317,26 @@
             method=request.method, target=request.target_path, headers=fields
         )
         data = self._h11.send(head)
-        data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage())
+        data += self._h11.send(h11.Data(data=request.body[:PART_BYTES]))
+        if len(request.body) <= PART_BYTES:
+            data += self._h11.send(h11.EndOfMessage())
         self._started_at = monotonic_ms()
         self.stage = Stage.PARTLY_WRITTEN
         self.writer.write(data)
 
+    async def _write_rest(self) -> None:
+        """Write the rest of the body while the answer is already awaited.
+
+        A failure of the connection is left to the task that reads the answer.
+        """
+        body = memoryview(self.request.body)
+        with contextlib.suppress(OSError):
+            for start in range(PART_BYTES, len(body), PART_BYTES):
+                await self.writer.drain()
+                part = body[start : start + PART_BYTES]
+                self.writer.write(self._h11.send(h11.Data(data=part)))
+            self.writer.write(self._h11.send(h11.EndOfMessage()))
+
     async def _read_answer(self) -> None:
         """Read the answer until it is complete, has failed or is to be passed on."""
         self._answer = AnswerReader(
@@ -332,11 +365,13 @@
             return
         if self._answer is not None and self._answer.head is not None:
             self.stage = Stage.ANSWER_TRUNCATED
-        elif not self.writer.transport.get_write_buffer_size():
+        elif self._has_sent_all:
             self.stage = Stage.WRITTEN_NO_ANSWER
 
     def close(self) -> None:
         """Close the connection, and abort it unless the exchange was answered."""
+        if self._write_task is not None:
+            self._write_task.cancel()
         if self.stage is not Stage.ANSWERED:
             self.writer.transport.abort()
         self.writer.close()
