Limits on what callers take that do not read, per connection and together

Each wait for an earlier answer read another 64 KB ahead, bodies counted against 128 MB on every machine, answers waited 30 s for callers that read nothing, and connections were limited to 2,000 whatever the process may open. Now nothing is read or started for a connection while its answers are not read, and connections, requests, bodies, unread answers and bytes read ahead have totals that follow from the memory and the descriptors of the machine. A caller that reads nothing for 10 s, or 2 s under pressure, is disconnected. A refusal (503) is sent only for requests that were not started.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connection of a caller: answers its requests in their order."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections import deque
@@ -12,16 +13,15 @@
 from sequoiahook.daemons.caller_exchange import (
     CallerAnswer,
     CallerRequest,
-    CallerServerSettings,
     refusal_answer,
 )
+from sequoiahook.daemons.caller_load import CallerLoad
 from sequoiahook.daemons.caller_requests import (
     READ_BYTES,
     CallerDisconnectedError,
     CallerExchange,
     RequestReader,
 )
-from sequoiahook.decisions.exchange.target_result import AnswerStream
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
@@ -32,6 +32,13 @@
 ]
 
 DISCARD_TIMEOUT_MS = 500
+PART_BYTES = 65_536
+"""Largest part of an answer that is passed to the transport at a time, which copies
+it."""
+
+UNREAD_CHECK_MS = 250
+"""Interval between checks whether a caller has read anything."""
+
 OPEN_REQUESTS_MAX = 4
 """Requests of one connection that are read, and that may run, at the same time."""
 
@@ -43,14 +50,12 @@
     """Interface of the server that a connection belongs to.
 
     Attributes:
-        settings: Limits of the server.
+        load: What all connections take, and their limits.
         is_closing: Whether each connection closes after its next answer.
-        buffered_bytes: Bytes in the bodies of all open requests.
     """
 
-    settings: CallerServerSettings
+    load: CallerLoad
     is_closing: bool
-    buffered_bytes: int
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer a request."""
@@ -67,6 +72,9 @@
     behind it wait for its answer. Answers leave in the order of the requests. Nothing
     behind an answer that closes the connection has been started.
 
+    While answers are not read, nothing is read or started. A caller that reads nothing
+    for some seconds is disconnected.
+
     Args:
         server: The server that it belongs to.
         connection_id: Number of the connection, unique in this process.
@@ -82,13 +90,22 @@
         writer: asyncio.StreamWriter,
     ):
         self._server = server
-        self._settings = server.settings
+        self._load = server.load
+        self._settings = server.load.settings
         self._reader = reader
         self._writer = writer
+        # Each write then ends only when the system has taken all of it.
+        writer.transport.set_write_buffer_limits(high=0)
+        self._is_unread = False
         self._exchanges: deque[CallerExchange] = deque()
         self._has_arrived = asyncio.Event()
         self._requests = RequestReader(
-            server, connection_id, reader, writer, lambda: len(self._exchanges)
+            server.load,
+            connection_id,
+            reader,
+            writer,
+            lambda: len(self._exchanges),
+            lambda: not self._is_unread,
         )
         self._written_http: h11.Connection | None = None
 
@@ -148,7 +165,10 @@
         """Refuse the connection without reading a request."""
         exchange = CallerExchange(h11.Connection(h11.SERVER))
         answer = refusal_answer(status, cause, NOT_RUN)
-        await self._write_answer(exchange, answer, is_last=True)
+        try:
+            await self._write_answer(exchange, answer, is_last=True)
+        finally:
+            self._release(exchange)
         await self._discard_input()
 
     async def _read_requests(self) -> None:
@@ -168,7 +188,7 @@
         await self._requests.wait_until(lambda: False)
 
     def _has_room(self) -> bool:
-        return len(self._exchanges) < OPEN_REQUESTS_MAX
+        return len(self._exchanges) < OPEN_REQUESTS_MAX and not self._is_unread
 
     def _start_ahead(self) -> None:
         """Start the requests that may run beside the one that is answered next."""
@@ -179,7 +199,19 @@
             if request is None or not self._server.is_repeatable(request):
                 return
             if index and exchange.task is None:
-                exchange.task = asyncio.create_task(self._server.handle(request))
+                if self._is_unread or not self._load.may_start_ahead():
+                    return
+                exchange.task = asyncio.create_task(self._handle_ahead(exchange))
+
+    async def _handle_ahead(self, exchange: CallerExchange) -> CallerAnswer:
+        answer = await self._server.handle(exchange.request)
+        has_stream = answer.stream is not None
+        self._count_unread(exchange, self._load.size(answer, is_stalled=has_stream))
+        return answer
+
+    def _count_unread(self, exchange: CallerExchange, byte_count: int) -> None:
+        self._load.unread_bytes += byte_count - exchange.unread_bytes
+        exchange.unread_bytes = byte_count
 
     async def _answer_requests(self) -> bool:
         """Answer requests in order until the connection has to close.
@@ -196,15 +228,10 @@
                 await self._write_answer(exchange, exchange.refusal, is_last=True)
                 return False
             answer = await self._answer(exchange)
-            self._requests.release(exchange)
             if answer.must_close:
                 self.is_last_request = True
             is_last = self._must_close() and not self._has_started_next()
-            try:
-                await self._write_answer(exchange, answer, is_last=is_last)
-            finally:
-                if answer.stream is not None:
-                    answer.stream.close()
+            await self._deliver(exchange, answer, is_last=is_last)
             if is_last:
                 return False
             if exchange.http.our_state is not h11.DONE or exchange.is_last:
@@ -213,6 +240,21 @@
             self._requests.wake()
             self._start_ahead()
 
+    async def _deliver(
+        self, exchange: CallerExchange, answer: CallerAnswer, *, is_last: bool
+    ) -> None:
+        """Write the answer of the handler, and give up what it needed."""
+        self._count_unread(exchange, self._load.size(answer))
+        if answer.stream is None:
+            self._requests.release(exchange)
+        # While an answer still arrives, the exchange with the target has the body.
+        try:
+            await self._write_answer(exchange, answer, is_last=is_last)
+        finally:
+            if answer.stream is not None:
+                answer.stream.close()
+            self._release(exchange)
+
     async def _answer(self, exchange: CallerExchange) -> CallerAnswer:
         if exchange.task is None:
             return await self._server.handle(exchange.request)
@@ -231,8 +273,13 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
         for exchange in self._exchanges:
-            self._requests.release(exchange)
+            self._release(exchange)
             _close_stream(exchange.task)
+        self._requests.close()
+
+    def _release(self, exchange: CallerExchange) -> None:
+        self._requests.release(exchange)
+        self._count_unread(exchange, 0)
 
     async def _discard_input(self) -> None:
         """Discard input for a while.
@@ -265,27 +312,76 @@
             headers.append((b"connection", b"close"))
         data = http.send(h11.Response(status_code=answer.status, headers=headers))
         if has_body:
-            data += http.send(h11.Data(data=answer.body))
-        if has_body and answer.stream is not None:
-            await self._write_bytes(data)
-            await self._write_stream(http, answer.stream)
-            data = b""
-        await self._write_bytes(data + http.send(h11.EndOfMessage()))
+            data = await self._write_body(exchange, answer, data)
+        await self._write_bytes(exchange, answer, data + http.send(h11.EndOfMessage()))
 
-    async def _write_stream(self, http: h11.Connection, stream: AnswerStream) -> None:
-        """Write the rest of a body as fast as the caller reads it.
+    async def _write_body(
+        self, exchange: CallerExchange, answer: CallerAnswer, data: bytes
+    ) -> bytes:
+        """Write a body as fast as the caller reads it.
+
+        Args:
+            exchange: The exchange.
+            answer: Its answer.
+            data: Bytes that precede the body.
+
+        Returns:
+            Bytes that are still to be written.
 
         Raises:
             AnswerIncompleteError: If the body cannot be completed; the caller must not
                 take it for a complete one.
         """
-        while data := await stream.read():
-            await self._write_bytes(http.send(h11.Data(data=data)))
-
-    async def _write_bytes(self, data: bytes) -> None:
+        http, body = exchange.http, memoryview(answer.body)
+        data += http.send(h11.Data(data=body[:PART_BYTES]))
+        for start in range(PART_BYTES, len(body), PART_BYTES):
+            await self._write_bytes(exchange, answer, data)
+            data = http.send(h11.Data(data=body[start : start + PART_BYTES]))
+        if answer.stream is None:
+            return data
+        await self._write_bytes(exchange, answer, data)
+        while part := await answer.stream.read():
+            await self._write_bytes(exchange, answer, http.send(h11.Data(data=part)))
+        return b""
+
+    async def _write_bytes(
+        self, exchange: CallerExchange, answer: CallerAnswer, data: bytes
+    ) -> None:
+        """Write bytes, and wait until the system has taken them."""
         self._writer.write(data)
-        async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
-            await self._writer.drain()
+        if not self._writer.transport.get_write_buffer_size():
+            await self._writer.drain()  # It reports a connection that is lost.
+            return
+        self._is_unread = True
+        try:
+            await self._wait_for_caller(exchange, answer)
+        finally:
+            self._is_unread = False
+            self._requests.wake()
+
+    async def _wait_for_caller(
+        self, exchange: CallerExchange, answer: CallerAnswer
+    ) -> None:
+        """Wait until the caller has read enough for all bytes to be taken.
+
+        Raises:
+            TimeoutError: If it reads nothing for too long; the connection is reset.
+        """
+        loop, transport = asyncio.get_running_loop(), self._writer.transport
+        check_ms = min(UNREAD_CHECK_MS, self._settings.write_timeout_ms)
+        read_at, waiting_bytes = loop.time(), transport.get_write_buffer_size()
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(check_ms / MS_PER_S):
+                    await self._writer.drain()
+                    return
+            self._count_unread(exchange, self._load.size(answer, is_stalled=True))
+            if transport.get_write_buffer_size() < waiting_bytes:
+                read_at = loop.time()
+                waiting_bytes = transport.get_write_buffer_size()
+            elif self._load.is_overdue((loop.time() - read_at) * MS_PER_S):
+                self._reset()
+                raise TimeoutError("caller does not read")
 
 
 def _framing_field(answer: CallerAnswer) -> tuple[bytes, bytes]:
--- a/sequoiahook/daemons/caller_exchange.py
+++ b/sequoiahook/daemons/caller_exchange.py
@@ -33,8 +33,23 @@
             milliseconds.
         body_timeout_ms: Longest time to receive a request body, in milliseconds.
         idle_timeout_ms: Longest time between requests, in milliseconds.
-        write_timeout_ms: Longest time to write an answer, in milliseconds.
+        write_timeout_ms: Longest time for which a caller may read nothing while answers
+            wait for it, in milliseconds. A caller that reads 64 KB in this time is
+            kept; the system may report no less.
+        pressed_write_timeout_ms: The same while too many connections are open or too
+            many answers are unread, in milliseconds.
         connections_max: Largest number of open connections.
+        refusals_max: Largest number of connections beyond these that are refused with
+            an answer at the same time; others are closed without one.
+        requests_max: Largest number of requests in progress.
+        unread_bytes_max: Largest total of answers that wait for their callers to read,
+            in bytes.
+        read_ahead_bytes_max: Most bytes that a connection reads ahead, in bytes. While
+            they are read, a caller that leaves is noticed before its answers.
+        all_read_ahead_bytes_max: Largest total of bytes that are read for requests that
+            are not complete, in bytes.
+        unsent_bytes_max: Most bytes of a connection that the system holds before they
+            are sent.
         backlog: Largest number of connections that wait to be accepted.
     """
 
@@ -46,8 +61,15 @@
     header_timeout_ms: int = 5_000
     body_timeout_ms: int = 30_000
     idle_timeout_ms: int = 60_000
-    write_timeout_ms: int = 30_000
+    write_timeout_ms: int = 10_000
+    pressed_write_timeout_ms: int = 2_000
     connections_max: int = 2_000
+    refusals_max: int = 100
+    requests_max: int = 2_000
+    unread_bytes_max: int = 64 * 1024 * 1024
+    read_ahead_bytes_max: int = 32_768
+    all_read_ahead_bytes_max: int = 32 * 1024 * 1024
+    unsent_bytes_max: int = 131_072
     backlog: int = 1_024
 
 
--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -1,13 +1,15 @@
 """HTTP server for callers; a handler decides about the requests."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
 from logbook import Logger
 
+from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.caller_connection import (
-    READ_BYTES,
     CallerConnection,
     CallerDisconnectedError,
 )
@@ -15,10 +17,12 @@
     CallerAnswer,
     CallerRequest,
     CallerServerSettings,
+    call_at_end,
     refusal_answer,
 )
+from sequoiahook.daemons.caller_load import Admission, CallerLoad
 from sequoiahook.errors import AnswerIncompleteError
-from sequoiahook.messages.requests import UNKNOWN
+from sequoiahook.messages.requests import NOT_RUN, UNKNOWN
 
 __all__ = [
     "CallerAnswer",
@@ -30,6 +34,19 @@
 
 _log = Logger("caller_http")
 
+UNREAD_BYTES_MAX = 16_384
+"""Received bytes beyond twice of which reading from a connection stops."""
+
+ACCEPTED_AT_ONCE_MAX = 16
+"""Connections that are accepted in one round of the event loop, before any of them is
+counted. More would take descriptors beyond the limit."""
+
+RETRY_AFTER_MS = 1_000
+LOG_INTERVAL_MS = 1_000
+"""Least time between two lines about limits that were reached."""
+
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+
 Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
 
@@ -51,15 +68,29 @@
         handler: Handler,
         is_repeatable: Callable[[CallerRequest], bool] = lambda request: False,
     ):
-        self.settings = settings
+        self.load = CallerLoad(settings)
         self.is_repeatable = is_repeatable
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._connections_by_id: dict[int, CallerConnection] = {}
         self._tasks_by_id: dict[int, asyncio.Task] = {}
         self._last_id = 0
+        self._logged_at = 0.0
         self.is_closing = False
-        self.buffered_bytes = 0
+
+    @property
+    def settings(self) -> CallerServerSettings:
+        """Listening address and limits; a connection keeps those of its start."""
+        return self.load.settings
+
+    @settings.setter
+    def settings(self, settings: CallerServerSettings) -> None:
+        self.load.settings = settings
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes in the bodies of all open requests."""
+        return self.load.body_bytes
 
     @property
     def port(self) -> int:
@@ -77,13 +108,17 @@
         Raises:
             OSError: If the address cannot be bound.
         """
+        settings = self.settings
+        family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
+        listening = socket.create_server((settings.host, settings.port), family=family)
         self._server = await asyncio.start_server(
             self._serve,
-            self.settings.host,
-            self.settings.port,
-            limit=READ_BYTES,
-            backlog=self.settings.backlog,
+            sock=listening,
+            limit=UNREAD_BYTES_MAX,
+            backlog=ACCEPTED_AT_ONCE_MAX,
         )
+        # The event loop accepts as many connections at once as may wait. More may wait.
+        listening.listen(settings.backlog)
 
     def announce_close(self) -> None:
         """Close each connection after its next answer, but keep accepting new ones."""
@@ -124,14 +159,22 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        admission = self.load.admit_connection()
+        if admission is not Admission.ACCEPT:
+            self._log_limit("too many connections")
+        if admission is Admission.DROP:
+            _drop(writer)
+            return
+        _limit_unsent(writer, self.settings.unsent_bytes_max)
         self._last_id += 1
         connection_id = self._last_id
         connection = CallerConnection(self, connection_id, reader, writer)
-        is_full = len(self._connections_by_id) >= self.settings.connections_max
         self._connections_by_id[connection_id] = connection
         self._tasks_by_id[connection_id] = asyncio.current_task()
+        is_refused = admission is Admission.REFUSE
+        self._count_connection(1, is_refused=is_refused)
         try:
-            if is_full:
+            if is_refused:
                 await connection.refuse(503, "too many connections")
             else:
                 await connection.run()
@@ -144,14 +187,73 @@
             _log.debug("caller connection ended: {}", type(error).__name__)
         finally:
             await connection.end()
+            self._count_connection(-1, is_refused=is_refused)
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
 
+    def _count_connection(self, change: int, *, is_refused: bool) -> None:
+        if is_refused:
+            self.load.refusing_count += change
+        else:
+            self.load.connection_count += change
+
     async def handle(self, request: CallerRequest) -> CallerAnswer:
-        """Call the handler; if it fails, answer that the outcome is unknown."""
+        """Call the handler; if it fails, answer that the outcome is unknown.
+
+        Beyond the limits the request is refused without a call.
+        """
+        cause = self.load.refusal_cause()
+        if cause:
+            self._log_limit(cause)
+            return refusal_answer(503, cause, NOT_RUN, RETRY_AFTER_MS)
+        self.load.request_count += 1
+        answer = None
+        try:
+            answer = await self._handle(request)
+        finally:
+            call_at_end(answer, self._on_request_ended)
+        return answer
+
+    def _on_request_ended(self) -> None:
+        self.load.request_count -= 1
+
+    def _log_limit(self, cause: str) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self._logged_at < LOG_INTERVAL_MS / MS_PER_S:
+            return
+        self._logged_at = now
+        load = self.load
+        fields = {
+            "cause": cause,
+            "connections": load.connection_count,
+            "requests": load.request_count,
+            "body_bytes": load.body_bytes,
+            "unread_bytes": load.unread_bytes,
+            "read_ahead_bytes": load.read_ahead_bytes,
+        }
+        _log.warning("limit on callers reached", extra=fields)
+
+    async def _handle(self, request: CallerRequest) -> CallerAnswer:
         try:
             return await self._handler(request)
         except Exception as error:
             _log.error("request handler failed: {}", type(error).__name__)
             answer = refusal_answer(500, "internal error", UNKNOWN)
             return answer._replace(must_close=True)
+
+
+def _drop(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once, without an answer."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+    writer.transport.abort()
+
+
+def _limit_unsent(writer: asyncio.StreamWriter, byte_count: int) -> None:
+    """Limit what the system holds for a caller that does not read.
+
+    Bytes that were sent and not acknowledged are not limited, so that connections with
+    long round trips keep their throughput.
+    """
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, byte_count)
--- /dev/null
+++ b/sequoiahook/daemons/caller_load.py
@@ -0,0 +1,124 @@
+"""What all connections of callers take together, and what they may still take."""
+
+from enum import Enum
+
+from sequoiahook.daemons.caller_exchange import CallerAnswer, CallerServerSettings
+
+__all__ = ["Admission", "CallerLoad"]
+
+READ_AHEAD_BYTES_MIN = 4_096
+"""Bytes that each connection may read for its next request beyond the total limit, so
+that incomplete requests of some callers do not keep others from being read."""
+
+ANSWER_BYTES = 1_024
+"""Size of an answer without its body."""
+
+STREAM_BYTES = 262_144
+"""Buffers of an answer that is passed on as it arrives."""
+
+
+class Admission(Enum):
+    """What happens to a new connection."""
+
+    ACCEPT = "accept"
+    REFUSE = "refuse"
+    DROP = "drop"
+
+
+class CallerLoad:
+    """Counts what connections take, and decides by the limits of the server.
+
+    Attributes:
+        settings: Limits of the server.
+        connection_count: Number of open connections that were accepted.
+        refusing_count: Number of connections that are being refused.
+        request_count: Number of requests that run or whose answer still arrives.
+        body_bytes: Bytes in the bodies of all open requests.
+        read_ahead_bytes: Bytes that were read for requests that are not complete.
+        unread_bytes: Size of the answers that wait for their callers to read.
+    """
+
+    def __init__(self, settings: CallerServerSettings):
+        self.settings = settings
+        self.connection_count = 0
+        self.refusing_count = 0
+        self.request_count = 0
+        self.body_bytes = 0
+        self.read_ahead_bytes = 0
+        self.unread_bytes = 0
+
+    @property
+    def has_too_many_connections(self) -> bool:
+        """Whether no further connection is accepted."""
+        return self.connection_count >= self.settings.connections_max
+
+    @property
+    def has_too_many_body_bytes(self) -> bool:
+        """Whether the bodies exceed their limit, which always allows for one body."""
+        settings = self.settings
+        limit = max(settings.all_body_bytes_max, settings.body_bytes_max)
+        return self.body_bytes > limit
+
+    @property
+    def _has_too_many_unread_bytes(self) -> bool:
+        return self.unread_bytes > self.settings.unread_bytes_max
+
+    def admit_connection(self) -> Admission:
+        """Return what happens to a new connection."""
+        if not self.has_too_many_connections:
+            return Admission.ACCEPT
+        if self.refusing_count < self.settings.refusals_max:
+            return Admission.REFUSE
+        return Admission.DROP
+
+    def refusal_cause(self) -> str:
+        """Return why a request must not start now; empty if it may."""
+        if self.request_count >= self.settings.requests_max:
+            return "too many requests in progress"
+        if self._has_too_many_unread_bytes:
+            return "too many unread answers"
+        return ""
+
+    def may_start_ahead(self) -> bool:
+        """Return whether a request may start before earlier ones are answered.
+
+        Half of what there is stays for connections that send one request at a time.
+        """
+        settings = self.settings
+        return (
+            2 * self.request_count < settings.requests_max
+            and 2 * self.unread_bytes < settings.unread_bytes_max
+        )
+
+    def may_read_ahead(self, held_bytes: int) -> bool:
+        """Return whether a connection may read more of a request.
+
+        Args:
+            held_bytes: Bytes that the connection has read for its next requests.
+        """
+        is_small = held_bytes < READ_AHEAD_BYTES_MIN
+        return (
+            is_small or self.read_ahead_bytes < self.settings.all_read_ahead_bytes_max
+        )
+
+    def is_overdue(self, unread_ms: int) -> bool:
+        """Return whether a caller that reads nothing has to be disconnected.
+
+        Args:
+            unread_ms: Time since the caller last read, in milliseconds.
+        """
+        is_pressed = self.has_too_many_connections or self._has_too_many_unread_bytes
+        if is_pressed and unread_ms >= self.settings.pressed_write_timeout_ms:
+            return True
+        return unread_ms >= self.settings.write_timeout_ms
+
+    @staticmethod
+    def size(answer: CallerAnswer, *, is_stalled: bool = False) -> int:
+        """Return the size of an answer in bytes.
+
+        Args:
+            answer: The answer.
+            is_stalled: Whether it is not read at present, so that buffers fill.
+        """
+        other_bytes = STREAM_BYTES if is_stalled else ANSWER_BYTES
+        return len(answer.body) + other_bytes
--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -3,7 +3,6 @@
 import asyncio
 import io
 from collections.abc import Callable
-from typing import Protocol
 
 import h11
 
@@ -11,35 +10,26 @@
 from sequoiahook.daemons.caller_exchange import (
     CallerAnswer,
     CallerRequest,
-    CallerServerSettings,
     refusal_answer,
 )
+from sequoiahook.daemons.caller_load import CallerLoad
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
     "READ_BYTES",
     "CallerDisconnectedError",
     "CallerExchange",
-    "ReadLimits",
     "RequestReader",
 ]
 
 READ_BYTES = 65_536
-READ_AHEAD_BYTES_MAX = 65_536
-"""Bytes that are read without being parsed; beyond them a caller that leaves is noticed
-only once its earlier requests are answered."""
+"""Most bytes that are read at once while a body is expected."""
 
+HEAD_READ_BYTES = 16_384
+"""Most bytes that are read at once otherwise."""
 
-class ReadLimits(Protocol):
-    """What limits the reading of requests, for all connections of a server.
-
-    Attributes:
-        settings: Limits of the server.
-        buffered_bytes: Bytes in the bodies of all open requests.
-    """
-
-    settings: CallerServerSettings
-    buffered_bytes: int
+ROOM_CHECK_MS = 50
+"""Interval between checks whether a connection may read again."""
 
 
 class CallerDisconnectedError(Exception):
@@ -65,6 +55,7 @@
         task: Runs the handler; None before the start, or if the connection's own task
             runs it.
         body_bytes: Bytes counted towards the limit on all bodies.
+        unread_bytes: Bytes counted towards the limit on all unread answers.
     """
 
     def __init__(self, http: h11.Connection):
@@ -74,6 +65,7 @@
         self.refusal: CallerAnswer | None = None
         self.task: asyncio.Task | None = None
         self.body_bytes = 0
+        self.unread_bytes = 0
 
     @property
     def is_last(self) -> bool:
@@ -85,27 +77,31 @@
     """Reads the requests of one connection in order.
 
     Args:
-        limits: Limits of the server.
+        load: What all connections take, and their limits.
         connection_id: Number of the connection, unique in this process.
         reader: Stream from the caller.
         writer: Stream to the caller; only interim responses are written.
         count_open: Returns the number of requests that are read but not answered.
+        may_read: Returns whether bytes may be read while earlier requests are open.
     """
 
     def __init__(
         self,
-        limits: ReadLimits,
+        load: CallerLoad,
         connection_id: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         count_open: Callable[[], int],
+        may_read: Callable[[], bool],
     ):
-        self._limits = limits
-        self._settings = limits.settings
+        self._load = load
+        self._settings = load.settings
+        self._held_bytes = 0
         self._id = connection_id
         self._reader = reader
         self._writer = writer
         self._count_open = count_open
+        self._may_read = may_read
         peer = writer.get_extra_info("peername")
         self._peer_host = peer[0] if peer else ""
         self._http: h11.Connection | None = None
@@ -114,6 +110,7 @@
         self._timer: asyncio.Timeout | None = None
         self._woken = asyncio.Event()
         self.is_closing = False
+        self._set_receive_bytes(HEAD_READ_BYTES)
 
     def wake(self) -> None:
         """Check again what is waited for, as a request was answered or the end came."""
@@ -150,24 +147,41 @@
         Raises:
             CallerDisconnectedError: If the caller closed the connection.
         """
-        byte_count = 0
         while not condition():
             self._woken.clear()
-            if byte_count >= READ_AHEAD_BYTES_MAX:
+            if not self._may_read_ahead():
                 await self._woken.wait()
                 continue
             try:
                 async with asyncio.timeout(None) as self._timer:
-                    byte_count += await self._receive()
+                    await self._receive_ahead()
             except TimeoutError:
                 continue
             finally:
                 self._timer = None
 
+    def _may_read_ahead(self) -> bool:
+        has_room = self._held_bytes < self._settings.read_ahead_bytes_max
+        return (
+            has_room
+            and self._may_read()
+            and self._load.may_read_ahead(self._held_bytes)
+        )
+
     def release(self, exchange: CallerExchange) -> None:
-        """Stop counting a body towards the limit on all bodies."""
-        self._limits.buffered_bytes -= exchange.body_bytes
+        """Give up the body of a request that needs it no longer."""
+        self._load.body_bytes -= exchange.body_bytes
         exchange.body_bytes = 0
+        if exchange.request is not None:
+            exchange.request = exchange.request._replace(body=b"")
+
+    def close(self) -> None:
+        """Stop counting the bytes that were read ahead."""
+        self._set_held_bytes(0)
+
+    def _set_held_bytes(self, byte_count: int) -> None:
+        self._load.read_ahead_bytes += byte_count - self._held_bytes
+        self._held_bytes = byte_count
 
     def _next_exchange(self) -> CallerExchange:
         """Return an exchange that begins with the bytes that are already read."""
@@ -176,6 +190,7 @@
         )
         ahead = b"" if self._http is None else self._http.trailing_data[0]
         self._has_bytes = bool(ahead)
+        self._set_held_bytes(len(ahead))
         if ahead:
             http.receive_data(ahead)
         self._http = http
@@ -216,18 +231,23 @@
         try:
             async with asyncio.timeout(self._settings.header_timeout_ms / MS_PER_S):
                 while event is h11.NEED_DATA:
-                    await self._receive()
+                    await self._wait_for_room()
+                    await self._receive_ahead()
                     event = self._http.next_event()
         except TimeoutError:
             raise _RefusedRequestError(408, "header too slow") from None
         return event
 
+    async def _wait_for_room(self) -> None:
+        while not self._load.may_read_ahead(self._held_bytes):
+            await asyncio.sleep(ROOM_CHECK_MS / MS_PER_S)
+
     async def _wait_for_first_byte(self) -> None:
         """Wait for the next request, idle only once all others are answered."""
         while True:
             try:
                 async with asyncio.timeout_at(self._idle_until()) as self._timer:
-                    await self._receive()
+                    await self._receive_ahead()
                 return
             except TimeoutError:
                 idle_until = self._idle_until()
@@ -255,18 +275,21 @@
         """
         try:
             async with asyncio.timeout(0):
-                await self._receive()
+                await self._receive_ahead()
         except TimeoutError:
             raise CallerDisconnectedError from None
 
     async def _read_body(self, exchange: CallerExchange, event: h11.Event) -> bytes:
         """Read a body once all earlier requests are answered."""
         await self.wait_until(lambda: not self._count_open())
+        # What was read of the body counts as such from now on.
+        self._set_held_bytes(0)
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._http.send(interim))
         # Unlike that of a bytearray, the content becomes bytes without a copy.
         body = io.BytesIO()
+        self._set_receive_bytes(READ_BYTES)
         try:
             async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
                 while not isinstance(event, h11.EndOfMessage):
@@ -274,13 +297,19 @@
                     event = self._http.next_event()
         except TimeoutError:
             raise _RefusedRequestError(408, "body too slow") from None
+        finally:
+            self._set_receive_bytes(HEAD_READ_BYTES)
         return body.getvalue()
 
+    def _set_receive_bytes(self, byte_count: int) -> None:
+        """Set how much the transport receives at once; its own limit is 262,144."""
+        self._writer.transport.max_size = byte_count
+
     async def _add_to_body(
         self, exchange: CallerExchange, body: io.BytesIO, event: h11.Event
     ) -> None:
         if event is h11.NEED_DATA:
-            await self._receive()
+            await self._receive(READ_BYTES)
         elif isinstance(event, h11.Data):
             body.write(event.data)
             self._count_body_bytes(exchange, len(event.data))
@@ -291,17 +320,29 @@
 
     def _count_body_bytes(self, exchange: CallerExchange, byte_count: int) -> None:
         exchange.body_bytes += byte_count
-        self._limits.buffered_bytes += byte_count
-        if self._limits.buffered_bytes > self._settings.all_body_bytes_max:
+        self._load.body_bytes += byte_count
+        if self._load.has_too_many_body_bytes:
             raise _RefusedRequestError(503, "too many bytes in open requests")
 
-    async def _receive(self) -> int:
+    async def _receive_ahead(self) -> None:
+        """Pass received bytes on for parsing, and count them as read ahead.
+
+        Raises:
+            CallerDisconnectedError: At the end of the stream.
+        """
+        byte_count = await self._receive(HEAD_READ_BYTES)
+        self._set_held_bytes(self._held_bytes + byte_count)
+
+    async def _receive(self, byte_count: int) -> int:
         """Pass received bytes on for parsing and return their number.
 
+        Args:
+            byte_count: Most bytes to pass on.
+
         Raises:
             CallerDisconnectedError: At the end of the stream.
         """
-        data = await self._reader.read(READ_BYTES)
+        data = await self._reader.read(byte_count)
         if not data:
             raise CallerDisconnectedError
         self._http.receive_data(data)
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -15,6 +15,7 @@
     CallerServer,
     CallerServerSettings,
 )
+from sequoiahook.daemons.caller_limits import CallerLimits, caller_limits
 from sequoiahook.daemons.direct.caller_handler import CallerHandler
 from sequoiahook.daemons.direct.components import InstanceComponents
 from sequoiahook.daemons.direct.core_settings import (
@@ -74,6 +75,12 @@
 TARGET_IDLE_MS = 8_000
 """Targets keep idle connections for about 10 s by default, sometimes for less."""
 
+AUXILIARY_CONNECTIONS_MAX = 16
+AUXILIARY_REFUSALS_MAX = 4
+AUXILIARY_BODY_BYTES_MAX = 4_096
+AUXILIARY_BYTES_MAX = 1 << 20
+"""Limits of the servers for readiness checks, metrics and look-ups."""
+
 log = logbook.Logger("instance")
 
 
@@ -102,10 +109,13 @@
             PROTOCOL,
         )
         now = self._clock.now()
+        limits = caller_limits(settings.machine)
         self.core = DirectCore(core_settings(settings), me, now)
         self._targets = TargetClient(
             TargetClientSettings(
-                connect_timeout_ms=CONNECT_TIMEOUT_MS, idle_ms=TARGET_IDLE_MS
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                idle_ms=TARGET_IDLE_MS,
+                all_idle_max=limits.idle_targets_max,
             ),
             components.target_dialect,
         )
@@ -133,14 +143,18 @@
             stopping_settings(settings), lambda: self._handovers.execution_count
         )
         self._caller_server = CallerServer(
-            CallerServerSettings(*settings.caller_address),
+            _caller_settings(settings.caller_address, limits),
             self._handle_caller,
             self._handler.is_repeatable,
         )
         self._readiness_server = _server(
             settings.readiness_address, self._handle_readiness
         )
-        self._lookup_server = _server(settings.lookup_address, self._handle_lookup)
+        self._lookup_server = _server(
+            settings.lookup_address,
+            self._handle_lookup,
+            limits.lookup_connections_max,
+        )
         self._metrics_server = _server(settings.metrics_address, self._handle_metrics)
         self._registration = Registration(
             components.store,
@@ -393,7 +407,33 @@
         return metrics_answer(self.metrics, self.core, self._clock.now())
 
 
+def _caller_settings(address: Address, limits: CallerLimits) -> CallerServerSettings:
+    return CallerServerSettings(
+        *address,
+        all_body_bytes_max=limits.body_bytes_max,
+        connections_max=limits.connections_max,
+        refusals_max=limits.refusals_max,
+        requests_max=limits.requests_max,
+        unread_bytes_max=limits.unread_bytes_max,
+        all_read_ahead_bytes_max=limits.read_ahead_bytes_max,
+    )
+
+
 def _server(
-    address: Address, handler: Callable[[CallerRequest], Awaitable[CallerAnswer]]
+    address: Address,
+    handler: Callable[[CallerRequest], Awaitable[CallerAnswer]],
+    connections_max: int = AUXILIARY_CONNECTIONS_MAX,
 ) -> CallerServer:
-    return CallerServer(CallerServerSettings(*address), handler)
+    """Return a server for requests that have no body."""
+    return CallerServer(
+        CallerServerSettings(
+            *address,
+            body_bytes_max=AUXILIARY_BODY_BYTES_MAX,
+            all_body_bytes_max=AUXILIARY_BYTES_MAX,
+            connections_max=connections_max,
+            refusals_max=AUXILIARY_REFUSALS_MAX,
+            unread_bytes_max=AUXILIARY_BYTES_MAX,
+            all_read_ahead_bytes_max=AUXILIARY_BYTES_MAX,
+        ),
+        handler,
+    )
--- a/sequoiahook/daemons/direct/settings.py
+++ b/sequoiahook/daemons/direct/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.daemons.caller_limits import Machine
 from sequoiahook.world.instance import Address
 
 __all__ = ["Bounds", "DirectSettings", "Durations"]
@@ -90,6 +91,7 @@
         durations: Durations of the daemon's own tasks.
         handover_address: Address for links that carry requests of other instances;
             None to accept none and to hand none over.
+        machine: Memory and descriptors of the machine, which limit what callers take.
     """
 
     name: str
@@ -106,6 +108,7 @@
     is_first_start: bool = False
     durations: Durations = Durations()
     handover_address: Address | None = None
+    machine: Machine = Machine()
 
     @property
     def stopping_ms(self) -> int:
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -61,6 +61,7 @@
         header_bytes_max: Largest status line and header fields, in bytes.
         idle_max: Largest number of idle connections kept for each target.
         idle_ms: Longest time to keep an idle connection, in milliseconds.
+        all_idle_max: Largest number of idle connections kept for all targets.
     """
 
     connect_timeout_ms: int = 500
@@ -68,6 +69,7 @@
     header_bytes_max: int = 64 * 1024
     idle_max: int = 8
     idle_ms: int = 10_000
+    all_idle_max: int = 1_000
 
 
 class TargetRequest(NamedTuple):
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -106,7 +106,7 @@
     def _keep_or_close(self, exchange: TargetExchange, *, is_reusable: bool) -> None:
         connections = self._idle_by_address.setdefault(exchange.request.address, [])
         self._close_expired(connections)
-        if is_reusable and len(connections) < self.settings.idle_max:
+        if is_reusable and self._has_room(connections):
             now = monotonic_ms()
             idle = IdleConnection(
                 exchange.reader,
@@ -119,6 +119,18 @@
         else:
             exchange.close()
 
+    def _has_room(self, connections: list[IdleConnection]) -> bool:
+        """Return whether one more connection to a target may be kept."""
+        if len(connections) >= self.settings.idle_max:
+            return False
+        if self._idle_count() >= self.settings.all_idle_max:
+            for others in self._idle_by_address.values():
+                self._close_expired(others)
+        return self._idle_count() < self.settings.all_idle_max
+
+    def _idle_count(self) -> int:
+        return sum(len(c) for c in self._idle_by_address.values())
+
     def _close_expired(self, connections: list[IdleConnection]) -> None:
         while connections and connections[0].expires_at < monotonic_ms():
             connections.pop(0).writer.close()
--- a/sequoiahook/platform/settings.py
+++ b/sequoiahook/platform/settings.py
@@ -1,10 +1,12 @@
 """The settings file that the platform provides for each process."""
 
+import resource
 import tomllib
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.caller_limits import MEMORY_MB_DEFAULT, Machine
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.errors import CheckError, Finding
 from sequoiahook.options import Section
@@ -15,9 +17,12 @@
 
 SETTINGS_VARIABLE = "SEQUOIAHOOK_BOOT"
 METRICS_PORT = 9464
-LINK_MBPS_MAX = 1_000_000
 """The metrics port that deploy/system.toml names; the settings file sets none."""
 
+LINK_MBPS_MAX = 1_000_000
+MEMORY_MB_MAX = 1_000_000
+DESCRIPTORS_MAX = 1 << 20
+
 
 class PlatformSettings(NamedTuple):
     """Contents of a settings file.
@@ -74,6 +79,7 @@
         bounds=_read_bounds(root),
         link_mbps=int(limits.number("link_mbps", low=0, high=LINK_MBPS_MAX, default=0)),
         is_first_start=root.boolean("bootstrap", default=False),
+        machine=_read_machine(limits),
     )
     return PlatformSettings(
         direct,
@@ -82,6 +88,21 @@
     )
 
 
+def _read_machine(limits: Section) -> Machine:
+    """Return what the file states, and not more descriptors than the process may open.
+
+    A value of 0 counts as not stated.
+    """
+    memory_mb = limits.number("memory_mb", low=0, high=MEMORY_MB_MAX, default=0)
+    stated = limits.number("max_fds", low=0, high=DESCRIPTORS_MAX, default=0)
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = DESCRIPTORS_MAX
+    return Machine(
+        int(memory_mb) or MEMORY_MB_DEFAULT, min(int(stated) or allowed, allowed)
+    )
+
+
 def _read_bounds(root: Section) -> Bounds:
     text_by_name = {}
     for text in root.strings("bounds", default=()):
