Settings of the limits on callers, and their tests

Half of the descriptors were reserved for callers and a quarter for requests; requests that only wait for a target need none, so requests now have a third.

--- a/sequoiahook/daemons/caller_limits.py
+++ b/sequoiahook/daemons/caller_limits.py
@@ -14,8 +14,9 @@
 CONNECTION_BYTES = 16_384
 """Idle connections take 4 KB, those with half a header of 11 KB take 14 KB."""
 
-REQUEST_BYTES = 131_072
-"""Largest part of an answer that is held before its size counts, and its request."""
+REQUEST_BYTES = 65_536
+"""Largest part of an answer that is held before its size counts. Most requests wait for
+a target, and take much less."""
 
 CONNECTIONS_MAX = 2_000
 REQUESTS_MAX = 2_000
@@ -23,6 +24,14 @@
 """Descriptors for links to other instances, listening sockets, the store and files."""
 
 
+CONNECTIONS_PERCENT = 45
+REQUESTS_PERCENT = 35
+LOOKUPS_PERCENT = 8
+IDLE_TARGETS_PERCENT = 8
+REFUSALS_PERCENT = 3
+"""Shares of the descriptors."""
+
+
 class Machine(NamedTuple):
     """What a machine provides for the process.
 
@@ -66,21 +75,27 @@
 def caller_limits(machine: Machine) -> CallerLimits:
     """Return the limits for a machine.
 
-    Of the descriptors that the process does not need itself, half are for connections
-    of callers and a quarter for the connections to targets that their requests need.
-    Of the memory, half is for bodies, a quarter for unread answers, and an eighth for
-    bytes that are read ahead.
+    The shares are those of the memory and of the descriptors that the process does not
+    need itself. A request needs a descriptor for its target, and may wait for it.
     """
     spare_bytes = max(SPARE_BYTES_MIN, (machine.memory_mb - OWN_MEMORY_MB) * MIB)
     own_descriptors = max(OWN_DESCRIPTORS_MIN, machine.descriptors_max // 10)
     descriptors = max(20, machine.descriptors_max - own_descriptors)
     by_memory = spare_bytes // 4 // CONNECTION_BYTES
     return CallerLimits(
-        connections_max=min(CONNECTIONS_MAX, by_memory, descriptors // 2),
-        lookup_connections_max=min(CONNECTIONS_MAX // 4, descriptors // 10),
-        refusals_max=descriptors // 20,
-        requests_max=min(REQUESTS_MAX, spare_bytes // REQUEST_BYTES, descriptors // 4),
-        idle_targets_max=descriptors // 20,
+        connections_max=min(
+            CONNECTIONS_MAX, by_memory, descriptors * CONNECTIONS_PERCENT // 100
+        ),
+        lookup_connections_max=min(
+            CONNECTIONS_MAX // 4, descriptors * LOOKUPS_PERCENT // 100
+        ),
+        refusals_max=max(1, descriptors * REFUSALS_PERCENT // 100),
+        requests_max=min(
+            REQUESTS_MAX,
+            spare_bytes // REQUEST_BYTES,
+            descriptors * REQUESTS_PERCENT // 100,
+        ),
+        idle_targets_max=descriptors * IDLE_TARGETS_PERCENT // 100,
         body_bytes_max=spare_bytes // 2,
         unread_bytes_max=spare_bytes // 4,
         read_ahead_bytes_max=spare_bytes // 8,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -2,6 +2,8 @@
 
 import copy
 import json
+import resource
+from pathlib import Path
 
 import pytest
 
@@ -59,6 +61,26 @@
     assert settings.direct.regions == ("north", "south")
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_mb", "descriptors_max"),
+    [
+        ("", 300, "allowed"),
+        ("[limits]\nmemory_mb = 152\nmax_fds = 100\n", 152, 100),
+        ("[limits]\nmemory_mb = 0\nmax_fds = 0\n", 300, "allowed"),
+        ("[limits]\nmax_fds = 1000000\n", 300, "allowed"),
+    ],
+)
+def test_the_machine_is_read_and_no_more_descriptors_than_allowed(
+    tmp_path, limits, memory_mb, descriptors_max
+):
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    path = Path(settings_file(tmp_path))
+    path.write_text(path.read_text() + limits)
+    machine = read_settings(str(path)).direct.machine
+    expected = allowed if descriptors_max == "allowed" else descriptors_max
+    assert machine == (memory_mb, expected)
+
+
 def test_invalid_settings_report_the_path_of_each_field(tmp_path):
     path = tmp_path / "node.toml"
     text = settings_text(name="n1", zone="north-a")
