--- a/tests/test_caller_floods.py
+++ b/tests/test_caller_floods.py
@@ -21,6 +21,11 @@
 from standins.fleet import wait_for
 from standins.platform_documents import configuration_document
 from standins.platform_fleet import PlatformFleet, Request, send_request
+from tests.test_platform_connectivity import (
+    INSTANCES,
+    TARGETS as CUT_TARGETS,
+    start as start_cut_fleet,
+)
 from tests.test_platform_processes import TARGETS, start
 
 NAME = "n1"
@@ -203,8 +208,14 @@
     return "server-stamp" in reply.headers
 
 
-def check_flood(fleet, crowd):
-    """Flood an instance, and check its size and that it then serves a request."""
+def check_flood(fleet, crowd, others=()):
+    """Flood an instance, and check its size and that it then serves a request.
+
+    Args:
+        fleet: The fleet.
+        crowd: The crowd.
+        others: Names of instances to which requests are handed over.
+    """
     pid = fleet.processes_by_name[NAME].pid
     with flood(fleet, crowd) as peak:
         wait_for(
@@ -217,6 +228,11 @@
     print(f"peak: {peak}")
     assert peak.memory_mb < MEMORY_MB
     assert peak.descriptors <= DESCRIPTORS
+    for name in others:
+        assert fleet.processes_by_name[name].poll() is None
+        peak_mb = resident_mb(fleet.processes_by_name[name].pid)
+        print(f"peak of {name}: {peak_mb}")
+        assert peak_mb < MEMORY_MB
 
 
 def test_requests_without_a_route(fleet):
@@ -287,6 +303,43 @@
     check_flood(fleet, Crowd(700, b""))
 
 
+@pytest.fixture
+def cut_fleet():
+    """A fleet whose first instance reaches targets only through the others."""
+    with SmallFleet() as fleet:
+        start_cut_fleet(fleet)
+        document = configuration_document(50, one=TENANT)
+        document["limits"]["max_body_bytes"] = BODY_BYTES_MAX
+        fleet.control_store(put=[("config", "main", document)])
+        wait_for(
+            lambda: all(
+                "configuration_number 50\n" in fleet.metrics(name) for name in INSTANCES
+            ),
+            "the limits of bodies are configured",
+        )
+        fleet.cut(NAME, "reset")
+        # A request makes the instance find out.
+        wait_for(lambda: is_answered_by_a_target(fleet), "requests are handed over", 10)
+        yield fleet
+
+
+def test_uploads_that_are_handed_over(cut_fleet):
+    """Bodies were held at both instances and on the link between them."""
+    body = b"x" * BODY_BYTES_MAX
+    requests = post("/write/1", body, usual_fields(1)) * 3
+    others = [name for name in INSTANCES if name != NAME]
+    check_flood(cut_fleet, Crowd(40, requests), others)
+
+
+def test_answers_of_200_kb_to_requests_that_are_handed_over(cut_fleet):
+    """Whole answers wait at both instances, since they are not passed on in parts."""
+    for target_id in CUT_TARGETS:
+        cut_fleet.control_target(target_id, faults={"body_bytes": 200_000})
+    requests = b"".join(get("/look/1", usual_fields(n)) for n in range(400))
+    others = [name for name in INSTANCES if name != NAME]
+    check_flood(cut_fleet, Crowd(250, requests), others)
+
+
 def test_a_body_of_the_largest_size_on_the_smallest_machine():
     """Several copies of a body were held while it was passed on."""
     with SmallFleet() as fleet:
