--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of one request with a target over HTTP/1.1."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -9,7 +10,6 @@
 
 from sequoiahook.clock import MS_PER_S, NS_PER_MS
 from sequoiahook.daemons.answer_reader import (
-    READ_BYTES,
     AnswerReader,
     ReaderSettings,
 )
@@ -38,6 +38,16 @@
 
 PERCENT = 100
 
+PART_BYTES = 65_536
+"""Largest part of a body that is passed to the transport at a time. It copies what it
+cannot write at once."""
+
+UNREAD_BYTES_MAX = 16_384
+"""Received bytes beyond twice of which reading from the connection stops."""
+
+RECEIVE_BYTES = 32_768
+"""Most bytes that are received at once; the transport's own limit is 262,144."""
+
 REFUSED_IDS_MAX = 32
 """Refused requests after which a connection is not used again."""
 
@@ -51,6 +61,7 @@
         header_bytes_max: Largest status line and header fields, in bytes.
         idle_max: Largest number of idle connections kept for each target.
         idle_ms: Longest time to keep an idle connection, in milliseconds.
+        all_idle_max: Largest number of idle connections kept for all targets.
     """
 
     connect_timeout_ms: int = 500
@@ -58,6 +69,7 @@
     header_bytes_max: int = 64 * 1024
     idle_max: int = 8
     idle_ms: int = 10_000
+    all_idle_max: int = 1_000
 
 
 class TargetRequest(NamedTuple):
@@ -183,7 +195,9 @@
         self._deadline_at = 0.0
         self._started_at = monotonic_ms()
         self._exchange_task: asyncio.Task | None = None
+        self._write_task: asyncio.Task | None = None
         self._is_aborted = False
+        self._is_released = False
         self._is_timed_out = False
         self._refused_ids: frozenset[str] = frozenset()
 
@@ -192,6 +206,17 @@
         if self._is_aborted:
             return self._result()
         self._exchange_task = asyncio.ensure_future(self._run_exchange(may_write))
+        try:
+            await self._wait_for_exchange()
+        finally:
+            if self._answer is None or self._answer.stream is None:
+                self._release()
+        result = self._result()
+        if result.stream is None:
+            self._give_up_bodies()
+        return result
+
+    async def _wait_for_exchange(self) -> None:
         try:
             await self._exchange_task
         except TimeoutError:
@@ -205,10 +230,16 @@
             if not self._is_aborted or asyncio.current_task().cancelling():
                 raise
             self._mark_incomplete()
-        finally:
-            if self._answer is None or self._answer.stream is None:
-                self._pool.release(self)
-        return self._result()
+
+    def _release(self) -> None:
+        if not self._is_released:
+            self._is_released = True
+            self._pool.release(self)
+
+    def _give_up_bodies(self) -> None:
+        """Free the bodies, which reference cycles would keep until a collection."""
+        self.request = self.request._replace(body=b"")
+        self._answer = self._exchange_task = self._write_task = None
 
     def abort(self) -> None:
         """Close the connection; ``run`` then returns the stage that was reached."""
@@ -228,7 +259,9 @@
             self.stage = Stage.NOTHING_WRITTEN
             if self.is_closed or not may_write():
                 return
-            self._write()
+            self._write_first_part()
+            if self._h11.our_state is h11.SEND_BODY:
+                self._write_task = asyncio.create_task(self._write_rest())
             await self._read_answer()
 
     async def connect(self) -> bool:
@@ -249,11 +282,12 @@
 
     async def _open_connection(self) -> None:
         loop = asyncio.get_running_loop()
-        reader = CountingReader(READ_BYTES)
+        reader = CountingReader(UNREAD_BYTES_MAX)
         protocol = asyncio.StreamReaderProtocol(reader)
         transport, _ = await loop.create_connection(
             lambda: protocol, *self.request.address
         )
+        transport.max_size = RECEIVE_BYTES
         self.reader = reader
         self.writer = asyncio.StreamWriter(transport, protocol, reader, loop)
 
@@ -270,8 +304,13 @@
         has_answer = self.stage in (Stage.ANSWERED, Stage.SHED)
         if len(self._refused_ids) >= REFUSED_IDS_MAX:
             return False
-        has_sent_all = self.writer.transport.get_write_buffer_size() == 0
-        return has_answer and has_read_all and has_sent_all and not self.is_closed
+        return has_answer and has_read_all and self._has_sent_all and not self.is_closed
+
+    @property
+    def _has_sent_all(self) -> bool:
+        """Whether the system has taken the whole request."""
+        is_written = self._h11.our_state in (h11.DONE, h11.MUST_CLOSE)
+        return is_written and not self.writer.transport.get_write_buffer_size()
 
     @property
     def refused_ids(self) -> frozenset[str]:
@@ -287,8 +326,8 @@
         keep_alive_ms = self._dialect.idle_ms(headers)
         return min(self._settings.idle_ms, keep_alive_ms * IDLE_PERCENT // PERCENT)
 
-    def _write(self) -> None:
-        """Pass the whole request to the transport in one call, without an await."""
+    def _write_first_part(self) -> None:
+        """Pass the head and the first part of the body on, without an await."""
         request = self.request
         host = request.host or str(request.address).encode("ascii")
         fields = [(b"host", host), *request.headers]
@@ -298,12 +337,26 @@
             method=request.method, target=request.target_path, headers=fields
         )
         data = self._h11.send(head)
-        data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage())
+        data += self._h11.send(h11.Data(data=request.body[:PART_BYTES]))
+        if len(request.body) <= PART_BYTES:
+            data += self._h11.send(h11.EndOfMessage())
         self._started_at = monotonic_ms()
         self.stage = Stage.PARTLY_WRITTEN
         self.writer.write(data)
 
+    async def _write_rest(self) -> None:
+        """Write the rest of the body while the answer is already awaited.
+
+        A failure of the connection is left to the task that reads the answer.
+        """
+        body = memoryview(self.request.body)
+        with contextlib.suppress(OSError):
+            for start in range(PART_BYTES, len(body), PART_BYTES):
+                await self.writer.drain()
+                part = body[start : start + PART_BYTES]
+                self.writer.write(self._h11.send(h11.Data(data=part)))
+            self.writer.write(self._h11.send(h11.EndOfMessage()))
+
     async def _read_answer(self) -> None:
         """Read the answer until it is complete, has failed or is to be passed on."""
         self._answer = AnswerReader(
@@ -329,7 +382,8 @@
     def _on_stream_ended(self, end: StreamEnd) -> None:
         if end is not StreamEnd.COMPLETE:
             self.stage = Stage.ANSWER_TRUNCATED
-        self._pool.release(self)
+        self._release()
+        self._give_up_bodies()
 
     def _mark_incomplete(self) -> None:
         """Record that no complete answer was received."""
@@ -337,11 +391,13 @@
             return
         if self._answer is not None and self._answer.head is not None:
             self.stage = Stage.ANSWER_TRUNCATED
-        elif not self.writer.transport.get_write_buffer_size():
+        elif self._has_sent_all:
             self.stage = Stage.WRITTEN_NO_ANSWER
 
     def close(self) -> None:
         """Close the connection, and abort it unless the exchange was answered."""
+        if self._write_task is not None:
+            self._write_task.cancel()
         if self.stage is not Stage.ANSWERED:
             self.writer.transport.abort()
         self.writer.close()
