Fair shares of a service's capacity between organisations

While a service is short of capacity, instances report the work that organisations offer, leaders compute the max-min level, and requests of organisations over it queue at targets only up to a lower limit. New datagrams ShareDemand and ShareRatios, cause 'organisation is over its share of the service', log line 'organisation shares'.

The test of wrong field types now knows all datagram types up to the new ones, since it names them by their index.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -15,6 +15,7 @@
 )
 from sequoiahook.daemons.direct.request_fields import request_fields
 from sequoiahook.daemons.direct.request_runner import RequestRunner
+from sequoiahook.daemons.direct.share_log import CapacityRefusals
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.requests import (
     Attempt,
@@ -82,6 +83,7 @@
         self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
+        self._capacity_refusals = CapacityRefusals(metrics)
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer a request."""
@@ -166,6 +168,8 @@
             status, cause, retry_after_ms = outcome.result.status, _CAUSES[end], 0
         else:
             status, cause, retry_after_ms, _ = outcome
+            if request is not None:
+                self._capacity_refusals.record(request, outcome)
         self._metrics.count(f"requests {status} {cause}")
         self._metrics.record_ms("request", now - arrived_at)
         fields = self._common_fields(incoming, request, arrived_at)
--- a/sequoiahook/daemons/direct/decision_log.py
+++ b/sequoiahook/daemons/direct/decision_log.py
@@ -6,6 +6,7 @@
 from sequoiahook.daemons.direct.connect_log import ConnectLog
 from sequoiahook.daemons.direct.limit_log import LimitLog
 from sequoiahook.daemons.direct.rest_log import RestLog
+from sequoiahook.daemons.direct.share_log import ShareLog
 from sequoiahook.decisions.direct.core import DirectCore
 
 __all__ = ["DecisionLog"]
@@ -31,6 +32,7 @@
         self._limit_log = LimitLog(core)
         self._connect_log = ConnectLog(core, now)
         self._rest_log = RestLog(core)
+        self._share_log = ShareLog(core.fleet.shares)
         self._summarised_at = 0
 
     def write(self, now: int) -> None:
@@ -44,6 +46,7 @@
             self._limit_log.write(now)
             self._connect_log.write(now)
             self._rest_log.write()
+            self._share_log.write(now)
 
     def _write_lost(self, now: int) -> None:
         event = self._selector.lost_capacity.last_event
--- a/sequoiahook/daemons/direct/request_fields.py
+++ b/sequoiahook/daemons/direct/request_fields.py
@@ -22,4 +22,6 @@
         fields["fingerprint"] = fingerprint(request).hex()
     if request.crash_evidence is not None:
         fields |= request.crash_evidence._asdict()
+    if request.verdict is not None and not request.records:
+        fields |= request.verdict.evidence._asdict()
     return fields
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -6,10 +6,11 @@
     AttemptResults,
 )
 from sequoiahook.decisions.direct.attempts_settings import AttemptsSettings
+from sequoiahook.decisions.direct.capacity_control import CapacityControl
 from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.permits import Permits
-from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.placements import Placement
 from sequoiahook.decisions.direct.region_summary import PlacedBy
 from sequoiahook.decisions.direct.requests import (
     CAUSES,
@@ -66,6 +67,7 @@
         connectivity: Whether connectivity to targets is lost.
         exit_limit: Limit on requests while this instance is stopping.
         results: Records what the results of attempts show.
+        capacity: Divides the capacity of services that are short of it.
     """
 
     def __init__(
@@ -79,11 +81,13 @@
         connectivity: Connectivity,
         exit_limit: ExitLimit,
         results: AttemptResults,
+        capacity: CapacityControl,
     ):
         self.retry_burst = 1
         self._connectivity = connectivity
         self._exit_limit = exit_limit
         self._results = results
+        self._capacity = capacity
         self._settings = settings
         self._admission = admission
         self._selector = selector
@@ -98,14 +102,16 @@
         if step is not None:
             return step
         remaining_ms = request.deadline_at - now
+        self._capacity.offer(request, now)
         placement = self._select(request, remaining_ms, now)
         if isinstance(placement, HoldPermit):
             return placement
         if placement.state is None:
             step = self._forward(request, now, has_target=False)
-            return step or self._end(
-                request, placement.cause, now, placement.retry_after_ms
-            )
+            if step is not None:
+                return step
+            placement = self._capacity.refused(request, placement, now)
+            return self._end(request, placement.cause, now, placement.retry_after_ms)
         refusal = self._charge(request, now)
         if refusal is not None:
             if placement.state.limit_per_s is not None:
@@ -169,7 +175,7 @@
         if refusal is not None:
             return refusal
         remaining_ms = request.deadline_at - now
-        query = self._target_query(request, remaining_ms)
+        query = self._capacity.query(request, remaining_ms)
         region_order = tuple(self._selector.region_order(query, now))
         request.forward_count += 1
         at_ms = now - request.arrived_at
@@ -270,7 +276,7 @@
     ) -> Placement | HoldPermit:
         """Return the selected target, for which a permit is taken if it needs one."""
         while True:
-            query = self._target_query(request, remaining_ms)
+            query = self._capacity.query(request, remaining_ms)
             placement = self._selector.choose(query, now)
             state = placement.state
             if state is None or state.limit_per_s is None:
@@ -325,6 +331,7 @@
     def _send(self, request, placement, remaining_ms: int, now: int) -> Attempt:
         state = placement.state
         state.on_sent(now)
+        self._capacity.record_sent(request, now)
         self._connectivity.record_sent(now)
         self._suspects.record_sent(request, now)
         self._selector.record_sent(placement, now)
@@ -364,18 +371,6 @@
             return refusal
         return Refuse(Status.BAD_GATEWAY, refusal.cause)
 
-    def _target_query(self, request: OpenRequest, remaining_ms: int) -> TargetQuery:
-        return TargetQuery(
-            self._admission.service(request.service),
-            request.route,
-            request.incoming.object_key,
-            request.priority,
-            request.regions,
-            remaining_ms,
-            frozenset(request.tried_ids | request.passed_over_ids),
-            () if request.origin is None else request.origin.region_order,
-        )
-
     def _budget(self, service: str, now: int) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -6,6 +6,7 @@
 from sequoiahook.decisions.direct.admission import Admission, AdmissionSettings
 from sequoiahook.decisions.direct.attempt_results import AttemptResults
 from sequoiahook.decisions.direct.attempts import Attempts, AttemptsSettings
+from sequoiahook.decisions.direct.capacity_control import CapacityControl
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.fleet import Fleet
 from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
@@ -114,6 +115,7 @@
             self.connectivity,
             self.exit_limit,
             results,
+            CapacityControl(self.admission, self.selector, self.fleet.shares),
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -9,19 +9,16 @@
     GroupViews,
     GroupViewSettings,
 )
-from sequoiahook.decisions.direct.groups import (
-    Groups,
-    is_of_divided_fleet,
-)
+from sequoiahook.decisions.direct.groups import Groups, is_of_divided_fleet
+from sequoiahook.decisions.direct.organisation_shares import OrganisationShares
 from sequoiahook.decisions.direct.outgoing import (
     DatagramFactory,
     OutgoingBody,
     OutgoingDatagram,
 )
-from sequoiahook.decisions.direct.peer_exchanges import (
-    PeerExchanges,
-)
+from sequoiahook.decisions.direct.peer_exchanges import PeerExchanges
 from sequoiahook.decisions.direct.peers import Peers
+from sequoiahook.decisions.direct.share_exchange import ShareExchange
 from sequoiahook.decisions.direct.token_server import TokenAnswer
 from sequoiahook.messages.reports import (
     Datagram,
@@ -33,6 +30,7 @@
     TokenGrant,
     TokenRequest,
 )
+from sequoiahook.messages.shares import ShareBody
 from sequoiahook.world.instance import LiveInstance
 
 __all__ = ["Fleet"]
@@ -77,6 +75,10 @@
         self._views = GroupViews(
             GroupViewSettings(settings.peers.unresponsive_after_ms)
         )
+        self.shares = OrganisationShares(settings.shares)
+        self._share_exchange = ShareExchange(
+            me.name, self.shares, self.groups, self._views
+        )
 
     def set_instances(
         self, instances_by_name: Mapping[str, LiveInstance], now: int
@@ -134,7 +136,9 @@
         if self.groups.is_leader(now):
             outgoing += self._group_reports(own, now, includes_far=includes_far)
         self.permits.is_leaving = own.is_leaving
-        return outgoing + self._datagrams.datagrams(self._exchanges.reports(now))
+        bodies = self._exchanges.reports(now)
+        bodies += self._share_exchange.reports(now, includes_far=includes_far)
+        return outgoing + self._datagrams.datagrams(bodies)
 
     def token_requests(self, now: int) -> list[OutgoingDatagram]:
         """Return the messages that do not wait for the next report."""
@@ -171,6 +175,8 @@
             return self._apply_group_report(datagram, body, now)
         elif isinstance(body, GroupDigest):
             self._apply_digest(sender, body, now)
+        elif isinstance(body, ShareBody):
+            self._share_exchange.receive(sender, body, now)
         else:
             answers = self._exchanges.receive(sender, body, now)
             if answers is None:
--- a/sequoiahook/decisions/direct/fleet_settings.py
+++ b/sequoiahook/decisions/direct/fleet_settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.groups import GroupSettings
+from sequoiahook.decisions.direct.organisation_shares import ShareSettings
 from sequoiahook.decisions.direct.peer_exchanges import PeerExchangeSettings
 from sequoiahook.decisions.direct.peers import PeerSettings
 from sequoiahook.decisions.direct.rates import Rates
@@ -19,11 +20,13 @@
         peers: When peers count as unresponsive.
         groups: Division of the fleet and election of leaders.
         exchanges: Permits, suspect requests and lost connectivity to targets.
+        shares: Shares of capacity between organisations.
     """
 
     peers: PeerSettings = PeerSettings()
     groups: GroupSettings = GroupSettings()
     exchanges: PeerExchangeSettings = PeerExchangeSettings()
+    shares: ShareSettings = ShareSettings()
 
 
 class FleetComponents(NamedTuple):
--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -21,6 +21,8 @@
         remaining_ms: Time until its deadline.
         tried_ids: Ids of the targets that it was sent to before.
         region_order: Order of the regions, if another instance has determined it.
+        queue_percent_max: Most requests that may queue at its target, as a percentage
+            of the slots; None if only the limits for all requests apply.
     """
 
     service: TargetService
@@ -31,6 +33,7 @@
     remaining_ms: int
     tried_ids: frozenset[str]
     region_order: tuple[str, ...] = ()
+    queue_percent_max: int | None = None
 
 
 class Placement(NamedTuple):
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.organisation_shares import Verdict
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.keys import KeyName
@@ -60,6 +61,7 @@
     NO_ROUTE = "no route"
     NO_TARGET = "no target"
     NO_SHARE = "share of the rate not known yet"
+    OVER_SHARE = "organisation is over its share of the service"
     OVER_RATE = "organisation is over its rate"
     SHIFT_LIMIT = "shift is at its limit"
     STALE = "configuration too old to admit keys"
@@ -174,6 +176,9 @@
         forward_count: Number of times that it was handed over to other instances.
         origin: The instance that handed it over; None if its caller is connected to
             this one.
+        is_offered: Whether it is counted in the demand of its organisation.
+        verdict: How it may use targets, as its organisation is over its share of a
+            service that is short of capacity; None if as any other.
 
     Args:
         incoming: Request of the caller.
@@ -216,6 +221,8 @@
         self.hold_until: int | None = None
         self.forward_count = 0
         self.origin: Origin | None = None
+        self.is_offered = False
+        self.verdict: Verdict | None = None
 
     @property
     def organisation(self) -> str:
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -213,13 +213,20 @@
         else:
             self._peer_counts_by_name.pop(peer, None)
 
-    def in_flight(self, now: int) -> int:
-        """Return the number of requests known to be queued or running at the target."""
+    def instances_open_count(self, now: int) -> int:
+        """Return the number of requests that instances know to be open at the target.
+
+        The target's own report is not used.
+        """
         valid_since = now - self._settings.peer_count_valid_ms
         counts = self._peer_counts_by_name.values()
-        open_total = self.open_count + sum(
+        return self.open_count + sum(
             count.open_count for count in counts if count.reported_at >= valid_since
         )
+
+    def in_flight(self, now: int) -> int:
+        """Return the number of requests known to be queued or running at the target."""
+        open_total = self.instances_open_count(now)
         if now - self._load.reported_at <= self._settings.load_valid_ms:
             return max(open_total, self._load.open_count)
         return open_total
--- a/sequoiahook/messages/reports.py
+++ b/sequoiahook/messages/reports.py
@@ -11,6 +11,7 @@
 from sequoiahook.messages.leaves import LeaveNotice
 from sequoiahook.messages.limits import LimitBody
 from sequoiahook.messages.reach import ReachBody
+from sequoiahook.messages.shares import ShareBody
 
 __all__ = [
     "Datagram",
@@ -161,6 +162,7 @@
     | ReachBody
     | LeaveNotice
     | CrashReport
+    | ShareBody
 )
 
 
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -30,6 +30,12 @@
     TokenGrant,
     TokenRequest,
 )
+from sequoiahook.messages.shares import (
+    ORGANISATIONS_MAX,
+    ShareBody,
+    ShareDemand,
+    ShareRatios,
+)
 
 __all__ = ["DATAGRAM_BYTES_MAX", "decode_datagram", "encode_datagram"]
 
@@ -54,6 +60,8 @@
     ReachQuery,
     ReachReply,
     LeaveNotice,
+    ShareDemand,
+    ShareRatios,
 )
 
 
@@ -150,6 +158,18 @@
     return body._replace(targets=tuple(body.targets))
 
 
+def _decode_share_body(body: ShareBody) -> ShareBody:
+    _require(type(body.service) is str)
+    table = body[-1]
+    _require_counts(table)
+    _require(len(table) <= ORGANISATIONS_MAX and min(table.values(), default=0) >= 0)
+    if isinstance(body, ShareDemand):
+        _require(type(body.group) is str and type(body.is_short) is bool)
+        _require(_are_ints((body.started, body.other)))
+        _require(body.started >= 0 and body.other >= 0)
+    return body
+
+
 def _decode_statement(fields: Any) -> LimitStatement:
     statement = LimitStatement(*fields)
     _require(_are_ints(statement) and statement.age_ms >= 0)
@@ -215,6 +235,8 @@
     ReachQuery: _decode_reach,
     ReachReply: _decode_reach,
     LeaveNotice: _decode_leave_notice,
+    ShareDemand: _decode_share_body,
+    ShareRatios: _decode_share_body,
 }
 
 
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -6,6 +6,7 @@
 
 from sequoiahook.errors import CodecError
 from sequoiahook.messages.crashes import Crash, CrashReport, SuspectStatement
+from sequoiahook.messages.leaves import LeaveNotice
 from sequoiahook.messages.limits import (
     LimitReport,
     LimitStatement,
@@ -13,6 +14,7 @@
     PermitGrant,
     PermitRequest,
 )
+from sequoiahook.messages.reach import ReachQuery, ReachReply
 from sequoiahook.messages.reports import (
     Datagram,
     GroupDigest,
@@ -24,7 +26,13 @@
     TokenGrant,
     TokenRequest,
 )
-from sequoiahook.wire.datagrams import _tag, decode_datagram, encode_datagram
+from sequoiahook.messages.shares import ORGANISATIONS_MAX, ShareDemand, ShareRatios
+from sequoiahook.wire.datagrams import (
+    DATAGRAM_BYTES_MAX,
+    _tag,
+    decode_datagram,
+    encode_datagram,
+)
 
 SECRET = b"a secret of the fleet"
 STATE = PeerState(False, True, 120)
@@ -47,6 +55,11 @@
             SuspectStatement("", b"cba987654321", (), 30, -1),
         )
     ),
+    ReachQuery(3, ("t1", "t2")),
+    ReachReply(3, True, {"t1": 40}),
+    LeaveNotice((("t1", 1),)),
+    ShareDemand("a", "s", True, 16_000, 20, {"one": 40_000, "": 0}),
+    ShareRatios("s", {"one": 280}),
 )
 
 values = st.recursive(
@@ -82,6 +95,32 @@
         decode_datagram(data, SECRET)
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        ShareDemand("a", "s", True, -1, 0, {}),
+        ShareDemand("a", "s", True, 0, -1, {}),
+        ShareDemand("a", "s", 1, 0, 0, {}),
+        ShareDemand("a", "s", True, 0, 0, {"one": -1}),
+        ShareDemand("a", "s", True, 0, 0, {"one": 0.5}),
+        ShareRatios("s", {"one": -1}),
+        ShareRatios(b"s", {}),
+        ShareRatios("s", {str(i): 1 for i in range(ORGANISATIONS_MAX + 1)}),
+    ],
+)
+def test_invalid_demands_and_ratios_are_refused(body):
+    data = encode_datagram(Datagram("n1", 5, 9, body), SECRET)
+    with pytest.raises(CodecError):
+        decode_datagram(data, SECRET)
+
+
+def test_the_largest_demand_fits_in_a_datagram():
+    names = [f"{i:060}" for i in range(ORGANISATIONS_MAX)]
+    body = ShareDemand("a", "s", True, 0, 0, dict.fromkeys(names, 1 << 31))
+    data = encode_datagram(Datagram("n1", 5, 9, body), SECRET)
+    assert len(data) <= DATAGRAM_BYTES_MAX
+
+
 @given(st.lists(values, max_size=10) | values)
 def test_authentic_invalid_content_is_refused_or_decoded_whole(content):
     encoded = cbor2.dumps(content)
