--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -1,6 +1,7 @@
 """A stand-in for a target on the users' platform, which records all its runs."""
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
@@ -36,6 +37,9 @@
             empty for none.
         is_leaving: Whether all answers state that the target leaves.
         work_ms: Duration of a run in milliseconds.
+        slots: Runs at a time; further requests wait. 0 for no limit.
+        load: Value of the header that states the target's load; empty for the true
+            one, if there is a limit on the runs at a time.
         body_bytes: Least size of the bodies of responses; they are padded.
         pause_ms: Pause in the middle of a body, in milliseconds.
     """
@@ -46,6 +50,8 @@
     is_leaving: bool = False
     crash_path: str = ""
     work_ms: int = 2
+    slots: int = 0
+    load: str = ""
     body_bytes: int = 0
     pause_ms: int = 0
 
@@ -76,6 +82,8 @@
         self.last_headers: dict[str, str] = {}
         self.arrivals: list[tuple[str, float, bool]] = []
         self.cancelled = 0
+        self._open_count = 0
+        self._slots: asyncio.Semaphore | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Start serving and return the port."""
@@ -122,11 +130,26 @@
                 "has_key": "key-" in str(headers) + path,
             }
         )
-        await asyncio.sleep(self.faults.work_ms / 1000)
+        await self._work()
         if self.faults.crash_path and path == self.faults.crash_path:
             os._exit(CRASH_EXIT_CODE)
         return await self._respond(connection, writer, headers, path)
 
+    async def _work(self) -> None:
+        slots = self._slots
+        self._open_count += 1
+        try:
+            async with slots or contextlib.nullcontext():
+                await asyncio.sleep(self.faults.work_ms / 1000)
+        finally:
+            self._open_count -= 1
+
+    def _load(self) -> str:
+        if self.faults.load or not self.faults.slots:
+            return self.faults.load or "1,0,4"
+        running = min(self._open_count, self.faults.slots)
+        return f"{running},{self._open_count - running},{self.faults.slots}"
+
     def _record_arrival(self, request_id: str) -> None:
         at = time.monotonic()
         is_asked = self.faults.how == "shed" and bool(self.faults.rest)
@@ -197,7 +220,7 @@
     ) -> bool:
         response_headers = [
             ("request-id", headers.get("request-id", "")),
-            ("server-load", "1,0,4"),
+            ("server-load", self._load()),
             ("content-length", str(len(body))),
         ]
         if self.faults.limit:
@@ -227,6 +250,8 @@
         document = json.loads(body) if body else {}
         if "faults" in document:
             self.faults = TargetFaults(**document["faults"])
+            slots = self.faults.slots
+            self._slots = asyncio.Semaphore(slots) if slots else None
         report = json.dumps(
             {
                 "runs": self.runs,
