Queueing at the instance, and turns of refused requests

For services that state their pace, a request without a target that has room waits for up to an eighth of its goal; each attempt that ends wakes the first waiting requests. While a service is short of capacity, refused requests get retry times one after the other.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -172,6 +172,8 @@
                 self._capacity_refusals.record(request, outcome)
         self._metrics.count(f"requests {status} {cause}")
         self._metrics.record_ms("request", now - arrived_at)
+        if request is not None and request.room_wait is not None:
+            self._metrics.record_ms("room wait", request.room_wait.waited_ms)
         fields = self._common_fields(incoming, request, arrived_at)
         fields |= {"status": status, "cause": cause, **stream_fields}
         if retry_after_ms:
--- a/sequoiahook/daemons/direct/metrics.py
+++ b/sequoiahook/daemons/direct/metrics.py
@@ -37,6 +37,10 @@
         f'sequoiahook_region_share{{service="{service}"}} {share / PERMILLE:.3f}'
         for service, share in core.selector.home_shares.permille_by_service.items()
     ]
+    lines += [
+        f'sequoiahook_waiting{{service="{service}"}} {count}'
+        for service, count in core.capacity.waiting.counts_by_service.items()
+    ]
     moved_ratio = core.selector.shift_limit.moved_ratio(now)
     lines.append(f"sequoiahook_moved_ratio {moved_ratio:.3f}")
     for state in core.targets.states_by_id.values():
--- a/sequoiahook/daemons/direct/request_fields.py
+++ b/sequoiahook/daemons/direct/request_fields.py
@@ -22,6 +22,9 @@
         fields["fingerprint"] = fingerprint(request).hex()
     if request.crash_evidence is not None:
         fields |= request.crash_evidence._asdict()
+    if request.room_wait is not None:
+        fields["room_wait_ms"] = request.room_wait.waited_ms
+        fields["room_place"] = request.room_wait.place
     if request.verdict is not None and not request.records:
         fields |= request.verdict.evidence._asdict()
     return fields
--- a/sequoiahook/daemons/direct/request_runner.py
+++ b/sequoiahook/daemons/direct/request_runner.py
@@ -14,6 +14,7 @@
     HandoverOutcome,
     Hold,
     HoldPermit,
+    HoldRoom,
     HoldTrial,
     OpenRequest,
     Refuse,
@@ -60,6 +61,7 @@
         self._target_fields = target_fields
         self._reporter = reporter
         self._clock = clock
+        self._room_futures_by_request: dict[int, asyncio.Future] = {}
 
     async def run(
         self, request: OpenRequest, may_write: Callable[[], bool] = lambda: True
@@ -82,9 +84,13 @@
             if isinstance(step, Attempt):
                 result = await self._exchange(step, may_write)
                 step = attempts.on_ended(step, result, clock.now())
+                self._signal_room(request.service)
             elif isinstance(step, ForwardToPeer):
                 outcome = await self.forward(step)
                 step = attempts.on_forwarded(step, outcome, clock.now())
+            elif isinstance(step, HoldRoom):
+                await self._wait_for_room(request, step)
+                step = attempts.next_step(request, clock.now())
             else:
                 await self._wait(step)
                 step = attempts.next_step(request, clock.now())
@@ -97,6 +103,27 @@
         else:
             await self._reporter.wait(step)
 
+    async def _wait_for_room(self, request: OpenRequest, step: HoldRoom) -> None:
+        """Wait until the request is to be decided again; free its place then."""
+        future = asyncio.get_running_loop().create_future()
+        self._room_futures_by_request[id(request)] = future
+        try:
+            async with asyncio.timeout(step.max_wait_ms / MS_PER_S):
+                await future
+        except TimeoutError:
+            return  # It is decided again even without a signal of capacity.
+        finally:
+            del self._room_futures_by_request[id(request)]
+            self._core.capacity.waiting.leave(request, self._clock.now())
+
+    def _signal_room(self, service: str) -> None:
+        """Wake the first requests that wait for a service."""
+        waiting = self._core.capacity.waiting
+        for request in waiting.next_requests(service, self._clock.now()):
+            future = self._room_futures_by_request.get(id(request))
+            if future is not None and not future.done():
+                future.set_result(None)
+
     async def _exchange(
         self, attempt: Attempt, may_write: Callable[[], bool]
     ) -> TargetResult:
@@ -109,6 +136,7 @@
         except asyncio.CancelledError:
             result = TargetResult(exchange.stage)
             attempts.on_abandoned(attempt, result, clock.now())
+            self._signal_room(attempt.request.service)
             raise
         if result.stream is not None:
             result.stream.add_end_callback(
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -22,6 +22,7 @@
     HandoverOutcome,
     Hold,
     HoldPermit,
+    HoldRoom,
     HoldTrial,
     OpenRequest,
     Refuse,
@@ -48,7 +49,8 @@
 FORWARDS_MAX = 2
 """Most times that one request is handed over; each time to several candidates."""
 
-Step = Attempt | Deliver | ForwardToPeer | Hold | HoldPermit | HoldTrial | Refuse
+Wait = Hold | HoldPermit | HoldRoom | HoldTrial
+Step = Attempt | Deliver | ForwardToPeer | Wait | Refuse
 
 
 class Attempts:
@@ -97,7 +99,7 @@
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def next_step(self, request: OpenRequest, now: int) -> Step:
-        """Return the next attempt, a wait for a token, or the final answer."""
+        """Return the next attempt, a wait, or the final answer."""
         step = self._check(request, now) or self._forward(request, now)
         if step is not None:
             return step
@@ -108,6 +110,7 @@
             return placement
         if placement.state is None:
             step = self._forward(request, now, has_target=False)
+            step = step or self._capacity.hold(request, placement, now)
             if step is not None:
                 return step
             placement = self._capacity.refused(request, placement, now)
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -6,7 +6,10 @@
 from sequoiahook.decisions.direct.admission import Admission, AdmissionSettings
 from sequoiahook.decisions.direct.attempt_results import AttemptResults
 from sequoiahook.decisions.direct.attempts import Attempts, AttemptsSettings
-from sequoiahook.decisions.direct.capacity_control import CapacityControl
+from sequoiahook.decisions.direct.capacity_control import (
+    CapacityControl,
+    CapacitySettings,
+)
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.fleet import Fleet
 from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
@@ -66,6 +69,7 @@
         selection: Settings of target selection.
         rates: Settings of the rates.
         targets: Settings of the target registry.
+        capacity: Waits and retry times of requests that find no capacity.
     """
 
     regions: tuple[str, ...]
@@ -77,6 +81,7 @@
     selection: TargetSelectionSettings = TargetSelectionSettings()
     rates: RateSettings = RateSettings()
     targets: TargetRegistrySettings = TargetRegistrySettings()
+    capacity: CapacitySettings = CapacitySettings()
 
 
 class DirectCore:
@@ -104,6 +109,9 @@
         self.connectivity.on_lost = self._forget_failures
         self.admission = Admission(settings.admission, self.freshness, self.rates)
         self.exit_limit = ExitLimit()
+        self.capacity = CapacityControl(
+            settings.capacity, self.admission, self.selector, self.fleet.shares
+        )
         results = AttemptResults(self.admission, self.selector, self.fleet)
         self.attempts = Attempts(
             settings.attempts,
@@ -115,7 +123,7 @@
             self.connectivity,
             self.exit_limit,
             results,
-            CapacityControl(self.admission, self.selector, self.fleet.shares),
+            self.capacity,
         )
         self.is_leaving = False
         self._retry_slack = settings.retry_slack
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.organisation_shares import Verdict
+from sequoiahook.decisions.direct.room_wait import RoomWait
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.decisions.keys import KeyName
@@ -20,6 +21,7 @@
     "HandoverOutcome",
     "Hold",
     "HoldPermit",
+    "HoldRoom",
     "HoldTrial",
     "IncomingRequest",
     "OpenRequest",
@@ -179,6 +181,7 @@
         is_offered: Whether it is counted in the demand of its organisation.
         verdict: How it may use targets, as its organisation is over its share of a
             service that is short of capacity; None if as any other.
+        room_wait: Its wait for a target with room; None before the first one.
 
     Args:
         incoming: Request of the caller.
@@ -223,6 +226,7 @@
         self.origin: Origin | None = None
         self.is_offered = False
         self.verdict: Verdict | None = None
+        self.room_wait: RoomWait | None = None
 
     @property
     def organisation(self) -> str:
@@ -355,6 +359,18 @@
     max_wait_ms: int
 
 
+class HoldRoom(NamedTuple):
+    """A step that waits until a target has room for the request.
+
+    Attributes:
+        service: Name of the service.
+        max_wait_ms: Time after which to decide again.
+    """
+
+    service: str
+    max_wait_ms: int
+
+
 class Refuse(NamedTuple):
     """A final step that refuses the request with an answer of the instance itself.
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -122,6 +122,10 @@
         self._rankings_by_key: dict[tuple[str, str, str], list[TargetState]] = {}
         self._rankings_version = -1
 
+    def states_pace(self, service: str) -> bool:
+        """Return whether an answer of one of a service's targets stated its pace."""
+        return False
+
     def choose(self, query: TargetQuery, now: int) -> Placement:
         """Return the target of a request, or the cause of a refusal."""
         placement = self._choose(query, now)
