--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -10,7 +10,7 @@
 from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.permits import Permits
-from sequoiahook.decisions.direct.placements import Placement
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery, target_query
 from sequoiahook.decisions.direct.region_summary import PlacedBy
 from sequoiahook.decisions.direct.requests import (
     CAUSES,
@@ -178,7 +178,7 @@
         if refusal is not None:
             return refusal
         remaining_ms = request.deadline_at - now
-        query = self._capacity.query(request, remaining_ms)
+        query = self._target_query(request, remaining_ms)
         region_order = tuple(self._selector.region_order(query, now))
         request.forward_count += 1
         at_ms = now - request.arrived_at
@@ -279,7 +279,8 @@
     ) -> Placement | HoldPermit:
         """Return the selected target, for which a permit is taken if it needs one."""
         while True:
-            query = self._capacity.query(request, remaining_ms)
+            query = self._target_query(request, remaining_ms)
+            query = self._capacity.limited(request, query)
             placement = self._selector.choose(query, now)
             state = placement.state
             if state is None or state.limit_per_s is None:
@@ -374,6 +375,10 @@
             return refusal
         return Refuse(Status.BAD_GATEWAY, refusal.cause)
 
+    def _target_query(self, request: OpenRequest, remaining_ms: int) -> TargetQuery:
+        service = self._admission.service(request.service)
+        return target_query(request, service, remaining_ms)
+
     def _budget(self, service: str, now: int) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
--- a/sequoiahook/decisions/direct/capacity_control.py
+++ b/sequoiahook/decisions/direct/capacity_control.py
@@ -3,7 +3,6 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
-from sequoiahook.decisions.direct.admission import Admission
 from sequoiahook.decisions.direct.organisation_shares import OrganisationShares
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.requests import Cause, HoldRoom, OpenRequest
@@ -40,7 +39,6 @@
 
     Args:
         settings: Settings of waits and retry times.
-        admission: Holds the services of the configuration in force.
         selector: Holds the typical work of routes.
         shares: Shares of capacity between organisations.
     """
@@ -48,11 +46,9 @@
     def __init__(
         self,
         settings: CapacitySettings,
-        admission: Admission,
         selector: TargetSelector,
         shares: OrganisationShares,
     ):
-        self._admission = admission
         self._selector = selector
         self._estimates = selector.estimates
         self._shares = shares
@@ -73,20 +69,11 @@
         self._shares.record_offered(*share)
         request.verdict = self._shares.admit(*share)
 
-    def query(self, request: OpenRequest, remaining_ms: int) -> TargetQuery:
-        """Return the properties of a request that determine its target."""
-        is_limited = request.verdict is not None and not request.records
-        return TargetQuery(
-            self._admission.service(request.service),
-            request.route,
-            request.incoming.object_key,
-            request.priority,
-            request.regions,
-            remaining_ms,
-            frozenset(request.tried_ids | request.passed_over_ids),
-            () if request.origin is None else request.origin.region_order,
-            request.verdict.queue_percent if is_limited else None,
-        )
+    def limited(self, request: OpenRequest, query: TargetQuery) -> TargetQuery:
+        """Return a request's query with the limit of its organisation's share."""
+        if request.verdict is None or request.records:
+            return query
+        return query._replace(queue_percent_max=request.verdict.queue_percent)
 
     def record_sent(self, request: OpenRequest, now: int) -> None:
         """Count the first attempt of a request, just before it is recorded."""
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -110,7 +110,7 @@
         self.admission = Admission(settings.admission, self.freshness, self.rates)
         self.exit_limit = ExitLimit()
         self.capacity = CapacityControl(
-            settings.capacity, self.admission, self.selector, self.fleet.shares
+            settings.capacity, self.selector, self.fleet.shares
         )
         results = AttemptResults(self.admission, self.selector, self.fleet)
         self.attempts = Attempts(
--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -3,10 +3,13 @@
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.region_summary import PlacedBy
+from sequoiahook.decisions.direct.requests import OpenRequest
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.world.routing import Route, TargetService
 
-__all__ = ["Placement", "TargetQuery"]
+__all__ = ["Placement", "TargetQuery", "may_queue", "target_query"]
+
+PERCENT = 100
 
 
 class TargetQuery(NamedTuple):
@@ -59,3 +62,38 @@
     def is_moved(self) -> bool:
         """Whether the target is in another region than the object's owner."""
         return self.placed_by == PlacedBy.OVERFLOW
+
+
+def target_query(
+    request: OpenRequest, service: TargetService, remaining_ms: int
+) -> TargetQuery:
+    """Return the properties of a request that determine its target.
+
+    Args:
+        request: The request.
+        service: Service that runs it.
+        remaining_ms: Time until its deadline.
+    """
+    return TargetQuery(
+        service,
+        request.route,
+        request.incoming.object_key,
+        request.priority,
+        request.regions,
+        remaining_ms,
+        frozenset(request.tried_ids | request.passed_over_ids),
+        () if request.origin is None else request.origin.region_order,
+    )
+
+
+def may_queue(placement: Placement, query: TargetQuery, now: int) -> bool:
+    """Return whether a request's own limit lets it queue at a target.
+
+    The target's own report of its load is not used: a target that reports too much
+    would be left partly idle when only organisations over their share ask for it.
+    """
+    if query.queue_percent_max is None:
+        return True
+    state = placement.state
+    most = state.record.slots * (PERCENT + query.queue_percent_max) // PERCENT
+    return state.instances_open_count(now) < most
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -28,7 +28,7 @@
     LostCapacitySettings,
     TargetSlots,
 )
-from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery, may_queue
 from sequoiahook.decisions.direct.region_owners import (
     RegionOwners,
     RegionOwnerSettings,
@@ -140,7 +140,7 @@
         fitting = [
             placement
             for placement in candidates
-            if self._has_room(placement, query, now)
+            if self._has_room(placement, query) and may_queue(placement, query, now)
         ]
         if not fitting:
             fastest = min(candidates, key=lambda placement: placement.expected_ms)
@@ -348,18 +348,12 @@
             percent += settings.single_region_percent
         return query.route.latency_goal_ms * percent / PERCENT
 
-    def _has_room(self, placement: Placement, query: TargetQuery, now: int) -> bool:
+    def _has_room(self, placement: Placement, query: TargetQuery) -> bool:
         slots = placement.state.record.slots
         if placement.in_flight < slots:
             return True
         if placement.in_flight >= slots * self._settings.limit_percent // PERCENT:
             return False
-        if query.queue_percent_max is not None:
-            # Without the target's own report: one that reports too much would be left
-            # partly idle when only organisations over their share ask for it.
-            known = placement.state.instances_open_count(now)
-            if known >= slots * (PERCENT + query.queue_percent_max) // PERCENT:
-                return False
         return placement.expected_ms <= self._max_wait_ms(query)
 
     def _time_to_room_ms(
