--- a/tests/test_direct_waiting.py
+++ b/tests/test_direct_waiting.py
@@ -38,10 +38,11 @@
 OK = TargetResult(Stage.ANSWERED, status=200, duration_ms=WORK_MS)
 
 
-@pytest.fixture
-def paced(monkeypatch):
-    """Services state their pace."""
-    monkeypatch.setattr(TargetSelector, "states_pace", lambda *_: True)
+def a_paced_core():
+    """Return a core with one target, whose requests wait for room."""
+    core = a_core(targets=1)
+    core.capacity.waiting = Waiting(SETTINGS, lambda _: True, core.fleet.shares)
+    return core
 
 
 def an_open_request(organisation="one", arrived_at=0, **changes):
@@ -135,9 +136,9 @@
     assert waiting.next_requests("s", 300) == [lower, late]
 
 
-def test_a_waiting_request_holds_no_token(paced):
+def test_a_waiting_request_holds_no_token():
     """Guards against waits that use up the rate of an organisation."""
-    core, taken = a_core(targets=1), []
+    core, taken = a_paced_core(), []
     core.admission.take_token = lambda request, now: taken.append(request)
     attempts, request, step = fill(core)
     assert isinstance(step, HoldRoom)
@@ -148,8 +149,8 @@
     assert taken[-1] is request
 
 
-def test_a_key_that_was_withdrawn_during_the_wait_is_refused(paced):
-    core = a_core(targets=1)
+def test_a_key_that_was_withdrawn_during_the_wait_is_refused():
+    core = a_paced_core()
     attempts, request, step = fill(core)
     assert isinstance(step, HoldRoom)
     core.configure(a_configuration(2, (), (an_organisation(key="another-key"),)), 5)
@@ -160,8 +161,8 @@
 
 
 @pytest.mark.parametrize("change", ["evacuation", "stop", "deadline"])
-def test_other_promises_are_checked_again_after_the_wait(paced, change):
-    core = a_core(targets=1)
+def test_other_promises_are_checked_again_after_the_wait(change):
+    core = a_paced_core()
     attempts, request, step = fill(core)
     assert isinstance(step, HoldRoom)
     now = 10
@@ -182,8 +183,9 @@
     assert (step.status, step.cause) == (503, causes[change])
 
 
-def test_waits_serve_more_of_the_steady_organisations(paced):
+def test_waits_serve_more_of_the_steady_organisations(monkeypatch):
     """Shares and waits together: requests wait and targets stay used."""
+    monkeypatch.setattr(TargetSelector, "states_pace", lambda *_: True)
     world = ShareSimulation({"hot": HOT, "one": STEADY, "two": STEADY})
     world.run(4_000)
     fractions, use = world.measure(12_000)
@@ -218,11 +220,11 @@
     return RequestRunner(core, targets, lambda attempt: (), Reporter(), clock)
 
 
-def test_an_attempt_that_ends_wakes_a_waiting_request(paced):
+def test_an_attempt_that_ends_wakes_a_waiting_request():
     """Guards against waits that end only when they are decided again after 25 ms."""
 
     async def scenario():
-        core, ended = a_core(targets=1), asyncio.Event()
+        core, ended = a_paced_core(), asyncio.Event()
         runner = a_runner(core, ended)
         admit = core.admission.admit
         tasks = [
@@ -239,9 +241,9 @@
     asyncio.run(scenario())
 
 
-def test_a_caller_that_disconnects_frees_its_place(paced):
+def test_a_caller_that_disconnects_frees_its_place():
     async def scenario():
-        core = a_core(targets=1)
+        core = a_paced_core()
         runner = a_runner(core, asyncio.Event())
         fill(core)
         request = core.admission.admit(a_request(), 0)
