--- a/tests/test_platform_shares.py
+++ b/tests/test_platform_shares.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sequoiahook.decisions.direct.requests import Cause
 from standins.platform_fleet import PlatformFleet, Request, send_request
 
 INSTANCES = ("n1", "n2")
@@ -151,11 +152,11 @@
     print(seen, served_fraction(hot), len(runs) / capacity, by_organisation)
     assert min(seen.values()) >= STEADY_MIN
     assert len(runs) / capacity >= USE_MIN
-    events = [
-        line
-        for name in INSTANCES
-        for line in fleet.log_records(name)
-        if line["event"] == "organisation shares"
-    ]
-    assert events
+    lines = [line for name in INSTANCES for line in fleet.log_records(name)]
+    assert any(line["event"] == "organisation shares" for line in lines)
+    refused = [line for line in lines if line.get("cause") == Cause.OVER_SHARE]
+    assert {line["organisation"] for line in refused} == {"hot"}
+    assert all(line["status"] == 503 and not line["attempts"] for line in refused)
+    assert all(0 <= line["share_permille"] <= 1_000 for line in refused)
+    assert all(0 <= line["share_age_ms"] <= 2_000 for line in refused)
     assert "refused for lack of capacity: hot" in fleet.metrics("n1")
