--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -6,6 +6,7 @@
     AttemptResults,
 )
 from sequoiahook.decisions.direct.attempts_settings import AttemptsSettings
+from sequoiahook.decisions.direct.capacity_control import CapacityControl
 from sequoiahook.decisions.direct.connectivity import Connectivity
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.permits import Permits
@@ -21,6 +22,7 @@
     HandoverOutcome,
     Hold,
     HoldPermit,
+    HoldRoom,
     HoldTrial,
     OpenRequest,
     Refuse,
@@ -47,7 +49,8 @@
 FORWARDS_MAX = 2
 """Most times that one request is handed over; each time to several candidates."""
 
-Step = Attempt | Deliver | ForwardToPeer | Hold | HoldPermit | HoldTrial | Refuse
+Wait = Hold | HoldPermit | HoldRoom | HoldTrial
+Step = Attempt | Deliver | ForwardToPeer | Wait | Refuse
 
 
 class Attempts:
@@ -66,6 +69,7 @@
         connectivity: Whether connectivity to targets is lost.
         exit_limit: Limit on requests while this instance is stopping.
         results: Records what the results of attempts show.
+        capacity: Divides the capacity of services that are short of it.
     """
 
     def __init__(
@@ -79,11 +83,13 @@
         connectivity: Connectivity,
         exit_limit: ExitLimit,
         results: AttemptResults,
+        capacity: CapacityControl,
     ):
         self.retry_burst = 1
         self._connectivity = connectivity
         self._exit_limit = exit_limit
         self._results = results
+        self._capacity = capacity
         self._settings = settings
         self._admission = admission
         self._selector = selector
@@ -93,19 +99,22 @@
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def next_step(self, request: OpenRequest, now: int) -> Step:
-        """Return the next attempt, a wait for a token, or the final answer."""
+        """Return the next attempt, a wait, or the final answer."""
         step = self._check(request, now) or self._forward(request, now)
         if step is not None:
             return step
         remaining_ms = request.deadline_at - now
+        self._capacity.offer(request, now)
         placement = self._select(request, remaining_ms, now)
         if isinstance(placement, HoldPermit):
             return placement
         if placement.state is None:
             step = self._forward(request, now, has_target=False)
-            return step or self._end(
-                request, placement.cause, now, placement.retry_after_ms
-            )
+            step = step or self._capacity.hold(request, placement, now)
+            if step is not None:
+                return step
+            placement = self._capacity.refused(request, placement, now)
+            return self._end(request, placement.cause, now, placement.retry_after_ms)
         refusal = self._charge(request, now)
         if refusal is not None:
             if placement.state.limit_per_s is not None:
@@ -272,6 +281,7 @@
         """Return the selected target, for which a permit is taken if it needs one."""
         while True:
             query = self._target_query(request, remaining_ms)
+            query = self._capacity.limited(request, query)
             placement = self._selector.choose(query, now)
             state = placement.state
             if state is None or state.limit_per_s is None:
@@ -326,6 +336,7 @@
     def _send(self, request, placement, remaining_ms: int, now: int) -> Attempt:
         state = placement.state
         state.on_sent(now)
+        self._capacity.record_sent(request, now)
         self._connectivity.record_sent(now)
         self._suspects.record_sent(request, now)
         self._selector.record_sent(placement, now)
--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -8,7 +8,9 @@
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.world.routing import Route, TargetService
 
-__all__ = ["Placement", "TargetQuery", "target_query"]
+__all__ = ["Placement", "TargetQuery", "may_queue", "target_query"]
+
+PERCENT = 100
 
 
 class TargetQuery(NamedTuple):
@@ -25,6 +27,8 @@
         region_order: Order of the regions, if another instance has determined it.
         organisation: Name of the organisation; empty if no key is required.
         body_bytes: Size of the body.
+        queue_percent_max: Most requests that may queue at its target, as a percentage
+            of the slots; None if only the limits for all requests apply.
     """
 
     service: TargetService
@@ -37,6 +41,7 @@
     region_order: tuple[str, ...] = ()
     organisation: str = ""
     body_bytes: int = 0
+    queue_percent_max: int | None = None
 
 
 class Placement(NamedTuple):
@@ -93,3 +98,16 @@
         request.organisation,
         len(request.incoming.body),
     )
+
+
+def may_queue(placement: Placement, query: TargetQuery, now: int) -> bool:
+    """Return whether a request's own limit lets it queue at a target.
+
+    The target's own report of its load is not used: a target that reports too much
+    would be left partly idle when only organisations over their share ask for it.
+    """
+    if query.queue_percent_max is None:
+        return True
+    state = placement.state
+    most = state.record.slots * (PERCENT + query.queue_percent_max) // PERCENT
+    return state.instances_open_count(now) < most
--- a/sequoiahook/decisions/direct/requests.py
+++ b/sequoiahook/decisions/direct/requests.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.organisation_shares import Verdict
+from sequoiahook.decisions.direct.room_wait import RoomWait
 from sequoiahook.decisions.direct.target_backlog import OpenWork
 from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
@@ -20,6 +22,7 @@
     "HandoverOutcome",
     "Hold",
     "HoldPermit",
+    "HoldRoom",
     "HoldTrial",
     "IncomingRequest",
     "OpenRequest",
@@ -61,6 +64,7 @@
     NO_ROUTE = "no route"
     NO_TARGET = "no target"
     NO_SHARE = "share of the rate not known yet"
+    OVER_SHARE = "organisation is over its share of the service"
     OVER_RATE = "organisation is over its rate"
     SHIFT_LIMIT = "shift is at its limit"
     STALE = "configuration too old to admit keys"
@@ -182,6 +186,10 @@
         forward_count: Number of times that it was handed over to other instances.
         origin: The instance that handed it over; None if its caller is connected to
             this one.
+        is_offered: Whether it is counted in the demand of its organisation.
+        verdict: How it may use targets, as its organisation is over its share of a
+            service that is short of capacity; None if as any other.
+        room_wait: Its wait for a target with room; None before the first one.
 
     Args:
         incoming: Request of the caller.
@@ -224,6 +232,9 @@
         self.hold_until: int | None = None
         self.forward_count = 0
         self.origin: Origin | None = None
+        self.is_offered = False
+        self.verdict: Verdict | None = None
+        self.room_wait: RoomWait | None = None
 
     @property
     def organisation(self) -> str:
@@ -359,6 +370,18 @@
     max_wait_ms: int
 
 
+class HoldRoom(NamedTuple):
+    """A step that waits until a target has room for the request.
+
+    Attributes:
+        service: Name of the service.
+        max_wait_ms: Time after which to decide again.
+    """
+
+    service: str
+    max_wait_ms: int
+
+
 class Refuse(NamedTuple):
     """A final step that refuses the request with an answer of the instance itself.
 
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -21,7 +21,7 @@
 from sequoiahook.decisions.direct.home_share import PERMILLE
 from sequoiahook.decisions.direct.learning import Learning
 from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
-from sequoiahook.decisions.direct.placements import Placement, TargetQuery
+from sequoiahook.decisions.direct.placements import Placement, TargetQuery, may_queue
 from sequoiahook.decisions.direct.region_owners import RegionOwners
 from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
 from sequoiahook.decisions.direct.requests import Attempt, Cause
@@ -135,6 +135,7 @@
             placement
             for placement in candidates
             if evaluation.has_room(placement, query)
+            and may_queue(placement, query, now)
         ]
         if not fitting:
             fastest = earliest(candidates)
