Look-ups name the instances of the caller's data centre

Once a service states its pace, responses name the instances of the caller's data centre if at least 4 of them are usable, and at least a third as many as in the region's other data centres on average. Otherwise, and if the data centre is evacuated, responses are as before. TargetSelector.states_pace returns False until targets' statements are decoded.

--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -385,7 +385,9 @@
         if query is None:
             return CallerAnswer(404, (), b"")
         self.metrics.count("look-ups")
-        addresses = self.core.addresses(query.region, self._clock.now())
+        addresses = self.core.addresses(
+            query.region, self._clock.now(), query.data_centre
+        )
         lifetime_ms = self.settings.durations.lookup_lifetime_ms
         return self._components.dialect.lookup_answer(addresses, lifetime_ms)
 
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -116,6 +116,7 @@
             results,
         )
         self.is_leaving = False
+        self._evacuated: frozenset[str] = frozenset()
         self._retry_slack = settings.retry_slack
         self._avoided_until_by_peer: dict[str, int] = {}
 
@@ -139,10 +140,11 @@
 
     def evacuate(self, data_centres: Iterable[str], now: int) -> None:
         """Apply the set of data centres that get no requests."""
+        self._evacuated = frozenset(data_centres)
         configuration = self.admission.configuration
         services = {} if configuration is None else configuration.services_by_name
         cold_ms_by_service = {s.name: s.cold_ms for s in services.values()}
-        self.targets.set_evacuated(data_centres, cold_ms_by_service, now)
+        self.targets.set_evacuated(self._evacuated, cold_ms_by_service, now)
 
     def set_instances(
         self, instances_by_name: Mapping[str, LiveInstance], now: int
@@ -176,10 +178,19 @@
         """Return whether callers should be directed to the instance."""
         return self.is_serving(now) and not self.is_leaving
 
-    def addresses(self, region: str, now: int) -> list[Address]:
-        """Return the addresses to which callers of a region should send requests."""
+    def addresses(self, region: str, now: int, data_centre: str = "") -> list[Address]:
+        """Return the addresses to which callers of a region should send requests.
+
+        Args:
+            region: Region of the caller.
+            now: The time in milliseconds.
+            data_centre: Data centre of the caller. Its instances are preferred once a
+                service states its pace, unless it is evacuated.
+        """
+        if data_centre in self._evacuated or not self._states_pace():
+            data_centre = ""
         serving = self.is_serving(now)
-        return self.peers.addresses(region, self.is_leaving, serving, now)
+        return self.peers.addresses(region, self.is_leaving, serving, now, data_centre)
 
     def tick(self, now: int) -> list[str]:
         """Run periodic updates; return the ids of targets removed from the registry."""
@@ -316,6 +327,12 @@
         age_ms = self.peers.configuration_age_ms(name)
         return age_ms is not None and age_ms <= RELAY_AGE_MAX_MS
 
+    def _states_pace(self) -> bool:
+        """Return whether any service is known to state its pace."""
+        configuration = self.admission.configuration
+        services = () if configuration is None else configuration.services_by_name
+        return any(map(self.selector.states_pace, services))
+
     def _forget_failures(self, since: int) -> None:
         """Forget what was taken for failures of targets since connectivity failed."""
         for state in self.targets.states_by_id.values():
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -1,5 +1,6 @@
 """The other instances of the fleet, their last reports, and addresses for callers."""
 
+from collections import Counter
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -14,6 +15,13 @@
 NEAR_ADDRESSES_MIN = 2
 """Callers of a region with fewer usable instances get those of all regions."""
 
+DATA_CENTRE_ADDRESSES_MIN = 4
+"""Callers of a data centre with fewer usable instances get those of its region."""
+
+DATA_CENTRE_SIZE_RATIO_MIN = 1 / 3
+"""Callers of a data centre with fewer usable instances than this ratio of the average
+of the region's others get those of the region, as they would overload them."""
+
 
 class PeerSettings(NamedTuple):
     """Time limits on missing reports.
@@ -147,7 +155,12 @@
         ]
 
     def addresses(
-        self, region: str, is_leaving: bool, is_serving: bool, now: int
+        self,
+        region: str,
+        is_leaving: bool,
+        is_serving: bool,
+        now: int,
+        data_centre: str = "",
     ) -> list[Address]:
         """Return the addresses to which callers of a region should send requests.
 
@@ -156,6 +169,8 @@
             is_leaving: Whether this instance is about to stop.
             is_serving: Whether this instance can serve callers.
             now: The time in milliseconds.
+            data_centre: Data centre of the caller, whose instances are preferred; empty
+                to prefer none.
         """
         present = [
             instance
@@ -171,10 +186,23 @@
         chosen = serving or present or [self._me]
         near = [instance for instance in chosen if instance.region == region]
         if len(near) >= min(NEAR_ADDRESSES_MIN, len(chosen)):
-            chosen = near
+            chosen = _in_data_centre(near, data_centre) or near
         return [instance.caller_address for instance in chosen[:ADDRESSES_MAX]]
 
     def _last_seen_at(self, name: str) -> int:
         report = self._reports_by_name.get(name)
         listed_at = self._listed_at_by_name[name]
         return listed_at if report is None else max(listed_at, report.received_at)
+
+
+def _in_data_centre(near: list[LiveInstance], name: str) -> list[LiveInstance]:
+    """Return a region's instances in one data centre; none if they are too few."""
+    counts = Counter(instance.data_centre for instance in near)
+    count = counts.pop(name, 0)
+    others_average = sum(counts.values()) / max(1, len(counts))
+    count_min = max(
+        DATA_CENTRE_ADDRESSES_MIN, DATA_CENTRE_SIZE_RATIO_MIN * others_average
+    )
+    if count < count_min:
+        return []
+    return [instance for instance in near if instance.data_centre == name]
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -158,6 +158,10 @@
         self.shift_limit.record_request(now, is_moved=placement.is_moved)
         self.summary.record_sent(placement.state.record.region, placement.placed_by)
 
+    def states_pace(self, service: str) -> bool:
+        """Return whether a service is known to state the pace of its targets."""
+        return False
+
     def tick(self, now: int) -> None:
         """Check which targets are usable, several times within the shortest failure."""
         if now - self._checked_at < self._settings.check_interval_ms:
--- a/tests/test_direct_peers.py
+++ b/tests/test_direct_peers.py
@@ -1,9 +1,20 @@
 """Selection of the addresses given to callers, and expiry of peers."""
 
+import pytest
+
+from sequoiahook.daemons.direct.core_settings import core_settings
+from sequoiahook.daemons.direct.settings import DirectSettings
+from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
 from sequoiahook.messages.reports import Datagram, MemberReport, PeerState
 from sequoiahook.world.instance import Address
-from tests.direct_parts import an_instance
+from tests.direct_parts import (
+    a_configuration,
+    a_route,
+    a_target,
+    an_instance,
+    an_organisation,
+)
 
 STATE = PeerState(is_leaving=False, is_serving=True, configuration_age_ms=0)
 SETTINGS = PeerSettings()
@@ -23,11 +34,38 @@
     return False
 
 
-def hosts(peers, region="north", now=0, is_leaving=False, is_serving=True):
-    found = peers.addresses(region, is_leaving, is_serving, now)
+def hosts(
+    peers,
+    region="north",
+    now=0,
+    is_leaving=False,
+    is_serving=True,
+    data_centre="",
+):
+    found = peers.addresses(region, is_leaving, is_serving, now, data_centre)
     return {address.host for address in found}
 
 
+def peers_in(count_by_data_centre, region="north"):
+    """Return responsive peers of one region, by data centre, beside this instance."""
+    names = {
+        f"{data_centre}-{i}": data_centre
+        for data_centre, count in count_by_data_centre.items()
+        for i in range(count)
+    }
+    peers = Peers(SETTINGS, an_instance("me"), 0)
+    peers.set_instances(
+        {
+            name: an_instance(name, data_centre=data_centre, region=region)
+            for name, data_centre in names.items()
+        },
+        0,
+    )
+    for name in names:
+        receive(peers, name)
+    return peers
+
+
 def test_only_responsive_instances_that_stay_are_given_to_callers():
     peers = some_peers("a", "b", "c")
     receive(peers, "a")
@@ -77,3 +115,117 @@
     peers = some_peers("a", "b")
     receive(peers, "a", now=SETTINGS.expire_after_ms)
     assert peers.expired(SETTINGS.expire_after_ms + 1) == ["b"]
+
+
+def test_callers_get_the_instances_of_their_data_centre():
+    peers = peers_in({"north-a": 3, "north-b": 4})
+    assert hosts(peers, data_centre="north-a") == {
+        "me",
+        *(f"north-a-{i}" for i in range(3)),
+    }
+    assert hosts(peers, data_centre="north-b") == {f"north-b-{i}" for i in range(4)}
+    assert len(hosts(peers)) == 8
+
+
+@pytest.mark.parametrize(
+    ("count", "other_count", "is_enough"),
+    [(3, 3, False), (4, 12, True), (4, 13, False), (5, 15, True), (5, 16, False)],
+)
+def test_few_instances_of_a_data_centre_are_not_given_all_of_its_callers(
+    count, other_count, is_enough
+):
+    """Too few of them would be overloaded while others of the region are idle."""
+    peers = peers_in({"north-b": count, "north-c": other_count})
+    # This instance, in a third data centre, would lower the average of the others.
+    found = hosts(peers, is_leaving=True, data_centre="north-b")
+    assert len(found) == (count if is_enough else count + other_count)
+
+
+def test_lost_instances_of_a_data_centre_do_not_count():
+    peers = peers_in({"north-b": 6, "north-c": 6})
+    for name in ("north-b-0", "north-b-1"):
+        receive(peers, name, sequence=2, is_leaving=True)
+    assert hosts(peers, data_centre="north-b") == {f"north-b-{i}" for i in range(2, 6)}
+    receive(peers, "north-b-2", sequence=3, is_serving=False)
+    found = hosts(peers, data_centre="north-b")
+    assert found == {
+        "me",
+        *(f"north-b-{i}" for i in range(3, 6)),
+        *(f"north-c-{i}" for i in range(6)),
+    }
+
+
+def test_callers_of_a_lost_data_centre_get_the_instances_of_the_region():
+    peers = peers_in({"north-b": 6, "north-c": 6})
+    later = SETTINGS.unresponsive_after_ms + 1
+    for i in range(6):
+        receive(peers, f"north-c-{i}", sequence=2, now=later)
+    found = hosts(peers, now=later, data_centre="north-b")
+    assert found == {"me", *(f"north-c-{i}" for i in range(6))}
+
+
+def test_a_data_centre_without_reports_of_others_gets_this_instance():
+    """An instance that has just started must not answer without an address."""
+    peers = Peers(SETTINGS, an_instance("me"), 0)
+    peers.set_instances({f"p{i}": an_instance(f"p{i}") for i in range(9)}, 0)
+    for is_leaving in (False, True):
+        assert hosts(peers, is_leaving=is_leaving, data_centre="north-a") == {"me"}
+
+
+@pytest.mark.parametrize("data_centre", ["", "north-x", "south-a"])
+def test_callers_of_an_unknown_data_centre_get_the_instances_of_their_region(
+    data_centre,
+):
+    peers = peers_in({"north-a": 5, "north-b": 5})
+    assert hosts(peers, data_centre=data_centre) == hosts(peers)
+
+
+def test_callers_of_an_unknown_region_get_instances_of_all_regions():
+    peers = peers_in({"south-a": 5, "south-b": 5}, region="south")
+    found = hosts(peers, region="west", data_centre="south-a")
+    assert found == hosts(peers, region="west")
+    assert len(found) == 11
+
+
+def a_core(instance_count=10):
+    address = Address("127.0.0.1", 0)
+    data_centres = {f"{region}-a": region for region in ("east", "north", "south")}
+    settings = DirectSettings("me", "north-a", "north", data_centres, *[address] * 5)
+    core = DirectCore(core_settings(settings), an_instance("me"), 0)
+    names = {f"p{i}": "north-ab"[-1 - i % 2] for i in range(instance_count)}
+    core.set_instances(
+        {n: an_instance(n, data_centre=f"north-{x}") for n, x in names.items()}, 0
+    )
+    core.targets.replace({"t": a_target("t")}, 0)
+    core.configure(
+        a_configuration(
+            routes=(a_route(is_open=True),), organisations=(an_organisation(),)
+        ),
+        0,
+    )
+    for name in names:
+        core.peers.record_state(name, STATE, 0)
+    return core
+
+
+def test_data_centres_are_ignored_until_a_service_states_its_pace(monkeypatch):
+    """Deployments whose targets state no pace get the look-ups that they got before."""
+    core = a_core()
+    every_address = core.addresses("north", 0)
+    assert core.addresses("north", 0, "north-b") == every_address
+    monkeypatch.setattr(core.selector, "states_pace", lambda service: service == "s")
+    assert len(core.addresses("north", 0, "north-b")) == 5
+    assert core.addresses("north", 0) == every_address
+
+
+def test_callers_of_an_evacuated_data_centre_get_the_instances_of_the_region(
+    monkeypatch,
+):
+    core = a_core()
+    monkeypatch.setattr(core.selector, "states_pace", lambda service: True)
+    every_address = core.addresses("north", 0)
+    core.evacuate(["north-b"], 0)
+    assert core.addresses("north", 0, "north-b") == every_address
+    assert len(core.addresses("north", 0, "north-a")) < len(every_address)
+    core.evacuate([], 0)
+    assert len(core.addresses("north", 0, "north-b")) == 5
