Regions exchange requests within the limit on change of region

For services that state their pace, the limit counts the net number of requests that each region gains, not single moves: requests that two regions run for each other change no region's part. Owners' targets were idle while callers were refused for the limit.

--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -43,6 +43,7 @@
         retry_after_ms: Time after which the caller should retry if there is no target.
         cause: Reason why there is no target.
         placed_by: What determined the region; one of `PlacedBy`.
+        owner_region: Region of the object's owner.
     """
 
     state: TargetState | None
@@ -51,6 +52,7 @@
     retry_after_ms: int = 0
     cause: str = ""
     placed_by: str = ""
+    owner_region: str = ""
 
     @property
     def is_moved(self) -> bool:
--- a/sequoiahook/decisions/direct/shift_limit.py
+++ b/sequoiahook/decisions/direct/shift_limit.py
@@ -12,7 +12,7 @@
 some refusals, and slower answers of owners, so that traffic moves gradually.
 """
 
-from collections import deque
+from collections import Counter, deque
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
@@ -49,6 +49,7 @@
         self.begins_at = begins_at
         self.moved = 0
         self.total = 0
+        self.gains_by_region: Counter[str] = Counter()
 
 
 class ShiftLimit:
@@ -63,9 +64,42 @@
         self._slices: deque[_Slice] = deque()
         self._moved = 0
         self._total = 0
+        self._gains_by_region: Counter[str] = Counter()
         self._extension = 0.0
         self._extended_at = 0
 
+    def record_exchange(self, now: int, owner_region: str, region: str) -> None:
+        """Count a sent request of which only the net effect on the regions counts.
+
+        Args:
+            now: The time in milliseconds.
+            owner_region: Region of the owner of its object.
+            region: Region that it is sent to.
+        """
+        self.record_request(now, is_moved=False)
+        if region != owner_region:
+            for gains in (self._slices[-1].gains_by_region, self._gains_by_region):
+                gains[region] += 1
+                gains[owner_region] -= 1
+
+    def may_exchange(self, now: int, owner_region: str, region: str) -> bool:
+        """Return whether one more such request may run in another region.
+
+        Requests that run in each other's regions do not change how many run in each.
+        """
+        self._expire(now)
+        before = self._gained()
+        gains = self._gains_by_region.copy()
+        gains[region] += 1
+        gains[owner_region] -= 1
+        gained = sum(gain for gain in gains.values() if gain > 0)
+        allowed = self.moved_ratio_max * (self._total + 1)
+        return gained < before or gained + self._moved <= max(1.0, allowed)
+
+    def _gained(self) -> int:
+        """Return the requests of the window that regions ran beyond their own."""
+        return sum(gain for gain in self._gains_by_region.values() if gain > 0)
+
     def record_request(self, now: int, *, is_moved: bool) -> None:
         """Count a sent request."""
         self._expire(now)
@@ -84,7 +118,7 @@
         """
         self._expire(now)
         allowed = self.moved_ratio_max * (self._total + 1)
-        return self._moved + 1 <= max(1.0, allowed)
+        return self._moved + self._gained() + 1 <= max(1.0, allowed)
 
     @property
     def moved_ratio_max(self) -> float:
@@ -94,7 +128,7 @@
     def moved_ratio(self, now: int) -> float:
         """Return the ratio of requests in the window that ran in another region."""
         self._expire(now)
-        return self._moved / max(1, self._total)
+        return (self._moved + self._gained()) / max(1, self._total)
 
     def extend(self, lost_ratio: float, now: int) -> None:
         """Extend the limit for lost capacity; call this regularly.
@@ -117,3 +151,4 @@
             expired = self._slices.popleft()
             self._total -= expired.total
             self._moved -= expired.moved
+            self._gains_by_region.subtract(expired.gains_by_region)
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -161,8 +161,12 @@
 
     def record_sent(self, placement: Placement, now: int) -> None:
         """Record a request that is sent to its selected target."""
-        self.shift_limit.record_request(now, is_moved=placement.is_moved)
-        self.summary.record_sent(placement.state.record.region, placement.placed_by)
+        record = placement.state.record
+        if self.states_pace(record.service) and placement.owner_region:
+            self.shift_limit.record_exchange(now, placement.owner_region, record.region)
+        else:
+            self.shift_limit.record_request(now, is_moved=placement.is_moved)
+        self.summary.record_sent(record.region, placement.placed_by)
 
     def states_pace(self, service: str) -> bool:
         """Return whether a service is known to state the pace of its targets."""
@@ -204,9 +208,18 @@
         is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
             query, now
         )
-        if not best.is_moved or is_unlimited or self.shift_limit.may_move(now):
+        if not best.is_moved or is_unlimited:
             return best
-        return _fastest([placement for placement in fitting if not placement.is_moved])
+        return _fastest([p for p in fitting if self._is_allowed(p, now)])
+
+    def _is_allowed(self, placement: Placement, now: int) -> bool:
+        """Return whether the limit on change of region allows a candidate."""
+        if not placement.is_moved:
+            return True
+        record = placement.state.record
+        if not self.states_pace(record.service):
+            return self.shift_limit.may_move(now)
+        return self.shift_limit.may_exchange(now, placement.owner_region, record.region)
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused as they asked for."""
@@ -246,7 +259,8 @@
     def _candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidate targets of a request, the object's owner first."""
         candidates: list[Placement] = []
-        for index, region in enumerate(self.region_order(query, now)):
+        regions = self.region_order(query, now)
+        for index, region in enumerate(regions):
             usable = self._usable(query, region, now)
             for state in usable[: 1 if candidates else 2]:
                 placement = self._evaluate(
@@ -254,7 +268,9 @@
                 )
                 if placement is not None:
                     placed_by = self._placed_by(region, query, index)
-                    candidates.append(placement._replace(placed_by=placed_by))
+                    candidates.append(
+                        placement._replace(placed_by=placed_by, owner_region=regions[0])
+                    )
         return candidates
 
     def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -16,7 +16,7 @@
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.requests import Attempt, Refuse
+from sequoiahook.decisions.direct.requests import Attempt, Deliver, Refuse
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.world.instance import Address
 from tests.direct_parts import (
@@ -54,6 +54,8 @@
         per_s: Requests a second.
         work_ms: Mean work at a target that does not have the object cached.
         object_count: Number of objects that the requests concern.
+        goal_ms: Latency goal of the route.
+        deadline_ms: Time that callers wait for an answer.
     """
 
     name: str = "view"
@@ -61,6 +63,26 @@
     per_s: float = 330.0
     work_ms: int = 1_680
     object_count: int = 270
+    goal_ms: int = GOAL_MS
+    deadline_ms: int = DEADLINE_MS
+
+
+class Arrival(NamedTuple):
+    """A request that reaches an instance.
+
+    Attributes:
+        load: Its route.
+        key: Key of its object.
+        retries_left: Times that its caller will still repeat it.
+        region: Region of its caller.
+        first_at: Time in milliseconds at which its caller sent it first.
+    """
+
+    load: Load
+    key: str
+    retries_left: int
+    region: str
+    first_at: int
 
 
 class Run(NamedTuple):
@@ -111,10 +133,11 @@
         targets_by_region: Number of targets of each service, by region.
         loads: The routes and their requests.
         seed: Seed of arrivals, objects and work.
-        instance_count: Number of instances of the region.
+        instance_count: Number of instances of each region with callers.
         slots: Slots of each target.
         states_pace: Whether targets state their pace, which each instance learns from
             the first response that it receives.
+        caller_regions: Regions with callers and instances.
     """
 
     def __init__(
@@ -125,6 +148,7 @@
         instance_count=3,
         slots=6,
         states_pace=False,
+        caller_regions=(OWN_REGION,),
     ):
         self.now = 0
         self.runs, self.refusals = [], []
@@ -135,7 +159,10 @@
         self._order = itertools.count()
         self._number = 0
         self.instances = {
-            f"north-{i}": an_instance(f"north-{i}", data_centre="north-a")
+            f"{region}-{i}": an_instance(
+                f"{region}-{i}", data_centre=f"{region}-a", region=region
+            )
+            for region in caller_regions
             for i in range(instance_count)
         }
         self.targets = {}
@@ -156,7 +183,7 @@
         self.cores = {}
         for index, name in enumerate(self.instances):
             self.start(name)
-            self._at(index * REPORT_MS // instance_count, self._report, name)
+            self._at(index * REPORT_MS // len(self.instances), self._report, name)
         self.configure()
 
     def start(self, name):
@@ -217,7 +244,7 @@
             if at == arrives_at:
                 rates = [load.per_s for load in self.loads]
                 load = self._rng.choices(self.loads, rates)[0]
-                self._arrive(load, str(self._rng.randrange(load.object_count)), 1)
+                self._arrive(self._new_arrival(load))
                 arrives_at += next_gap_ms()
             else:
                 _, _, action, arguments = heapq.heappop(self._events)
@@ -251,7 +278,7 @@
             a_route(
                 name=load.name,
                 path_prefix=f"/{load.name}/",
-                latency_goal_ms=GOAL_MS,
+                latency_goal_ms=load.goal_ms,
                 timeout_ms=6_000,
                 is_open=True,
                 shares=(a_route().shares[0]._replace(service=load.service),),
@@ -270,41 +297,53 @@
         core = self.cores[name]
         core.tick(self.now)
         for outgoing in core.reports(self.now, includes_far=True):
-            self._at(self.now + REPORT_DELAY_MS, self._deliver, *outgoing)
+            is_near = self.instances[outgoing[0]].region == core.me.region
+            delay_ms = REPORT_DELAY_MS if is_near else ROUND_TRIP_MS // 2
+            self._at(self.now + delay_ms, self._deliver, *outgoing)
         self._at(self.now + REPORT_MS, self._report, name)
 
     def _deliver(self, name, datagram):
         self.cores[name].receive(datagram, self.now)
 
-    def _arrive(self, load, key, retries_left):
-        core = self.cores[self._rng.choice(list(self.cores))]
+    def _new_arrival(self, load):
+        key = str(self._rng.randrange(load.object_count))
+        return Arrival(load, key, 1, OWN_REGION, self.now)
+
+    def _core_of(self, arrival):
+        """Return the instance that a caller uses."""
+        return self._rng.choice(list(self.cores.values()))
+
+    def _arrive(self, arrival):
+        load = arrival.load
+        core = self._core_of(arrival)
         incoming = a_request(
-            target_path=f"/{load.name}/1", object_key=key, deadline_ms=DEADLINE_MS
+            target_path=f"/{load.name}/1",
+            object_key=arrival.key,
+            deadline_ms=load.deadline_ms,
         )
         request = core.admission.admit(incoming, self.now)
         step = core.attempts.next_step(request, self.now)
-        self._follow(core, step, (load, key, retries_left))
+        self._follow(core, step, arrival)
 
     def _follow(self, core, step, arrival):
-        load, key, retries_left = arrival
         if isinstance(step, Attempt):
             self._send(core, step, arrival)
         elif isinstance(step, Refuse):
-            self.refusals.append((self.now, step))
-            if retries_left and 0 < step.retry_after_ms <= RETRY_WAIT_MAX_MS:
-                again_at = self.now + step.retry_after_ms
-                self._at(again_at, self._arrive, load, key, retries_left - 1)
+            self._record_refusal(step, arrival)
+            if arrival.retries_left and 0 < step.retry_after_ms <= RETRY_WAIT_MAX_MS:
+                again = arrival._replace(retries_left=arrival.retries_left - 1)
+                self._at(self.now + step.retry_after_ms, self._arrive, again)
 
     def _send(self, core, attempt, arrival):
-        load, key, _ = arrival
+        load = arrival.load
         record = attempt.state.record
         region = record.region
-        way_ms = 0 if region == OWN_REGION else ROUND_TRIP_MS / 2
+        way_ms = 0 if region == arrival.region else ROUND_TRIP_MS / 2
         target = self.targets.get(record.id)
-        work_ms = load.work_ms * self._rng.uniform(0.85, 1.15)
+        work_ms = load.work_ms * self._work_factor()
         reached_at = self.now + way_ms
         done = (
-            target.run((load.name, key), work_ms, reached_at)
+            target.run((load.name, arrival.key), work_ms, reached_at)
             if target is not None
             else None
         )
@@ -312,17 +351,32 @@
             result = SHED if target is not None else TargetResult(Stage.CONNECT_REFUSED)
             end = reached_at + way_ms
         else:
-            self.runs.append(Run(self.now, region))
+            self._record_run(Run(self.now, region), arrival)
             end = done + way_ms
             result = OK._replace(duration_ms=math.ceil(end - self.now))
         self._at(math.ceil(end), self._end, core, attempt, result, arrival)
 
+    def _work_factor(self):
+        """Return the work of a request relative to the mean of its route."""
+        return self._rng.uniform(0.85, 1.15)
+
+    def _record_run(self, run, arrival):
+        self.runs.append(run)
+
+    def _record_refusal(self, refusal, arrival):
+        self.refusals.append((self.now, refusal))
+
     def _end(self, core, attempt, result, arrival):
         if self._states_pace and result is not SHED:
-            core.selector.states_pace.__self__.add(arrival[0].service)
+            core.selector.states_pace.__self__.add(arrival.load.service)
         step = core.attempts.on_ended(attempt, result, self.now)
+        if isinstance(step, Deliver):
+            self._record_answer(arrival)
         self._follow(core, step, arrival)
 
+    def _record_answer(self, arrival):
+        pass
+
 
 def largest_change(runs, since=0, step_ms=100):
     """Return the largest change between adjacent windows, and when it came.
@@ -335,15 +389,26 @@
         since: Start of the first window in milliseconds.
         step_ms: Distance between the compared alignments.
     """
-    largest = (0.0, since)
+    changes = _changes(runs, since, step_ms)
+    return max(changes, key=lambda change: change[0], default=(0.0, since))
+
+
+def mean_change(runs, since, step_ms=500):
+    """Return the mean change between adjacent windows; see `largest_change`."""
+    changes = [change for change, _ in _changes(runs, since, step_ms)]
+    return sum(changes) / len(changes)
+
+
+def _changes(runs, since, step_ms):
     last = int(runs[-1][0])
+    changes = []
     for middle in range(since + WINDOW_MS, last - WINDOW_MS + 1, step_ms):
         before = _ratios(runs, middle - WINDOW_MS, middle)
         after = _ratios(runs, middle, middle + WINDOW_MS)
         regions = before.keys() | after.keys()
         change = sum(abs(after[r] - before[r]) for r in regions) / 2
-        largest = max(largest, (change, middle))
-    return largest
+        changes.append((change, middle))
+    return changes
 
 
 def _ratios(runs, begin, end):
