--- a/sequoiahook/decisions/direct/region_owners.py
+++ b/sequoiahook/decisions/direct/region_owners.py
@@ -5,7 +5,7 @@
 """
 
 import copy
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.estimates import qualified_key
@@ -46,6 +46,7 @@
         region: The own region.
         regions: All regions.
         targets: Registry of targets.
+        states_pace: Returns whether a service is known to state its pace.
     """
 
     def __init__(
@@ -54,12 +55,14 @@
         region: str,
         regions: Sequence[str],
         targets: TargetRegistry,
+        states_pace: Callable[[str], bool],
     ):
         self.home_shares = HomeShares(settings.home)
         self._ramp = ShareRamp(settings.ramp)
         self._region = region
         self._regions = (region, *(name for name in regions if name != region))
         self._targets = targets
+        self._states_pace = states_pace
 
     def order(
         self,
@@ -130,7 +133,14 @@
                 continue
             own_slots = slots_by_region[self._region]
             regions = len(self._regions)
-            share = self.home_shares.share(service, own_slots, all_slots, regions, now)
+            share = self.home_shares.share(
+                service,
+                own_slots,
+                all_slots,
+                regions,
+                now,
+                states_pace=self._states_pace(service),
+            )
             weighted += weight * share
             weights += weight
         return weighted / weights if weights else float(PERMILLE)
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -84,7 +84,13 @@
         self._settings = settings
         self._region = region
         self._targets = targets
-        self.owners = RegionOwners(settings.owners, region, regions, targets)
+        self.owners = RegionOwners(
+            settings.owners,
+            region,
+            regions,
+            targets,
+            lambda service: self.states_pace(service),
+        )
         self.home_shares = self.owners.home_shares
         self.shift_limit = ShiftLimit(settings.shift)
         self.lost_capacity = LostCapacity(settings.lost_capacity)
@@ -204,7 +210,8 @@
             return Obstacle.LATER
         if not self._evaluation.has_room(placement, query):
             return Obstacle.FULL
-        if placement.is_moved and not self._may_move(candidates, query, now):
+        is_unlimited = self._is_unlimited(candidates, query, now)
+        if not is_unlimited and not self._is_allowed(placement, now):
             return Obstacle.SHIFT_LIMIT
         if placement.expected_ms > query.remaining_ms:
             return Obstacle.TOO_LATE
@@ -214,8 +221,12 @@
         """Record a request that is sent to its selected target."""
         if placement.open_work is not None:
             placement.state.backlog.add(placement.open_work)
-        self.shift_limit.record_request(now, is_moved=placement.is_moved)
-        self.summary.record_sent(placement.state.record.region, placement.placed_by)
+        record = placement.state.record
+        if self.states_pace(record.service) and placement.owner_region:
+            self.shift_limit.record_exchange(now, placement.owner_region, record.region)
+        else:
+            self.shift_limit.record_request(now, is_moved=placement.is_moved)
+        self.summary.record_sent(record.region, placement.placed_by)
 
     def record_ended(self, attempt: Attempt) -> None:
         """Remove an attempt that has ended, however it did, from the backlog."""
@@ -278,22 +289,30 @@
             now: The time in milliseconds.
         """
         best = self._evaluation.best(fitting, query.remaining_ms)
-        if not best.is_moved or self._may_move(candidates, query, now):
+        if not best.is_moved or self._is_unlimited(candidates, query, now):
             return best
-        return self._evaluation.best(
-            [placement for placement in fitting if not placement.is_moved],
-            query.remaining_ms,
-        )
+        allowed = [
+            placement for placement in fitting if self._is_allowed(placement, now)
+        ]
+        return self._evaluation.best(allowed, query.remaining_ms)
 
-    def _may_move(
+    def _is_unlimited(
         self, candidates: list[Placement], query: TargetQuery, now: int
     ) -> bool:
-        """Return whether a request may run in another region than its owner's."""
-        # Without a usable target in the owner's region, all candidates are moved.
-        is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
-            query, now
-        )
-        return is_unlimited or self.shift_limit.may_move(now)
+        """Return whether the limit on change of region does not apply.
+
+        Without a usable target in the owner's region, all candidates are moved.
+        """
+        return candidates[0].is_moved and not self._is_limited_at_owner(query, now)
+
+    def _is_allowed(self, placement: Placement, now: int) -> bool:
+        """Return whether the limit on change of region allows a candidate."""
+        if not placement.is_moved:
+            return True
+        record = placement.state.record
+        if not self.states_pace(record.service):
+            return self.shift_limit.may_move(now)
+        return self.shift_limit.may_exchange(now, placement.owner_region, record.region)
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused as they asked for."""
@@ -335,7 +354,8 @@
         if self.states_pace(query.service.name):
             return self._paced_candidates(query, now)
         candidates: list[Placement] = []
-        for index, region in enumerate(self.region_order(query, now)):
+        regions = self.region_order(query, now)
+        for index, region in enumerate(regions):
             count = 1 if candidates else 2
             for state in self._candidates.usable(query, region, 2, now, is_near=False)[
                 :count
@@ -345,14 +365,17 @@
                 )
                 if placement is not None:
                     placed_by = self._placed_by(region, query, index)
-                    candidates.append(placement._replace(placed_by=placed_by))
+                    candidates.append(
+                        placement._replace(placed_by=placed_by, owner_region=regions[0])
+                    )
         return candidates
 
     def _paced_candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidates among targets of a service that states its pace."""
         work = self.work.expect(query)
         candidates: list[Placement] = []
-        for index, region in enumerate(self.region_order(query, now)):
+        regions = self.region_order(query, now)
+        for index, region in enumerate(regions):
             count, is_near = self._search(query, region)
             placed_by = self._placed_by(region, query, index)
             for state in self._candidates.usable(
@@ -361,7 +384,9 @@
                 placement = self._evaluation.evaluate_paced(
                     state, query, work, is_owner=not candidates, now=now
                 )
-                candidates.append(placement._replace(placed_by=placed_by))
+                candidates.append(
+                    placement._replace(placed_by=placed_by, owner_region=regions[0])
+                )
         return candidates
 
     def _search(self, query: TargetQuery, region: str) -> tuple[int, bool]:
--- a/tests/share_simulation.py
+++ b/tests/share_simulation.py
@@ -28,6 +28,7 @@
 )
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.world.instance import Address
+from sequoiahook.world.target import LoadReport
 from tests.direct_parts import (
     a_configuration,
     a_request,
@@ -359,7 +360,8 @@
         target = self.targets[attempt.state.record.id]
         reported_count = target.reported_count(self.now)
         if reported_count is not None:
-            result = result._replace(open_count=reported_count)
+            load = LoadReport(reported_count, attempt.state.record.slots)
+            result = result._replace(load=load)
         step = core.attempts.on_ended(attempt, result, self.now)
         self._follow(name, core, step, caller, attempt.request)
         self._signal_room(name, core)
--- a/tests/test_direct_shift.py
+++ b/tests/test_direct_shift.py
@@ -6,11 +6,13 @@
 
 import heapq
 import random
+from collections import Counter
 
 from hypothesis import given, strategies as st
 
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
+from sequoiahook.decisions.direct.home_share import HomeShares, HomeShareSettings
 from sequoiahook.decisions.direct.lost_capacity import (
     LostCapacity,
     LostCapacitySettings,
@@ -265,3 +267,101 @@
     assert limit.moved_ratio_max == 0.02
     limit.extend(0.15, 400)
     assert 0.3 <= limit.moved_ratio_max <= 0.5
+
+
+def share_of(shares, now, states_pace, own_slots=10):
+    return shares.share("s", own_slots, 100, 3, now, states_pace=states_pace)
+
+
+def test_initial_share_of_a_service_that_states_its_pace():
+    assert share_of(HomeShares(HomeShareSettings()), 0, states_pace=False) == 500
+    assert share_of(HomeShares(HomeShareSettings()), 0, states_pace=True) == 300
+    assert share_of(HomeShares(HomeShareSettings()), 0, True, own_slots=40) == 1_000
+
+
+def test_provisional_share_is_set_anew_once_when_the_pace_becomes_known():
+    shares = HomeShares(HomeShareSettings())
+    assert share_of(shares, 0, states_pace=False) == 500
+    assert share_of(shares, 300, states_pace=False) == 500
+    assert share_of(shares, 400, states_pace=True) == 300
+    # A later loss of targets is left to the steps.
+    assert share_of(shares, 500, states_pace=True, own_slots=5) == 300
+
+
+def test_share_set_anew_moves_less_than_the_limit_on_change_of_region():
+    shares = HomeShares(HomeShareSettings())
+    assert share_of(shares, 0, states_pace=False, own_slots=20) == 1_000
+    assert share_of(shares, 400, states_pace=True, own_slots=20) == 800
+
+
+def test_decided_share_is_not_set_anew_when_the_pace_becomes_known():
+    """All callers of the region would move at once if it were."""
+    adopted = HomeShares(HomeShareSettings())
+    share_of(adopted, 0, states_pace=False)
+    adopted.adopt({"s": 700}, 100)
+    assert share_of(adopted, 200, states_pace=True) == 700
+    decided = HomeShares(HomeShareSettings())
+    share_of(decided, 0, states_pace=False)
+    decided.decide({"s": 20_000}, {"s": 10}, 1_000)
+    before = decided.permille_by_service["s"]
+    assert share_of(decided, 1_100, states_pace=True) == before
+
+
+def test_requests_that_regions_exchange_do_not_use_up_the_limit():
+    """Requests were refused while the region that owned them had taken over others."""
+    limit = ShiftLimit(ShiftSettings())
+    for i in range(200):
+        now = i * 5
+        pair = ("north", "south") if i % 2 else ("south", "north")
+        assert limit.may_exchange(now, *pair)
+        limit.record_exchange(now, *pair)
+    assert limit.moved_ratio(1_000) == 0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 60),
+            st.sampled_from(("north", "south", "east")),
+            st.sampled_from(("north", "south", "east")),
+            st.booleans(),
+        ),
+        max_size=200,
+    )
+)
+def test_exchanged_requests_change_the_regions_of_few(requests):
+    """Regions run few requests more than their own in a window, of either kind."""
+    settings = ShiftSettings()
+    limit = ShiftLimit(settings)
+    now, sent = 0, []
+    for gap_ms, owner, region, is_exchange in requests:
+        now += gap_ms
+        if is_exchange:
+            if region == owner or limit.may_exchange(now, owner, region):
+                limit.record_exchange(now, owner, region)
+                sent.append((now, owner, region))
+        else:
+            is_moved = owner != region and limit.may_move(now)
+            limit.record_request(now, is_moved=is_moved)
+            sent.append((now, owner, region if is_moved else owner))
+        # Slices expire as a whole, so a part of the oldest one may count no more.
+        since = now - now % settings.slice_ms + settings.slice_ms - settings.window_ms
+        recent = [(o, r) for at, o, r in sent if at >= since]
+        gains = Counter(r for _, r in recent)
+        gains.subtract(o for o, _ in recent)
+        gained = sum(gain for gain in gains.values() if gain > 0)
+        assert gained <= max(1, settings.moved_ratio_max * len(sent) + 1)
+
+
+def test_moves_of_services_without_pace_count_one_by_one():
+    """Their limit is as before, and requests exchanged by others do not extend it."""
+    limit = ShiftLimit(ShiftSettings())
+    for i in range(100):
+        limit.record_request(i, is_moved=i < 6)
+    assert not limit.may_move(100)
+    assert not limit.may_exchange(100, "south", "north")
+    limit = ShiftLimit(ShiftSettings())
+    for i in range(100):
+        limit.record_exchange(i, "south", "north" if i < 6 else "south")
+    assert not limit.may_move(100)
+    assert limit.may_exchange(100, "north", "south")
--- a/tests/uneven_load.py
+++ b/tests/uneven_load.py
@@ -127,8 +127,8 @@
         }
         return configuration._replace(routes_by_name=routes)
 
-    def _data_centre(self, index):
-        return f"{OWN_REGION}-{'ab'[index % 2]}"
+    def _data_centre(self, region, index):
+        return f"{region}-{'ab'[index % 2]}"
 
     def _add(self, name, service, region, slots):
         super()._add(name, service, region, slots)
