--- a/tests/test_platform_handovers.py
+++ b/tests/test_platform_handovers.py
@@ -157,17 +157,38 @@
     assert (line["cause"], line["duration_ms"] < 1_400) == ("cancelled", True)
 
 
+def reach_targets(fleet, *, is_cut):
+    """Wait until requests run directly, or else through a peer."""
+    wait_for(lambda: send(fleet)[1].status == 200, "targets are reached")
+    if is_cut:
+        fleet.cut("n1", "refuse")
+        wait_for(
+            lambda: execution_lines(fleet, send(fleet)[0]), "requests are handed over"
+        )
+
+
 @pytest.mark.parametrize("is_cut", [False, True])
 @pytest.mark.parametrize("path", ["/write/invalid", "/look/invalid"])
 def test_invalid_status_never_reaches_the_caller(fleet, is_cut, path):
     """Neither on the direct path nor through the peer that runs the request."""
-    wait_for(lambda: send(fleet)[1].status == 200, "targets are reached")
-    if is_cut:
-        fleet.cut("n1", "refuse")
-        wait_for(lambda: send(fleet)[1].status == 200, "requests are handed over")
+    reach_targets(fleet, is_cut=is_cut)
     for target_id in TARGETS:
         fleet.control_target(target_id, faults={"how": "invalid"})
     request_id, reply = send(fleet, path)
     assert reply.status == 502
     assert runs_of(fleet, request_id)
     assert len(execution_lines(fleet, request_id)) == 0 or is_cut
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+@pytest.mark.parametrize("how", ["reset", "truncate"])
+def test_part_of_an_answer_never_reaches_the_caller(fleet, is_cut, how):
+    """A peer that ran the request must not report the part as a complete answer."""
+    reach_targets(fleet, is_cut=is_cut)
+    for target_id in TARGETS:
+        fleet.control_target(target_id, faults={"how": how})
+    for path, size in itertools.product(("/write/part", "/look/part"), (0, 3_000_000)):
+        request_id, reply = send(fleet, path, body=b"x" * size)
+        assert reply.status == 502, (path, size)
+        assert b" ran " not in reply.body
+        assert runs_of(fleet, request_id)
