--- a/sequoiahook/decisions/direct/target_evaluation.py
+++ b/sequoiahook/decisions/direct/target_evaluation.py
@@ -122,7 +122,22 @@
             percent += settings.single_region_percent
         return query.route.latency_goal_ms * percent / PERCENT
 
-    def has_room(self, placement: Placement, query: TargetQuery) -> bool:
+    def fitting(
+        self, candidates: Sequence[Placement], query: TargetQuery
+    ) -> list[Placement]:
+        """Return the candidates that have room for a request."""
+        fitting = [p for p in candidates if self._has_room(p, query)]
+        if not fitting or fitting[0].open_work is None or is_single_region(query):
+            return fitting
+        own = [p for p in candidates if not p.is_moved] or candidates
+        is_busy = _mean_use(own) >= self._settings.paced.spread_use_percent
+        return [
+            p
+            for p in fitting
+            if p.open_work.is_cached or _may_spread(p, is_busy=is_busy)
+        ]
+
+    def _has_room(self, placement: Placement, query: TargetQuery) -> bool:
         """Return whether a target has room for a request."""
         slots = placement.state.record.slots
         if placement.in_flight < slots:
@@ -189,6 +204,19 @@
         return 0
 
 
+def _mean_use(placements: Sequence[Placement]) -> float:
+    """Return the mean use of the slots of targets, in percent."""
+    uses = [min(1.0, p.in_flight / max(1, p.state.record.slots)) for p in placements]
+    return PERCENT * sum(uses) / len(uses)
+
+
+def _may_spread(placement: Placement, *, is_busy: bool) -> bool:
+    """Return whether a target may do the work without the cached object."""
+    if is_busy and not placement.is_moved:
+        return placement.in_flight == 0
+    return placement.in_flight < placement.state.record.slots
+
+
 def earliest(placements: Sequence[Placement]) -> Placement | None:
     """Return the candidate with the shortest expected response time."""
     return min(placements, key=lambda placement: placement.expected_ms, default=None)
--- a/sequoiahook/decisions/direct/target_explanation.py
+++ b/sequoiahook/decisions/direct/target_explanation.py
@@ -18,7 +18,7 @@
     LIMITED = "no permit below the limit that it states"
     RESTING = "has asked this instance for rest"
     COLD = "cold"
-    FULL = "no free slot, and too long a wait"
+    FULL = "no room for the request"
     SHIFT_LIMIT = "shift is at its limit"
     TOO_LATE = "no answer before the deadline"
     LATER = "another target is expected to answer earlier"
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -131,11 +131,7 @@
         if not candidates:
             return self._no_target(query, now)
         evaluation = self._evaluation
-        fitting = [
-            placement
-            for placement in candidates
-            if evaluation.has_room(placement, query)
-        ]
+        fitting = evaluation.fitting(candidates, query)
         if not fitting:
             fastest = earliest(candidates)
             room_after_ms = evaluation.time_to_room_ms(fastest, query, now)
@@ -201,7 +197,7 @@
         """Return what ruled a usable target out; empty if it would be used."""
         if placement is None:
             return Obstacle.LATER
-        if not self._evaluation.has_room(placement, query):
+        if placement not in self._evaluation.fitting(candidates, query):
             return Obstacle.FULL
         if placement.is_moved and not self._may_move(candidates, query, now):
             return Obstacle.SHIFT_LIMIT
--- a/sequoiahook/decisions/direct/target_selection_settings.py
+++ b/sequoiahook/decisions/direct/target_selection_settings.py
@@ -20,6 +20,10 @@
         equal_percent: Difference of the expected completion, as a percentage of the
             expected work, up to which an earlier candidate is preferred: other targets
             than the first ones would have to cache the object as well.
+        spread_use_percent: Mean use of the slots of the candidates in the owner's
+            region at which targets there are used without the cached object only if
+            they are idle: in a busy region, such work displaces that of several
+            requests.
         uncached_charge_percent: Part of the additional work of an uncached object that
             is added to the expected completion at a target without free slots, in
             proportion to its use: that work is lost for other requests.
@@ -39,6 +43,7 @@
     own_region_count: int = 6
     other_region_count: int = 2
     equal_percent: int = 15
+    spread_use_percent: int = 80
     uncached_charge_percent: int = 100
     hot_percent: int = 100
     near_share_permille: int = 500
--- a/tests/test_placement_by_work.py
+++ b/tests/test_placement_by_work.py
@@ -153,6 +153,34 @@
     assert placing.choose().state.record.id == other
 
 
+def test_busy_region_spreads_objects_to_idle_targets_only():
+    """Work without a cached object takes the room of several requests."""
+    placing = Placing(*some_targets(6))
+    owner, *others = placing.order()
+    placing.fill(owner)
+    for target_id in others[:-1]:
+        placing.fill(target_id, 3)
+    assert placing.choose().state.record.id in others
+    for target_id in others[:-1]:
+        placing.fill(target_id, 1)
+    assert placing.choose().state.record.id == others[-1]
+    placing.fill(others[-1], 1)
+    assert placing.choose().cause == Cause.TARGETS_FULL
+    placing.know(others[-1])
+    assert placing.choose().state.record.id == others[-1]
+
+
+def test_target_without_the_object_and_without_free_slots_is_not_used():
+    placing = Placing(*some_targets(2))
+    owner, other = placing.order()
+    placing.fill(owner)
+    placing.fill(other, 4)
+    patient = {"route": a_route(latency_goal_ms=2_000, timeout_ms=9_000)}
+    assert placing.choose(**patient, remaining_ms=9_000).state is None
+    single = placing.choose(**patient, remaining_ms=9_000, regions=("north",))
+    assert single.state.record.id == other
+
+
 def test_old_report_of_a_full_target_is_not_believed():
     placing = Placing(*some_targets(1))
     placing.selector.record_load(placing.states["n0"], LoadReport(50, 4, 100), 0)
