--- a/sequoiahook/decisions/direct/region_summary.py
+++ b/sequoiahook/decisions/direct/region_summary.py
@@ -1,9 +1,10 @@
 """Summary of the regions to which requests were sent, and why, for logs."""
 
 from collections import Counter
+from collections.abc import Sequence
 from typing import NamedTuple
 
-__all__ = ["PlacedBy", "RegionCounts", "RegionSummary"]
+__all__ = ["PlacedBy", "RegionCounts", "RegionSummary", "placed_by"]
 
 
 class PlacedBy:
@@ -16,6 +17,24 @@
     HANDED_OVER = "handed over"
 
 
+def placed_by(own_region: str, region: str, required: Sequence[str], rank: int) -> str:
+    """Return what determined the region of a request.
+
+    Args:
+        own_region: Region of this instance.
+        region: Region of the target.
+        required: Regions that the request may run in; empty means all.
+        rank: Position of the region in the order of preference.
+    """
+    if rank > 0:
+        return PlacedBy.OVERFLOW
+    if region == own_region:
+        return PlacedBy.HOME
+    if required and own_region not in required:
+        return PlacedBy.REQUIRED_REGIONS
+    return PlacedBy.SHARE
+
+
 class RegionCounts(NamedTuple):
     """Requests of one instance since the last summary.
 
--- a/sequoiahook/decisions/direct/target_candidates.py
+++ b/sequoiahook/decisions/direct/target_candidates.py
@@ -5,6 +5,7 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.direct.estimates import qualified_key
 from sequoiahook.decisions.direct.placements import TargetQuery
+from sequoiahook.decisions.direct.requests import Cause
 from sequoiahook.decisions.direct.target_explanation import Obstacle
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
 from sequoiahook.decisions.direct.target_state import TargetState
@@ -82,6 +83,34 @@
             if state is last:
                 return
 
+    def wait(
+        self, query: TargetQuery, regions: Sequence[str], retry_ms: int, now: int
+    ) -> tuple[int, str]:
+        """Return when a target may be usable, if none is, and the cause until then.
+
+        Args:
+            query: Properties of the request.
+            regions: Regions that it may run in.
+            retry_ms: Shortest wait unless a target has a limit.
+            now: The time in milliseconds.
+        """
+        states = [
+            state
+            for region in regions
+            for state in self._targets.group(query.service.name, region)
+        ]
+        waits = [
+            (state.blocked_until - now, Cause.TARGETS_LIMITED)
+            for state in states
+            if state.is_blocked(now)
+        ]
+        waits += [
+            (max(retry_ms, state.rest_until - now), Cause.TARGETS_RESTING)
+            for state in states
+            if state.is_resting(now)
+        ]
+        return min(waits, default=(retry_ms, Cause.NO_TARGET))
+
     def obstacle(self, state: TargetState, query: TargetQuery, now: int) -> str:
         """Return why a target cannot be used whatever its load; empty if it can."""
         if state.record.id in query.tried_ids:
--- a/sequoiahook/decisions/direct/target_evaluation.py
+++ b/sequoiahook/decisions/direct/target_evaluation.py
@@ -113,6 +113,15 @@
             open_work=open_work,
         )
 
+    def is_ready(self, state: TargetState, query: TargetQuery, now: int) -> bool:
+        """Return whether a target with the object would do the work at once."""
+        if state.in_flight(now) >= state.record.slots or state.is_cold(now):
+            return False
+        if self._failure_ms(state, query, now):
+            return False
+        factor = state.pace_factor(now) * state.slowness(now)
+        return factor * PERCENT <= self._settings.paced.ready_percent
+
     def max_wait_ms(self, query: TargetQuery) -> float:
         """Return the longest expected response time at which a request may queue."""
         settings = self._settings
--- a/sequoiahook/decisions/direct/target_explanation.py
+++ b/sequoiahook/decisions/direct/target_explanation.py
@@ -21,7 +21,7 @@
     FULL = "no room for the request"
     SHIFT_LIMIT = "shift is at its limit"
     TOO_LATE = "no answer before the deadline"
-    LATER = "another target is expected to answer earlier"
+    LATER = "another target is preferred"
 
 
 class ExplainedTarget(NamedTuple):
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -23,7 +23,7 @@
 from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery
 from sequoiahook.decisions.direct.region_owners import RegionOwners
-from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
+from sequoiahook.decisions.direct.region_summary import RegionSummary, placed_by
 from sequoiahook.decisions.direct.requests import Attempt, Cause
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit
 from sequoiahook.decisions.direct.target_candidates import TargetCandidates
@@ -127,6 +127,9 @@
         return placement
 
     def _choose(self, query: TargetQuery, now: int) -> Placement:
+        owner = self._ready_owner(query, now)
+        if owner is not None:
+            return owner
         candidates = self._evaluated(query, now)
         if not candidates:
             return self._no_target(query, now)
@@ -300,23 +303,9 @@
 
     def _no_target(self, query: TargetQuery, now: int) -> Placement:
         """Return the refusal of a request for which no target can be used."""
-        states = [
-            state
-            for region in self.region_order(query, now)
-            for state in self._targets.group(query.service.name, region)
-        ]
-        retry_ms = self._retry_ms(query)
-        waits = [
-            (state.blocked_until - now, Cause.TARGETS_LIMITED)
-            for state in states
-            if state.is_blocked(now)
-        ]
-        waits += [
-            (max(retry_ms, state.rest_until - now), Cause.TARGETS_RESTING)
-            for state in states
-            if state.is_resting(now)
-        ]
-        wait_ms, cause = min(waits, default=(retry_ms, Cause.NO_TARGET))
+        wait_ms, cause = self._candidates.wait(
+            query, self.region_order(query, now), self._retry_ms(query), now
+        )
         return Placement(None, retry_after_ms=wait_ms, cause=cause)
 
     def region_order(self, query: TargetQuery, now: int) -> list[str]:
@@ -339,8 +328,8 @@
                     state, query, is_owner=not candidates, now=now
                 )
                 if placement is not None:
-                    placed_by = self._placed_by(region, query, index)
-                    candidates.append(placement._replace(placed_by=placed_by))
+                    reason = placed_by(self._region, region, query.regions, index)
+                    candidates.append(placement._replace(placed_by=reason))
         return candidates
 
     def _paced_candidates(self, query: TargetQuery, now: int) -> list[Placement]:
@@ -349,16 +338,40 @@
         candidates: list[Placement] = []
         for index, region in enumerate(self.region_order(query, now)):
             count, is_near = self._search(query, region)
-            placed_by = self._placed_by(region, query, index)
+            reason = placed_by(self._region, region, query.regions, index)
             for state in self._candidates.usable(
                 query, region, count, now, is_near=is_near
             ):
                 placement = self._evaluation.evaluate_paced(
                     state, query, work, is_owner=not candidates, now=now
                 )
-                candidates.append(placement._replace(placed_by=placed_by))
+                candidates.append(placement._replace(placed_by=reason))
         return candidates
 
+    def _ready_owner(self, query: TargetQuery, now: int) -> Placement | None:
+        """Return the object's owner if it is about as fast as a target can be.
+
+        This saves most requests the evaluation of the other candidates.
+        """
+        if not self.states_pace(query.service.name):
+            return None
+        region = self.region_order(query, now)[:1]
+        if not region:
+            return None
+        _, is_near = self._search(query, region[0])
+        usable = self._candidates.usable(query, region[0], 1, now, is_near=is_near)
+        if not usable or not self._evaluation.is_ready(usable[0], query, now):
+            return None
+        work = self.work.expect(query)
+        placement = self._evaluation.evaluate_paced(
+            usable[0], query, work, is_owner=True, now=now
+        )
+        if placement.expected_ms > query.remaining_ms:
+            return None
+        return placement._replace(
+            placed_by=placed_by(self._region, region[0], query.regions, 0)
+        )
+
     def _search(self, query: TargetQuery, region: str) -> tuple[int, bool]:
         """Return the number of candidates in a region, and whether near ones lead."""
         if not self.states_pace(query.service.name):
@@ -376,14 +389,5 @@
             return False
         return self._learning.is_hot(query)
 
-    def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
-        if index > 0:
-            return PlacedBy.OVERFLOW
-        if region == self._region:
-            return PlacedBy.HOME
-        if query.regions and self._region not in query.regions:
-            return PlacedBy.REQUIRED_REGIONS
-        return PlacedBy.SHARE
-
     def _retry_ms(self, query: TargetQuery) -> int:
         return max(1, int(self.estimates.typical_work_ms(query.route)))
--- a/sequoiahook/decisions/direct/target_selection_settings.py
+++ b/sequoiahook/decisions/direct/target_selection_settings.py
@@ -34,6 +34,8 @@
             they are. A region with fewer targets has no room for objects twice.
         hot_half_life_ms: Time after which the counts of these requests are halved.
         hot_objects_max: Most objects whose requests are counted.
+        ready_percent: Duration of work at the owner of an object, relative to the usual
+            one, up to which no other target is considered while it has a free slot.
         slowness_max: Highest ratio of a measured to an expected duration that counts as
             slowness. The pace shows slow targets; longer durations are mostly those of
             expensive requests.
@@ -49,6 +51,7 @@
     near_share_permille: int = 500
     hot_half_life_ms: int = 10_000
     hot_objects_max: int = 20_000
+    ready_percent: int = 110
     slowness_max: float = 4.0
     work: WorkEstimateSettings = WorkEstimateSettings()
 
