--- a/sequoiahook/decisions/direct/attempt_results.py
+++ b/sequoiahook/decisions/direct/attempt_results.py
@@ -64,6 +64,7 @@
             service = self._admission.service(request.service)
             query = target_query(request, service, request.deadline_at - now)
             self._selector.record_answer(attempt, query, result.duration_ms, now)
+            self._selector.answer_sizes.record(request.route, result.body_bytes)
 
     def record_stream_end(self, attempt: Attempt, end: StreamEnd, now: int) -> None:
         """Record the end of a body that was passed on while it was received.
--- a/sequoiahook/decisions/direct/learning.py
+++ b/sequoiahook/decisions/direct/learning.py
@@ -1,7 +1,6 @@
 """What answers of paced targets show about work, targets and objects."""
 
-from sequoiahook.decisions.direct.estimates import Estimates, qualified_key
-from sequoiahook.decisions.direct.object_owners import HotObjects
+from sequoiahook.decisions.direct.estimates import Estimates
 from sequoiahook.decisions.direct.placements import TargetQuery
 from sequoiahook.decisions.direct.target_backlog import OpenWork
 from sequoiahook.decisions.direct.target_selection_settings import PacedSettings
@@ -26,13 +25,6 @@
         self._settings = settings
         self._estimates = estimates
         self._work = work
-        self._hot_objects = HotObjects(
-            settings.hot_percent, settings.hot_half_life_ms, settings.hot_objects_max
-        )
-
-    def is_hot(self, query: TargetQuery) -> bool:
-        """Return whether a request concerns an object with many requests."""
-        return self._hot_objects.is_hot(qualified_key(query.route, query.object_key))
 
     def record_answer(
         self,
@@ -59,9 +51,6 @@
         ratio = elapsed_ms / expected_ms
         work_ms = work.mean_ms * ratio
         self._estimates.record_handled(query.route, query.object_key, state, now)
-        if query.object_key:
-            key = qualified_key(query.route, query.object_key)
-            self._hot_objects.record(key, now)
         if work.is_known or not work.is_cached:
             weight = paced_ms / expected_ms
             self._work.record(query, work_ms, weight, is_cached=work.is_known)
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -17,13 +17,14 @@
 import copy
 from collections.abc import Sequence
 
+from sequoiahook.decisions.direct.answer_sizes import AnswerSizes
 from sequoiahook.decisions.direct.estimates import Estimates
 from sequoiahook.decisions.direct.home_share import PERMILLE
 from sequoiahook.decisions.direct.learning import Learning
 from sequoiahook.decisions.direct.lost_capacity import LostCapacity, TargetSlots
 from sequoiahook.decisions.direct.placements import Placement, TargetQuery, may_queue
 from sequoiahook.decisions.direct.region_owners import RegionOwners
-from sequoiahook.decisions.direct.region_summary import PlacedBy, RegionSummary
+from sequoiahook.decisions.direct.region_summary import RegionSummary, placed_by
 from sequoiahook.decisions.direct.requests import Attempt, Cause
 from sequoiahook.decisions.direct.shift_limit import ShiftLimit
 from sequoiahook.decisions.direct.target_candidates import TargetCandidates
@@ -54,6 +55,7 @@
         home_shares: Shares of the own region by service.
         shift_limit: Limit on requests that run outside their owner's region.
         lost_capacity: Capacity that the regions lost recently.
+        answer_sizes: Mean sizes of the answers of routes.
         estimates: Response times by route and target.
         work: Expected work of requests.
 
@@ -96,6 +98,7 @@
         self.lost_capacity = LostCapacity(settings.lost_capacity)
         self._checked_at = now - settings.check_interval_ms
         self._paced_services: set[str] = set()
+        self.answer_sizes = AnswerSizes(settings.nearby)
 
     @property
     def region_instance_count(self) -> int:
@@ -133,15 +136,17 @@
         return placement
 
     def _choose(self, query: TargetQuery, now: int) -> Placement:
+        owner = self._ready_owner(query, now)
+        if owner is not None:
+            return owner
         candidates = self._evaluated(query, now)
         if not candidates:
             return self._no_target(query, now)
         evaluation = self._evaluation
         fitting = [
             placement
-            for placement in candidates
-            if evaluation.has_room(placement, query)
-            and may_queue(placement, query, now)
+            for placement in evaluation.fitting(candidates, query)
+            if may_queue(placement, query, now)
         ]
         if not fitting:
             fastest = earliest(candidates)
@@ -208,7 +213,7 @@
         """Return what ruled a usable target out; empty if it would be used."""
         if placement is None:
             return Obstacle.LATER
-        if not self._evaluation.has_room(placement, query):
+        if placement not in self._evaluation.fitting(candidates, query):
             return Obstacle.FULL
         is_unlimited = self._is_unlimited(candidates, query, now)
         if not is_unlimited and not self._is_allowed(placement, now):
@@ -324,23 +329,9 @@
 
     def _no_target(self, query: TargetQuery, now: int) -> Placement:
         """Return the refusal of a request for which no target can be used."""
-        states = [
-            state
-            for region in self.region_order(query, now)
-            for state in self._targets.group(query.service.name, region)
-        ]
-        retry_ms = self._retry_ms(query)
-        waits = [
-            (state.blocked_until - now, Cause.TARGETS_LIMITED)
-            for state in states
-            if state.is_blocked(now)
-        ]
-        waits += [
-            (max(retry_ms, state.rest_until - now), Cause.TARGETS_RESTING)
-            for state in states
-            if state.is_resting(now)
-        ]
-        wait_ms, cause = min(waits, default=(retry_ms, Cause.NO_TARGET))
+        wait_ms, cause = self._candidates.wait(
+            query, self.region_order(query, now), self._retry_ms(query), now
+        )
         return Placement(None, retry_after_ms=wait_ms, cause=cause)
 
     def region_order(self, query: TargetQuery, now: int) -> list[str]:
@@ -357,16 +348,16 @@
         regions = self.region_order(query, now)
         for index, region in enumerate(regions):
             count = 1 if candidates else 2
-            for state in self._candidates.usable(query, region, 2, now, is_near=False)[
-                :count
-            ]:
+            most, is_near = self._search(query, region)
+            usable = self._candidates.usable(query, region, most, now, is_near=is_near)
+            for state in usable[:count]:
                 placement = self._evaluation.evaluate(
                     state, query, is_owner=not candidates, now=now
                 )
                 if placement is not None:
-                    placed_by = self._placed_by(region, query, index)
+                    reason = placed_by(self._region, region, query.regions, index)
                     candidates.append(
-                        placement._replace(placed_by=placed_by, owner_region=regions[0])
+                        placement._replace(placed_by=reason, owner_region=regions[0])
                     )
         return candidates
 
@@ -377,7 +368,7 @@
         regions = self.region_order(query, now)
         for index, region in enumerate(regions):
             count, is_near = self._search(query, region)
-            placed_by = self._placed_by(region, query, index)
+            reason = placed_by(self._region, region, query.regions, index)
             for state in self._candidates.usable(
                 query, region, count, now, is_near=is_near
             ):
@@ -385,35 +376,48 @@
                     state, query, work, is_owner=not candidates, now=now
                 )
                 candidates.append(
-                    placement._replace(placed_by=placed_by, owner_region=regions[0])
+                    placement._replace(placed_by=reason, owner_region=regions[0])
                 )
         return candidates
 
+    def _ready_owner(self, query: TargetQuery, now: int) -> Placement | None:
+        """Return the object's owner if it is about as fast as a target can be.
+
+        This saves most requests the evaluation of the other candidates.
+        """
+        if not self.states_pace(query.service.name):
+            return None
+        region = self.region_order(query, now)[:1]
+        if not region:
+            return None
+        _, is_near = self._search(query, region[0])
+        usable = self._candidates.usable(query, region[0], 1, now, is_near=is_near)
+        if not usable or not self._evaluation.is_ready(usable[0], query, now):
+            return None
+        work = self.work.expect(query)
+        placement = self._evaluation.evaluate_paced(
+            usable[0], query, work, is_owner=True, now=now
+        )
+        if placement.expected_ms > query.remaining_ms:
+            return None
+        reason = placed_by(self._region, region[0], query.regions, 0)
+        return placement._replace(placed_by=reason, owner_region=region[0])
+
     def _search(self, query: TargetQuery, region: str) -> tuple[int, bool]:
         """Return the number of candidates in a region, and whether near ones lead."""
+        is_near = region == self._region and self._is_near(query)
         if not self.states_pace(query.service.name):
-            return 2, False
+            return 2, is_near
         if region != self._region:
             return self._settings.paced.other_region_count, False
-        return self._settings.paced.own_region_count, self._is_near(query)
+        return self._settings.paced.own_region_count, is_near
 
     def _is_near(self, query: TargetQuery) -> bool:
         """Return whether a request prefers the own data centre."""
-        if not query.object_key or not query.route.is_sticky:
-            return True
-        share = self.home_shares.permille_by_service.get(query.service.name, PERMILLE)
-        if share < self._settings.paced.near_share_permille:
+        if not self.answer_sizes.are_large(query.route):
             return False
-        return self._learning.is_hot(query)
-
-    def _placed_by(self, region: str, query: TargetQuery, index: int) -> str:
-        if index > 0:
-            return PlacedBy.OVERFLOW
-        if region == self._region:
-            return PlacedBy.HOME
-        if query.regions and self._region not in query.regions:
-            return PlacedBy.REQUIRED_REGIONS
-        return PlacedBy.SHARE
+        share = self.home_shares.permille_by_service.get(query.service.name, PERMILLE)
+        return share >= self._settings.nearby.share_permille_min
 
     def _retry_ms(self, query: TargetQuery) -> int:
         return max(1, int(self.estimates.typical_work_ms(query.route)))
--- a/sequoiahook/decisions/direct/target_selection_settings.py
+++ b/sequoiahook/decisions/direct/target_selection_settings.py
@@ -8,7 +8,27 @@
 from sequoiahook.decisions.direct.shift_limit import ShiftSettings
 from sequoiahook.decisions.direct.work_estimates import WorkEstimateSettings
 
-__all__ = ["PacedSettings", "TargetSelectionSettings"]
+__all__ = ["NearbySettings", "PacedSettings", "TargetSelectionSettings"]
+
+
+class NearbySettings(NamedTuple):
+    """When requests prefer targets of the own data centre.
+
+    Both data centres of a region then cache the object. This pays only if the bytes
+    between data centres outweigh the additional uncached work.
+
+    Attributes:
+        answer_bytes_min: Least mean size of a route's answers.
+        answer_bytes_step: Weight of one answer in that mean.
+        routes_max: Most routes whose mean is stored.
+        share_permille_min: Least share of objects that the own region owns. A region
+            with fewer targets has no room for objects twice.
+    """
+
+    answer_bytes_min: int = 16_384
+    answer_bytes_step: float = 0.1
+    routes_max: int = 2_000
+    share_permille_min: int = 500
 
 
 class PacedSettings(NamedTuple):
@@ -20,16 +40,15 @@
         equal_percent: Difference of the expected completion, as a percentage of the
             expected work, up to which an earlier candidate is preferred: other targets
             than the first ones would have to cache the object as well.
+        spread_use_percent: Mean use of the slots of the candidates in the owner's
+            region at which targets there are used without the cached object only if
+            they are idle: in a busy region, such work displaces that of several
+            requests.
         uncached_charge_percent: Part of the additional work of an uncached object that
             is added to the expected completion at a target without free slots, in
             proportion to its use: that work is lost for other requests.
-        hot_percent: Least requests of an object that is handled in the own data centre
-            first, as a percentage of the mean of all objects. The caches of a region's
-            targets do not hold every object twice.
-        near_share_permille: Least share of objects that the own region owns, at which
-            they are. A region with fewer targets has no room for objects twice.
-        hot_half_life_ms: Time after which the counts of these requests are halved.
-        hot_objects_max: Most objects whose requests are counted.
+        ready_percent: Duration of work at the owner of an object, relative to the usual
+            one, up to which no other target is considered while it has a free slot.
         slowness_max: Highest ratio of a measured to an expected duration that counts as
             slowness. The pace shows slow targets; longer durations are mostly those of
             expensive requests.
@@ -39,11 +58,9 @@
     own_region_count: int = 6
     other_region_count: int = 2
     equal_percent: int = 15
+    spread_use_percent: int = 80
     uncached_charge_percent: int = 100
-    hot_percent: int = 100
-    near_share_permille: int = 500
-    hot_half_life_ms: int = 10_000
-    hot_objects_max: int = 20_000
+    ready_percent: int = 110
     slowness_max: float = 4.0
     work: WorkEstimateSettings = WorkEstimateSettings()
 
@@ -67,6 +84,7 @@
         lost_capacity: Settings of the lost capacity, which extends that limit.
         check_interval_ms: Time between two checks of which targets are usable.
         paced: Settings for services whose targets state their pace.
+        nearby: When requests prefer targets of the own data centre.
     """
 
     limit_percent: int = 300
@@ -81,3 +99,4 @@
     lost_capacity: LostCapacitySettings = LostCapacitySettings()
     check_interval_ms: int = 400
     paced: PacedSettings = PacedSettings()
+    nearby: NearbySettings = NearbySettings()
--- a/sequoiahook/decisions/exchange/target_result.py
+++ b/sequoiahook/decisions/exchange/target_result.py
@@ -119,6 +119,12 @@
     is_timed_out: bool = False
     stream: AnswerStream | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body; of one without a length, the part that was received."""
+        length = None if self.stream is None else self.stream.length
+        return len(self.body) if length is None else length
+
     @property
     def is_lost(self) -> bool:
         """Whether the target ended the connection before it began to answer."""
--- a/tests/uneven_load.py
+++ b/tests/uneven_load.py
@@ -137,7 +137,8 @@
         record = record._replace(data_centre=f"{region}-{half}")
         self.targets[name] = PacedTarget(record)
 
-    def _arrive(self, load, key, retries_left):
+    def _arrive(self, arrival):
+        load = arrival.load
         weights = self._weights_by_count.get(load.object_count)
         if weights is None:
             ranks = range(1, load.object_count + 1)
