--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -139,6 +139,8 @@
                 error.error_status_hint, "malformed request", NOT_RUN
             )
         except _RefusedRequestError as error:
+            # Others must not be refused because of the body of this one.
+            self.release(exchange)
             exchange.refusal = refusal_answer(error.status, str(error), NOT_RUN)
         except BaseException:
             self.release(exchange)
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -51,6 +51,7 @@
     StampGrant,
     StampRequest,
 )
+from sequoiahook.wire.codec import ENVELOPE_BYTES_MAX
 
 __all__ = ["Handovers"]
 
@@ -310,5 +311,17 @@
 
     def _send(self, peer: str, body: tuple) -> None:
         me = self._core.me
-        if self._links is not None:
-            self._links.send(peer, Envelope(me.name, me.incarnation, 0, peer, body))
+        if self._links is None:
+            return
+        envelope = Envelope(me.name, me.incarnation, 0, peer, body)
+        if _is_too_large(body):
+            self._on_link_event(SendFailed(peer, envelope))
+        else:
+            self._links.send(peer, envelope)
+
+
+def _is_too_large(body: tuple) -> bool:
+    """Return whether a message cannot be encoded, which would copy it to find out."""
+    if not isinstance(body, DirectHandOver):
+        return False
+    return len(body.handover.body) > ENVELOPE_BYTES_MAX
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -206,6 +206,30 @@
     play(use)
 
 
+def test_of_many_uploads_those_within_the_limit_are_served():
+    """A refused body counted until its refusal was written; all others were refused."""
+    body = b"y" * 400_000
+    head = b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+
+    async def handle(request):
+        return CallerAnswer(200, (), b"%d" % len(request.body))
+
+    async def upload(served):
+        reader, writer = await served.connect()
+        writer.write(head % len(body) + body)
+        status = await reader.readline()
+        writer.close()
+        return status
+
+    async def use(served):
+        statuses = await asyncio.gather(*[upload(served) for _ in range(20)])
+        assert b"HTTP/1.1 200 \r\n" in statuses
+        assert b"HTTP/1.1 503 \r\n" in statuses
+
+    limits = {"body_bytes_max": 400_000, "all_body_bytes_max": 900_000}
+    play(use, UNREAD._replace(**limits), handle)
+
+
 def test_few_connections_continue_in_each_round_of_the_event_loop():
     """Connections with requests ahead kept all other work waiting for seconds."""
     finished_by_round = []
--- a/tests/test_caller_floods.py
+++ b/tests/test_caller_floods.py
@@ -318,11 +318,20 @@
             "the limits of bodies are configured",
         )
         fleet.cut(NAME, "reset")
-        # A request makes the instance find out.
-        wait_for(lambda: is_answered_by_a_target(fleet), "requests are handed over", 10)
+        wait_for(
+            lambda: is_answered_by_a_target(fleet) and is_cut_off(fleet),
+            "requests are handed over",
+            10,
+        )
         yield fleet
 
 
+def is_cut_off(fleet):
+    """Return whether the first instance has found that it reaches no target."""
+    event = "connectivity to targets lost"
+    return any(line["event"] == event for line in fleet.log_records(NAME))
+
+
 def test_uploads_that_are_handed_over(cut_fleet):
     """Bodies were held at both instances and on the link between them."""
     body = b"x" * BODY_BYTES_MAX
