--- a/sequoiahook/daemons/caller_limits.py
+++ b/sequoiahook/daemons/caller_limits.py
@@ -20,6 +20,7 @@
 
 CONNECTIONS_MAX = 2_000
 REQUESTS_MAX = 2_000
+EXECUTION_BYTES_MAX = 32 * MIB
 OWN_DESCRIPTORS_MIN = 64
 """Descriptors for links to other instances, listening sockets, the store and files."""
 
@@ -60,6 +61,8 @@
             in bytes.
         read_ahead_bytes_max: Largest total of bytes that are read for requests that
             are not complete, in bytes.
+        execution_bytes_max: Largest total of the bodies of requests that peers hand
+            over, and of the answers to them that were not acknowledged yet, in bytes.
     """
 
     connections_max: int
@@ -70,6 +73,7 @@
     body_bytes_max: int
     unread_bytes_max: int
     read_ahead_bytes_max: int
+    execution_bytes_max: int
 
 
 def caller_limits(machine: Machine) -> CallerLimits:
@@ -99,4 +103,5 @@
         body_bytes_max=spare_bytes // 2,
         unread_bytes_max=spare_bytes // 4,
         read_ahead_bytes_max=spare_bytes // 8,
+        execution_bytes_max=min(EXECUTION_BYTES_MAX, spare_bytes // 4),
     )
--- a/sequoiahook/daemons/direct/executions.py
+++ b/sequoiahook/daemons/direct/executions.py
@@ -42,6 +42,8 @@
         runner: Runs open requests.
         clock: The clock.
         send: Sends a message to a peer.
+        bytes_max: Largest total of the bodies of open requests, and of the answers that
+            were not acknowledged yet, in bytes.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         runner: RequestRunner,
         clock: Clock,
         send: Callable[[str, tuple], None],
+        bytes_max: int,
     ):
         me = core.me
         self._lags_ms: deque[int] = deque(maxlen=LAG_SAMPLES)
@@ -58,8 +61,11 @@
         self._clock = clock
         self._send = send
         rng = random.Random()
-        self._executor = Executor(EXECUTOR_SETTINGS, me.name, me.incarnation, rng)
-        self._pool = DirectPool()
+        settings = EXECUTOR_SETTINGS._replace(
+            body_bytes_max=min(EXECUTOR_SETTINGS.body_bytes_max, bytes_max)
+        )
+        self._executor = Executor(settings, me.name, me.incarnation, rng)
+        self._pool = DirectPool(bytes_max)
         self._services: set[str] = set()
         self._tasks_by_id: dict[MessageId, asyncio.Task] = {}
         self._incarnation_by_peer: dict[str, int] = {}
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -91,6 +91,8 @@
         prober: Opens connections to targets.
         send_messages: Sends the messages to peers that are due.
         clock: The clock.
+        execution_bytes_max: Largest total of the bodies that peers hand over, and of
+            the answers to them that were not acknowledged yet, in bytes.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         prober: Prober,
         send_messages: Callable[[], None],
         clock: Clock,
+        execution_bytes_max: int,
     ):
         me = core.me
         self._core = core
@@ -108,7 +111,9 @@
         self._clock = clock
         rng = random.Random()
         self._entry = EntryExchanges(ENTRY_SETTINGS, me.name, me.incarnation, rng)
-        self._executions = Executions(core, runner, clock, self._send)
+        self._executions = Executions(
+            core, runner, clock, self._send, execution_bytes_max
+        )
         self._links: Links | None = None
         self._numbers = itertools.count(1)
         self._waiting_by_number: dict[int, _Waiting] = {}
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -137,6 +137,7 @@
             Prober(self.core, self._targets, self._clock),
             self._reporter.send_token_requests,
             self._clock,
+            limits.execution_bytes_max,
         )
         self._reporter.on_connectivity_doubted = self._handovers.wake
         self._stopping = Stopping(
--- a/sequoiahook/decisions/direct/handed_over.py
+++ b/sequoiahook/decisions/direct/handed_over.py
@@ -70,12 +70,16 @@
 
     Attributes:
         state: What determines whether requests are taken.
+
+    Args:
+        outcome_bytes_max: Largest size of the answers that were not acknowledged yet,
+            in bytes.
     """
 
     LAG_MAX_MS = 60
-    OUTCOME_BYTES_MAX = 32 * 1024 * 1024
 
-    def __init__(self):
+    def __init__(self, outcome_bytes_max: int):
+        self._outcome_bytes_max = outcome_bytes_max
         self.state = AdmissionState(False, 0, 0, ExitLimit())
 
     def submit(
@@ -90,7 +94,7 @@
         state = self.state
         is_busy = (
             state.lag_ms > self.LAG_MAX_MS
-            or state.outcome_bytes > self.OUTCOME_BYTES_MAX
+            or state.outcome_bytes > self._outcome_bytes_max
         )
         may_end = state.exit_limit.allows(deadline_at)
         if is_busy or not state.is_available or not may_end:
