--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -51,6 +51,7 @@
     StampGrant,
     StampRequest,
 )
+from sequoiahook.wire.codec import ENVELOPE_BYTES_MAX
 
 __all__ = ["Handovers"]
 
@@ -90,6 +91,8 @@
         prober: Opens connections to targets.
         send_messages: Sends the messages to peers that are due.
         clock: The clock.
+        execution_bytes_max: Largest total of the bodies that peers hand over, and of
+            the answers to them that were not acknowledged yet, in bytes.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         prober: Prober,
         send_messages: Callable[[], None],
         clock: Clock,
+        execution_bytes_max: int,
     ):
         me = core.me
         self._core = core
@@ -107,7 +111,9 @@
         self._clock = clock
         rng = random.Random()
         self._entry = EntryExchanges(ENTRY_SETTINGS, me.name, me.incarnation, rng)
-        self._executions = Executions(core, runner, clock, self._send)
+        self._executions = Executions(
+            core, runner, clock, self._send, execution_bytes_max
+        )
         self._links: Links | None = None
         self._numbers = itertools.count(1)
         self._waiting_by_number: dict[int, _Waiting] = {}
@@ -310,5 +316,17 @@
 
     def _send(self, peer: str, body: tuple) -> None:
         me = self._core.me
-        if self._links is not None:
-            self._links.send(peer, Envelope(me.name, me.incarnation, 0, peer, body))
+        if self._links is None:
+            return
+        envelope = Envelope(me.name, me.incarnation, 0, peer, body)
+        if _is_too_large(body):
+            self._on_link_event(SendFailed(peer, envelope))
+        else:
+            self._links.send(peer, envelope)
+
+
+def _is_too_large(body: tuple) -> bool:
+    """Return whether a message cannot be encoded, which would copy it to find out."""
+    if not isinstance(body, DirectHandOver):
+        return False
+    return len(body.handover.body) > ENVELOPE_BYTES_MAX
