Less processor time for reports between instances

Counts of peers at a target, the order of relays, the peers of the region and the lists of usable targets are kept and no longer computed for each call; types of decoded tables are checked at once; an instance that is not stopping has no 50 ms tick for it.

--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -110,6 +110,7 @@
             components.target_dialect,
         )
         self._stop_at: int | None = None
+        self._stop_called = asyncio.Event()
         self._reporter = Reporter(settings, self.core, self._clock)
         runner = RequestRunner(
             self.core,
@@ -210,6 +211,7 @@
         now = self._clock.now()
         if self._stop_at is None:
             self._stop_at = now
+            self._stop_called.set()
             log.info("stop", extra={"open": self._handler.open_count})
         self._apply_effects(self._stopping.signal(now))
         self._apply_effects(self._stopping.handed_over(now))
@@ -296,10 +298,9 @@
                     log.info("entry not deleted", extra={"error": str(error)})
 
     async def _tick_stop(self) -> None:
+        await self._stop_called.wait()
         while True:
             await asyncio.sleep(STOP_TICK_MS / MS_PER_S)
-            if self._stop_at is None:
-                continue
             now = self._clock.now()
             self._apply_effects(self._stopping.tick(now))
             if self._is_unused(now):
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -117,6 +117,8 @@
         )
         self.is_leaving = False
         self._evacuated: frozenset[str] = frozenset()
+        self._ranked_instances: Mapping[str, LiveInstance] | None = None
+        self._ranked_names: list[str] = []
         self._retry_slack = settings.retry_slack
         self._avoided_until_by_peer: dict[str, int] = {}
 
@@ -318,10 +320,20 @@
         return [name for name in near if instances[name].protocol >= PROTOCOL]
 
     def _ranked_relays(self, near: list[str]) -> list[str]:
+        """Return this instance and the given ones of its region in order of relays."""
         others = self.peers.instances_by_name
-        return by_link_capacity(
-            RELAY_HASH_KEY, [self.me, *(others[name] for name in near)]
-        )
+        if self._ranked_instances is not others:
+            # Each replacement of the list of instances is a new object.
+            self._ranked_instances = others
+            self._ranked_names = by_link_capacity(
+                RELAY_HASH_KEY,
+                [
+                    self.me,
+                    *(i for i in others.values() if i.region == self.me.region),
+                ],
+            )
+        present = {self.me.name, *near}
+        return [name for name in self._ranked_names if name in present]
 
     def _relays(self, name: str) -> bool:
         age_ms = self.peers.configuration_age_ms(name)
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -199,11 +199,7 @@
 
     def near_peers(self, now: int) -> list[str]:
         """Return the names of the responsive peers in the region of this instance."""
-        return [
-            name
-            for name, instance in self.peers.instances_by_name.items()
-            if instance.region == self.me.region and self.peers.is_responsive(name, now)
-        ]
+        return self.peers.near(now)
 
     def _update_role(self, now: int) -> None:
         if not self.is_listed:
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -65,6 +65,7 @@
         self.instances_by_name: dict[str, LiveInstance] = {}
         self._settings = settings
         self._me = me
+        self._near_names: list[str] = []
         self._positions_by_name: dict[str, _DatagramPosition] = {}
         self._reports_by_name: dict[str, _PeerReport] = {}
         self._listed_at_by_name: dict[str, int] = {}
@@ -79,6 +80,11 @@
             for name, instance in instances_by_name.items()
             if name != self._me.name
         }
+        self._near_names = [
+            name
+            for name, instance in self.instances_by_name.items()
+            if instance.region == self._me.region
+        ]
         for name in self.instances_by_name:
             self._listed_at_by_name.setdefault(name, now)
 
@@ -123,6 +129,10 @@
             and not self._reports_by_name[name].state.is_leaving
         ]
 
+    def near(self, now: int) -> list[str]:
+        """Return the names of the responsive peers in the region of this instance."""
+        return [name for name in self._near_names if self.is_responsive(name, now)]
+
     def configuration_age_ms(self, name: str) -> int | None:
         """Return the reported age of a peer's configuration in milliseconds.
 
--- a/sequoiahook/decisions/direct/target_registry.py
+++ b/sequoiahook/decisions/direct/target_registry.py
@@ -38,6 +38,8 @@
         self._evacuated: frozenset[str] = frozenset()
         self._states_by_group: dict[tuple[str, str], list[TargetState]] = {}
         self._slots_by_group: dict[tuple[str, str], int] = {}
+        self._accepting: list[TargetState] = []
+        self._leaving_ids: list[str] = []
         self._grouped_version = -1
         self._reported_ids_by_peer: dict[str, frozenset[str]] = {}
 
@@ -130,6 +132,18 @@
             self._regroup()
         return self._states_by_group.get((service, region), [])
 
+    def accepting(self) -> list[TargetState]:
+        """Return the targets that accept new requests; not to be changed."""
+        if self._grouped_version != self.version:
+            self._regroup()
+        return self._accepting
+
+    def leaving_ids(self) -> list[str]:
+        """Return the ids of the other targets; not to be changed."""
+        if self._grouped_version != self.version:
+            self._regroup()
+        return self._leaving_ids
+
     def slots(self, service: str, region: str) -> int:
         """Return the slots of the targets that `group` returns."""
         if self._grouped_version != self.version:
@@ -145,8 +159,12 @@
     def _regroup(self) -> None:
         self._states_by_group = {}
         self._slots_by_group = {}
-        for state in self.states_by_id.values():
-            if self._accepts_requests(state):
+        self._accepting, self._leaving_ids = [], []
+        for target_id, state in self.states_by_id.items():
+            if not self._accepts_requests(state):
+                self._leaving_ids.append(target_id)
+            else:
+                self._accepting.append(state)
                 key = (state.record.service, state.record.region)
                 self._states_by_group.setdefault(key, []).append(state)
                 slots = self._slots_by_group.get(key, 0) + state.record.slots
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -177,14 +177,12 @@
         if now - self._checked_at < self._settings.check_interval_ms:
             return
         self._checked_at = now
-        usable_by_id: dict[str, TargetSlots] = {}
-        leaving_ids: list[str] = []
-        for target_id, state in self._targets.states_by_id.items():
-            record = state.record
-            if not self._targets.is_usable(target_id):
-                leaving_ids.append(target_id)
-            elif state.may_send(now):
-                usable_by_id[target_id] = TargetSlots(record.region, record.slots)
+        usable_by_id = {
+            state.record.id: TargetSlots(state.record.region, state.record.slots)
+            for state in self._targets.accepting()
+            if state.may_send(now)
+        }
+        leaving_ids = self._targets.leaving_ids()
         self.lost_capacity.update(usable_by_id, leaving_ids, now)
         self.shift_limit.extend(self.lost_capacity.ratio(now), now)
 
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -110,6 +110,7 @@
         self._result_at = now
         self._was_unreachable = False
         self._peer_counts_by_name: dict[str, _ReportedCount] = {}
+        self._peer_open_count = 0
         self._load = _ReportedCount(0, now - settings.load_valid_ms - 1)
 
     def update_record(self, record: LiveTarget, now: int) -> None:
@@ -208,22 +209,31 @@
 
     def record_peer_count(self, peer: str, open_count: int, now: int) -> None:
         """Record the number of open requests that a peer has at the target."""
+        last = self._peer_counts_by_name.pop(peer, None)
+        if last is not None:
+            self._peer_open_count -= last.open_count
         if open_count:
             self._peer_counts_by_name[peer] = _ReportedCount(open_count, now)
-        else:
-            self._peer_counts_by_name.pop(peer, None)
+            self._peer_open_count += open_count
 
     def in_flight(self, now: int) -> int:
         """Return the number of requests known to be queued or running at the target."""
-        valid_since = now - self._settings.peer_count_valid_ms
-        counts = self._peer_counts_by_name.values()
-        open_total = self.open_count + sum(
-            count.open_count for count in counts if count.reported_at >= valid_since
-        )
+        self._expire_peer_counts(now - self._settings.peer_count_valid_ms)
+        open_total = self.open_count + self._peer_open_count
         if now - self._load.reported_at <= self._settings.load_valid_ms:
             return max(open_total, self._load.open_count)
         return open_total
 
+    def _expire_peer_counts(self, valid_since: int) -> None:
+        counts = self._peer_counts_by_name
+        while counts:
+            # Counts are in the order of their reports, so the first is the oldest.
+            peer, count = next(iter(counts.items()))
+            if count.reported_at >= valid_since:
+                return
+            del counts[peer]
+            self._peer_open_count -= count.open_count
+
     def slowness(self, now: int) -> float:
         """Return the duration of answers, relative to the typical one."""
         return 1.0 + (self._slowness - 1.0) * self._evidence_weight(now)
--- a/sequoiahook/decisions/exchange/retry.py
+++ b/sequoiahook/decisions/exchange/retry.py
@@ -155,6 +155,8 @@
 
     def may_send(self, now: int) -> bool:
         """Return whether a request may be sent to the target."""
+        if self._suspended_until is None:
+            return True
         return self.mode(now) is not TargetMode.SUSPENDED
 
     def record_sent(self, now: int) -> None:
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -35,6 +35,9 @@
 
 TAG_BYTES = 16
 DATAGRAM_BYTES_MAX = 60_000
+_STR_TYPE = frozenset({str})
+_INT_TYPE = frozenset({int})
+_STATE_TYPES = (bool, bool, int)
 PERMITS_MAX = 1_000
 TOKENS_MAX = 1_000_000
 """Exclusive limit above any burst; it also rules out infinity and NaN."""
@@ -173,13 +176,12 @@
 
 def _decode_state(fields: Any) -> PeerState:
     state = PeerState(*fields)
-    _require(type(state.is_leaving) is bool and type(state.is_serving) is bool)
-    _require(type(state.configuration_age_ms) is int)
+    _require(tuple(map(type, state)) == _STATE_TYPES)
     return state
 
 
 def _decode_states(table: Any) -> dict[str, PeerState]:
-    _require(isinstance(table, dict) and all(type(name) is str for name in table))
+    _require(isinstance(table, dict) and _STR_TYPE.issuperset(map(type, table)))
     return {name: _decode_state(fields) for name, fields in table.items()}
 
 
@@ -194,12 +196,12 @@
 def _require_counts(*tables: Any) -> None:
     for table in tables:
         _require(isinstance(table, dict))
-        _require(all(type(name) is str for name in table))
-        _require(_are_ints(table.values()))
+        _require(_STR_TYPE.issuperset(map(type, table)))
+        _require(_INT_TYPE.issuperset(map(type, table.values())))
 
 
 def _are_ints(values: Any) -> bool:
-    return all(type(value) is int for value in values)
+    return _INT_TYPE.issuperset(map(type, values))
 
 
 def _require(is_valid: bool) -> None:
--- a/tests/test_direct_peers.py
+++ b/tests/test_direct_peers.py
@@ -1,10 +1,12 @@
 """Selection of the addresses given to callers, and expiry of peers."""
 
 import pytest
+from hypothesis import given, strategies as st
 
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
-from sequoiahook.decisions.direct.core import DirectCore
+from sequoiahook.decisions.direct.core import RELAY_HASH_KEY, DirectCore
+from sequoiahook.decisions.direct.groups import by_link_capacity
 from sequoiahook.decisions.direct.peers import Peers, PeerSettings
 from sequoiahook.messages.reports import Datagram, MemberReport, PeerState
 from sequoiahook.world.instance import Address
@@ -229,3 +231,26 @@
     assert len(core.addresses("north", 0, "north-a")) < len(every_address)
     core.evacuate([], 0)
     assert len(core.addresses("north", 0, "north-b")) == 5
+
+
+@given(
+    st.lists(st.sets(st.integers(0, 19), min_size=1), min_size=1, max_size=4),
+    st.sets(st.integers(0, 19)),
+)
+def test_order_of_relays_does_not_depend_on_which_others_are_listed(lists, present):
+    """The order is kept for all instances of the region and not computed per call."""
+    instances = [
+        an_instance(f"i{i}", region=("north", "south")[i % 3 == 0], link_mbps=i % 2)
+        for i in range(20)
+    ]
+    core = a_core()
+    for numbers in lists:
+        core.set_instances({instances[i].name: instances[i] for i in numbers}, 0)
+        near = [
+            instances[i].name
+            for i in numbers & present
+            if instances[i].region == "north"
+        ]
+        others = [instance for instance in instances if instance.name in near]
+        expected = by_link_capacity(RELAY_HASH_KEY, [core.me, *others])
+        assert core._ranked_relays(near) == expected
--- a/tests/test_direct_targets.py
+++ b/tests/test_direct_targets.py
@@ -1,9 +1,12 @@
 """The target registry: removed, expired, restarted and evacuated targets."""
 
+from hypothesis import given, strategies as st
+
 from sequoiahook.decisions.direct.target_registry import (
     TargetRegistry,
     TargetRegistrySettings,
 )
+from sequoiahook.decisions.direct.target_state import TargetSettings, TargetState
 from sequoiahook.decisions.exchange.target_result import Stage
 from tests.direct_parts import a_target
 
@@ -85,3 +88,28 @@
     state.record_peer_count("p", 5, 0)
     assert state.in_flight(500) == 5
     assert state.in_flight(5_000) == 0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 700),
+            st.sampled_from("abcd"),
+            st.integers(0, 3),
+            st.booleans(),
+        )
+    )
+)
+def test_open_requests_of_peers_are_those_of_their_recent_reports(reports):
+    """The sum is kept up to date and not computed again for each request."""
+    settings = TargetSettings()
+    state = TargetState(a_target("t1"), settings, 0)
+    now, last = 0, {}
+    for gap_ms, peer, count, is_read in reports:
+        now += gap_ms
+        state.record_peer_count(peer, count, now)
+        last[peer] = (count, now)
+        if is_read:
+            oldest = now - settings.peer_count_valid_ms
+            expected = sum(count for count, at in last.values() if at >= oldest)
+            assert state.in_flight(now) == expected
