--- a/bench/steering.py
+++ b/bench/steering.py
@@ -16,13 +16,9 @@
     PlacementSettings,
 )
 from sequoiahook.decisions.placement.holder import PoolKey
-from sequoiahook.decisions.pool import (
-    Pool,
-    PoolSettings,
-    Refuse,
-    RefuseReason,
-    TargetReport,
-)
+from sequoiahook.decisions.pool import Refuse, RefuseReason, TargetReport
+from sequoiahook.decisions.pool.pool import Pool
+from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.shares import shares
 from sequoiahook.decisions.rendezvous import winner
 from sequoiahook.messages.pools import CreditAsk, CreditGrant, PoolSummary
--- a/sequoiahook/decisions/pool/__init__.py
+++ b/sequoiahook/decisions/pool/__init__.py
@@ -1,4 +1,8 @@
-"""Scheduling of one service's requests on its targets in one data centre."""
+"""Scheduling of one service's requests on its targets in one data centre.
+
+Only the effects are exported here: entry points that need no more do not load the pool
+itself, which is in `pool`.
+"""
 
 from sequoiahook.decisions.pool.effects import (
     Refuse,
@@ -6,7 +10,5 @@
     Start,
     TargetReport,
 )
-from sequoiahook.decisions.pool.pool import Pool
-from sequoiahook.decisions.pool.settings import PoolSettings
 
-__all__ = ["Pool", "PoolSettings", "Refuse", "RefuseReason", "Start", "TargetReport"]
+__all__ = ["Refuse", "RefuseReason", "Start", "TargetReport"]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,7 +12,9 @@
     PlacementSettings,
 )
 from sequoiahook.decisions.placement.holder import PoolKey
-from sequoiahook.decisions.pool import Pool, PoolSettings, Refuse, Start, TargetReport
+from sequoiahook.decisions.pool import Refuse, Start, TargetReport
+from sequoiahook.decisions.pool.pool import Pool
+from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.messages.pools import CreditAsk, PoolSummary
 from sequoiahook.world.configuration import read_configuration
 from sequoiahook.world.target import Target
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,14 +1,9 @@
 import random
 from itertools import pairwise
 
-from sequoiahook.decisions.pool import (
-    Pool,
-    PoolSettings,
-    Refuse,
-    RefuseReason,
-    Start,
-    TargetReport,
-)
+from sequoiahook.decisions.pool import Refuse, RefuseReason, Start, TargetReport
+from sequoiahook.decisions.pool.pool import Pool
+from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.decisions.pool.shares import shares
 from sequoiahook.world.contract import Contract
 from sequoiahook.world.target import Target
--- a/tests/test_pool_machine.py
+++ b/tests/test_pool_machine.py
@@ -6,7 +6,9 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from sequoiahook.decisions.pool import Pool, PoolSettings, Refuse, Start, TargetReport
+from sequoiahook.decisions.pool import Refuse, Start, TargetReport
+from sequoiahook.decisions.pool.pool import Pool
+from sequoiahook.decisions.pool.settings import PoolSettings
 from sequoiahook.world.target import Target
 
 SETTINGS = PoolSettings(
