--- a/tests/wave_simulation.py
+++ b/tests/wave_simulation.py
@@ -2,12 +2,24 @@
 
 Each region has instances, callers and targets. Unlike in the simulation of one region,
 the targets that a region uses elsewhere are used by that region's own callers too.
+
+Run with ``python -m tests.wave_simulation LOAD [SEEDS]`` to print the requests answered
+in time, those refused, and the changes of region, without and with stated pace.
 """
 
 import math
+import sys
 from collections import Counter
+from typing import NamedTuple
 
-from tests.region_simulation import REGIONS, Arrival, RegionSimulation, Run
+from tests.region_simulation import (
+    REGIONS,
+    Arrival,
+    Load,
+    RegionSimulation,
+    Run,
+    mean_change,
+)
 
 WAVE_MS = 36_000
 WAVE_HEIGHT = 0.55
@@ -27,7 +39,7 @@
     Attributes:
         arrived: Number of requests, without repetitions, by region of the caller.
         in_time: Number of those answered within the goal since they were first sent.
-        refused: Number of those that were not answered at all.
+        answered: Number of those that were answered at all.
         runs_by_region: Runs and refusals by region of the caller; refused requests
             count as staying in the own region.
 
@@ -73,3 +85,89 @@
         self.answered[arrival.region] += 1
         is_in_time = self.now - arrival.first_at <= arrival.load.goal_ms
         self.in_time[arrival.region] += is_in_time
+
+
+class Case(NamedTuple):
+    """A load on targets of one service.
+
+    Attributes:
+        targets_by_region: Number of targets.
+        slots: Slots of each target.
+        load: The requests.
+    """
+
+    targets_by_region: dict[str, int]
+    slots: int
+    load: Load
+
+
+READS = Case(
+    {"east": 31, "north": 7, "south": 31},
+    3,
+    Load("reads", "desk", 585, 440, 224, goal_ms=407, deadline_ms=2_000),
+)
+PATIENT = Case(
+    {"east": 27, "north": 6, "south": 28},
+    3,
+    Load("patient", "desk", 212, 1_040, 198, goal_ms=1_518, deadline_ms=5_100),
+)
+LONG_READS = Case(
+    {"east": 36, "north": 8, "south": 36},
+    9,
+    Load("long", "desk", 585, 1_300, 260, goal_ms=1_120, deadline_ms=9_000),
+)
+
+
+def _times(case, factor):
+    return case._replace(load=case.load._replace(per_s=case.load.per_s * factor))
+
+
+CASES_BY_NAME = {
+    "reads": READS,
+    "patient": PATIENT,
+    "long": LONG_READS,
+    "many-reads": _times(READS, 1.7),
+    "many-patient": _times(PATIENT, 1.8),
+    "many-long": _times(LONG_READS, 1.5),
+}
+LEAD_MS = 12_000
+RUN_MS = 40_000
+
+
+def measure(case, seed, states_pace):
+    """Return in-time and refused ratios, of all and of the north, and its change."""
+    world = WaveSimulation(
+        case.targets_by_region,
+        [case.load],
+        slots=case.slots,
+        seed=seed,
+        states_pace=states_pace,
+    )
+    world.idle(LEAD_MS)
+    since = world.now
+    world.run(RUN_MS)
+    arrived, north = world.arrived.total(), world.arrived["north"]
+    return (
+        world.in_time.total() / arrived,
+        1 - world.answered.total() / arrived,
+        world.in_time["north"] / north,
+        1 - world.answered["north"] / north,
+        mean_change(sorted(world.runs_by_region["north"]), since),
+    )
+
+
+def main(arguments):
+    case = CASES_BY_NAME[arguments[0]]
+    seeds = range(1, 1 + int(arguments[1] if len(arguments) > 1 else 3))
+    for states_pace in (False, True):
+        rows = [measure(case, seed, states_pace) for seed in seeds]
+        means = [sum(column) / len(rows) for column in zip(*rows, strict=True)]
+        print(
+            f"{arguments[0]}, pace {'stated' if states_pace else 'not stated'}:"
+            " in time {:.4f}, refused {:.4f}; north in time {:.4f}, refused {:.4f},"
+            " mean change {:.4f}".format(*means)
+        )
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
