--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -111,16 +111,17 @@
             OSError: If the address cannot be bound.
         """
         settings = self.settings
-        family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
-        listening = socket.create_server((settings.host, settings.port), family=family)
         self._server = await asyncio.start_server(
             self._serve,
-            sock=listening,
+            settings.host,
+            settings.port,
             limit=UNREAD_BYTES_MAX,
             backlog=ACCEPTED_AT_ONCE_MAX,
         )
         # The event loop accepts as many connections at once as may wait. More may wait.
-        listening.listen(settings.backlog)
+        for listening in self._server.sockets:
+            with listening.dup() as duplicate:
+                duplicate.listen(settings.backlog)
 
     def announce_close(self) -> None:
         """Close each connection after its next answer, but keep accepting new ones."""
--- a/tests/virtual_transports.py
+++ b/tests/virtual_transports.py
@@ -1,6 +1,7 @@
 """Connections and datagrams between simulated processes; see `virtual_network`."""
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 from typing import NamedTuple
@@ -23,6 +24,13 @@
     def fileno(self):
         return -1
 
+    def dup(self):
+        """Return a descriptor whose backlog may be set; all connections are accepted."""
+        return contextlib.nullcontext(self)
+
+    def listen(self, backlog):
+        pass
+
 
 class VirtualServer(asyncio.AbstractServer):
     """A listening socket."""
