Connections with requests ahead make room when all connections are taken

With 256 descriptors and 700 callers of valid requests, no ordinary request was answered within 30 s (trial): each of the 86 connections had to answer all that its caller had sent ahead.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -76,7 +76,8 @@
     behind an answer that closes the connection has been started.
 
     While answers are not read, nothing is read or started. A caller that reads nothing
-    for some seconds is disconnected.
+    for some seconds is disconnected. When all connections are taken, those with
+    requests sent ahead close after their next answer.
 
     Args:
         server: The server that it belongs to.
@@ -271,7 +272,16 @@
         return len(self._exchanges) > 1 and self._exchanges[1].task is not None
 
     def _must_close(self) -> bool:
-        return self.is_last_request or self._server.is_closing
+        return self.is_last_request or self._server.is_closing or self._must_make_room()
+
+    def _must_make_room(self) -> bool:
+        """Return whether others need a place, while the caller sends requests ahead.
+
+        The requests behind the next answer have not started.
+        """
+        if not self._load.has_too_many_connections:
+            return False
+        return len(self._exchanges) > 1 or self._requests.has_bytes
 
     async def _cancel(self, *tasks: asyncio.Task) -> None:
         """Cancel tasks of the connection and all open requests."""
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -188,6 +188,32 @@
     play(use, UNREAD._replace(connections_max=2, refusals_max=1))
 
 
+def test_a_caller_with_requests_ahead_makes_room_when_all_connections_are_taken():
+    """Others were refused until all of its requests had been answered."""
+    started = []
+
+    async def handle(request):
+        started.append(request.target_path)
+        await asyncio.sleep(0.05)
+        return CallerAnswer(200, (), b"ok")
+
+    async def use(served):
+        reader, writer = await served.connect()
+        writer.write(b"".join(get(number) for number in range(REQUESTS)))
+        data = await reader.read()
+        assert data.count(b"HTTP/1.1 200") == len(started) < REQUESTS
+        assert data.lower().count(b"connection: close") == 1
+        writer.close()
+        while served.server.load.connection_count:
+            await asyncio.sleep(0.01)
+        reader, writer = await served.connect()
+        writer.write(get(0))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    play(use, UNREAD._replace(connections_max=1), handle)
+
+
 def test_the_body_of_an_answered_request_is_given_up_before_its_answer_is_read():
     """Bodies stayed in memory, and did not count, until their answers were read."""
     body = b"y" * 1_000_000
