--- a/tests/virtual_transports.py
+++ b/tests/virtual_transports.py
@@ -25,7 +25,7 @@
         return -1
 
     def dup(self):
-        """Return a descriptor whose backlog may be set; all connections are accepted."""
+        """Return a duplicate whose backlog may be set, without effect."""
         return contextlib.nullcontext(self)
 
     def listen(self, backlog):
