--- a/tests/virtual_transports.py
+++ b/tests/virtual_transports.py
@@ -31,6 +31,9 @@
     def listen(self, backlog):
         pass
 
+    def setsockopt(self, level, option, value):
+        """Do nothing: transports of the network have no socket options."""
+
 
 class VirtualServer(asyncio.AbstractServer):
     """A listening socket."""
