--- a/sequoiahook/decisions/direct/placements.py
+++ b/sequoiahook/decisions/direct/placements.py
@@ -58,7 +58,6 @@
         work_ms: Expected time for which it runs there.
         open_work: The work to add to the target's backlog; None if the service does
             not state its pace.
-        owner_region: Region of the object's owner.
     """
 
     state: TargetState | None
@@ -70,7 +69,6 @@
     start_ms: int = 0
     work_ms: int = 0
     open_work: OpenWork | None = None
-    owner_region: str = ""
 
     @property
     def is_moved(self) -> bool:
--- a/sequoiahook/decisions/direct/shift_limit.py
+++ b/sequoiahook/decisions/direct/shift_limit.py
@@ -8,15 +8,11 @@
 Lost capacity extends the limit at once, in proportion. Afterwards the extension ends
 gradually, so that the requests that used it do not all return together.
 
-For services that state their pace, requests that regions run for each other are not
-counted: only how many more or fewer requests each region runs.
-
 This covers traffic that rises or falls faster than the shares of regions. It accepts
 some refusals, and slower answers of owners, so that traffic moves gradually.
 """
 
-from collections import Counter, deque
-from collections.abc import Mapping
+from collections import deque
 from typing import NamedTuple
 
 from sequoiahook.clock import MS_PER_S
@@ -49,16 +45,10 @@
 
 
 class _Slice:
-    def __init__(self, begins_at: int, gains_by_region: Counter[str]):
+    def __init__(self, begins_at: int):
         self.begins_at = begins_at
         self.moved = 0
         self.total = 0
-        self.lowest_by_region = gains_by_region.copy()
-        self.highest_by_region = gains_by_region.copy()
-
-    def record_gain(self, region: str, gain: int) -> None:
-        self.lowest_by_region[region] = min(self.lowest_by_region[region], gain)
-        self.highest_by_region[region] = max(self.highest_by_region[region], gain)
 
 
 class ShiftLimit:
@@ -73,64 +63,15 @@
         self._slices: deque[_Slice] = deque()
         self._moved = 0
         self._total = 0
-        self._gains_by_region: Counter[str] = Counter()
         self._extension = 0.0
         self._extended_at = 0
 
-    def record_exchange(self, now: int, owner_region: str, region: str) -> None:
-        """Count a sent request of which only the net effect on the regions counts.
-
-        Args:
-            now: The time in milliseconds.
-            owner_region: Region of the owner of its object.
-            region: Region that it is sent to.
-        """
-        self.record_request(now, is_moved=False)
-        if region != owner_region:
-            gains = self._gains_by_region
-            gains[region] += 1
-            gains[owner_region] -= 1
-            for name in (region, owner_region):
-                self._slices[-1].record_gain(name, gains[name])
-
-    def may_exchange(self, now: int, owner_region: str, region: str) -> bool:
-        """Return whether one more such request may run in another region.
-
-        Requests that run in each other's regions do not change how many run in each.
-        """
-        self._expire(now)
-        swing = self._swing()
-        new_swing = self._swing({region: 1, owner_region: -1})
-        allowed = self.moved_ratio_max * (self._total + 1)
-        return new_swing == swing or self._moved + new_swing <= max(1.0, allowed)
-
-    def _swing(self, change_by_region: Mapping[str, int] | None = None) -> float:
-        """Return by how much the net gains of the regions varied in the window.
-
-        No part of the window has moved more requests than that, at any alignment. The
-        sum of the moves in the window would be less if opposite ones had expired: with
-        a demand that alternates every 1.5 s, 28 % of the requests changed region.
-
-        Args:
-            change_by_region: A further change of the gains, by region.
-        """
-        gains, changes = self._gains_by_region, change_by_region or {}
-        total = 0
-        for region in gains.keys() | changes.keys():
-            gain = gains[region] + changes.get(region, 0)
-            lowest = highest = gains[region]
-            for each in self._slices:
-                lowest = min(lowest, each.lowest_by_region[region])
-                highest = max(highest, each.highest_by_region[region])
-            total += max(highest, gain) - min(lowest, gain)
-        return total / 2
-
     def record_request(self, now: int, *, is_moved: bool) -> None:
         """Count a sent request."""
         self._expire(now)
         begins_at = now - now % self._settings.slice_ms
         if not self._slices or self._slices[-1].begins_at < begins_at:
-            self._slices.append(_Slice(begins_at, self._gains_by_region))
+            self._slices.append(_Slice(begins_at))
         self._slices[-1].total += 1
         self._slices[-1].moved += is_moved
         self._total += 1
@@ -143,7 +84,7 @@
         """
         self._expire(now)
         allowed = self.moved_ratio_max * (self._total + 1)
-        return self._moved + self._swing() + 1 <= max(1.0, allowed)
+        return self._moved + 1 <= max(1.0, allowed)
 
     @property
     def moved_ratio_max(self) -> float:
@@ -153,7 +94,7 @@
     def moved_ratio(self, now: int) -> float:
         """Return the ratio of requests in the window that ran in another region."""
         self._expire(now)
-        return (self._moved + self._swing()) / max(1, self._total)
+        return self._moved / max(1, self._total)
 
     def extend(self, lost_ratio: float, now: int) -> None:
         """Extend the limit for lost capacity; call this regularly.
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -215,8 +215,7 @@
             return Obstacle.LATER
         if placement not in self._evaluation.fitting(candidates, query):
             return Obstacle.FULL
-        is_unlimited = self._is_unlimited(candidates, query, now)
-        if not is_unlimited and not self._is_allowed(placement, now):
+        if placement.is_moved and not self._may_move(candidates, query, now):
             return Obstacle.SHIFT_LIMIT
         if placement.expected_ms > query.remaining_ms:
             return Obstacle.TOO_LATE
@@ -226,12 +225,8 @@
         """Record a request that is sent to its selected target."""
         if placement.open_work is not None:
             placement.state.backlog.add(placement.open_work)
-        record = placement.state.record
-        if self.states_pace(record.service) and placement.owner_region:
-            self.shift_limit.record_exchange(now, placement.owner_region, record.region)
-        else:
-            self.shift_limit.record_request(now, is_moved=placement.is_moved)
-        self.summary.record_sent(record.region, placement.placed_by)
+        self.shift_limit.record_request(now, is_moved=placement.is_moved)
+        self.summary.record_sent(placement.state.record.region, placement.placed_by)
 
     def record_ended(self, attempt: Attempt) -> None:
         """Remove an attempt that has ended, however it did, from the backlog."""
@@ -292,30 +287,22 @@
             now: The time in milliseconds.
         """
         best = self._evaluation.best(fitting, query.remaining_ms)
-        if not best.is_moved or self._is_unlimited(candidates, query, now):
+        if not best.is_moved or self._may_move(candidates, query, now):
             return best
-        allowed = [
-            placement for placement in fitting if self._is_allowed(placement, now)
-        ]
-        return self._evaluation.best(allowed, query.remaining_ms)
+        return self._evaluation.best(
+            [placement for placement in fitting if not placement.is_moved],
+            query.remaining_ms,
+        )
 
-    def _is_unlimited(
+    def _may_move(
         self, candidates: list[Placement], query: TargetQuery, now: int
     ) -> bool:
-        """Return whether the limit on change of region does not apply.
-
-        Without a usable target in the owner's region, all candidates are moved.
-        """
-        return candidates[0].is_moved and not self._is_limited_at_owner(query, now)
-
-    def _is_allowed(self, placement: Placement, now: int) -> bool:
-        """Return whether the limit on change of region allows a candidate."""
-        if not placement.is_moved:
-            return True
-        record = placement.state.record
-        if not self.states_pace(record.service):
-            return self.shift_limit.may_move(now)
-        return self.shift_limit.may_exchange(now, placement.owner_region, record.region)
+        """Return whether a request may run in another region than its owner's."""
+        # Without a usable target in the owner's region, all candidates are moved.
+        is_unlimited = candidates[0].is_moved and not self._is_limited_at_owner(
+            query, now
+        )
+        return is_unlimited or self.shift_limit.may_move(now)
 
     def _is_limited_at_owner(self, query: TargetQuery, now: int) -> bool:
         """Return whether targets of the owner's region are unused as they asked for."""
@@ -343,8 +330,7 @@
         if self.states_pace(query.service.name):
             return self._paced_candidates(query, now)
         candidates: list[Placement] = []
-        regions = self.region_order(query, now)
-        for index, region in enumerate(regions):
+        for index, region in enumerate(self.region_order(query, now)):
             count = 1 if candidates else 2
             most, is_near = self._search(query, region)
             usable = self._candidates.usable(query, region, most, now, is_near=is_near)
@@ -354,17 +340,14 @@
                 )
                 if placement is not None:
                     reason = placed_by(self._region, region, query.regions, index)
-                    candidates.append(
-                        placement._replace(placed_by=reason, owner_region=regions[0])
-                    )
+                    candidates.append(placement._replace(placed_by=reason))
         return candidates
 
     def _paced_candidates(self, query: TargetQuery, now: int) -> list[Placement]:
         """Return the candidates among targets of a service that states its pace."""
         work = self.work.expect(query)
         candidates: list[Placement] = []
-        regions = self.region_order(query, now)
-        for index, region in enumerate(regions):
+        for index, region in enumerate(self.region_order(query, now)):
             count, is_near = self._search(query, region)
             reason = placed_by(self._region, region, query.regions, index)
             for state in self._candidates.usable(
@@ -373,9 +356,7 @@
                 placement = self._evaluation.evaluate_paced(
                     state, query, work, is_owner=not candidates, now=now
                 )
-                candidates.append(
-                    placement._replace(placed_by=reason, owner_region=regions[0])
-                )
+                candidates.append(placement._replace(placed_by=reason))
         return candidates
 
     def _ready_owner(self, query: TargetQuery, now: int) -> Placement | None:
@@ -399,7 +380,7 @@
         if placement.expected_ms > query.remaining_ms:
             return None
         reason = placed_by(self._region, region[0], query.regions, 0)
-        return placement._replace(placed_by=reason, owner_region=region[0])
+        return placement._replace(placed_by=reason)
 
     def _search(self, query: TargetQuery, region: str) -> tuple[int, bool]:
         """Return the number of candidates in a region, and whether near ones lead."""
