--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -16,7 +16,7 @@
 from sequoiahook.daemons.direct.core_settings import core_settings
 from sequoiahook.daemons.direct.settings import DirectSettings
 from sequoiahook.decisions.direct.core import DirectCore
-from sequoiahook.decisions.direct.requests import Attempt, Deliver, Refuse
+from sequoiahook.decisions.direct.requests import Attempt, Deliver, HoldRoom, Refuse
 from sequoiahook.decisions.exchange.target_result import Stage, TargetResult
 from sequoiahook.world.instance import Address
 from sequoiahook.world.target import LoadReport
@@ -335,8 +335,20 @@
             deadline_ms=load.deadline_ms,
         )
         request = core.admission.admit(incoming, self.now)
+        self._decide(core, request, arrival)
+
+    def _decide(self, core, request, arrival):
+        """Follow the next step; a wait for room ends after its time."""
         step = core.attempts.next_step(request, self.now)
-        self._follow(core, step, arrival)
+        if isinstance(step, HoldRoom):
+            end = self.now + step.max_wait_ms
+            self._at(end, self._decide_again, core, request, arrival)
+        else:
+            self._follow(core, step, arrival)
+
+    def _decide_again(self, core, request, arrival):
+        core.capacity.waiting.leave(request, self.now)
+        self._decide(core, request, arrival)
 
     def _follow(self, core, step, arrival):
         if isinstance(step, Attempt):
--- a/tests/uneven_load.py
+++ b/tests/uneven_load.py
@@ -168,7 +168,7 @@
             deadline_ms=left_ms,
         )
         request = core.admission.admit(incoming, self.now)
-        self._follow(core, core.attempts.next_step(request, self.now), arrival)
+        self._decide(core, request, arrival)
 
     def _follow(self, core, step, arrival):
         if isinstance(step, Attempt):
