--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -15,6 +15,7 @@
 from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
 from sequoiahook.decisions.direct.freshness import Freshness, FreshnessSettings
 from sequoiahook.decisions.direct.groups import by_link_capacity
+from sequoiahook.decisions.direct.organisation_shares import contract_weights
 from sequoiahook.decisions.direct.outgoing import OutgoingDatagram
 from sequoiahook.decisions.direct.rates import Rates, RateSettings
 from sequoiahook.decisions.direct.target_registry import (
@@ -152,6 +153,9 @@
         if configuration.number <= self.configuration_number:
             return False
         self.admission.configure(configuration)
+        self.fleet.shares.weight_by_organisation = contract_weights(
+            configuration.organisations_by_name.values()
+        )
         self.rates.update(now)
         return True
 
--- a/sequoiahook/decisions/direct/organisation_shares.py
+++ b/sequoiahook/decisions/direct/organisation_shares.py
@@ -17,6 +17,7 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.direct.work_counts import WorkCounts, WorkTotals
 from sequoiahook.messages.shares import ORGANISATIONS_MAX, ShareDemand
+from sequoiahook.world.organisation import Organisation
 
 __all__ = [
     "OrganisationShares",
@@ -24,6 +25,7 @@
     "ShareEvidence",
     "ShareSettings",
     "Verdict",
+    "contract_weights",
     "max_min_level",
     "ratios",
 ]
@@ -111,12 +113,16 @@
 class OrganisationShares:
     """Counts the work of organisations at this instance, and applies the ratios.
 
+    Attributes:
+        weight_by_organisation: Weights of the organisations; empty if all are equal.
+
     Args:
         settings: The settings.
     """
 
     def __init__(self, settings: ShareSettings):
         self.settings = settings
+        self.weight_by_organisation: Mapping[str, float] = {}
         self._counts_by_service: dict[str, WorkCounts] = {}
         self._ratios_by_service: dict[str, _Ratios] = {}
         self._credit_ms: dict[tuple[str, str], float] = {}
@@ -293,19 +299,30 @@
     return math.inf
 
 
-def ratios(demands: Iterable[ShareDemand]) -> dict[str, int]:
+def contract_weights(organisations: Iterable[Organisation]) -> dict[str, float]:
+    """Return the contract rates as weights; none if an organisation has no rate."""
+    rate_by_name = {o.name: float(o.contract.rate_per_s) for o in organisations}
+    return rate_by_name if all(rate_by_name.values()) else {}
+
+
+def ratios(
+    demands: Iterable[ShareDemand],
+    weight_by_organisation: Mapping[str, float] | None = None,
+) -> dict[str, int]:
     """Return the ratios of the organisations over the level, in thousandths.
 
     Args:
         demands: Demands on one service, of instances or groups that do not overlap.
+        weight_by_organisation: Weights; 1 for organisations without one.
     """
+    weights = weight_by_organisation or {}
     total = combined("", demands)
     offered = total.offered_by_organisation
-    level = max_min_level(offered, total.started - total.other)
+    level = max_min_level(offered, total.started - total.other, weights)
     return {
-        name: int(PERMILLE * level / work)
+        name: int(PERMILLE * level * weights.get(name, 1.0) / work)
         for name, work in offered.items()
-        if work > level
+        if work > level * weights.get(name, 1.0)
     }
 
 
--- a/sequoiahook/decisions/direct/share_exchange.py
+++ b/sequoiahook/decisions/direct/share_exchange.py
@@ -99,7 +99,8 @@
         demands = [total, *_of(self._by_group, service)]
         if not any(demand.is_short for demand in demands):
             return []
-        permille_by_organisation = ratios(demands)
+        weights = self._shares.weight_by_organisation
+        permille_by_organisation = ratios(demands, weights)
         self._shares.set_ratios(service, permille_by_organisation, now)
         outgoing = []
         for group in sorted(groups.names - {groups.own_name}):
--- a/tests/test_organisation_shares.py
+++ b/tests/test_organisation_shares.py
@@ -11,10 +11,12 @@
     ShareSettings,
     bounded,
     combined,
+    contract_weights,
     max_min_level,
     ratios,
 )
 from sequoiahook.messages.shares import ORGANISATIONS_MAX, ShareDemand
+from tests.direct_parts import an_organisation
 
 WORK_MS = 200
 SETTINGS = ShareSettings()
@@ -148,3 +150,18 @@
     shares.expire(3_000)
     assert [c.permille_by_organisation for c in shares.pop_changes(3_000)] == [{}]
     assert shares.pop_changes(3_100) == []
+
+
+def test_large_contract_is_not_taken_for_an_excess():
+    """Equal weights limited an organisation with a large contract to a small one's."""
+    offered = {"large": 24_000, "small": 4_000, "hot": 20_000}
+    rates = {"large": 300.0, "small": 50.0, "hot": 50.0}
+    found = ratios([a_demand(32_000, offered)], rates)
+    assert found == {"hot": 200}
+    assert ratios([a_demand(32_000, offered)]).keys() == {"large", "hot"}
+
+
+def test_weights_are_the_rates_of_contracts():
+    organisations = [an_organisation("one", "key-one", 300), an_organisation()]
+    assert contract_weights(organisations[:1]) == {"one": 300.0}
+    assert contract_weights(organisations) == {}
