--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -376,8 +376,17 @@
         self.stage = await self._answer.read()
 
     async def _drain(self) -> None:
+        """Wait until the system has taken the whole request.
+
+        Raises:
+            OSError: If the connection fails before.
+        """
         self.writer.transport.set_write_buffer_limits(high=0)
+        if self._write_task is not None:
+            await asyncio.wait({self._write_task})
         await self.writer.drain()
+        if not self._has_sent_all:
+            raise ConnectionResetError("connection ended within the request")
 
     def _on_stream_ended(self, end: StreamEnd) -> None:
         if end is not StreamEnd.COMPLETE:
