--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -304,9 +304,10 @@
         return self.processes_by_name[name].wait(EXIT_TIMEOUT_S)
 
     def log_records(self, name: str) -> list[dict[str, Any]]:
-        """Return the JSON log records of an instance."""
+        """Return the JSON log records of an instance, without one being written."""
         text = (self.path / f"{name}.log").read_text(errors="replace")
-        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+        lines = text.rpartition("\n")[0].splitlines()
+        return [json.loads(line) for line in lines if line[:1] == "{"]
 
     def _control(self, port: int, control: dict[str, Any]) -> dict[str, Any]:
         body = json.dumps(control).encode()
