--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -11,6 +11,7 @@
     TokenGrant,
     TokenRequest,
 )
+from sequoiahook.messages.shares import ShareDemand, ShareRatios
 from sequoiahook.world.instance import Address, LiveInstance
 
 __all__ = ["PeerSettings", "Peers"]
@@ -22,11 +23,12 @@
 """Callers of a region with fewer usable instances get those of all regions."""
 
 LATE_MAX = 256
-"""Sequence numbers by which a token message may be late. A sender numbers its datagrams
+"""Sequence numbers by which a message may be late. A sender numbers its datagrams
 to all receivers together, and a leader sends a few hundred a second."""
 
 _ALL_RECEIVED = (1 << LATE_MAX) - 1
-_TOKEN_MESSAGES = (TokenRequest, TokenGrant, TokenDenial)
+_NOT_SUPERSEDED = (TokenRequest, TokenGrant, TokenDenial, ShareDemand, ShareRatios)
+"""Messages of which a later one does not contain what an earlier one states."""
 
 DATA_CENTRE_ADDRESSES_MIN = 4
 """Callers of a data centre with fewer usable instances get those of its region."""
@@ -100,6 +102,7 @@
         self._me = me
         self._near_names: list[str] = []
         self._positions_by_name: dict[str, _DatagramPosition] = {}
+        self._sequences_by_name: dict[str, dict[type, int]] = {}
         self._reports_by_name: dict[str, _PeerReport] = {}
         self._listed_at_by_name: dict[str, int] = {}
         self._past_incarnations: set[int] = set()
@@ -125,7 +128,8 @@
         """Record a datagram; return whether it is new.
 
         Repeated datagrams and those of past incarnations are not new. A late report is
-        superseded; a late token message is not.
+        superseded by a later one of its type only: messages that are sent together may
+        arrive in any order.
         """
         sender = datagram.sender
         if sender == self._me.name or datagram.incarnation in self._past_incarnations:
@@ -133,19 +137,30 @@
         last = self._positions_by_name.get(sender)
         if last is not None and last.incarnation != datagram.incarnation:
             self._past_incarnations.add(last.incarnation)
+            self._sequences_by_name.pop(sender, None)
             last = None
         incarnation, sequence = datagram.incarnation, datagram.sequence
         if last is None:
             position = _DatagramPosition(incarnation, sequence, _ALL_RECEIVED)
         elif sequence > last.sequence:
             position = last.with_newer(sequence)
-        elif isinstance(datagram.body, _TOKEN_MESSAGES):
-            position = last.with_late(sequence)
-        else:
+        elif self._is_superseded(datagram):
             position = None
-        if position is not None:
-            self._positions_by_name[sender] = position
-        return position is not None
+        else:
+            position = last.with_late(sequence)
+        if position is None:
+            return False
+        self._positions_by_name[sender] = position
+        sequences = self._sequences_by_name.setdefault(sender, {})
+        sequences[type(datagram.body)] = sequence
+        return True
+
+    def _is_superseded(self, datagram: Datagram) -> bool:
+        """Return whether a later datagram states all that a late one does."""
+        if isinstance(datagram.body, _NOT_SUPERSEDED):
+            return False
+        sequences = self._sequences_by_name.get(datagram.sender, {})
+        return datagram.sequence <= sequences.get(type(datagram.body), -1)
 
     def record_state(self, name: str, state: PeerState, now: int) -> None:
         """Record the state of a peer, reported by itself or by its group's leader."""
--- a/tests/test_direct_peers.py
+++ b/tests/test_direct_peers.py
@@ -16,6 +16,7 @@
     TokenGrant,
     TokenRequest,
 )
+from sequoiahook.messages.shares import ShareDemand
 from sequoiahook.world.instance import Address
 from tests.direct_parts import (
     a_configuration,
@@ -159,6 +160,19 @@
     assert not receive(peers, "a", sequence=9, incarnation=1)
 
 
+def test_a_report_is_superseded_by_reports_of_its_type_only():
+    """Reports that other messages overtook were lost, which led to 429 within rates."""
+    peers = some_peers("a")
+    demand = ShareDemand("a", "s", True, 1_000, 0, {"one": 2_000})
+    assert receive(peers, "a", sequence=5)
+    assert peers.accept(Datagram("a", 1, 8, demand), 0)
+    assert receive(peers, "a", sequence=7)
+    assert not receive(peers, "a", sequence=7)
+    assert not receive(peers, "a", sequence=6)
+    assert peers.accept(Datagram("a", 1, 6, demand), 0)
+    assert not peers.accept(Datagram("a", 1, 6, demand), 0)
+
+
 def test_a_peer_without_reports_expires():
     peers = some_peers("a", "b")
     receive(peers, "a", now=SETTINGS.expire_after_ms)
