--- a/sequoiahook/decisions/direct/admission.py
+++ b/sequoiahook/decisions/direct/admission.py
@@ -168,7 +168,6 @@
         is_first = request.hold_until is None
         if is_first:
             self._rates.count_demand(organisation)
-        if is_first:
             max_wait_ms = self._max_wait_ms(request, now)
         else:
             max_wait_ms = max(0, request.hold_until - now)
--- a/sequoiahook/decisions/direct/request_explanation.py
+++ b/sequoiahook/decisions/direct/request_explanation.py
@@ -274,7 +274,8 @@
     service: str,
     query: ExplainQuery,
 ) -> TargetQuery:
-    target_query = TargetQuery(
+    has_organisation = organisation is not None and not route.is_open
+    return TargetQuery(
         configuration.services_by_name[service],
         route,
         query.object_key,
@@ -282,15 +283,9 @@
         _regions(route, organisation),
         _remaining_ms(route, query),
         tried_ids=frozenset(),
+        organisation=organisation.name if has_organisation else "",
+        body_bytes=query.body_bytes,
     )
-    has_organisation = organisation is not None and not route.is_open
-    estimated_by = {
-        "organisation": organisation.name if has_organisation else "",
-        "body_bytes": query.body_bytes,
-    }
-    # Selectors without estimates of the work by organisation and size ignore them.
-    known = target_query._asdict().keys() & estimated_by.keys()
-    return target_query._replace(**{name: estimated_by[name] for name in known})
 
 
 def _route_document(route: Route, organisation: Organisation | None) -> Document:
