--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -30,6 +30,7 @@
     "CallerConnection",
     "CallerDisconnectedError",
     "ConnectionServer",
+    "reset_connection",
 ]
 
 DISCARD_TIMEOUT_MS = 500
@@ -134,7 +135,7 @@
         """
         http = self._written_http
         if http is not None and http.our_state in (h11.SEND_BODY, h11.ERROR):
-            self._reset()
+            reset_connection(self._writer)
         self._writer.close()
         try:
             async with asyncio.timeout(self._settings.write_timeout_ms / MS_PER_S):
@@ -142,13 +143,6 @@
         except OSError:
             self._writer.transport.abort()
 
-    def _reset(self) -> None:
-        """Close with a reset: a body without a length would else look complete."""
-        sock = self._writer.get_extra_info("socket")
-        if sock.fileno() >= 0:  # It is closed if the caller has reset the connection.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-        self._writer.transport.abort()
-
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         reading = asyncio.create_task(self._read_requests())
@@ -392,10 +386,18 @@
                 read_at = loop.time()
                 waiting_bytes = transport.get_write_buffer_size()
             elif self._load.is_overdue((loop.time() - read_at) * MS_PER_S):
-                self._reset()
+                reset_connection(self._writer)
                 raise TimeoutError("caller does not read")
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close with a reset: a body without a length would else look complete."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:  # It is closed if the caller has reset the connection.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+    writer.transport.abort()
+
+
 def _framing_field(answer: CallerAnswer) -> tuple[bytes, bytes]:
     if answer.stream is None:
         return (b"content-length", b"%d" % len(answer.body))
--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -12,6 +11,7 @@
 from sequoiahook.daemons.caller_connection import (
     CallerConnection,
     CallerDisconnectedError,
+    reset_connection,
 )
 from sequoiahook.daemons.caller_exchange import (
     CallerAnswer,
@@ -46,8 +46,6 @@
 LOG_INTERVAL_MS = 1_000
 """Least time between two lines about limits that were reached."""
 
-_LINGER_ZERO = struct.pack("ii", 1, 0)
-
 Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
 
@@ -166,7 +164,7 @@
         if admission is not Admission.ACCEPT:
             self._log_limit("too many connections")
         if admission is Admission.DROP:
-            _drop(writer)
+            reset_connection(writer)
             return
         _limit_unsent(writer, self.settings.unsent_bytes_max)
         self._last_id += 1
@@ -245,13 +243,6 @@
             return answer._replace(must_close=True)
 
 
-def _drop(writer: asyncio.StreamWriter) -> None:
-    """Close a connection at once, without an answer."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    writer.transport.abort()
-
-
 def _limit_unsent(writer: asyncio.StreamWriter, byte_count: int) -> None:
     """Limit what the system holds for a caller that does not read.
 
