--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,72 +1,98 @@
-"""Instances that are cut off from a divided fleet each become leader of their group."""
+"""One entry of another writer, whose name cannot be read, ends the processes."""
 
+import subprocess
 import sys
 import time
 from pathlib import Path
 
 from review.common_2 import (
     Clients,
-    CuttableDeployment,
-    Quota,
+    Deployment,
     Record,
     has_trouble,
-    record_rate,
     record_runs,
     run_case,
 )
+from standins.platform_documents import target_object
 
-QUOTA = Quota(rate_per_s=150, burst=20)
-CUT_S = 12.0
-"""The longest `node_cut` of the site files, on 8 of 24 machines (share 0.35)."""
-
-INSTANCES_BY_ZONE = {
-    zone: tuple(f"edge-{zone}-{number:02d}" for number in range(8))
-    for zone in ("north-a", "north-b", "south-a")
-}
-CUT_COUNT_BY_ZONE = {"north-a": 3, "north-b": 3, "south-a": 2}
+ZONE_BY_INSTANCE = {"edge-01": "north-a", "edge-02": "south-a"}
 TARGETS_PER_ZONE = 3
-CUT_PER_S = 34
-OTHERS_PER_S = 12
+UNREADABLE_NAME = "i-\ud800"
+"""Half of a surrogate pair: no UTF-8 text has it."""
+
+WORK_MS = 300
+CLIENTS_PER_INSTANCE = 12
+PER_S = 30
+"""Requests a second at each instance; about nine of them are open at a time."""
+
+IN_TOUCH_S = 5
+BEFORE_S = 4
+AFTER_S = 12
+RESTART_S = 0.5
+CUT_MAX = 3
+"""Requests on kept connections that the rule LOST lets a machine cut."""
 
 
 def play(record: Record) -> bool:
     """Play the case and return whether the rule held."""
-    names = tuple(n for zone in INSTANCES_BY_ZONE.values() for n in zone)
-    cut_off = tuple(
-        name
-        for zone, count in CUT_COUNT_BY_ZONE.items()
-        for name in INSTANCES_BY_ZONE[zone][:count]
-    )
-    others = tuple(name for name in names if name not in cut_off)
-    with CuttableDeployment(names) as fleet:
-        fleet.configure(1, **QUOTA.tenants())
-        for zone in INSTANCES_BY_ZONE:
+    names = tuple(ZONE_BY_INSTANCE)
+    with Deployment() as fleet:
+        fleet.configure(1)
+        for zone in ZONE_BY_INSTANCE.values():
             for number in range(TARGETS_PER_ZONE):
-                fleet.start_target(f"{zone}-{number}", zone=zone)
-        fleet.is_first_start = True
-        for zone, members in INSTANCES_BY_ZONE.items():
-            for name in members:
-                fleet.start_instance(name, zone)
+                target = f"{zone}-{number}"
+                fleet.start_target(target, zone=zone)
+                fleet.control_target(target, faults={"work_ms": WORK_MS})
+        for name, zone in ZONE_BY_INSTANCE.items():
+            fleet.start_instance(name, zone)
         fleet.wait_ready(*names)
         record.write("all instances are ready")
-        time.sleep(3)
+        time.sleep(IN_TOUCH_S)
         with Clients(fleet, record) as clients:
             for name in names:
-                per_s = CUT_PER_S if name in cut_off else OTHERS_PER_S
-                clients.start(name, per_s, count=2)
-            record_rate(fleet, record, 6)
-            cut_at = time.monotonic()
+                clients.start(
+                    name,
+                    PER_S,
+                    CLIENTS_PER_INSTANCE,
+                    method="POST",
+                    path="/write/1",
+                    body=b"result",
+                    has_object=False,
+                )
+            time.sleep(BEFORE_S)
             if has_trouble():
-                fleet.cut_apart(others, *((name,) for name in cut_off))
-                record.write(f"{len(cut_off)} of {len(names)} instances are cut off")
-            while time.monotonic() < cut_at + CUT_S - 1:
-                record_rate(fleet, record, 1)
-            time.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
-            fleet.cut_apart()
-            record.write("the cut has ended")
-            record_rate(fleet, record, 2)
-            record_rate(fleet, record, 2)
-        return QUOTA.holds(clients, record_runs(fleet, record), record)
+                address = fleet.target_address("north-a-0")
+                entry = target_object(UNREADABLE_NAME, address)["spec"]
+                fleet.control_store(put=[("servers", UNREADABLE_NAME, entry)])
+                record.write("another writer has left an entry")
+            _restart_ended(fleet, record, time.monotonic() + AFTER_S)
+        ran_ids = {run["id"] for run in record_runs(fleet, record)}
+    cut_by_name = {
+        name: sum(
+            clients.answers[i][1] == 0
+            for i, (_, receiver) in clients.sent.items()
+            if receiver == name and i in clients.kept_ids and i in ran_ids
+        )
+        for name in names
+    }
+    for name, count in cut_by_name.items():
+        record.write(f"{name} cut {count} requests that a sound upstream ran")
+    statuses = [answer[1] for answer in clients.answers.values()]
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
+    record.write(f"answers by status (0: connection closed): {counts}")
+    return max(cut_by_name.values()) <= CUT_MAX
+
+
+def _restart_ended(fleet: Deployment, record: Record, until: float) -> None:
+    """Restart what ends by itself after a short delay, as the platform does."""
+    while time.monotonic() < until:
+        for name, zone in ZONE_BY_INSTANCE.items():
+            process: subprocess.Popen = fleet.processes_by_name[name]
+            if process.poll() is not None:
+                record.write(f"{name} ended by itself, exit code {process.returncode}")
+                time.sleep(RESTART_S)
+                fleet.start_instance(name, zone)
+        time.sleep(0.05)
 
 
 if __name__ == "__main__":
--- a/review/common_2.py
+++ b/review/common_2.py
@@ -43,6 +43,9 @@
 COMMAND = ("python3", "-m", "sequoiahook.platform")
 """The command of deploy/system.toml."""
 
+OBJECTS = 50
+"""Objects that the requests concern."""
+
 QUOTA_WINDOW_S = 5.0
 QUOTA_EXCESS = 0.1
 QUOTA_SLACK = 20
@@ -253,6 +256,7 @@
         sent: Time, client, id and instance of each request.
         answers: Time, status, headers and body of each answer by id; a status of 0
             stands for a connection that ended without an answer.
+        kept_ids: Ids of the requests on connections that had carried an answer.
 
     Args:
         fleet: The deployment.
@@ -262,6 +266,7 @@
     def __init__(self, fleet: Deployment, record: Record):
         self.sent: dict[str, tuple[float, str]] = {}
         self.answers: dict[str, tuple[float, int, dict[str, str], bytes]] = {}
+        self.kept_ids: set[str] = set()
         self._fleet = fleet
         self._record = record
         self._threads: list[threading.Thread] = []
@@ -312,6 +317,7 @@
         key: str = "key-one-a",
         body: bytes = b"",
         deadline_ms: int = 2_000,
+        has_object: bool = True,
     ) -> http.client.HTTPConnection:
         """Send one request, record it, and return the connection for the next one."""
         with self._lock:
@@ -322,10 +328,13 @@
             "Host": "a.example",
             "Request-Id": request_id,
             "Deadline-Ms": str(deadline_ms),
-            "Cookie": f"Affinity-Key={number % 50}",
         }
+        if has_object:
+            headers["Cookie"] = f"Affinity-Key={number % OBJECTS}"
         if key:
             headers["Authorization"] = f"Bearer {key}"
+        if getattr(connection, "has_answered", False):
+            self.kept_ids.add(request_id)
         sent_at = time.monotonic()
         self.sent[request_id] = (sent_at, name)
         status, fields, content = 0, {}, b""
@@ -334,6 +343,7 @@
             response = connection.getresponse()
             content = response.read()
             status = response.status
+            connection.has_answered = True
             fields = {n.lower(): v for n, v in response.getheaders()}
         except (OSError, http.client.HTTPException):
             connection.close()
