--- a/review/common_2.py
+++ b/review/common_2.py
@@ -35,6 +35,7 @@
     "record_rate",
     "record_runs",
     "run_case",
+    "used_mb",
 ]
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -409,6 +410,16 @@
         return best <= self.limit
 
 
+def used_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB; 0 if it has ended."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    except OSError:
+        return 0.0
+    lines = [line for line in text.splitlines() if line.startswith("VmRSS")]
+    return int(lines[0].split()[1]) / 1024 if lines else 0.0
+
+
 def record_runs(fleet: Deployment, record: Record) -> list[dict]:
     """Write the runs of all targets into the record and return them."""
     runs = sorted(fleet.runs(), key=lambda run: run["at"])
