--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,8 @@
-"""One entry of another writer, whose name cannot be read, ends the processes."""
+"""One upstream reports a load that its counter got wrong, and the instances end."""
 
-import subprocess
+import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -12,27 +13,69 @@
     has_trouble,
     record_runs,
     run_case,
+    used_mb,
 )
-from standins.platform_documents import target_object
-
-ZONE_BY_INSTANCE = {"edge-01": "north-a", "edge-02": "south-a"}
-TARGETS_PER_ZONE = 3
-UNREADABLE_NAME = "i-\ud800"
-"""Half of a surrogate pair: no UTF-8 text has it."""
 
+ZONE_BY_INSTANCE = {"edge-01": "north-a", "edge-02": "north-b"}
+TARGETS_PER_ZONE = 4
 WORK_MS = 300
-CLIENTS_PER_INSTANCE = 12
-PER_S = 30
-"""Requests a second at each instance; about nine of them are open at a time."""
+TRUE_LOAD = "1,0,4,100"
+WRONG_LOAD = "0,4294967295,4,100"
+"""Running and waiting requests, slots and pace. The counter of the waiting ones has
+gone below 0 and is read as an unsigned number of 32 bits."""
 
+CLIENTS_PER_INSTANCE = 10
+PER_S = 20
 IN_TOUCH_S = 5
 BEFORE_S = 4
 AFTER_S = 12
 RESTART_S = 0.5
+CHECK_S = 0.01
 CUT_MAX = 3
 """Requests on kept connections that the rule LOST lets a machine cut."""
 
 
+class Platform:
+    """Kills processes that exceed their memory, and restarts what has ended.
+
+    Args:
+        fleet: The deployment.
+        record: The record.
+    """
+
+    def __init__(self, fleet: Deployment, record: Record):
+        self._fleet = fleet
+        self._record = record
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._watch, args=(name,))
+            for name in ZONE_BY_INSTANCE
+        ]
+
+    def __enter__(self) -> "Platform":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _watch(self, name: str) -> None:
+        memory_mb = self._fleet.limits["memory_mb"]
+        while not self._stopping.wait(CHECK_S):
+            process = self._fleet.processes_by_name[name]
+            used = used_mb(process.pid)
+            if used > memory_mb:
+                self._fleet.signal(name, signal.SIGKILL)
+                process.wait()
+                self._record.write(f"{name} has {used:.0f} MB, and is killed")
+            if process.poll() is not None:
+                time.sleep(RESTART_S)
+                self._fleet.start_instance(name, ZONE_BY_INSTANCE[name])
+
+
 def play(record: Record) -> bool:
     """Play the case and return whether the rule held."""
     names = tuple(ZONE_BY_INSTANCE)
@@ -42,13 +85,13 @@
             for number in range(TARGETS_PER_ZONE):
                 target = f"{zone}-{number}"
                 fleet.start_target(target, zone=zone)
-                fleet.control_target(target, faults={"work_ms": WORK_MS})
+                _set_load(fleet, target, TRUE_LOAD)
         for name, zone in ZONE_BY_INSTANCE.items():
             fleet.start_instance(name, zone)
         fleet.wait_ready(*names)
         record.write("all instances are ready")
         time.sleep(IN_TOUCH_S)
-        with Clients(fleet, record) as clients:
+        with Platform(fleet, record), Clients(fleet, record) as clients:
             for name in names:
                 clients.start(
                     name,
@@ -57,15 +100,12 @@
                     method="POST",
                     path="/write/1",
                     body=b"result",
-                    has_object=False,
                 )
             time.sleep(BEFORE_S)
             if has_trouble():
-                address = fleet.target_address("north-a-0")
-                entry = target_object(UNREADABLE_NAME, address)["spec"]
-                fleet.control_store(put=[("servers", UNREADABLE_NAME, entry)])
-                record.write("another writer has left an entry")
-            _restart_ended(fleet, record, time.monotonic() + AFTER_S)
+                _set_load(fleet, "north-a-0", WRONG_LOAD)
+                record.write("one upstream reports a wrong load")
+            time.sleep(AFTER_S)
         ran_ids = {run["id"] for run in record_runs(fleet, record)}
     cut_by_name = {
         name: sum(
@@ -83,16 +123,8 @@
     return max(cut_by_name.values()) <= CUT_MAX
 
 
-def _restart_ended(fleet: Deployment, record: Record, until: float) -> None:
-    """Restart what ends by itself after a short delay, as the platform does."""
-    while time.monotonic() < until:
-        for name, zone in ZONE_BY_INSTANCE.items():
-            process: subprocess.Popen = fleet.processes_by_name[name]
-            if process.poll() is not None:
-                record.write(f"{name} ended by itself, exit code {process.returncode}")
-                time.sleep(RESTART_S)
-                fleet.start_instance(name, zone)
-        time.sleep(0.05)
+def _set_load(fleet: Deployment, target: str, load: str) -> None:
+    fleet.control_target(target, faults={"work_ms": WORK_MS, "load": load})
 
 
 if __name__ == "__main__":
