--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,6 +11,7 @@
     Deployment,
     Record,
     has_trouble,
+    lost_holds,
     record_runs,
     run_case,
     used_mb,
@@ -31,8 +32,6 @@
 AFTER_S = 12
 RESTART_S = 0.5
 CHECK_S = 0.01
-CUT_MAX = 3
-"""Requests on kept connections that the rule LOST lets a machine cut."""
 
 
 class Platform:
@@ -107,20 +106,7 @@
                 record.write("one upstream reports a wrong load")
             time.sleep(AFTER_S)
         ran_ids = {run["id"] for run in record_runs(fleet, record)}
-    cut_by_name = {
-        name: sum(
-            clients.answers[i][1] == 0
-            for i, (_, receiver) in clients.sent.items()
-            if receiver == name and i in clients.kept_ids and i in ran_ids
-        )
-        for name in names
-    }
-    for name, count in cut_by_name.items():
-        record.write(f"{name} cut {count} requests that a sound upstream ran")
-    statuses = [answer[1] for answer in clients.answers.values()]
-    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    record.write(f"answers by status (0: connection closed): {counts}")
-    return max(cut_by_name.values()) <= CUT_MAX
+    return lost_holds(clients, names, ran_ids, record)
 
 
 def _set_load(fleet: Deployment, target: str, load: str) -> None:
--- a/review/common_2.py
+++ b/review/common_2.py
@@ -32,6 +32,7 @@
     "Quota",
     "Record",
     "has_trouble",
+    "lost_holds",
     "record_rate",
     "record_runs",
     "run_case",
@@ -47,6 +48,9 @@
 OBJECTS = 50
 """Objects that the requests concern."""
 
+CUT_MAX = 3
+"""Requests on kept connections that the rule LOST lets a machine cut."""
+
 QUOTA_WINDOW_S = 5.0
 QUOTA_EXCESS = 0.1
 QUOTA_SLACK = 20
@@ -410,6 +414,29 @@
         return best <= self.limit
 
 
+def lost_holds(
+    clients: Clients, names: tuple[str, ...], ran_ids: set[str], record: Record
+) -> bool:
+    """Return whether the rule LOST held, and record what each instance cut.
+
+    Counted are requests on kept connections that an upstream ran.
+    """
+    cut_by_name = {
+        name: sum(
+            clients.answers[i][1] == 0
+            for i, (_, receiver) in clients.sent.items()
+            if receiver == name and i in clients.kept_ids and i in ran_ids
+        )
+        for name in names
+    }
+    for name, count in cut_by_name.items():
+        record.write(f"{name} cut {count} requests that a sound upstream ran")
+    statuses = [answer[1] for answer in clients.answers.values()]
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
+    record.write(f"answers by status (0: connection closed): {counts}")
+    return max(cut_by_name.values()) <= CUT_MAX
+
+
 def used_mb(pid: int) -> float:
     """Return the resident memory of a process in MB; 0 if it has ended."""
     try:
