--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 COUNT ?= 20
 FAMILY ?= configuration
 SEED ?= -1
+PROCESSES ?= 6
 export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
@@ -20,7 +21,8 @@
 test: environment
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -m 'not serial' -n $(PROCESSES) --dist loadfile
+	$(PYTHON) -m pytest -m serial
 	@cat KNOWN-RED.txt
 
 demo: environment
--- a/tests/test_caller_floods.py
+++ b/tests/test_caller_floods.py
@@ -28,6 +28,8 @@
 )
 from tests.test_platform_processes import TARGETS, start
 
+pytestmark = pytest.mark.serial
+
 NAME = "n1"
 MEMORY_MB = 90
 """Stated memory, and largest resident size. An idle instance takes about 45 MB."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -209,6 +209,7 @@
     assert draw_plan(5, 20, subjects_by_type) != draw_plan(6, 20, subjects_by_type)
 
 
+@pytest.mark.serial
 @pytest.mark.parametrize(
     ("seed", "seconds"),
     [(CI_SEED, CI_SECONDS), *((seed, FAULT_PHASE_S) for seed in FAILED_SEEDS)],
