Names of callers are bounded where they are kept, sent to peers or logged

What callers saw: an instance of 90 MB took 330 MB while 40 callers asked for objects with keys of 15,000 bytes, and wrote 67 MB of log for request ids of that length; beside paths of 15,000 slashes no ordinary request was answered within 30 s. Cause: tables bounded the number of names, not their size; log lines and the ids that a target had refused held whole names; the search for a route copied the path before each of its slashes; a deadline of thousands of digits raised an error. Change: names of more than 128 characters are replaced by their beginning and a digest of the whole, as the request is decoded, also for objects that peers send. Ids are forwarded as they are; log lines and refused ids hold the bounded form. Texts of log lines end after 2,048 characters. Routes are searched from the length of the longest prefix on. Numbers of more than nine digits are read as 10^9. The tables of objects follow from the memory of the machine, 64 objects for each MB.

--- a/sequoiahook/daemons/direct/caller_handler.py
+++ b/sequoiahook/daemons/direct/caller_handler.py
@@ -27,6 +27,7 @@
 from sequoiahook.decisions.exchange.target_result import StreamEnd
 from sequoiahook.messages.requests import Fields
 from sequoiahook.metrics import Metrics
+from sequoiahook.names import bounded_name
 
 __all__ = ["CallerHandler", "Dialect"]
 
@@ -194,7 +195,7 @@
     ) -> dict:
         now = self._clock.now()
         fields = {
-            "request": incoming.id,
+            "request": bounded_name(incoming.id),
             "duration_ms": now - arrived_at,
             "configuration": self._core.configuration_number,
             "configuration_age_ms": self._core.freshness.age_ms(now),
--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -3,6 +3,7 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.decisions.direct.attempts import AttemptsSettings
 from sequoiahook.decisions.direct.core import DirectCoreSettings
+from sequoiahook.decisions.direct.estimates import EstimateSettings
 from sequoiahook.decisions.direct.fleet_settings import FleetSettings
 from sequoiahook.decisions.direct.freshness import FreshnessSettings
 from sequoiahook.decisions.direct.home_share import HomeShareSettings
@@ -11,6 +12,8 @@
 from sequoiahook.decisions.direct.share_ramp import RampSettings
 from sequoiahook.decisions.direct.shift_limit import ShiftSettings
 from sequoiahook.decisions.direct.target_selection import TargetSelectionSettings
+from sequoiahook.decisions.direct.target_selection_settings import PacedSettings
+from sequoiahook.decisions.direct.work_estimates import WorkEstimateSettings
 from sequoiahook.decisions.stopping import StoppingSettings
 
 __all__ = [
@@ -39,6 +42,11 @@
 of the allowed shift covers requests that arrive unevenly.
 """
 
+OBJECTS_MAX = 20_000
+OBJECTS_PER_MB = 64
+"""Objects that are stored for each MB of memory. An object with the longest name takes
+about 2 KB in all tables together."""
+
 EXTENSION_END_FRACTION = 0.1
 """Fraction of the allowed shift by which an extension of that part ends each second."""
 
@@ -64,17 +72,21 @@
         fleet=FleetSettings(
             PeerSettings(durations.unresponsive_after_ms, durations.expire_after_ms)
         ),
-        selection=_selection_settings(bounds),
+        selection=_selection_settings(settings),
     )
 
 
-def _selection_settings(bounds: Bounds) -> TargetSelectionSettings:
+def _selection_settings(settings: DirectSettings) -> TargetSelectionSettings:
+    bounds = settings.bounds
+    objects_max = min(OBJECTS_MAX, settings.machine.memory_mb * OBJECTS_PER_MB)
     step_permille = max(1, int(bounds.shift_share * HOME_STEP_FRACTION * PERMILLE))
     return TargetSelectionSettings(
         owners=RegionOwnerSettings(
             HomeShareSettings(step_permille=step_permille),
             RampSettings(permille_per_s=step_permille),
         ),
+        estimates=EstimateSettings(objects_max=objects_max),
+        paced=PacedSettings(work=WorkEstimateSettings(objects_max=objects_max)),
         shift=ShiftSettings(
             moved_ratio_max=bounds.shift_share * MOVED_FRACTION,
             end_ratio_per_s=bounds.shift_share * EXTENSION_END_FRACTION,
--- a/sequoiahook/daemons/direct/executions.py
+++ b/sequoiahook/daemons/direct/executions.py
@@ -25,6 +25,7 @@
 from sequoiahook.decisions.exchange.target_result import Stage
 from sequoiahook.messages.direct_requests import DirectHandOver
 from sequoiahook.messages.requests import NOT_RUN, UNKNOWN, MessageId
+from sequoiahook.names import bounded_name
 
 __all__ = ["Executions"]
 
@@ -177,7 +178,7 @@
         elif step is not None:
             cause = step.cause
         fields = {
-            "request": request.incoming.id,
+            "request": bounded_name(request.incoming.id),
             "handed_over_by": request.origin.instance,
             "status": status,
             "cause": cause,
--- a/sequoiahook/daemons/logs.py
+++ b/sequoiahook/daemons/logs.py
@@ -1,14 +1,24 @@
 """Structured log handlers that write one JSON object per line."""
 
 import json
+import logging
 import sys
 from typing import Any
 
 import logbook
+from logbook.compat import redirect_logging
 
 from sequoiahook.daemons.line_writer import LineWriter
 
-__all__ = ["BoundedLinesHandler", "JsonLinesHandler", "log_to_stderr"]
+__all__ = [
+    "BoundedLinesHandler",
+    "JsonLinesHandler",
+    "log_to_stderr",
+    "redirect_library_logs",
+]
+
+TEXT_LENGTH_MAX = 2_048
+"""Longest text of a field that is logged whole, in characters."""
 
 
 class JsonLinesHandler(logbook.StreamHandler):
@@ -32,10 +42,10 @@
             "instance": self.instance,
             "module": record.channel,
             "event": record.message,
-            **{str(key): value for key, value in record.extra.items()},
+            **{str(key): _shortened(value) for key, value in record.extra.items()},
         }
         if record.exc_info:
-            line["traceback"] = record.formatted_exception
+            line["traceback"] = _shortened(record.formatted_exception)
         return json.dumps(line, default=str)
 
 
@@ -57,6 +67,23 @@
         self._writer.write(self.format(record))
 
 
+def _shortened(value: Any) -> Any:
+    """Return a value, or the beginning of a long text."""
+    if not isinstance(value, str) or len(value) <= TEXT_LENGTH_MAX:
+        return value
+    return f"{value[:TEXT_LENGTH_MAX]}... ({len(value)} characters)"
+
+
+def redirect_library_logs() -> None:
+    """Pass warnings of libraries to the installed handler instead of standard error.
+
+    The library for links logs each handshake that strangers begin and do not complete;
+    those after which a proof is missing are logged with the links.
+    """
+    redirect_logging(set_root_logger_level=False)
+    logging.getLogger("websockets").setLevel(logging.CRITICAL)
+
+
 def log_to_stderr(instance: str, level: str) -> JsonLinesHandler:
     """Install a handler on standard error for the whole process and return it."""
     handler = JsonLinesHandler(sys.stderr, instance, level)
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -19,6 +19,7 @@
     TargetResult,
 )
 from sequoiahook.messages.requests import Fields
+from sequoiahook.names import bounded_name
 from sequoiahook.wire.target_dialect import TargetDialect
 from sequoiahook.world.instance import Address
 
@@ -138,7 +139,7 @@
         writer: Stream to the target.
         became_idle_at: Monotonic time at which it became idle, in milliseconds.
         expires_at: Monotonic time until which it may be used, in milliseconds.
-        refused_ids: Ids of the requests that the target refused over it.
+        refused_ids: Bounded ids of the requests that the target refused over it.
     """
 
     reader: CountingReader
@@ -314,9 +315,9 @@
 
     @property
     def refused_ids(self) -> frozenset[str]:
-        """Ids of the requests that the target refused over the connection."""
+        """Bounded ids of the requests that the target refused over the connection."""
         if self.stage is Stage.SHED:
-            return self._refused_ids | {self.request.id}
+            return self._refused_ids | {bounded_name(self.request.id)}
         return self._refused_ids
 
     @property
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -10,6 +10,7 @@
     monotonic_ms,
 )
 from sequoiahook.decisions.exchange.target_result import TargetResult
+from sequoiahook.names import bounded_name
 from sequoiahook.wire.target_dialect import NATIVE_DIALECT, TargetDialect
 from sequoiahook.world.instance import Address
 
@@ -90,7 +91,7 @@
             is_open = not idle.reader.at_eof() and not idle.writer.is_closing()
             is_expired = monotonic_ms() > idle.expires_at
             # A faulty target may write a refusal again, which only its id tells apart.
-            is_ambiguous = request.id in idle.refused_ids
+            is_ambiguous = bounded_name(request.id) in idle.refused_ids
             has_unread = idle.reader.unread_bytes > 0
             if is_open and not (is_expired or is_ambiguous or has_unread):
                 return idle
--- a/sequoiahook/decisions/direct/estimates.py
+++ b/sequoiahook/decisions/direct/estimates.py
@@ -8,7 +8,6 @@
 
 __all__ = ["EstimateSettings", "Estimates", "qualified_key"]
 
-KNOWN_OBJECTS_MAX = 20_000
 PERCENT = 100
 
 
@@ -25,6 +24,7 @@
         round_trip_step: Weight of one connection in the average round trip time.
         known_ms: Time after an answer for which a target is assumed to have the object
             cached.
+        objects_max: Most objects whose targets are stored.
     """
 
     unknown_object_factor: float = 3.0
@@ -33,6 +33,7 @@
     round_trip_ms: int = 80
     round_trip_step: float = 0.1
     known_ms: int = 10_000
+    objects_max: int = 20_000
 
 
 class Estimates:
@@ -48,7 +49,7 @@
         self._region = region
         self._typical_work_ms_by_route: dict[str, float] = {}
         self._round_trip_ms_by_region: dict[str, float] = {}
-        self._known = KnownObjects(settings.known_ms, KNOWN_OBJECTS_MAX)
+        self._known = KnownObjects(settings.known_ms, settings.objects_max)
 
     def typical_work_ms(self, route: Route) -> float:
         """Return the typical work of a route's requests if their object is cached."""
--- a/sequoiahook/decisions/direct/handed_over.py
+++ b/sequoiahook/decisions/direct/handed_over.py
@@ -19,6 +19,7 @@
 from sequoiahook.decisions.pool.effects import RefuseReason
 from sequoiahook.messages.direct_requests import DirectHandOver, RunTerms
 from sequoiahook.messages.requests import MessageId
+from sequoiahook.names import bounded_name
 from sequoiahook.world.routing import Route
 
 __all__ = [
@@ -181,7 +182,7 @@
         host=terms.host,
         target_path=handover.target_path,
         key="",
-        object_key=terms.object_key,
+        object_key=bounded_name(terms.object_key),
         deadline_ms=deadline_at - now,
         headers=handover.headers,
         body=handover.body,
--- a/sequoiahook/decisions/direct/route_table.py
+++ b/sequoiahook/decisions/direct/route_table.py
@@ -18,6 +18,9 @@
         self._route_by_host_and_prefix = {
             (route.host, route.path_prefix): route for route in routes
         }
+        self._prefix_length_max = max(
+            (len(prefix) for _, prefix in self._route_by_host_and_prefix), default=0
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of the path.
@@ -27,7 +30,7 @@
             path: Path without the query.
         """
         name = host.lower().partition(":")[0]
-        end = path.rfind("/")
+        end = path.rfind("/", 0, self._prefix_length_max)
         while end >= 0:
             route = self._route_by_host_and_prefix.get((name, path[: end + 1]))
             if route is not None:
--- a/sequoiahook/decisions/direct/target_candidates.py
+++ b/sequoiahook/decisions/direct/target_candidates.py
@@ -14,6 +14,8 @@
 __all__ = ["TargetCandidates"]
 
 RANKINGS_MAX = 20_000
+RANKED_PER_RANKING = 64
+"""Mean number of targets in a ranking beyond which fewer rankings are kept."""
 
 
 class TargetCandidates:
@@ -27,9 +29,16 @@
         region: Region of this instance.
         data_centre: Data centre of this instance; empty to prefer none.
         targets: Registry of targets.
+        rankings_max: Most rankings that are kept.
     """
 
-    def __init__(self, region: str, data_centre: str, targets: TargetRegistry):
+    def __init__(
+        self,
+        region: str,
+        data_centre: str,
+        targets: TargetRegistry,
+        rankings_max: int = RANKINGS_MAX,
+    ):
         self.region_instance_count = 1
         self.region_instance_rank = 0
         self._region = region
@@ -37,6 +46,8 @@
         self._targets = targets
         self._rankings_by_key: dict[tuple[str, str, str, bool], list[TargetState]] = {}
         self._rankings_version = -1
+        self._rankings_max = rankings_max
+        self._ranked_count = 0
 
     def usable(
         self, query: TargetQuery, region: str, count: int, now: int, *, is_near: bool
@@ -133,14 +144,15 @@
                 )
             return sorted(group, key=lambda state: state.open_count)
         if self._rankings_version != self._targets.version:
-            self._rankings_by_key.clear()
+            self._clear_rankings()
             self._rankings_version = self._targets.version
         object_key = qualified_key(query.route, query.object_key)
         key = (query.service.name, region, object_key, is_near)
         states = self._rankings_by_key.get(key)
         if states is None:
-            if len(self._rankings_by_key) >= RANKINGS_MAX:
-                self._rankings_by_key.clear()
+            is_full = len(self._rankings_by_key) >= self._rankings_max
+            if is_full or self._ranked_count >= self._ranked_max:
+                self._clear_rankings()
             by_id = {state.record.id: state for state in group}
             states = [by_id[name] for name in order(object_key, by_id)]
             if is_near:
@@ -149,15 +161,27 @@
                 near = [state for state in states if not self._is_far(state)][:1]
                 states = near + [state for state in states if state not in near]
             self._rankings_by_key[key] = states
+            self._ranked_count += len(states)
         return states
 
     def trial_copy(self) -> "TargetCandidates":
         """Return a copy whose use leaves the rankings of this one as they are."""
-        copied = TargetCandidates(self._region, self._data_centre, self._targets)
+        copied = TargetCandidates(
+            self._region, self._data_centre, self._targets, self._rankings_max
+        )
         copied.region_instance_count = self.region_instance_count
         copied.region_instance_rank = self.region_instance_rank
         return copied
 
+    @property
+    def _ranked_max(self) -> int:
+        """Largest total of the targets in all rankings."""
+        return self._rankings_max * RANKED_PER_RANKING
+
+    def _clear_rankings(self) -> None:
+        self._rankings_by_key.clear()
+        self._ranked_count = 0
+
     def _is_far(self, state: TargetState) -> bool:
         """Return whether a target is in another data centre of the region."""
         return bool(self._data_centre) and (
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -77,7 +77,9 @@
         now: int = 0,
         data_centre: str = "",
     ):
-        self._candidates = TargetCandidates(region, data_centre, targets)
+        self._candidates = TargetCandidates(
+            region, data_centre, targets, settings.estimates.objects_max
+        )
         self.summary = RegionSummary()
         self.estimates = Estimates(settings.estimates, region)
         self.work = WorkEstimates(settings.paced.work)
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -11,6 +11,7 @@
 from sequoiahook.daemons.caller_exchange import CallerAnswer, CallerRequest
 from sequoiahook.decisions.direct.requests import Attempt, IncomingRequest, Refuse
 from sequoiahook.messages.requests import Fields
+from sequoiahook.names import bounded_name
 from sequoiahook.wire.fields import connection_fields
 from sequoiahook.world.instance import Address
 from sequoiahook.world.target import LoadReport, StatedLimit, StatedRest
@@ -252,13 +253,14 @@
 
 
 def _object_key(headers: Headers) -> str:
+    """Return the object of a request; a long name is replaced by a bounded one."""
     for name, value in headers:
         if name != COOKIE:
             continue
         for pair in value.split(b";"):
             cookie, _, content = pair.strip().partition(b"=")
             if cookie == AFFINITY:
-                return content.decode("latin-1")
+                return bounded_name(content.decode("latin-1"))
     return ""
 
 
@@ -271,4 +273,4 @@
 
 def _parse_integer(value: bytes | None) -> int | None:
     text = (value or b"").strip()
-    return int(text) if text.isdigit() else None
+    return _figure(text) if text.isdigit() else None
--- a/tests/test_direct_routes.py
+++ b/tests/test_direct_routes.py
@@ -38,6 +38,26 @@
     assert RouteTable(routes).find(host, path) == longest_match(routes, host, path)
 
 
+class CountingDict(dict):
+    """A dictionary that counts how often it is searched."""
+
+    searched_count = 0
+
+    def get(self, key, default=None):
+        self.searched_count += 1
+        return super().get(key, default)
+
+
+def test_a_path_of_slashes_is_searched_no_longer_than_the_longest_prefix():
+    """Each of thousands of slashes was searched with a copy of the path before it."""
+    table = RouteTable([a_route(host="x", path_prefix="/a/")])
+    routes = CountingDict(table._route_by_host_and_prefix)
+    table._route_by_host_and_prefix = routes
+    assert table.find("x", "/" * 15_000) is None
+    assert routes.searched_count <= len("/a/")
+    assert table.find("x", "/a/" + "/" * 15_000) is not None
+
+
 def test_host_may_have_port_and_any_case():
     route = a_route(host="a.example", path_prefix="/")
     assert RouteTable([route]).find("A.Example:8080", "/x") == route
