Connections whose bytes take long to parse take turns

What callers saw: beside 60 uploads in chunks of one byte, no ordinary request was answered within 30 s. Cause: all chunks that had arrived on a connection, up to 11,000 in 64 KB, were parsed before any other connection was read (69 ms for each 64 KB, measured alone). Heads of thousands of fields were parsed as soon as they arrived, on all connections in a row. Change: after 64 parts of a body, and before each 2 KB of a head beyond the first, a connection waits for its turn like one with requests sent ahead. Ordinary requests wait for none.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -106,6 +106,7 @@
         self._has_arrived = asyncio.Event()
         self._requests = RequestReader(
             server.load,
+            server.turns,
             connection_id,
             reader,
             writer,
--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -13,6 +13,7 @@
     refusal_answer,
 )
 from sequoiahook.daemons.caller_load import CallerLoad
+from sequoiahook.daemons.caller_turns import Turns
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
@@ -32,6 +33,12 @@
 """Bytes that are passed on at a time to be parsed as a head. The protocol state of each
 open request keeps what was passed on behind it."""
 
+HEAD_BYTES_PER_TURN = 2_048
+"""Bytes of a head that are passed on without a turn; most heads are smaller."""
+
+EVENTS_PER_TURN = 64
+"""Parts of a body that are parsed in one turn; it may come in chunks of one byte."""
+
 ROOM_CHECK_MS = 50
 """Interval between checks whether a connection may read again."""
 
@@ -82,6 +89,7 @@
 
     Args:
         load: What all connections take, and their limits.
+        turns: Turns of connections with bytes that take long to parse.
         connection_id: Number of the connection, unique in this process.
         reader: Stream from the caller.
         writer: Stream to the caller; only interim responses are written.
@@ -92,6 +100,7 @@
     def __init__(
         self,
         load: CallerLoad,
+        turns: Turns,
         connection_id: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -99,9 +108,11 @@
         may_read: Callable[[], bool],
     ):
         self._load = load
+        self._turns = turns
         self._settings = load.settings
         self._ahead = bytearray()
         self._held_bytes = 0
+        self._turn_bytes = 0
         self._id = connection_id
         self._reader = reader
         self._writer = writer
@@ -203,6 +214,7 @@
         if self._http is not None:
             self._ahead[:0] = self._http.trailing_data[0]
         self._set_held_bytes(len(self._ahead))
+        self._turn_bytes = 0
         self._http = http
         return CallerExchange(http)
 
@@ -227,7 +239,7 @@
     async def _read_head(self) -> h11.Request:
         if not self._ahead:
             await self._wait_for_first_byte()
-        event = self._parse_head()
+        event = await self._parse_head()
         if event is h11.NEED_DATA:
             event = await self._read_rest_of_head()
         if not isinstance(event, h11.Request):
@@ -236,11 +248,15 @@
             raise _RefusedRequestError(431, "header too large")
         return event
 
-    def _parse_head(self) -> h11.Event:
+    async def _parse_head(self) -> h11.Event:
         """Parse what was received, but little more than the head."""
         event = self._http.next_event()
         while event is h11.NEED_DATA and self._ahead:
+            if self._turn_bytes >= HEAD_BYTES_PER_TURN:
+                await self._turns.wait()
+                self._turn_bytes = 0
             self._pass_on(HEAD_PART_BYTES)
+            self._turn_bytes += HEAD_PART_BYTES
             event = self._http.next_event()
         return event
 
@@ -255,7 +271,7 @@
                 while event is h11.NEED_DATA:
                     await self._wait_for_room()
                     await self._receive_ahead()
-                    event = self._parse_head()
+                    event = await self._parse_head()
         except TimeoutError:
             raise _RefusedRequestError(408, "header too slow") from None
         return event
@@ -314,15 +330,25 @@
         self._set_receive_bytes(READ_BYTES)
         try:
             async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
-                while not isinstance(event, h11.EndOfMessage):
-                    await self._add_to_body(exchange, body, event)
-                    event = self._http.next_event()
+                await self._add_events(exchange, body, event)
         except TimeoutError:
             raise _RefusedRequestError(408, "body too slow") from None
         finally:
             self._set_receive_bytes(HEAD_READ_BYTES)
         return body.getvalue()
 
+    async def _add_events(
+        self, exchange: CallerExchange, body: io.BytesIO, event: h11.Event
+    ) -> None:
+        """Add the parts of a body until its end; many small ones take several turns."""
+        event_count = 0
+        while not isinstance(event, h11.EndOfMessage):
+            event_count += 1
+            if event_count % EVENTS_PER_TURN == 0:
+                await self._turns.wait()
+            await self._add_to_body(exchange, body, event)
+            event = self._http.next_event()
+
     def _set_receive_bytes(self, byte_count: int) -> None:
         """Set how much the transport receives at once; its own limit is 262,144."""
         self._writer.transport.max_size = byte_count
