Requests count towards the limits until their memory is freed

What callers saw: 100 callers that sent 500 KB of an upload and left, again and again, grew an instance to 251 MB where 90 MB are stated and to 220 MB where 152 MB are; complete uploads of callers that left to 253 and 499 MB; 60 uploads with a length of 20 digits to 212 MB. Cause: a request counted until its connection ended, but exceptions, their frames and tasks referred to each other, and kept the bodies until the next garbage collection. Bodies that were announced beyond the limit were read up to it. Header fields counted by their characters, while thousands of short ones take 100 times as much. Bodies that grow beside each other left gaps in the heap. Change: buffers of bodies are closed as their reading ends; the cycles through tasks of connections and of exchanges with targets are broken. A length beyond the limit is refused (413) with the head. Header fields of open requests count with 256 bytes each, also those that peers hand over. The parts in which bodies are read become smaller as more are read.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -16,8 +16,8 @@
     refusal_answer,
 )
 from sequoiahook.daemons.caller_load import CallerLoad
+from sequoiahook.daemons.caller_progress import Progress
 from sequoiahook.daemons.caller_requests import (
-    READ_BYTES,
     CallerDisconnectedError,
     CallerExchange,
     RequestReader,
@@ -26,7 +26,6 @@
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
-    "READ_BYTES",
     "CallerConnection",
     "CallerDisconnectedError",
     "ConnectionServer",
@@ -34,6 +33,7 @@
 ]
 
 DISCARD_TIMEOUT_MS = 500
+DISCARD_READ_BYTES = 65_536
 PART_BYTES = 65_536
 """Largest part of an answer that is passed to the transport at a time, which copies
 it."""
@@ -41,6 +41,10 @@
 UNREAD_CHECK_MS = 250
 """Interval between checks whether a caller has read anything."""
 
+IDLE_MS_MIN = 200
+"""Time without a request after which a connection is dropped if another one needs its
+place."""
+
 OPEN_REQUESTS_MAX = 4
 """Requests of one connection that are read, and that may run, at the same time."""
 
@@ -102,6 +106,8 @@
         # Each write then ends only when the system has taken all of it.
         writer.transport.set_write_buffer_limits(high=0)
         self._is_unread = False
+        self._is_dropped = False
+        self._writing: Progress | None = None
         self._exchanges: deque[CallerExchange] = deque()
         self._has_arrived = asyncio.Event()
         self._requests = RequestReader(
@@ -124,6 +130,46 @@
     def is_last_request(self, is_last: bool) -> None:
         self._requests.is_closing = is_last
 
+    @property
+    def has_served(self) -> bool:
+        """Whether a request was read."""
+        return self._requests.has_read_request
+
+    @property
+    def slow_since(self) -> float:
+        """Time since which the caller is awaited, in seconds of the event loop."""
+        progress = self._writing or self._requests.progress
+        return self._requests.idle_since if progress is None else progress.since
+
+    def is_reading_slowly(self, now: float) -> bool:
+        """Return whether the caller reads an answer slowly.
+
+        Args:
+            now: Time of the event loop, in seconds.
+        """
+        if self._is_dropped or self._writing is None:
+            return False
+        return self._writing.is_slow(now)
+
+    def is_droppable(self, now: float) -> bool:
+        """Return whether the caller is idle, or sends or reads slowly.
+
+        Args:
+            now: Time of the event loop, in seconds.
+        """
+        if self._is_dropped or self._writing is not None:
+            return self.is_reading_slowly(now)
+        if self._exchanges:
+            return False
+        if self._requests.progress is not None:
+            return self._requests.progress.is_slow(now)
+        return (now - self._requests.idle_since) * MS_PER_S >= IDLE_MS_MIN
+
+    def drop(self) -> None:
+        """Close at once, as another connection needs the place."""
+        self._is_dropped = True
+        self._writer.transport.abort()
+
     def close_if_idle(self) -> None:
         """Close now if no request has begun, otherwise after its answer."""
         self.is_last_request = True
@@ -154,9 +200,13 @@
             )
         finally:
             await self._cancel(reading, answering)
-        if reading.done() and not reading.cancelled():
-            reading.result()
-        has_read_all = answering.result()
+        try:
+            if reading.done() and not reading.cancelled():
+                reading.result()
+            has_read_all = answering.result()
+        finally:
+            # Exceptions of the tasks refer to this frame, and to requests.
+            del reading, answering
         if not has_read_all:
             await self._discard_input()
 
@@ -249,11 +299,12 @@
         """Write the answer of the handler, and give up what it needed."""
         self._count_unread(exchange, self._load.size(answer))
         if answer.stream is None:
-            self._requests.release(exchange)
+            self._requests.release_body(exchange)
         # While an answer still arrives, the exchange with the target has the body.
         try:
             await self._write_answer(exchange, answer, is_last=is_last)
         finally:
+            self._writing = None
             if answer.stream is not None:
                 answer.stream.close()
             self._release(exchange)
@@ -287,6 +338,7 @@
         for exchange in self._exchanges:
             self._release(exchange)
             _close_stream(exchange.task)
+            exchange.task = None  # Its exception refers to the exchange.
         self._requests.close()
 
     def _release(self, exchange: CallerExchange) -> None:
@@ -304,7 +356,7 @@
         try:
             async with asyncio.timeout(DISCARD_TIMEOUT_MS / MS_PER_S):
                 while remaining_bytes > 0 and (
-                    data := await self._reader.read(READ_BYTES)
+                    data := await self._reader.read(DISCARD_READ_BYTES)
                 ):
                     remaining_bytes -= len(data)
         except OSError:
@@ -359,10 +411,14 @@
     async def _write_bytes(self, data: bytes) -> None:
         """Write bytes, and wait until the system has taken them."""
         self._writer.write(data)
+        if self._writing is not None:
+            self._writing.byte_count += len(data)
         if not self._writer.transport.get_write_buffer_size():
             await self._writer.drain()  # It reports a connection that is lost.
             return
         self._is_unread = True
+        if self._writing is None:
+            self._writing = Progress()
         try:
             await self._wait_for_caller()
         finally:
--- a/sequoiahook/daemons/caller_exchange.py
+++ b/sequoiahook/daemons/caller_exchange.py
@@ -27,6 +27,8 @@
         port: TCP port; 0 selects a free port.
         header_bytes_max: Largest request line and header fields, in bytes.
         body_bytes_max: Largest request body, in bytes.
+        all_head_bytes_max: Largest total of the memory of the header fields of all open
+            requests, in bytes; one request within its own limit is always accepted.
         all_body_bytes_max: Largest total of the bodies of all open requests, in
             bytes.
         header_timeout_ms: Longest time to receive a request line and header fields, in
@@ -57,6 +59,7 @@
     port: int = 0
     header_bytes_max: int = 32 * 1024
     body_bytes_max: int = 4 * 1024 * 1024
+    all_head_bytes_max: int = 32 * 1024 * 1024
     all_body_bytes_max: int = 128 * 1024 * 1024
     header_timeout_ms: int = 5_000
     body_timeout_ms: int = 30_000
--- a/sequoiahook/daemons/caller_load.py
+++ b/sequoiahook/daemons/caller_load.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 
+from sequoiahook.daemons.allocator import RECEIVE_BYTES_MAX
 from sequoiahook.daemons.caller_exchange import CallerAnswer, CallerServerSettings
 
 __all__ = ["Admission", "CallerLoad"]
@@ -13,6 +14,12 @@
 ANSWER_BYTES = 1_024
 """Size of an answer without its body."""
 
+UPLOAD_READ_BYTES_MIN = 4_096
+"""Bytes that are read of a body at once, however many bodies are read."""
+
+UPLOAD_READ_DIVISOR = 16
+"""Part of the limit on all bodies that the buffers of bodies may take beside them."""
+
 STREAM_BYTES = 131_072
 """Buffers of an answer that is passed on as it arrives."""
 
@@ -33,6 +40,8 @@
         connection_count: Number of open connections that were accepted.
         refusing_count: Number of connections that are being refused.
         request_count: Number of requests that run or whose answer still arrives.
+        upload_count: Number of bodies that are being read.
+        head_bytes: Memory of the header fields of all open requests, in bytes.
         body_bytes: Bytes in the bodies of all open requests.
         read_ahead_bytes: Bytes that were read for requests that are not complete.
         unread_bytes: Size of the answers that wait for their callers to read.
@@ -43,6 +52,8 @@
         self.connection_count = 0
         self.refusing_count = 0
         self.request_count = 0
+        self.upload_count = 0
+        self.head_bytes = 0
         self.body_bytes = 0
         self.read_ahead_bytes = 0
         self.unread_bytes = 0
@@ -52,6 +63,11 @@
         """Whether no further connection is accepted."""
         return self.connection_count >= self.settings.connections_max
 
+    def has_room_for_head(self, byte_count: int) -> bool:
+        """Return whether the header fields of a further request may be held."""
+        limit = self.settings.all_head_bytes_max
+        return not self.head_bytes or self.head_bytes + byte_count <= limit
+
     @property
     def has_too_many_body_bytes(self) -> bool:
         """Whether the bodies exceed their limit, which always allows for one body."""
@@ -59,6 +75,13 @@
         limit = max(settings.all_body_bytes_max, settings.body_bytes_max)
         return self.body_bytes > limit
 
+    @property
+    def upload_read_bytes(self) -> int:
+        """Most bytes that are read of a body at once, as many bodies are read."""
+        shared_bytes = self.settings.all_body_bytes_max // UPLOAD_READ_DIVISOR
+        share = shared_bytes // max(1, self.upload_count)
+        return max(UPLOAD_READ_BYTES_MIN, min(RECEIVE_BYTES_MAX, share))
+
     @property
     def _has_too_many_unread_bytes(self) -> bool:
         return self.unread_bytes > self.settings.unread_bytes_max
--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -13,19 +13,16 @@
     refusal_answer,
 )
 from sequoiahook.daemons.caller_load import CallerLoad
+from sequoiahook.daemons.caller_progress import Progress
 from sequoiahook.daemons.caller_turns import Turns
-from sequoiahook.messages.requests import NOT_RUN
+from sequoiahook.messages.requests import NOT_RUN, fields_bytes
 
 __all__ = [
-    "READ_BYTES",
     "CallerDisconnectedError",
     "CallerExchange",
     "RequestReader",
 ]
 
-READ_BYTES = 65_536
-"""Most bytes that are read at once while a body is expected."""
-
 HEAD_READ_BYTES = 4_096
 """Most bytes that are read at once otherwise."""
 
@@ -65,6 +62,7 @@
         refusal: Answer to a request that was refused while it was read.
         task: Runs the handler; None before the start, or if the connection's own task
             runs it.
+        head_bytes: Bytes counted towards the limit on all heads.
         body_bytes: Bytes counted towards the limit on all bodies.
         unread_bytes: Bytes counted towards the limit on all unread answers.
     """
@@ -75,6 +73,7 @@
         self.request: CallerRequest | None = None
         self.refusal: CallerAnswer | None = None
         self.task: asyncio.Task | None = None
+        self.head_bytes = 0
         self.body_bytes = 0
         self.unread_bytes = 0
 
@@ -87,6 +86,13 @@
 class RequestReader:
     """Reads the requests of one connection in order.
 
+    Attributes:
+        is_closing: Whether the connection closes after its next answer.
+        has_read_request: Whether a request was read.
+        idle_since: Time at which the last request was answered or the connection
+            began, in seconds of the event loop.
+        progress: Progress of the request that is being read; None between requests.
+
     Args:
         load: What all connections take, and their limits.
         turns: Turns of connections with bytes that take long to parse.
@@ -121,16 +127,18 @@
         peer = writer.get_extra_info("peername")
         self._peer_host = peer[0] if peer else ""
         self._http: h11.Connection | None = None
-        self._idle_since = asyncio.get_running_loop().time()
+        self.idle_since = asyncio.get_running_loop().time()
         self._timer: asyncio.Timeout | None = None
         self._woken = asyncio.Event()
         self.is_closing = False
+        self.has_read_request = False
+        self.progress: Progress | None = None
         self._set_receive_bytes(HEAD_READ_BYTES)
 
     def wake(self) -> None:
         """Check again what is waited for, as a request was answered or the end came."""
         now = asyncio.get_running_loop().time()
-        self._idle_since = now
+        self.idle_since = now
         self._woken.set()
         if self._timer is not None and not self._timer.expired():
             self._timer.reschedule(now)
@@ -143,6 +151,7 @@
                 idle for too long.
         """
         exchange = self._next_exchange()
+        self.progress = Progress() if self._ahead else None
         try:
             await self._read(exchange)
         except h11.RemoteProtocolError as error:
@@ -186,6 +195,13 @@
         )
 
     def release(self, exchange: CallerExchange) -> None:
+        """Give up a request that has ended."""
+        self.release_body(exchange)
+        self._load.head_bytes -= exchange.head_bytes
+        exchange.head_bytes = 0
+        exchange.request = None
+
+    def release_body(self, exchange: CallerExchange) -> None:
         """Give up the body of a request that needs it no longer."""
         self._load.body_bytes -= exchange.body_bytes
         exchange.body_bytes = 0
@@ -223,10 +239,15 @@
         exchange.method = head.method
         if head.method == b"CONNECT":
             raise _RefusedRequestError(400, "method not allowed here")
+        if _announced_bytes(head) > self._settings.body_bytes_max:
+            raise _RefusedRequestError(413, "body too large")
+        self._count_head_bytes(exchange, fields_bytes(head.headers))
         body = b""
         event = self._http.next_event()
         if not isinstance(event, h11.EndOfMessage):
             body = await self._read_body(exchange, event)
+        self.has_read_request = True
+        self.progress = None
         exchange.request = CallerRequest(
             self._id,
             self._peer_host,
@@ -303,7 +324,7 @@
         # While the server only announces its close, a new connection keeps its idle
         # time-out, since its first request may be in transit.
         idle_ms = 0 if self.is_closing else self._settings.idle_timeout_ms
-        return self._idle_since + idle_ms / MS_PER_S
+        return self.idle_since + idle_ms / MS_PER_S
 
     async def _receive_available(self) -> None:
         """Receive bytes that arrived just as the idle wait ended.
@@ -327,15 +348,18 @@
             self._writer.write(self._http.send(interim))
         # Unlike that of a bytearray, the content becomes bytes without a copy.
         body = io.BytesIO()
-        self._set_receive_bytes(READ_BYTES)
+        self._load.upload_count += 1
         try:
             async with asyncio.timeout(self._settings.body_timeout_ms / MS_PER_S):
                 await self._add_events(exchange, body, event)
+            return body.getvalue()
         except TimeoutError:
             raise _RefusedRequestError(408, "body too slow") from None
         finally:
+            # Frames of an exception may refer to it for longer.
+            body.close()
+            self._load.upload_count -= 1
             self._set_receive_bytes(HEAD_READ_BYTES)
-        return body.getvalue()
 
     async def _add_events(
         self, exchange: CallerExchange, body: io.BytesIO, event: h11.Event
@@ -357,9 +381,11 @@
         self, exchange: CallerExchange, body: io.BytesIO, event: h11.Event
     ) -> None:
         if event is h11.NEED_DATA and self._ahead:
-            self._pass_on(READ_BYTES)
+            self._pass_on(len(self._ahead))
         elif event is h11.NEED_DATA:
-            self._http.receive_data(await self._receive(READ_BYTES))
+            byte_count = self._load.upload_read_bytes
+            self._set_receive_bytes(byte_count)
+            self._http.receive_data(await self._receive(byte_count))
         elif isinstance(event, h11.Data):
             body.write(event.data)
             self._count_body_bytes(exchange, len(event.data))
@@ -368,6 +394,12 @@
         else:
             raise CallerDisconnectedError
 
+    def _count_head_bytes(self, exchange: CallerExchange, byte_count: int) -> None:
+        if not self._load.has_room_for_head(byte_count):
+            raise _RefusedRequestError(503, "too many header fields in open requests")
+        exchange.head_bytes = byte_count
+        self._load.head_bytes += byte_count
+
     def _count_body_bytes(self, exchange: CallerExchange, byte_count: int) -> None:
         exchange.body_bytes += byte_count
         self._load.body_bytes += byte_count
@@ -396,9 +428,19 @@
         data = await self._reader.read(byte_count)
         if not data:
             raise CallerDisconnectedError
+        if self.progress is None:
+            self.progress = Progress()
+        self.progress.byte_count += len(data)
         return data
 
 
+def _announced_bytes(head: h11.Request) -> int:
+    """Return the length that a head states for its body; 0 if it states none."""
+    return next(
+        (int(value) for name, value in head.headers if name == b"content-length"), 0
+    )
+
+
 def _header_bytes(head: h11.Request) -> int:
     fields = sum(len(name) + len(value) for name, value in head.headers)
     return len(head.method) + len(head.target) + fields
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -98,6 +98,7 @@
             lambda: _Receiver(self._receive),
             local_addr=self._settings.report_address,
         )
+        self._transport.max_size = DATAGRAM_BYTES_MAX
 
     async def run(self) -> None:
         """Send reports until cancelled."""
--- a/sequoiahook/daemons/http_client.py
+++ b/sequoiahook/daemons/http_client.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from sequoiahook.daemons.allocator import RECEIVE_BYTES_MAX
 from sequoiahook.errors import SequoiahookError
 
 __all__ = [
@@ -173,6 +174,7 @@
     async def _open(self) -> "_Connection":
         settings = self._settings
         reader, writer = await asyncio.open_connection(settings.host, settings.port)
+        writer.transport.max_size = RECEIVE_BYTES_MAX
         return _Connection(reader, writer, settings.body_bytes_max)
 
     def _release(self, connection: "_Connection", is_reusable: bool) -> None:
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -209,6 +209,10 @@
         self._exchange_task = asyncio.ensure_future(self._run_exchange(may_write))
         try:
             await self._wait_for_exchange()
+        except asyncio.CancelledError:
+            self._release()
+            self._give_up_bodies()
+            raise
         finally:
             if self._answer is None or self._answer.stream is None:
                 self._release()
--- a/sequoiahook/decisions/exchange/executor.py
+++ b/sequoiahook/decisions/exchange/executor.py
@@ -27,6 +27,7 @@
     ReceiverStamp,
     StampGrant,
     StampRequest,
+    fields_bytes,
 )
 
 __all__ = ["Executor", "ExecutorSettings"]
@@ -255,7 +256,7 @@
         execution.right_lapses_at = min(now, sent_at(body)) + body.token_lease_ms
         execution.pool = self._pools_by_service.get(body.service)
         is_full = self._is_full(body)
-        self._open_bytes += len(body.body)
+        self._open_bytes += _held_bytes(body)
         self._registry.open(body.id, execution, execution.deadline_at)
         if is_full:
             return self._finish(execution, NOT_RUN, Reason.OVERLOADED, now)
@@ -264,7 +265,7 @@
     def _is_full(self, body: HandOver) -> bool:
         if self._registry.open_count >= self._settings.requests_max:
             return True
-        return self._open_bytes + len(body.body) > self._settings.body_bytes_max
+        return self._open_bytes + _held_bytes(body) > self._settings.body_bytes_max
 
     def _unknown_reason(self, body: HandOver | Cancel, now: int) -> str:
         """Return why an unknown id may have run; empty if it has not."""
@@ -408,9 +409,9 @@
 
     def _close(self, execution: Execution, outcome: Outcome, now: int) -> list:
         if execution.handover is not None:
-            self._open_bytes -= len(execution.handover.body)
+            self._open_bytes -= _held_bytes(execution.handover)
         execution.finish(outcome)
-        self._outcome_bytes += len(outcome.body)
+        self._outcome_bytes += _held_bytes(outcome)
         if execution.is_sender_gone:
             self._forget(execution)
             return []
@@ -441,7 +442,7 @@
 
     def _forget(self, execution: Execution) -> None:
         """Close the id, keeping only whether it ran."""
-        self._outcome_bytes -= len(execution.outcome.body)
+        self._outcome_bytes -= _held_bytes(execution.outcome)
         self._registry.close(execution.id, execution.ran)
         execution.outcome = None
 
@@ -457,3 +458,8 @@
             used = {id(execution.pool) for execution in self._registry.executions()}
             self._draining = [pool for pool in self._draining if id(pool) in used]
         return [*self._pools_by_service.values(), *self._draining]
+
+
+def _held_bytes(message: HandOver | Outcome) -> int:
+    """Return the memory that the fields and the body of a message take, in bytes."""
+    return fields_bytes(message.headers) + len(message.body)
--- a/sequoiahook/messages/requests.py
+++ b/sequoiahook/messages/requests.py
@@ -5,6 +5,7 @@
 bounds the age of the message without a comparison of two clocks.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from sequoiahook.messages.base import message
@@ -23,6 +24,7 @@
     "ReceiverStamp",
     "StampGrant",
     "StampRequest",
+    "fields_bytes",
 ]
 
 RAN = "ran"
@@ -98,6 +100,15 @@
     stamp: ReceiverStamp
 
 
+FIELD_BYTES = 256
+"""Memory that a header field takes beyond its characters."""
+
+
+def fields_bytes(fields: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the memory that header fields take, in bytes."""
+    return sum(len(name) + len(value) + FIELD_BYTES for name, value in fields)
+
+
 @message
 class HandOver(NamedTuple):
     """Hands a request over to be run on a target of a service.
--- a/tests/test_caller_turns.py
+++ b/tests/test_caller_turns.py
@@ -10,6 +10,7 @@
     CallerServer,
     CallerServerSettings,
 )
+from sequoiahook.daemons.caller_progress import SLOW_BYTES_PER_S, Progress
 from sequoiahook.daemons.caller_requests import EVENTS_PER_TURN
 from sequoiahook.daemons.caller_turns import ROUND_MS_MAX, TURNS_PER_ROUND, Turns
 
@@ -94,3 +95,15 @@
         return given_count
 
     assert asyncio.run(play()) <= TURNS_PER_ROUND + ROUNDS * per_round
+
+
+def test_callers_are_slow_below_a_rate_after_the_first_second():
+    async def play():
+        progress = Progress()
+        assert not progress.is_slow(progress.since + 0.9)
+        assert progress.is_slow(progress.since + 1.1)
+        progress.byte_count = 2 * SLOW_BYTES_PER_S
+        assert not progress.is_slow(progress.since + 1.9)
+        assert progress.is_slow(progress.since + 2.1)
+
+    asyncio.run(play())
