Every port has a share of the descriptors, and idle or slow callers make room

What callers saw: 500 idle connections to a port for links took 499 descriptors of 300; on all ports together 653. Idle connections to a port kept others from being served until they timed out. Cause: the ports for links accepted any number of connections, and up to 16 MB from each before its peer was known. The shares of the other ports did not count what is accepted in one round of the event loop. Their own log lines went to standard error without a limit. Change: links whose peers have not authenticated themselves are limited in number, the oldest is closed first, and to 8 KB. Each port accepts four connections in a round. The shares of all ports fit max_fds. When all connections are taken, the one that has been idle, or has sent or read slowly, for longest is closed for a new one; while answers take all requests in progress, the slowest reader is closed. Warnings of libraries go to the bounded log.

--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -22,6 +22,7 @@
 )
 from sequoiahook.daemons.caller_load import Admission, CallerLoad
 from sequoiahook.daemons.caller_turns import Turns
+from sequoiahook.daemons.listening import ACCEPTED_AT_ONCE_MAX, extend_backlog
 from sequoiahook.errors import AnswerIncompleteError
 from sequoiahook.messages.requests import NOT_RUN, UNKNOWN
 
@@ -38,10 +39,6 @@
 UNREAD_BYTES_MAX = 2_048
 """Received bytes beyond twice of which reading from a connection stops."""
 
-ACCEPTED_AT_ONCE_MAX = 16
-"""Connections that are accepted in one round of the event loop, before any of them is
-counted. More would take descriptors beyond the limit."""
-
 RETRY_AFTER_MS = 1_000
 LOG_INTERVAL_MS = 1_000
 """Least time between two lines about limits that were reached."""
@@ -116,10 +113,7 @@
             limit=UNREAD_BYTES_MAX,
             backlog=ACCEPTED_AT_ONCE_MAX,
         )
-        # The event loop accepts as many connections at once as may wait. More may wait.
-        for listening in self._server.sockets:
-            with listening.dup() as duplicate:
-                duplicate.listen(settings.backlog)
+        extend_backlog(self._server.sockets, settings.backlog)
 
     def announce_close(self) -> None:
         """Close each connection after its next answer, but keep accepting new ones."""
@@ -161,6 +155,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         admission = self.load.admit_connection()
+        if admission is not Admission.ACCEPT and self._drop_slowest(
+            CallerConnection.is_droppable
+        ):
+            admission = Admission.ACCEPT
         if admission is not Admission.ACCEPT:
             self._log_limit("too many connections")
         if admission is Admission.DROP:
@@ -192,6 +190,30 @@
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
 
+    def _drop_slowest(
+        self, is_droppable: Callable[[CallerConnection, float], bool]
+    ) -> bool:
+        """Drop the connection that has waited longest for its caller.
+
+        Connections that never carried a request come first.
+
+        Args:
+            is_droppable: Whether a connection may be dropped at a time.
+
+        Returns:
+            Whether there was one.
+        """
+        now = asyncio.get_running_loop().time()
+        connections = [
+            connection
+            for connection in self._connections_by_id.values()
+            if is_droppable(connection, now)
+        ]
+        if not connections:
+            return False
+        min(connections, key=lambda c: (c.has_served, c.slow_since)).drop()
+        return True
+
     def _count_connection(self, change: int, *, is_refused: bool) -> None:
         if is_refused:
             self.load.refusing_count += change
@@ -206,6 +228,7 @@
         cause = self.load.refusal_cause()
         if cause:
             self._log_limit(cause)
+            self._drop_slowest(CallerConnection.is_reading_slowly)
             return refusal_answer(503, cause, NOT_RUN, RETRY_AFTER_MS)
         self.load.request_count += 1
         answer = None
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -12,6 +12,7 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S, Clock
+from sequoiahook.daemons.caller_limits import CallerLimits
 from sequoiahook.daemons.direct.executions import Executions
 from sequoiahook.daemons.direct.probing import Prober
 from sequoiahook.daemons.direct.request_runner import RequestRunner
@@ -91,8 +92,7 @@
         prober: Opens connections to targets.
         send_messages: Sends the messages to peers that are due.
         clock: The clock.
-        execution_bytes_max: Largest total of the bodies that peers hand over, and of
-            the answers to them that were not acknowledged yet, in bytes.
+        limits: Limits on the requests that peers hand over, and on their links.
     """
 
     def __init__(
@@ -102,17 +102,18 @@
         prober: Prober,
         send_messages: Callable[[], None],
         clock: Clock,
-        execution_bytes_max: int,
+        limits: CallerLimits,
     ):
         me = core.me
         self._core = core
+        self._limits = limits
         self._prober = prober
         self._send_messages = send_messages
         self._clock = clock
         rng = random.Random()
         self._entry = EntryExchanges(ENTRY_SETTINGS, me.name, me.incarnation, rng)
         self._executions = Executions(
-            core, runner, clock, self._send, execution_bytes_max
+            core, runner, clock, self._send, limits.execution_bytes_max
         )
         self._links: Links | None = None
         self._numbers = itertools.count(1)
@@ -138,7 +139,13 @@
         """
         me = self._core.me
         self._links = Links(
-            LinksSettings(me.name, me.incarnation, secret, me.handover_address),
+            LinksSettings(
+                me.name,
+                me.incarnation,
+                secret,
+                me.handover_address,
+                self._limits.unauthenticated_max,
+            ),
             self._on_link_event,
         )
         await self._links.start()
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -76,8 +76,6 @@
 TARGET_IDLE_MS = 8_000
 """Targets keep idle connections for about 10 s by default, sometimes for less."""
 
-AUXILIARY_CONNECTIONS_MAX = 16
-AUXILIARY_REFUSALS_MAX = 4
 AUXILIARY_BODY_BYTES_MAX = 4_096
 AUXILIARY_BYTES_MAX = 1 << 20
 """Limits of the servers for readiness checks, metrics and look-ups."""
@@ -120,6 +118,7 @@
             ),
             components.target_dialect,
         )
+        self._limits = limits
         self._stop_at: int | None = None
         self._stop_called = asyncio.Event()
         self._reporter = Reporter(settings, self.core, self._clock)
@@ -139,7 +138,7 @@
             Prober(self.core, self._targets, self._clock),
             self._reporter.send_token_requests,
             self._clock,
-            limits.execution_bytes_max,
+            limits,
         )
         self._reporter.on_connectivity_doubted = self._handovers.wake
         self._stopping = Stopping(
@@ -151,14 +150,17 @@
             self._handler.is_repeatable,
         )
         self._readiness_server = _server(
-            settings.readiness_address, self._handle_readiness
+            settings.readiness_address, limits, self._handle_readiness
         )
         self._lookup_server = _server(
             settings.lookup_address,
+            limits,
             self._handle_lookup,
             limits.lookup_connections_max,
         )
-        self._metrics_server = _server(settings.metrics_address, self._handle_metrics)
+        self._metrics_server = _server(
+            settings.metrics_address, limits, self._handle_metrics
+        )
         self._registration = Registration(
             components.store,
             me,
@@ -289,6 +291,7 @@
                 self.core.me.incarnation,
                 secret,
                 self.settings.report_address,
+                self._limits.unauthenticated_max,
             ),
             self._relay.on_link_event,
         )
@@ -418,6 +421,7 @@
 def _caller_settings(address: Address, limits: CallerLimits) -> CallerServerSettings:
     return CallerServerSettings(
         *address,
+        all_head_bytes_max=limits.head_bytes_max,
         all_body_bytes_max=limits.body_bytes_max,
         connections_max=limits.connections_max,
         refusals_max=limits.refusals_max,
@@ -429,17 +433,19 @@
 
 def _server(
     address: Address,
+    limits: CallerLimits,
     handler: Callable[[CallerRequest], Awaitable[CallerAnswer]],
-    connections_max: int = AUXILIARY_CONNECTIONS_MAX,
+    connections_max: int | None = None,
 ) -> CallerServer:
     """Return a server for requests that have no body."""
     return CallerServer(
         CallerServerSettings(
             *address,
             body_bytes_max=AUXILIARY_BODY_BYTES_MAX,
+            all_head_bytes_max=AUXILIARY_BYTES_MAX,
             all_body_bytes_max=AUXILIARY_BYTES_MAX,
-            connections_max=connections_max,
-            refusals_max=AUXILIARY_REFUSALS_MAX,
+            connections_max=connections_max or limits.auxiliary_connections_max,
+            refusals_max=limits.auxiliary_refusals_max,
             unread_bytes_max=AUXILIARY_BYTES_MAX,
             all_read_ahead_bytes_max=AUXILIARY_BYTES_MAX,
         ),
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections import deque
 from collections.abc import Callable
@@ -14,10 +15,13 @@
 import logbook
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import Server, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from sequoiahook.clock import MS_PER_S
+from sequoiahook.daemons.allocator import RECEIVE_BYTES_MAX
+from sequoiahook.daemons.link_server import AcceptedLink, UnauthenticatedLinks
+from sequoiahook.daemons.listening import ACCEPTED_AT_ONCE_MAX, extend_backlog
 from sequoiahook.errors import CodecError, LinkError, UnreadableMessageError
 from sequoiahook.messages.base import Envelope
 from sequoiahook.wire.codec import (
@@ -53,7 +57,9 @@
 CLOSE_TIMEOUT_MS = 150
 """Time for the closing handshake; a frozen peer must not delay the exit."""
 
-HANDSHAKES_MAX = 64
+UNAUTHENTICATED_MAX = 64
+"""Default limit on accepted links whose peers have not authenticated themselves."""
+
 OUTBOX_ENVELOPES_MAX = 4_096
 UNREADABLE_LOGGED_MAX = 10
 """Number of different messages for each link that are logged as not readable."""
@@ -71,12 +77,15 @@
         incarnation: Incarnation of this instance.
         fleet_secret: Secret that all instances share.
         address: Address to accept links on; port 0 selects a free port.
+        unauthenticated_max: Largest number of accepted links whose peers have not
+            authenticated themselves.
     """
 
     name: str
     incarnation: int
     fleet_secret: str
     address: Address
+    unauthenticated_max: int = UNAUTHENTICATED_MAX
 
 
 class PeerUp(NamedTuple):
@@ -118,6 +127,7 @@
     """One authenticated connection to a peer."""
 
     def __init__(self, connection: Connection, name: str, incarnation: int):
+        connection.transport.max_size = RECEIVE_BYTES_MAX
         self.connection = connection
         self.name = name
         self.incarnation = incarnation
@@ -143,7 +153,6 @@
         self._links_by_peer: dict[str, list[_Link]] = {}
         self._dial_tasks_by_peer: dict[str, asyncio.Task] = {}
         self._address_by_peer: dict[str, Address] = {}
-        self._handshakes = asyncio.Semaphore(HANDSHAKES_MAX)
         self._server: Server | None = None
 
     async def start(self) -> Address:
@@ -152,6 +161,7 @@
         Raises:
             OSError: If the address cannot be bound.
         """
+        unauthenticated = UnauthenticatedLinks(self.settings.unauthenticated_max)
         self._server = await serve(
             self._accept,
             self.settings.address.host,
@@ -162,7 +172,12 @@
             open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_S,
             close_timeout=CLOSE_TIMEOUT_MS / MS_PER_S,
             server_header=None,
+            create_connection=functools.partial(
+                AcceptedLink, unauthenticated=unauthenticated
+            ),
+            backlog=ACCEPTED_AT_ONCE_MAX,
         )
+        extend_backlog(self._server.sockets)
         port = next(iter(self._server.sockets)).getsockname()[1]
         return Address(self.settings.address.host, port)
 
@@ -258,17 +273,15 @@
             log.debug("dial failed", extra={"peer": name, "error": str(error)})
             return False
 
-    async def _accept(self, connection: ServerConnection) -> None:
+    async def _accept(self, connection: AcceptedLink) -> None:
         try:
-            async with (
-                self._handshakes,
-                asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S),
-            ):
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S):
                 link = await self._authenticate_dialler(connection)
         except (TimeoutError, ConnectionClosed, CodecError, LinkError) as error:
             log.warning("link handshake failed", extra={"error": str(error)})
             await connection.close(1008)
             return
+        connection.trust()
         await self._run(link)
 
     async def _authenticate_dialler(self, connection: Connection) -> _Link:
--- a/sequoiahook/platform/__main__.py
+++ b/sequoiahook/platform/__main__.py
@@ -9,10 +9,11 @@
 import logbook
 
 from sequoiahook.clock import MS_PER_S, BootClock
+from sequoiahook.daemons.allocator import return_large_blocks
 from sequoiahook.daemons.direct.components import InstanceComponents
 from sequoiahook.daemons.direct.instance import DirectInstance
 from sequoiahook.daemons.line_writer import LineWriter, LineWriterSettings
-from sequoiahook.daemons.logs import BoundedLinesHandler
+from sequoiahook.daemons.logs import BoundedLinesHandler, redirect_library_logs
 from sequoiahook.errors import CheckError
 from sequoiahook.platform.dialect import CallerDialect, PlatformTargetDialect
 from sequoiahook.platform.settings import (
@@ -37,9 +38,11 @@
         for finding in error.findings:
             print(f"{path}: {finding}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    return_large_blocks()
     clock = BootClock()
     writer = LineWriter(sys.stdout.fileno(), clock, LineWriterSettings())
     BoundedLinesHandler(writer, settings.direct.name).push_application()
+    redirect_library_logs()
     return asyncio.run(_run(path, settings, clock, writer))
 
 
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -20,6 +20,7 @@
     connections_max=2,
 )
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+CLOSING_GET = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
 async def echo(request):
@@ -309,3 +310,41 @@
     answer = serve(use, settings=CallerServerSettings())
     assert answer is None or answer.startswith(b"HTTP/1.1 200")
     assert answer is not None or rounds < 2
+
+
+def test_an_idle_connection_makes_room_for_a_new_one():
+    """Idle connections took all places, and others were refused until a time-out."""
+
+    async def use(server):
+        idle_reader, idle_writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        kept_reader, kept_writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        kept_writer.write(GET)
+        assert b"200" in await kept_reader.readline()
+        await asyncio.sleep(0.3)
+        assert b"x-path: /a" in await exchange(server, CLOSING_GET)
+        assert await idle_reader.read() == b""
+        kept_writer.write(GET)
+        assert b"x-path" in await kept_reader.read(1_000)
+        idle_writer.close()
+        kept_writer.close()
+
+    serve(use, settings=FAST._replace(idle_timeout_ms=10_000))
+
+
+def test_a_request_that_runs_is_not_dropped_for_a_new_connection():
+    async def wait(request):
+        await asyncio.sleep(0.5)
+        return CallerAnswer(200, (), b"done")
+
+    async def use(server):
+        running = [asyncio.create_task(exchange(server, CLOSING_GET)) for _ in range(2)]
+        await asyncio.sleep(0.3)
+        assert b"too many connections" in await exchange(server, CLOSING_GET)
+        for answer in await asyncio.gather(*running):
+            assert answer.endswith(b"done")
+
+    serve(use, wait)
--- a/tests/test_caller_load.py
+++ b/tests/test_caller_load.py
@@ -3,13 +3,22 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from sequoiahook.daemons.allocator import RECEIVE_BYTES_MAX
 from sequoiahook.daemons.caller_exchange import CallerAnswer, CallerServerSettings
 from sequoiahook.daemons.caller_limits import Machine, caller_limits
 from sequoiahook.daemons.caller_load import (
     READ_AHEAD_BYTES_MIN,
+    UPLOAD_READ_BYTES_MIN,
     Admission,
     CallerLoad,
 )
+from sequoiahook.daemons.listening import ACCEPTED_AT_ONCE_MAX
+
+AUXILIARY_PORTS = 2
+LINK_PORTS = 2
+PORTS = 6
+OWN_DESCRIPTORS = 30
+"""Standard streams, event loop, listening sockets and connections to the store."""
 
 SETTINGS = CallerServerSettings(
     body_bytes_max=1_000,
@@ -109,6 +118,25 @@
     assert limits.unread_bytes_max == unread_mb << 20
 
 
+def test_header_fields_of_one_request_are_accepted_on_each_machine():
+    load = CallerLoad(SETTINGS._replace(all_head_bytes_max=1_000))
+    assert load.has_room_for_head(2_000)
+    load.head_bytes = 600
+    assert load.has_room_for_head(400)
+    assert not load.has_room_for_head(401)
+
+
+def test_many_bodies_are_read_in_small_parts():
+    """The buffers of all bodies that were being read took more than the bodies."""
+    load = CallerLoad(SETTINGS._replace(all_body_bytes_max=16_000_000))
+    load.upload_count = 1
+    assert load.upload_read_bytes == RECEIVE_BYTES_MAX
+    load.upload_count = 100
+    assert load.upload_read_bytes == 10_000
+    load.upload_count = 10_000
+    assert load.upload_read_bytes == UPLOAD_READ_BYTES_MIN
+
+
 machines = st.builds(
     Machine,
     memory_mb=st.integers(1, 1_000_000),
@@ -131,6 +159,25 @@
     assert descriptors <= machine.descriptors_max - 64
 
 
+@given(machine=machines.filter(lambda machine: machine.descriptors_max >= 256))
+def test_all_ports_together_fit_the_descriptors(machine):
+    """Ports for links accepted any number of connections."""
+    limits = caller_limits(machine)
+    auxiliary = limits.auxiliary_connections_max + limits.auxiliary_refusals_max
+    descriptors = (
+        limits.connections_max
+        + limits.lookup_connections_max
+        + limits.refusals_max
+        + limits.auxiliary_refusals_max
+        + limits.requests_max
+        + limits.idle_targets_max
+        + AUXILIARY_PORTS * auxiliary
+        + LINK_PORTS * limits.unauthenticated_max
+        + PORTS * ACCEPTED_AT_ONCE_MAX
+    )
+    assert descriptors <= machine.descriptors_max - OWN_DESCRIPTORS
+
+
 @given(machine=machines.filter(lambda machine: machine.memory_mb >= 100))
 def test_the_limits_fit_the_memory(machine):
     limits = caller_limits(machine)
