--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -1,9 +1,6 @@
 """HTTP/1.1 connection of a caller: answers its requests in their order."""
 
 import asyncio
-import contextlib
-import socket
-import struct
 from collections import deque
 from typing import Protocol
 
@@ -12,17 +9,15 @@
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.caller_exchange import (
     CallerAnswer,
+    CallerDisconnectedError,
+    CallerExchange,
     CallerRequest,
     refusal_answer,
 )
 from sequoiahook.daemons.caller_load import CallerLoad
-from sequoiahook.daemons.caller_progress import Progress
-from sequoiahook.daemons.caller_requests import (
-    CallerDisconnectedError,
-    CallerExchange,
-    RequestReader,
-)
+from sequoiahook.daemons.caller_requests import RequestReader
 from sequoiahook.daemons.caller_turns import Turns
+from sequoiahook.daemons.caller_writer import AnswerWriter, reset_connection
 from sequoiahook.messages.requests import NOT_RUN
 
 __all__ = [
@@ -34,13 +29,6 @@
 
 DISCARD_TIMEOUT_MS = 500
 DISCARD_READ_BYTES = 65_536
-PART_BYTES = 65_536
-"""Largest part of an answer that is passed to the transport at a time, which copies
-it."""
-
-UNREAD_CHECK_MS = 250
-"""Interval between checks whether a caller has read anything."""
-
 IDLE_MS_MIN = 200
 """Time without a request after which a connection is dropped if another one needs its
 place."""
@@ -48,9 +36,6 @@
 OPEN_REQUESTS_MAX = 4
 """Requests of one connection that are read, and that may run, at the same time."""
 
-_NO_BODY_STATUSES = frozenset({204, 304})
-_LINGER_ZERO = struct.pack("ii", 1, 0)
-
 
 class ConnectionServer(Protocol):
     """Interface of the server that a connection belongs to.
@@ -103,11 +88,8 @@
         self._settings = server.load.settings
         self._reader = reader
         self._writer = writer
-        # Each write then ends only when the system has taken all of it.
-        writer.transport.set_write_buffer_limits(high=0)
-        self._is_unread = False
         self._is_dropped = False
-        self._writing: Progress | None = None
+        self._answers = AnswerWriter(writer, server.load, self._on_read)
         self._exchanges: deque[CallerExchange] = deque()
         self._has_arrived = asyncio.Event()
         self._requests = RequestReader(
@@ -117,9 +99,8 @@
             reader,
             writer,
             lambda: len(self._exchanges),
-            lambda: not self._is_unread,
+            lambda: not self._answers.is_unread,
         )
-        self._written_http: h11.Connection | None = None
 
     @property
     def is_last_request(self) -> bool:
@@ -138,7 +119,7 @@
     @property
     def slow_since(self) -> float:
         """Time since which the caller is awaited, in seconds of the event loop."""
-        progress = self._writing or self._requests.progress
+        progress = self._answers.progress or self._requests.progress
         return self._requests.idle_since if progress is None else progress.since
 
     def is_reading_slowly(self, now: float) -> bool:
@@ -147,9 +128,9 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        if self._is_dropped or self._writing is None:
+        if self._is_dropped or self._answers.progress is None:
             return False
-        return self._writing.is_slow(now)
+        return self._answers.progress.is_slow(now)
 
     def is_droppable(self, now: float) -> bool:
         """Return whether the caller is idle, or sends or reads slowly.
@@ -157,7 +138,7 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        if self._is_dropped or self._writing is not None:
+        if self._is_dropped or self._answers.progress is not None:
             return self.is_reading_slowly(now)
         if self._exchanges:
             return False
@@ -170,6 +151,9 @@
         self._is_dropped = True
         self._writer.transport.abort()
 
+    def _on_read(self) -> None:
+        self._requests.wake()
+
     def close_if_idle(self) -> None:
         """Close now if no request has begun, otherwise after its answer."""
         self.is_last_request = True
@@ -180,8 +164,7 @@
 
         It is aborted if an answer is incomplete or the bytes are not sent in time.
         """
-        http = self._written_http
-        if http is not None and http.our_state in (h11.SEND_BODY, h11.ERROR):
+        if self._answers.has_incomplete_answer:
             reset_connection(self._writer)
         self._writer.close()
         try:
@@ -215,7 +198,7 @@
         exchange = CallerExchange(h11.Connection(h11.SERVER))
         answer = refusal_answer(status, cause, NOT_RUN)
         try:
-            await self._write_answer(exchange, answer, is_last=True)
+            await self._answers.write(exchange, answer, is_last=True)
         finally:
             self._release(exchange)
         await self._discard_input()
@@ -237,8 +220,8 @@
         await self._requests.wait_until(lambda: False)
 
     def _has_room(self) -> bool:
-        if self._is_unread or not self._exchanges:
-            return not self._is_unread
+        if self._answers.is_unread or not self._exchanges:
+            return not self._answers.is_unread
         has_place = len(self._exchanges) < OPEN_REQUESTS_MAX
         return has_place and self._load.may_start_ahead()
 
@@ -251,7 +234,7 @@
             if request is None or not self._server.is_repeatable(request):
                 return
             if index and exchange.task is None:
-                if self._is_unread or not self._load.may_start_ahead():
+                if self._answers.is_unread or not self._load.may_start_ahead():
                     return
                 exchange.task = asyncio.create_task(self._handle_ahead(exchange))
 
@@ -276,7 +259,7 @@
                 await self._has_arrived.wait()
             exchange = self._exchanges[0]
             if exchange.refusal is not None:
-                await self._write_answer(exchange, exchange.refusal, is_last=True)
+                await self._answers.write(exchange, exchange.refusal, is_last=True)
                 return False
             answer = await self._answer(exchange)
             if answer.must_close:
@@ -302,9 +285,9 @@
             self._requests.release_body(exchange)
         # While an answer still arrives, the exchange with the target has the body.
         try:
-            await self._write_answer(exchange, answer, is_last=is_last)
+            await self._answers.write(exchange, answer, is_last=is_last)
         finally:
-            self._writing = None
+            self._answers.progress = None
             if answer.stream is not None:
                 answer.stream.close()
             self._release(exchange)
@@ -362,106 +345,6 @@
         except OSError:
             return
 
-    async def _write_answer(
-        self, exchange: CallerExchange, answer: CallerAnswer, *, is_last: bool
-    ) -> None:
-        http = self._written_http = exchange.http
-        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        headers = list(answer.headers)
-        has_body = exchange.method != b"HEAD" and answer.status not in _NO_BODY_STATUSES
-        if has_body:
-            headers.append(_framing_field(answer))
-        if is_last:
-            headers.append((b"connection", b"close"))
-        data = http.send(h11.Response(status_code=answer.status, headers=headers))
-        if has_body:
-            data = await self._write_body(http, answer, data)
-        await self._write_bytes(data + http.send(h11.EndOfMessage()))
-
-    async def _write_body(
-        self, http: h11.Connection, answer: CallerAnswer, data: bytes
-    ) -> bytes:
-        """Write a body as fast as the caller reads it.
-
-        Args:
-            http: Protocol state of the request.
-            answer: Its answer.
-            data: Bytes that precede the body.
-
-        Returns:
-            Bytes that are still to be written.
-
-        Raises:
-            AnswerIncompleteError: If the body cannot be completed; the caller must not
-                take it for a complete one.
-        """
-        body = memoryview(answer.body)
-        data += http.send(h11.Data(data=body[:PART_BYTES]))
-        for start in range(PART_BYTES, len(body), PART_BYTES):
-            await self._write_bytes(data)
-            data = http.send(h11.Data(data=body[start : start + PART_BYTES]))
-        if answer.stream is None:
-            return data
-        await self._write_bytes(data)
-        while part := await answer.stream.read():
-            await self._write_bytes(http.send(h11.Data(data=part)))
-        return b""
-
-    async def _write_bytes(self, data: bytes) -> None:
-        """Write bytes, and wait until the system has taken them."""
-        self._writer.write(data)
-        if self._writing is not None:
-            self._writing.byte_count += len(data)
-        if not self._writer.transport.get_write_buffer_size():
-            await self._writer.drain()  # It reports a connection that is lost.
-            return
-        self._is_unread = True
-        if self._writing is None:
-            self._writing = Progress()
-        try:
-            await self._wait_for_caller()
-        finally:
-            self._is_unread = False
-            self._requests.wake()
-
-    async def _wait_for_caller(self) -> None:
-        """Wait until the caller has read enough for all bytes to be taken.
-
-        Raises:
-            TimeoutError: If it reads nothing for too long; the connection is reset.
-        """
-        loop, transport = asyncio.get_running_loop(), self._writer.transport
-        check_ms = min(UNREAD_CHECK_MS, self._settings.write_timeout_ms)
-        read_at, waiting_bytes = loop.time(), transport.get_write_buffer_size()
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(check_ms / MS_PER_S):
-                    await self._writer.drain()
-                    return
-            if transport.get_write_buffer_size() < waiting_bytes:
-                read_at = loop.time()
-                waiting_bytes = transport.get_write_buffer_size()
-            elif self._load.is_overdue((loop.time() - read_at) * MS_PER_S):
-                reset_connection(self._writer)
-                raise TimeoutError("caller does not read")
-
-
-def reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Close with a reset: a body without a length would else look complete."""
-    sock = writer.get_extra_info("socket")
-    if sock.fileno() >= 0:  # It is closed if the caller has reset the connection.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    writer.transport.abort()
-
-
-def _framing_field(answer: CallerAnswer) -> tuple[bytes, bytes]:
-    if answer.stream is None:
-        return (b"content-length", b"%d" % len(answer.body))
-    if answer.stream.length is None:
-        return (b"transfer-encoding", b"chunked")
-    return (b"content-length", b"%d" % answer.stream.length)
-
 
 def _close_stream(task: asyncio.Task | None) -> None:
     """Close the body of an answer that will not be written."""
--- a/sequoiahook/daemons/caller_exchange.py
+++ b/sequoiahook/daemons/caller_exchange.py
@@ -1,18 +1,25 @@
 """Requests and answers between the caller server and its request handler."""
 
+import asyncio
 import json
 from collections.abc import Callable
 from typing import NamedTuple
 
+import h11
+
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.exchange.target_result import AnswerStream
 from sequoiahook.messages.requests import Fields
 
 __all__ = [
     "CallerAnswer",
+    "CallerDisconnectedError",
+    "CallerExchange",
     "CallerRequest",
     "CallerServerSettings",
+    "announced_bytes",
     "call_at_end",
+    "header_bytes",
     "refusal_answer",
 ]
 
@@ -114,6 +121,41 @@
     stream: AnswerStream | None = None
 
 
+class CallerDisconnectedError(Exception):
+    """The caller closed the connection."""
+
+
+class CallerExchange:
+    """A request of a connection and its answer.
+
+    Attributes:
+        http: Protocol state of this request alone.
+        method: HTTP method; empty before the head was read.
+        request: The complete request; None if it was refused while it was read.
+        refusal: Answer to a request that was refused while it was read.
+        task: Runs the handler; None before the start, or if the connection's own task
+            runs it.
+        head_bytes: Bytes counted towards the limit on all heads.
+        body_bytes: Bytes counted towards the limit on all bodies.
+        unread_bytes: Bytes counted towards the limit on all unread answers.
+    """
+
+    def __init__(self, http: h11.Connection):
+        self.http = http
+        self.method = b""
+        self.request: CallerRequest | None = None
+        self.refusal: CallerAnswer | None = None
+        self.task: asyncio.Task | None = None
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.unread_bytes = 0
+
+    @property
+    def is_last(self) -> bool:
+        """Whether no request can follow on the connection."""
+        return self.http.their_state is not h11.DONE
+
+
 def call_at_end(answer: CallerAnswer | None, callback: Callable[[], None]) -> None:
     """Call a function once the body of an answer has ended, or now without a stream.
 
@@ -145,3 +187,16 @@
         seconds = -(-retry_after_ms // MS_PER_S)
         headers.append((b"retry-after", b"%d" % seconds))
     return CallerAnswer(status, tuple(headers), json.dumps(document).encode())
+
+
+def announced_bytes(head: h11.Request) -> int:
+    """Return the length that a head states for its body; 0 if it states none."""
+    return next(
+        (int(value) for name, value in head.headers if name == b"content-length"), 0
+    )
+
+
+def header_bytes(head: h11.Request) -> int:
+    """Return the size of a request line and header fields, in bytes."""
+    fields = sum(len(name) + len(value) for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
--- a/sequoiahook/daemons/caller_requests.py
+++ b/sequoiahook/daemons/caller_requests.py
@@ -8,8 +8,11 @@
 
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.caller_exchange import (
-    CallerAnswer,
+    CallerDisconnectedError,
+    CallerExchange,
     CallerRequest,
+    announced_bytes,
+    header_bytes,
     refusal_answer,
 )
 from sequoiahook.daemons.caller_load import CallerLoad
@@ -17,11 +20,7 @@
 from sequoiahook.daemons.caller_turns import Turns
 from sequoiahook.messages.requests import NOT_RUN, fields_bytes
 
-__all__ = [
-    "CallerDisconnectedError",
-    "CallerExchange",
-    "RequestReader",
-]
+__all__ = ["RequestReader"]
 
 HEAD_READ_BYTES = 4_096
 """Most bytes that are read at once otherwise."""
@@ -40,10 +39,6 @@
 """Interval between checks whether a connection may read again."""
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection."""
-
-
 class _RefusedRequestError(Exception):
     """A request that is refused with a status before it reaches the handler."""
 
@@ -52,37 +47,6 @@
         self.status = status
 
 
-class CallerExchange:
-    """A request of a connection and its answer.
-
-    Attributes:
-        http: Protocol state of this request alone.
-        method: HTTP method; empty before the head was read.
-        request: The complete request; None if it was refused while it was read.
-        refusal: Answer to a request that was refused while it was read.
-        task: Runs the handler; None before the start, or if the connection's own task
-            runs it.
-        head_bytes: Bytes counted towards the limit on all heads.
-        body_bytes: Bytes counted towards the limit on all bodies.
-        unread_bytes: Bytes counted towards the limit on all unread answers.
-    """
-
-    def __init__(self, http: h11.Connection):
-        self.http = http
-        self.method = b""
-        self.request: CallerRequest | None = None
-        self.refusal: CallerAnswer | None = None
-        self.task: asyncio.Task | None = None
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.unread_bytes = 0
-
-    @property
-    def is_last(self) -> bool:
-        """Whether no request can follow on the connection."""
-        return self.http.their_state is not h11.DONE
-
-
 class RequestReader:
     """Reads the requests of one connection in order.
 
@@ -239,7 +203,7 @@
         exchange.method = head.method
         if head.method == b"CONNECT":
             raise _RefusedRequestError(400, "method not allowed here")
-        if _announced_bytes(head) > self._settings.body_bytes_max:
+        if announced_bytes(head) > self._settings.body_bytes_max:
             raise _RefusedRequestError(413, "body too large")
         self._count_head_bytes(exchange, fields_bytes(head.headers))
         body = b""
@@ -265,7 +229,7 @@
             event = await self._read_rest_of_head()
         if not isinstance(event, h11.Request):
             raise CallerDisconnectedError
-        if _header_bytes(event) > self._settings.header_bytes_max:
+        if header_bytes(event) > self._settings.header_bytes_max:
             raise _RefusedRequestError(431, "header too large")
         return event
 
@@ -432,15 +396,3 @@
             self.progress = Progress()
         self.progress.byte_count += len(data)
         return data
-
-
-def _announced_bytes(head: h11.Request) -> int:
-    """Return the length that a head states for its body; 0 if it states none."""
-    return next(
-        (int(value) for name, value in head.headers if name == b"content-length"), 0
-    )
-
-
-def _header_bytes(head: h11.Request) -> int:
-    fields = sum(len(name) + len(value) for name, value in head.headers)
-    return len(head.method) + len(head.target) + fields
