--- a/sequoiahook/daemons/link_server.py
+++ b/sequoiahook/daemons/link_server.py
@@ -35,6 +35,11 @@
             del self._links[oldest]
             oldest.transport.abort()
 
+    def close_all(self) -> None:
+        """Close all such links."""
+        for link in self._links:
+            link.transport.abort()
+
     def remove(self, link: "AcceptedLink") -> None:
         """Remove a link that was closed, or whose peer has authenticated itself."""
         self._links.pop(link, None)
--- a/sequoiahook/daemons/links.py
+++ b/sequoiahook/daemons/links.py
@@ -153,6 +153,7 @@
         self._links_by_peer: dict[str, list[_Link]] = {}
         self._dial_tasks_by_peer: dict[str, asyncio.Task] = {}
         self._address_by_peer: dict[str, Address] = {}
+        self._unauthenticated = UnauthenticatedLinks(settings.unauthenticated_max)
         self._server: Server | None = None
 
     async def start(self) -> Address:
@@ -161,7 +162,6 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        unauthenticated = UnauthenticatedLinks(self.settings.unauthenticated_max)
         self._server = await serve(
             self._accept,
             self.settings.address.host,
@@ -173,7 +173,7 @@
             close_timeout=CLOSE_TIMEOUT_MS / MS_PER_S,
             server_header=None,
             create_connection=functools.partial(
-                AcceptedLink, unauthenticated=unauthenticated
+                AcceptedLink, unauthenticated=self._unauthenticated
             ),
             backlog=ACCEPTED_AT_ONCE_MAX,
         )
@@ -190,6 +190,8 @@
         await asyncio.gather(*dial_tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
+            # Their handshakes would be waited for until they time out.
+            self._unauthenticated.close_all()
             await self._server.wait_closed()
 
     def set_peers(self, address_by_peer: dict[str, Address]) -> None:
--- a/tests/test_link_strangers.py
+++ b/tests/test_link_strangers.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 
+from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.link_server import UNAUTHENTICATED_BYTES_MAX
-from sequoiahook.daemons.links import Links, LinksSettings
+from sequoiahook.daemons.links import HANDSHAKE_TIMEOUT_MS, Links, LinksSettings
 from sequoiahook.world.instance import Address
 from tests.test_link_silence import linked, wait_for
 
@@ -63,3 +64,16 @@
         await acceptor.stop()
 
     asyncio.run(play())
+
+
+def test_a_stop_does_not_wait_for_strangers():
+    """The exit waited for handshakes that strangers had begun until they timed out."""
+
+    async def play():
+        acceptor, address = await accepting("acceptor")
+        _, writer = await connect(address)
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S / 2):
+            await acceptor.stop()
+        writer.close()
+
+    asyncio.run(play())
