An exit does not wait for callers that do not read, nor for new connections

Cause: connections were still accepted during the exit, tasks of connections were cancelled only as the event loop ended, where callers that read nothing were waited for, and handshakes of strangers that were accepted while the links stopped were waited for until they timed out. Change: at the exit all ports stop listening first; connections get 200 ms to write answers that are ready, and are then closed; links that are accepted while the links stop are closed at once.

--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -1,6 +1,7 @@
 """HTTP server for callers; a handler decides about the requests."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -141,6 +142,27 @@
         if tasks:
             await asyncio.wait(tasks)
 
+    async def end_connections(self, timeout_ms: int) -> None:
+        """Accept no more connections, and end all at the exit.
+
+        Answers that are ready are still written.
+
+        Args:
+            timeout_ms: Longest time for which callers may read them, in milliseconds.
+        """
+        self.is_closing = True
+        self.stop_listening()
+        tasks = list(self._tasks_by_id.values())
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_ms / MS_PER_S)
+        for connection in list(self._connections_by_id.values()):
+            connection.drop()
+        tasks = list(self._tasks_by_id.values())
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_ms / MS_PER_S)
+
     def close_connection(self, connection_id: int) -> None:
         """Close a connection after its next answer.
 
@@ -182,10 +204,12 @@
             h11.LocalProtocolError,
             AnswerIncompleteError,
             CallerDisconnectedError,
+            asyncio.CancelledError,  # The event loop would log it as an error.
         ) as error:
             _log.debug("caller connection ended: {}", type(error).__name__)
         finally:
-            await connection.end()
+            with contextlib.suppress(asyncio.CancelledError):
+                await connection.end()
             self._count_connection(-1, is_refused=is_refused)
             del self._connections_by_id[connection_id]
             del self._tasks_by_id[connection_id]
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -64,6 +64,9 @@
 WITHDRAW_TIMEOUT_MS = 200
 """Longest time for deleting the own entry between the exit and the kill."""
 
+LAST_WRITE_MS = 200
+"""Longest time for which callers may read answers between the exit and the kill."""
+
 EXPIRY_CHECK_MS = 5_000
 """Interval between checks for entries of expired instances."""
 
@@ -190,12 +193,7 @@
             OSError: If an address cannot be bound.
         """
         self._exited = asyncio.get_running_loop().create_future()
-        for server in (
-            self._caller_server,
-            self._readiness_server,
-            self._lookup_server,
-            self._metrics_server,
-        ):
+        for server in self._servers:
             await server.start()
         await self._reporter.start()
         log.info("start", extra={"incarnation": self.core.me.incarnation})
@@ -206,6 +204,9 @@
             )
             return self._exit_code(tasks)
         finally:
+            await asyncio.gather(
+                *(server.end_connections(LAST_WRITE_MS) for server in self._servers)
+            )
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -219,6 +220,15 @@
             self._targets.close()
             self._components.store.close()
 
+    @property
+    def _servers(self) -> tuple[CallerServer, ...]:
+        return (
+            self._caller_server,
+            self._readiness_server,
+            self._lookup_server,
+            self._metrics_server,
+        )
+
     async def _withdraw(self) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(WITHDRAW_TIMEOUT_MS / MS_PER_S):
--- a/sequoiahook/daemons/link_server.py
+++ b/sequoiahook/daemons/link_server.py
@@ -36,7 +36,8 @@
             oldest.transport.abort()
 
     def close_all(self) -> None:
-        """Close all such links."""
+        """Close all such links, also those that are being accepted."""
+        self._maximum = 0
         for link in self._links:
             link.transport.abort()
 
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -348,3 +348,30 @@
             assert answer.endswith(b"done")
 
     serve(use, wait)
+
+
+def test_connections_end_at_the_exit_although_an_answer_is_not_read():
+    """The exit waited for callers that read nothing until they timed out."""
+
+    async def large(request):
+        return CallerAnswer(200, (), b"x" * 10_000_000)
+
+    async def use(server):
+        _, unread_writer = await asyncio.open_connection("127.0.0.1", server.port)
+        unread_writer.transport.pause_reading()
+        unread_writer.write(GET)
+        _, idle_writer = await asyncio.open_connection("127.0.0.1", server.port)
+        while server.connection_count < 2 or not server.load.unread_bytes:
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(2):
+            await server.end_connections(100)
+        assert server.connection_count == 0
+        unread_writer.close()
+        idle_writer.close()
+
+    async def run():
+        server = CallerServer(FAST._replace(write_timeout_ms=60_000), large)
+        await server.start()
+        await use(server)
+
+    asyncio.run(run())
