A connection whose caller has left makes room for a new one

Beside 100 callers that sent 500 KB of an upload and left, two of five ordinary requests got 503 "too many connections" (trial): the bytes of callers that had left were read to their end first. When all connections are taken, one that its caller has closed is now closed for a new one, as the state of the connection shows. The new case of tests/test_caller_http.py failed before.

--- a/sequoiahook/daemons/caller_connection.py
+++ b/sequoiahook/daemons/caller_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connection of a caller: answers its requests in their order."""
 
 import asyncio
+import socket
 from collections import deque
 from typing import Protocol
 
@@ -33,6 +34,9 @@
 """Time without a request after which a connection is dropped if another one needs its
 place."""
 
+TCP_CLOSE_WAIT = 8
+"""State of a connection that the other side has closed, as `TCP_INFO` states it."""
+
 OPEN_REQUESTS_MAX = 4
 """Requests of one connection that are read, and that may run, at the same time."""
 
@@ -133,7 +137,7 @@
         return self._answers.progress.is_slow(now)
 
     def is_droppable(self, now: float) -> bool:
-        """Return whether the caller is idle, or sends or reads slowly.
+        """Return whether the caller is idle, has left, or sends or reads slowly.
 
         Args:
             now: Time of the event loop, in seconds.
@@ -143,9 +147,17 @@
         if self._exchanges:
             return False
         if self._requests.progress is not None:
-            return self._requests.progress.is_slow(now)
+            return self._requests.progress.is_slow(now) or self._has_caller_left()
         return (now - self._requests.idle_since) * MS_PER_S >= IDLE_MS_MIN
 
+    def _has_caller_left(self) -> bool:
+        """Return whether the caller has closed, also behind bytes that are not read."""
+        sock = self._writer.get_extra_info("socket")
+        if sock.fileno() < 0:
+            return False
+        (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state == TCP_CLOSE_WAIT
+
     def drop(self) -> None:
         """Close at once, as another connection needs the place."""
         self._is_dropped = True
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -335,6 +335,33 @@
     serve(use, settings=FAST._replace(idle_timeout_ms=10_000))
 
 
+def stop_reading(transport):
+    """Leave what arrives to the system, whatever the stream asks for."""
+    transport.pause_reading()
+    transport.resume_reading = lambda: None
+
+
+def test_a_caller_that_left_behind_its_upload_makes_room():
+    """Connections of callers that had left were read to their end first."""
+
+    async def use(server):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
+        for _ in range(2):
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(head + b"x" * 50_000)
+            await writer.drain()
+            while not server.load.body_bytes:
+                await asyncio.sleep(0)
+            for connection in server._connections_by_id.values():
+                stop_reading(connection._writer.transport)
+            writer.close()
+        assert server.connection_count == 2
+        assert b"x-path: /a" in await exchange(server, CLOSING_GET)
+
+    large_bodies = FAST._replace(body_bytes_max=1_000_000, body_timeout_ms=5_000)
+    serve(use, settings=large_bodies)
+
+
 def test_a_request_that_runs_is_not_dropped_for_a_new_connection():
     async def wait(request):
         await asyncio.sleep(0.5)
