Cuts also hold on connections that are being opened as they begin

The log shows the cause: the cut began while a connection to a target was being opened; the stand-in added it to those it cuts only afterwards, so it stayed open, and all 348 requests of the 10 s were answered over it.

--- a/standins/cut_instance.py
+++ b/standins/cut_instance.py
@@ -81,6 +81,8 @@
         )
         if is_target:
             self._target_transports.add(transport)
+            # The cut may have begun while the connection was being opened.
+            self._cut(transport)
         return transport, protocol
 
     def _check_cut(self) -> None:
@@ -102,12 +104,15 @@
         self._how = cut
         self._healed = self.create_future() if cut else None
         for transport in list(self._target_transports):
-            if cut == "reset":
-                transport.abort()
-            elif cut in HANGING:
-                gate = _Gate(transport)
-                gate.close()
-                self._gates.append(gate)
+            self._cut(transport)
+
+    def _cut(self, transport: asyncio.Transport) -> None:
+        if self._how == "reset":
+            transport.abort()
+        elif self._how in HANGING:
+            gate = _Gate(transport)
+            gate.close()
+            self._gates.append(gate)
 
 
 class _CutLoopPolicy(asyncio.DefaultEventLoopPolicy):
