Test of leaving targets: an answer to a request in flight may state it, too

test_target_that_states_that_it_leaves_gets_nothing_after_the_bound failed once in a whole run beside load: no request arrived after the target had been told to state that it leaves. The logs show the cause: the last request was at the target when the faults changed, its answer stated it, and all four instances heard of it before their next request, so none came. That is what the test is there to check; its precondition was wrong.

The target now records which answers stated that it leaves, and the test asks for one of these instead of an arrival. The bound and the check on late arrivals are as before.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -68,6 +68,7 @@
         last_headers: All headers of the last request.
         arrivals: Id and time of each request that arrived, run or not, and whether its
             answer asked for rest.
+        leaving_ids: Ids of the requests whose answers stated that the target leaves.
 
     Args:
         target_id: Id of the target.
@@ -82,6 +83,7 @@
         self.runs: list[dict[str, Any]] = []
         self.last_headers: dict[str, str] = {}
         self.arrivals: list[tuple[str, float, bool]] = []
+        self.leaving_ids: list[str] = []
         self.cancelled = 0
         self._open_count = 0
         self._slots: asyncio.Semaphore | None = None
@@ -229,6 +231,8 @@
             response_headers.append(("server-limit", self.faults.limit))
         if self.faults.is_leaving:
             response_headers.append(("server-leaving", "1"))
+            if "request-id" in headers:
+                self.leaving_ids.append(headers["request-id"])
         if is_shed:
             response_headers.append(("not-executed", "1"))
             if self.faults.rest:
@@ -259,6 +263,7 @@
                 "runs": self.runs,
                 "headers": self.last_headers,
                 "arrivals": self.arrivals,
+                "leaving_ids": self.leaving_ids,
             }
         )
         return await self._send_response(connection, writer, {}, 200, report.encode())
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -31,7 +31,7 @@
     begin = time.monotonic()
     leaving.control_target(TARGET, faults={"is_leaving": True})
     time.sleep(DRAIN_S)
-    assert any(arrivals(leaving, begin).values())
+    assert leaving.control_target(TARGET)["leaving_ids"]
     leaving.register_target(TARGET, sequence=3)
     time.sleep(MEASURED_S)
     late = arrivals(leaving, begin + DRAIN_S)
