Targets of the fault soak reset half an answer as their process ends

The target sent answers without a length and ended on a crashing request within the pause in their middle; the kernel closed its connections without a reset, which is how such an answer ends. The instance could not know.

The stand-in now asks the kernel for a reset from the first byte of such an answer until its last. tests/test_target_standin.py: its four cases of a killed and of a crashed target failed before.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -192,7 +192,17 @@
                 writer.write(_response_head(self.id, headers, len(body)) + body)
                 await writer.drain()
             return is_reusable
+        await self._send_halves(writer, headers, body)
+        return False
+
+    async def _send_halves(self, writer, headers, body: bytes) -> None:
+        """Send an answer with a pause in the middle, or only its first half."""
+        how = self.faults.how
         length = None if how in ("unframed", "reset") else len(body)
+        if length is None:
+            # The end of the connection ends the answer; that of the process must not.
+            writer.transport.set_write_buffer_limits(0)
+            _set_reset_on_close(writer, is_on=True)
         writer.write(_response_head(self.id, headers, length) + body[: len(body) // 2])
         await writer.drain()
         await asyncio.sleep(self.faults.pause_ms / 1000)
@@ -202,7 +212,7 @@
         elif how in ("unframed", "slow"):
             writer.write(body[len(body) // 2 :])
             await writer.drain()
-        return False
+            _set_reset_on_close(writer, is_on=False)
 
     async def _read_request(self, connection, reader):
         head, body = None, bytearray()
@@ -283,12 +293,16 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset instead of a clean end."""
-    linger_zero = struct.pack("ii", 1, 0)
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
+    _set_reset_on_close(writer, is_on=True)
     writer.transport.abort()
 
 
+def _set_reset_on_close(writer: asyncio.StreamWriter, *, is_on: bool) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", is_on, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _response_head(
     target_id: str, headers: dict[str, str], length: int | None
 ) -> bytes:
