Answers that are held whole while they arrive are counted, too

What callers do: they ask for objects whose targets fail with large bodies, or whose instance is cut off from targets, and read nothing or leave at once. Failures are held whole for another attempt, and answers to requests of peers since an outcome contains its body; neither counted before it was complete, so all requests in progress held one at the same time.

Bytes that are held beyond the first 64 KB of an answer now count with the unread answers (held_answers.py). Beyond the limit a failure is passed on as it arrives, without another attempt; the answer to a request of a peer is given up. A single answer within its own limit is always held.

--- a/sequoiahook/daemons/answer_reader.py
+++ b/sequoiahook/daemons/answer_reader.py
@@ -8,6 +8,7 @@
 
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.daemons.answer_stream import TargetAnswerStream
+from sequoiahook.daemons.held_answers import HeldAnswers
 from sequoiahook.decisions.exchange.target_result import (
     Stage,
     StreamEnd,
@@ -58,6 +59,7 @@
         dialect: Interpretation of the answers of targets.
         http: Protocol state of the connection, after the request was sent.
         reader: Stream from the target.
+        held: Counts what is held of the answers to the request.
         drain_request: Waits until the whole request is written; raises `OSError` if the
             connection fails before.
         on_stream_ended: Called once when the stream has ended.
@@ -69,6 +71,7 @@
         dialect: TargetDialect,
         http: h11.Connection,
         reader: asyncio.StreamReader,
+        held: HeldAnswers,
         drain_request: Callable[[], Awaitable[None]],
         on_stream_ended: Callable[[StreamEnd], None],
     ):
@@ -78,6 +81,7 @@
         self._dialect = dialect
         self._http = http
         self._reader = reader
+        self._held = held
         self._drain_request = drain_request
         self._on_stream_ended = on_stream_ended
         self._body = bytearray()
@@ -130,7 +134,9 @@
             if not is_final_status(event.status_code):
                 raise ValueError(f"invalid status {event.status_code}")
         elif isinstance(event, h11.Data):
+            counted_bytes = max(HELD_BYTES_MAX, len(self._body))
             self._body += event.data
+            self._held.add(max(0, len(self._body) - counted_bytes))
 
     def _is_large(self) -> bool:
         """Return whether the body is too large to be held back.
@@ -140,13 +146,19 @@
         """
         if self.head is None:
             return False
-        if len(self._body) > self._settings.body_bytes_max:
+        if self._is_too_large_to_hold():
             if not self._may_pass_on():
                 raise ValueError("body too large")
             return True
         size = max(len(self._body), self._declared_length() or 0)
         return size > HELD_BYTES_MAX
 
+    def _is_too_large_to_hold(self) -> bool:
+        held_bytes = len(self._body)
+        if held_bytes > HELD_BYTES_MAX and self._held.is_over_limit:
+            return True
+        return held_bytes > self._settings.body_bytes_max
+
     async def _receive(self) -> bool:
         """Receive bytes; return False if the body is passed on as held too long."""
         if self.head is None or not self._may_pass_on():
@@ -177,12 +189,14 @@
     def _may_pass_on(self) -> bool:
         """Return whether the rest of the body may be passed on as it arrives.
 
-        Failures of repeatable requests are not delivered before other attempts.
+        Failures of repeatable requests are not delivered before other attempts, unless
+        they take too much memory.
         """
         if not self._settings.may_stream or self._is_bodiless():
             return False
         is_success = self.head.status_code < FAILURE_STATUS_MIN
-        return is_success and self._classify() is Stage.ANSWERED
+        is_deliverable = is_success or self._is_too_large_to_hold()
+        return is_deliverable and self._classify() is Stage.ANSWERED
 
     def _pass_on(self) -> bool:
         """Turn the rest of the body into a stream if that is allowed."""
--- a/sequoiahook/daemons/caller_http.py
+++ b/sequoiahook/daemons/caller_http.py
@@ -23,6 +23,7 @@
 )
 from sequoiahook.daemons.caller_load import Admission, CallerLoad
 from sequoiahook.daemons.caller_turns import Turns
+from sequoiahook.daemons.held_answers import AnswerMemory
 from sequoiahook.daemons.listening import ACCEPTED_AT_ONCE_MAX, extend_backlog
 from sequoiahook.errors import AnswerIncompleteError
 from sequoiahook.messages.requests import NOT_RUN, UNKNOWN
@@ -57,6 +58,8 @@
         handler: Called for each complete request; returns the answer.
         is_repeatable: Returns whether a request may run beside others of its
             connection; by default the requests of a connection run one by one.
+        answers: Counts the answers that the process holds; None to count only those of
+            this server.
     """
 
     def __init__(
@@ -64,8 +67,9 @@
         settings: CallerServerSettings,
         handler: Handler,
         is_repeatable: Callable[[CallerRequest], bool] = lambda request: False,
+        answers: AnswerMemory | None = None,
     ):
-        self.load = CallerLoad(settings)
+        self.load = CallerLoad(settings, answers)
         self.turns = Turns()
         self.is_repeatable = is_repeatable
         self._handler = handler
@@ -276,6 +280,7 @@
             "connections": load.connection_count,
             "requests": load.request_count,
             "body_bytes": load.body_bytes,
+            "held_bytes": load.answers.held_bytes,
             "unread_bytes": load.unread_bytes,
             "read_ahead_bytes": load.read_ahead_bytes,
         }
--- a/sequoiahook/daemons/caller_load.py
+++ b/sequoiahook/daemons/caller_load.py
@@ -4,6 +4,7 @@
 
 from sequoiahook.daemons.allocator import RECEIVE_BYTES_MAX
 from sequoiahook.daemons.caller_exchange import CallerAnswer, CallerServerSettings
+from sequoiahook.daemons.held_answers import AnswerMemory
 
 __all__ = ["Admission", "CallerLoad"]
 
@@ -44,11 +45,19 @@
         head_bytes: Memory of the header fields of all open requests, in bytes.
         body_bytes: Bytes in the bodies of all open requests.
         read_ahead_bytes: Bytes that were read for requests that are not complete.
-        unread_bytes: Size of the answers that wait for their callers to read.
+        answers: Size of the answers that are held.
+
+    Args:
+        settings: Limits of the server.
+        answers: Counts the answers that the process holds; None to count only those of
+            these connections.
     """
 
-    def __init__(self, settings: CallerServerSettings):
+    def __init__(
+        self, settings: CallerServerSettings, answers: AnswerMemory | None = None
+    ):
         self.settings = settings
+        self.answers = answers or AnswerMemory()
         self.connection_count = 0
         self.refusing_count = 0
         self.request_count = 0
@@ -56,7 +65,15 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self.read_ahead_bytes = 0
-        self.unread_bytes = 0
+
+    @property
+    def unread_bytes(self) -> int:
+        """Size of the answers that wait for their callers to read."""
+        return self.answers.unread_bytes
+
+    @unread_bytes.setter
+    def unread_bytes(self, byte_count: int) -> None:
+        self.answers.unread_bytes = byte_count
 
     @property
     def has_too_many_connections(self) -> bool:
@@ -84,7 +101,7 @@
 
     @property
     def _has_too_many_unread_bytes(self) -> bool:
-        return self.unread_bytes > self.settings.unread_bytes_max
+        return self.answers.byte_count > self.settings.unread_bytes_max
 
     def admit_connection(self) -> Admission:
         """Return what happens to a new connection."""
@@ -110,7 +127,7 @@
         settings = self.settings
         return (
             2 * self.request_count < settings.requests_max
-            and 2 * self.unread_bytes < settings.unread_bytes_max
+            and 2 * self.answers.byte_count < settings.unread_bytes_max
             and 2 * self.read_ahead_bytes < settings.all_read_ahead_bytes_max
         )
 
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -42,6 +42,7 @@
 from sequoiahook.daemons.direct.reporting import Reporter
 from sequoiahook.daemons.direct.request_runner import RequestRunner
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
+from sequoiahook.daemons.held_answers import AnswerMemory
 from sequoiahook.daemons.links import Links, LinksSettings
 from sequoiahook.daemons.target_http import TargetClient, TargetClientSettings
 from sequoiahook.decisions.direct.core import PROTOCOL, DirectCore
@@ -113,13 +114,16 @@
         now = self._clock.now()
         limits = caller_limits(settings.machine)
         self.core = DirectCore(core_settings(settings), me, now)
+        answers = AnswerMemory()
         self._targets = TargetClient(
             TargetClientSettings(
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 idle_ms=TARGET_IDLE_MS,
                 all_idle_max=limits.idle_targets_max,
+                all_answer_bytes_max=limits.unread_bytes_max,
             ),
             components.target_dialect,
+            answers,
         )
         self._limits = limits
         self._stop_at: int | None = None
@@ -151,6 +155,7 @@
             _caller_settings(settings.caller_address, limits),
             self._handle_caller,
             self._handler.is_repeatable,
+            answers,
         )
         self._readiness_server = _server(
             settings.readiness_address, limits, self._handle_readiness
--- a/sequoiahook/daemons/direct/request_runner.py
+++ b/sequoiahook/daemons/direct/request_runner.py
@@ -5,6 +5,7 @@
 
 from sequoiahook.clock import MS_PER_S, Clock
 from sequoiahook.daemons.direct.reporting import Reporter
+from sequoiahook.daemons.held_answers import HeldAnswers
 from sequoiahook.daemons.target_http import TargetClient, TargetRequest
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.requests import (
@@ -77,12 +78,21 @@
             asyncio.CancelledError: If the task is cancelled; the last attempt is
                 recorded.
         """
+        held = self._targets.hold_answers()
+        try:
+            return await self._run(request, may_write, held)
+        finally:
+            held.release()
+
+    async def _run(
+        self, request: OpenRequest, may_write: Callable[[], bool], held: HeldAnswers
+    ) -> Deliver | Refuse:
         attempts, clock = self._core.attempts, self._clock
         step = attempts.next_step(request, clock.now())
         self._reporter.send_token_requests()
         while not isinstance(step, Deliver | Refuse):
             if isinstance(step, Attempt):
-                result = await self._exchange(step, may_write)
+                result = await self._exchange(step, may_write, held)
                 step = attempts.on_ended(step, result, clock.now())
                 self._signal_room(request.service)
             elif isinstance(step, ForwardToPeer):
@@ -125,9 +135,9 @@
                 future.set_result(None)
 
     async def _exchange(
-        self, attempt: Attempt, may_write: Callable[[], bool]
+        self, attempt: Attempt, may_write: Callable[[], bool], held: HeldAnswers
     ) -> TargetResult:
-        exchange = self._targets.open(self._target_request(attempt))
+        exchange = self._targets.open(self._target_request(attempt), held)
         attempts, clock = self._core.attempts, self._clock
         try:
             result = await exchange.run(
--- a/sequoiahook/daemons/target_exchange.py
+++ b/sequoiahook/daemons/target_exchange.py
@@ -13,6 +13,7 @@
     AnswerReader,
     ReaderSettings,
 )
+from sequoiahook.daemons.held_answers import HeldAnswers
 from sequoiahook.decisions.exchange.target_result import (
     Stage,
     StreamEnd,
@@ -59,6 +60,8 @@
     Attributes:
         connect_timeout_ms: Longest time to open a connection, in milliseconds.
         answer_bytes_max: Largest answer body, in bytes.
+        all_answer_bytes_max: Largest size of all answers that the process holds, in
+            bytes, beyond which an answer is passed on or given up.
         header_bytes_max: Largest status line and header fields, in bytes.
         idle_max: Largest number of idle connections kept for each target.
         idle_ms: Longest time to keep an idle connection, in milliseconds.
@@ -71,6 +74,7 @@
     idle_max: int = 8
     idle_ms: int = 10_000
     all_idle_max: int = 1_000
+    all_answer_bytes_max: int = 64 * 1024 * 1024
 
 
 class TargetRequest(NamedTuple):
@@ -178,14 +182,16 @@
     Args:
         request: The request.
         pool: Pool that provides and keeps connections.
+        held: Counts what is held of the answers to the request.
     """
 
-    def __init__(self, request: TargetRequest, pool: ConnectionPool):
+    def __init__(self, request: TargetRequest, pool: ConnectionPool, held: HeldAnswers):
         self.request = request
         self.stage = Stage.NOTHING_WRITTEN
         self.reader: CountingReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self._pool = pool
+        self._held = held
         self._settings = pool.settings
         self._dialect = pool.dialect
         self._connect_ms: int | None = None
@@ -375,6 +381,7 @@
             self._dialect,
             self._h11,
             self.reader,
+            self._held,
             self._drain,
             self._on_stream_ended,
         )
--- a/sequoiahook/daemons/target_http.py
+++ b/sequoiahook/daemons/target_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from sequoiahook.daemons.held_answers import AnswerMemory, HeldAnswers
 from sequoiahook.daemons.target_exchange import (
     IdleConnection,
     TargetClientSettings,
@@ -23,18 +24,37 @@
     Args:
         settings: Limits of the client.
         dialect: Interpretation of the answers of targets.
+        memory: Counts the answers that the process holds; None to count only those that
+            arrive here.
     """
 
     def __init__(
-        self, settings: TargetClientSettings, dialect: TargetDialect = NATIVE_DIALECT
+        self,
+        settings: TargetClientSettings,
+        dialect: TargetDialect = NATIVE_DIALECT,
+        memory: AnswerMemory | None = None,
     ):
         self.settings = settings
         self.dialect = dialect
+        self._memory = memory or AnswerMemory()
         self._idle_by_address: dict[Address, list[IdleConnection]] = {}
 
-    def open(self, request: TargetRequest) -> TargetExchange:
-        """Prepare the exchange of a request without connecting."""
-        return TargetExchange(request, self)
+    def hold_answers(self) -> HeldAnswers:
+        """Return a count of the answers to one request, which its user releases."""
+        return HeldAnswers(self._memory, self.settings.all_answer_bytes_max)
+
+    def open(
+        self, request: TargetRequest, held: HeldAnswers | None = None
+    ) -> TargetExchange:
+        """Prepare the exchange of a request without connecting.
+
+        Args:
+            request: The request.
+            held: Counts what is held of the answers to the request; None to count
+                nothing that the process holds beside them.
+        """
+        limit = self.settings.all_answer_bytes_max
+        return TargetExchange(request, self, held or HeldAnswers(AnswerMemory(), limit))
 
     async def exchange(
         self, request: TargetRequest, may_write: Callable[[], bool]
@@ -53,7 +73,11 @@
         Raises:
             asyncio.CancelledError: If the task is cancelled; the connection is closed.
         """
-        return await self.open(request).run(may_write)
+        held = self.hold_answers()
+        try:
+            return await self.open(request, held).run(may_write)
+        finally:
+            held.release()
 
     async def connect(self, address: Address) -> bool:
         """Open a connection, keep it for requests, and return whether it was opened.
@@ -64,7 +88,7 @@
         request = TargetRequest(
             address, "GET", "/", (), b"", timeout_ms=0, may_reuse=False
         )
-        exchange = TargetExchange(request, self)
+        exchange = self.open(request)
         if not await exchange.connect():
             return False
         self._keep_or_close(exchange, is_reusable=True)
--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -270,7 +270,8 @@
 
     def _answered(self, request: OpenRequest, result: TargetResult, now: int) -> Step:
         is_failure = result.status >= FAILURE_STATUS_MIN
-        if not is_failure or not request.route.is_idempotent:
+        is_passed_on = result.stream is not None
+        if not is_failure or is_passed_on or not request.route.is_idempotent:
             return Deliver(result)
         request.last_failure = result
         return self.next_step(request, now)
--- a/tests/test_direct_waiting.py
+++ b/tests/test_direct_waiting.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sequoiahook.daemons.direct.request_runner import RequestRunner
+from sequoiahook.daemons.held_answers import AnswerMemory, HeldAnswers
 from sequoiahook.decisions.direct.organisation_shares import (
     OrganisationShares,
     ShareSettings,
@@ -216,7 +217,10 @@
 
 def a_runner(core, ended):
     clock = SimpleNamespace(now=lambda: 0)
-    targets = SimpleNamespace(open=lambda request: Exchange(ended))
+    targets = SimpleNamespace(
+        hold_answers=lambda: HeldAnswers(AnswerMemory(), 0),
+        open=lambda request, held: Exchange(ended),
+    )
     return RequestRunner(core, targets, lambda attempt: (), Reporter(), clock)
 
 
