Targets of the fault soak state in every answer what their records say

All answers now state that the target leaves, and an arrival is recorded as asked for rest only if it is.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -162,12 +162,16 @@
                 "id": request_id,
                 "target": self.id,
                 "at": at,
-                "rest": self.faults.rest,
+                "rest": self.faults.rest if is_asked else "",
                 "is_leaving": self.faults.is_leaving,
             }
             with open(f"{self._runs_path}.arrivals", "a", encoding="ascii") as file:
                 file.write(json.dumps(arrival) + "\n")
 
+    def _record_leaving(self, headers: dict[str, str]) -> None:
+        if "request-id" in headers:
+            self.leaving_ids.append(headers["request-id"])
+
     def _record_run(self, run: dict[str, Any]) -> None:
         self.runs.append(run)
         if self._runs_path:
@@ -189,7 +193,7 @@
                 connection, writer, headers, 200, body
             )
             if how == "extra":
-                writer.write(_response_head(self.id, headers, len(body)) + body)
+                writer.write(self._response_head(headers, len(body)) + body)
                 await writer.drain()
             return is_reusable
         await self._send_halves(writer, headers, body)
@@ -203,7 +207,8 @@
             # The end of the connection ends the answer; that of the process must not.
             writer.transport.set_write_buffer_limits(0)
             _set_reset_on_close(writer, is_on=True)
-        writer.write(_response_head(self.id, headers, length) + body[: len(body) // 2])
+        head = self._response_head(headers, length)
+        writer.write(head + body[: len(body) // 2])
         await writer.drain()
         await asyncio.sleep(self.faults.pause_ms / 1000)
         if how == "reset":
@@ -241,8 +246,7 @@
             response_headers.append(("server-limit", self.faults.limit))
         if self.faults.is_leaving:
             response_headers.append(("server-leaving", "1"))
-            if "request-id" in headers:
-                self.leaving_ids.append(headers["request-id"])
+            self._record_leaving(headers)
         if is_shed:
             response_headers.append(("not-executed", "1"))
             if self.faults.rest:
@@ -262,6 +266,21 @@
         await writer.drain()
         return connection.our_state is h11.DONE
 
+    def _response_head(self, headers: dict[str, str], length: int | None) -> bytes:
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {headers.get('request-id', '')}",
+            f"Server-Stamp: stamp-{self.id}",
+        ]
+        if self.faults.is_leaving:
+            lines.append("Server-Leaving: 1")
+            self._record_leaving(headers)
+        if length is None:
+            lines.append("Connection: close")
+        else:
+            lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
     async def _control(self, connection, writer, body: bytes) -> bool:
         document = json.loads(body) if body else {}
         if "faults" in document:
@@ -303,21 +322,6 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-def _response_head(
-    target_id: str, headers: dict[str, str], length: int | None
-) -> bytes:
-    lines = [
-        "HTTP/1.1 200 OK",
-        f"Request-Id: {headers.get('request-id', '')}",
-        f"Server-Stamp: stamp-{target_id}",
-    ]
-    if length is None:
-        lines.append("Connection: close")
-    else:
-        lines.append(f"Content-Length: {length}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
 async def _main() -> None:
     target = PlatformTarget(sys.argv[1], *sys.argv[3:4])
     port = await target.start("127.0.0.1", int(sys.argv[2]))
--- a/tests/test_target_standin.py
+++ b/tests/test_target_standin.py
@@ -1,6 +1,7 @@
 """The stand-in for a target on the users' platform, as a process."""
 
 import http.client
+import json
 
 import pytest
 
@@ -38,6 +39,24 @@
     assert is_whole_body(body, f"{TARGET} ran /look/1")
 
 
+@pytest.mark.parametrize("how", ["", "fail", "unframed", "slow", "truncate", "reset"])
+def test_every_answer_states_that_the_target_leaves(fleet, how):
+    response = begun_answer(fleet, 50, how=how, is_leaving=True)
+    assert response.getheader("Server-Leaving") == "1"
+    assert fleet.control_target(TARGET)["leaving_ids"] == ["r1"]
+
+
+@pytest.mark.parametrize(("how", "rest"), [("shed", "0.7"), ("slow", "")])
+def test_arrivals_are_recorded_with_the_rest_that_their_answers_ask_for(
+    fleet, how, rest
+):
+    response = begun_answer(fleet, 0, how=how, rest="0.7")
+    assert response.getheader("Retry-After", "") == rest
+    path = fleet.path / f"{TARGET}.runs.arrivals"
+    (arrival,) = map(json.loads, path.read_text().splitlines())
+    assert arrival["rest"] == rest
+
+
 @pytest.mark.parametrize("how", ["unframed", "reset"])
 @pytest.mark.parametrize("end", ["kill", "crash"])
 def test_half_an_answer_without_a_length_is_reset_as_the_process_ends(fleet, how, end):
