--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from typing import Any
 
+from standins.control import check_control
 from standins.http_server import (
     CloseConnectionError,
     HttpRequest,
@@ -25,6 +26,15 @@
 VALUE_BYTES_MAX = 1_000_000
 WAIT_MS_MAX = 60_000
 OBJECTS_PATH = "/objects/"
+CONTROL_NAMES = (
+    "outage",
+    "slow_ms",
+    "lose_answers",
+    "stale_reads",
+    "cut",
+    "list_lag_ms",
+    "end_watches",
+)
 
 
 class Faults:
@@ -117,6 +127,7 @@
         return {**counts, "by_instance": dict(self._calls_by_instance)}
 
     def _control(self, changes: dict[str, Any]) -> HttpResponse:
+        check_control(changes, CONTROL_NAMES)
         faults = self._faults
         for name in ("outage", "slow_ms", "lose_answers", "stale_reads"):
             setattr(faults, name, changes.get(name, getattr(faults, name)))
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -25,7 +25,7 @@
     settings_text,
     target_object,
 )
-from standins.processes import end_process, start_process
+from standins.processes import ROOT, end_process, start_process
 
 __all__ = ["PlatformFleet", "Request", "send_request"]
 
@@ -194,6 +194,7 @@
         with (self.path / f"{name}.log").open("ab") as log:
             self.processes_by_name[name] = subprocess.Popen(
                 [sys.executable, "-m", self.instance_module],
+                cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -258,11 +259,19 @@
         return send_request(address, Request("/metrics", key="")).body.decode()
 
     def control_store(self, **control: Any) -> dict[str, Any]:
-        """Change objects or faults of the store and return its revision and counts."""
+        """Change objects or faults of the store and return its revision and counts.
+
+        Raises:
+            RuntimeError: If the store does not know the call.
+        """
         return self._control(self.store_port, control)
 
     def control_target(self, target_id: str, **control: Any) -> dict[str, Any]:
-        """Set the faults of a target and return its runs and last headers."""
+        """Set the faults of a target and return its runs and last headers.
+
+        Raises:
+            RuntimeError: If the target does not know the call.
+        """
         return self._control(self.target_ports_by_id[target_id], control)
 
     def runs(self) -> list[dict[str, Any]]:
@@ -312,7 +321,10 @@
     def _control(self, port: int, control: dict[str, Any]) -> dict[str, Any]:
         body = json.dumps(control).encode()
         request = Request("/control", "POST", key="", body=body)
-        return send_request(Address(LOOPBACK, port), request).document
+        reply = send_request(Address(LOOPBACK, port), request)
+        if reply.status != 200:
+            raise RuntimeError(reply.document["error"])
+        return reply.document
 
     def _settings_path(self, name: str) -> Path:
         return self.path / f"{name}.toml"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from standins.control import check_control, read_faults
 from standins.http_server import (
     CloseConnectionError,
     HttpRequest,
@@ -21,6 +22,15 @@
 PAGE_SIZE = 50
 HISTORY_MAX = 1_000
 CONTROL_PATH = "/control"
+CONTROL_NAMES = (
+    "faults",
+    "put",
+    "delete",
+    "forget",
+    "keep_copy",
+    "return_to_copy",
+    "rewritten",
+)
 
 
 class StoreFaults(NamedTuple):
@@ -122,7 +132,7 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if request.path == CONTROL_PATH:
-            return await self._control(request.json())
+            return await self._handle_control(request)
         self.calls[request.method] += 1
         if self.faults.is_silent:
             await asyncio.Event().wait()
@@ -138,9 +148,16 @@
             raise CloseConnectionError
         return response
 
+    async def _handle_control(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._control(request.json())
+        except (TypeError, ValueError) as error:
+            return HttpResponse(400, {"error": f"control call: {error}"})
+
     async def _control(self, document: dict[str, Any]) -> HttpResponse:
+        check_control(document, CONTROL_NAMES)
         if "faults" in document:
-            self.faults = StoreFaults(**document["faults"])
+            self.faults = read_faults(StoreFaults, document["faults"])
         for kind, name, spec in document.get("put", ()):
             await self.put(kind, name, spec)
         for kind, name in document.get("delete", ()):
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -12,11 +12,14 @@
 
 import h11
 
+from standins.control import ControlError, check_control, read_faults
+
 __all__ = ["PlatformTarget", "TargetFaults", "is_whole_body", "reset_connection"]
 
 READ_BYTES = 65_536
 CRASH_EXIT_CODE = 3
 STATUS_BY_FAULT = {"fail": 500, "invalid": 600}
+CONTROL_NAMES = ("faults",)
 PADDING = "."
 PADDING_END = "$"
 
@@ -282,20 +285,28 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     async def _control(self, connection, writer, body: bytes) -> bool:
+        try:
+            status, document = 200, self._apply_control(body)
+        except ValueError as error:
+            status, document = 400, {"error": f"control call: {error}"}
+        content = json.dumps(document).encode()
+        return await self._send_response(connection, writer, {}, status, content)
+
+    def _apply_control(self, body: bytes) -> dict[str, Any]:
         document = json.loads(body) if body else {}
+        check_control(document, CONTROL_NAMES)
         if "faults" in document:
-            self.faults = TargetFaults(**document["faults"])
-            slots = self.faults.slots
-            self._slots = asyncio.Semaphore(slots) if slots else None
-        report = json.dumps(
-            {
-                "runs": self.runs,
-                "headers": self.last_headers,
-                "arrivals": self.arrivals,
-                "leaving_ids": self.leaving_ids,
-            }
-        )
-        return await self._send_response(connection, writer, {}, 200, report.encode())
+            faults = read_faults(TargetFaults, document["faults"])
+            if not isinstance(faults.slots, int) or faults.slots < 0:
+                raise ControlError("faults: slots is not a number of slots")
+            self.faults = faults
+            self._slots = asyncio.Semaphore(faults.slots) if faults.slots else None
+        return {
+            "runs": self.runs,
+            "headers": self.last_headers,
+            "arrivals": self.arrivals,
+            "leaving_ids": self.leaving_ids,
+        }
 
 
 def is_whole_body(body: str, text: str) -> bool:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,7 +7,11 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["end_process", "start_process"]
+__all__ = ["ROOT", "end_process", "start_process"]
+
+ROOT = Path(__file__).resolve().parent.parent
+"""Directory of the packages. A module that Python runs by its name is searched for in
+the working directory first, and it must be the one that belongs to the caller."""
 
 READY_TIMEOUT_S = 15
 EXIT_TIMEOUT_S = 10
@@ -31,6 +35,7 @@
     with log_path.open("ab") as log:
         process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
+            cwd=ROOT,
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             stderr=log,
