--- a/sequoiahook/daemons/answer_reader.py
+++ b/sequoiahook/daemons/answer_reader.py
@@ -26,6 +26,7 @@
 off can only be repeated while nothing of it has reached the caller."""
 
 FAILURE_STATUS_MIN = 500
+RETRY_AFTER_S_MAX = 3_600
 _NO_BODY_STATUSES = (204, 304)
 
 
@@ -274,5 +275,6 @@
     def _retry_after_ms(self) -> int:
         for name, value in self.head.headers:
             if name == b"retry-after" and value.isdigit():
-                return int(value) * MS_PER_S
+                digits = value.lstrip(b"0")[: len(str(RETRY_AFTER_S_MAX)) + 1]
+                return min(int(digits or b"0"), RETRY_AFTER_S_MAX) * MS_PER_S
         return 0
--- a/sequoiahook/decisions/direct/learning.py
+++ b/sequoiahook/decisions/direct/learning.py
@@ -9,6 +9,10 @@
 
 __all__ = ["Learning"]
 
+PLAUSIBLE_RATIO_MIN = 0.1
+"""An answer in less of the expected time shows that the stated pace is wrong, and not
+how much work its request needed."""
+
 
 class Learning:
     """Updates the estimates from answers.
@@ -51,6 +55,8 @@
         ratio = elapsed_ms / expected_ms
         work_ms = work.mean_ms * ratio
         self._estimates.record_handled(query.route, query.object_key, state, now)
+        if pace_factor > 1 and ratio < PLAUSIBLE_RATIO_MIN:
+            return
         if work.is_known or not work.is_cached:
             weight = paced_ms / expected_ms
             self._work.record(query, work_ms, weight, is_cached=work.is_known)
--- a/sequoiahook/decisions/direct/region_owners.py
+++ b/sequoiahook/decisions/direct/region_owners.py
@@ -5,7 +5,8 @@
 """
 
 import copy
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from statistics import median
 from typing import NamedTuple
 
 from sequoiahook.decisions.direct.estimates import qualified_key
@@ -18,10 +19,15 @@
 from sequoiahook.decisions.direct.object_owners import hash_permille, region_order
 from sequoiahook.decisions.direct.share_ramp import RampSettings, ShareRamp
 from sequoiahook.decisions.direct.target_registry import TargetRegistry
+from sequoiahook.decisions.direct.target_state import TargetState
 from sequoiahook.world.routing import Route
 
 __all__ = ["RegionOwnerSettings", "RegionOwners"]
 
+USE_MAX_RATIO = 2
+"""Ratio of a target's reported use to the median one up to which it counts. A report of
+one target that is wrong must not move the objects of its region."""
+
 
 class RegionOwnerSettings(NamedTuple):
     """Settings of the owners.
@@ -64,6 +70,11 @@
         self._targets = targets
         self._states_pace = states_pace
 
+    @property
+    def regions(self) -> Sequence[str]:
+        """All regions, the own one first."""
+        return self._regions
+
     def order(
         self,
         route: Route,
@@ -100,15 +111,17 @@
 
     def target_use(self, service: str, now: int) -> TargetUse:
         """Return the use of a service's targets, in this region and overall."""
-        in_flight_by_region = {
-            region: sum(
-                state.in_flight(now) for state in self._targets.group(service, region)
-            )
-            for region in self._regions
+        states_by_region = {
+            region: self._targets.group(service, region) for region in self._regions
+        }
+        use_max = _use_max(states_by_region.values(), now)
+        used_by_region = {
+            region: sum(_used_slots(state, use_max, now) for state in states)
+            for region, states in states_by_region.items()
         }
         slots = sum(self.slots_by_region(service).values())
-        utilisation = sum(in_flight_by_region.values()) / max(1, slots)
-        return TargetUse(in_flight_by_region[self._region], utilisation)
+        utilisation = sum(used_by_region.values()) / max(1, slots)
+        return TargetUse(used_by_region[self._region], utilisation)
 
     def slots_by_region(self, service: str) -> dict[str, int]:
         """Return the slots of a service's targets that accept new requests."""
@@ -144,3 +157,15 @@
             weighted += weight * share
             weights += weight
         return weighted / weights if weights else float(PERMILLE)
+
+
+def _use_max(groups: Iterable[Sequence[TargetState]], now: int) -> float:
+    """Return the highest use of a target's slots that its own report can show."""
+    uses = [s.in_flight(now) / s.record.slots for states in groups for s in states]
+    return max(1.0, USE_MAX_RATIO * median(uses)) if uses else 1.0
+
+
+def _used_slots(state: TargetState, use_max: float, now: int) -> float:
+    """Return the requests at a target that count as the use of its slots."""
+    reported = min(state.in_flight(now), use_max * state.record.slots)
+    return max(state.instances_open_count(now), reported)
--- a/sequoiahook/decisions/direct/target_backlog.py
+++ b/sequoiahook/decisions/direct/target_backlog.py
@@ -10,6 +10,13 @@
 """Least remaining work of a request that runs, as a ratio of its mean work: that it has
 lasted as long as expected does not mean that it ends at once."""
 
+SIMULATED_SLOTS_MAX = 100
+"""Slots with requests of others that are simulated one by one. Beyond them, each stands
+for several."""
+
+SIMULATED_REQUESTS_MAX = 100
+"""Waiting requests of others that are simulated one by one."""
+
 
 class OpenWork(NamedTuple):
     """The work that one open request of this instance is expected to need.
@@ -106,13 +113,55 @@
     other_running = round(running * other_count / count) if count else 0
     own_running = min(len(remaining), running - other_running)
     other_running = min(other_count, running - own_running)
+    queued_count = other_count - other_running
+    if other_running > SIMULATED_SLOTS_MAX:
+        typical_ms *= SIMULATED_SLOTS_MAX / other_running
+        other_running = SIMULATED_SLOTS_MAX
     ends = [*remaining[:own_running]]
     ends += [
         typical_ms * (index + 1) / (other_running + 1) for index in range(other_running)
     ]
     heapq.heapify(ends)
-    queued = [*remaining[own_running:]]
-    queued += [typical_ms] * (other_count - other_running)
-    for work_ms in queued:
+    for work_ms in remaining[own_running:]:
         heapq.heapreplace(ends, ends[0] + work_ms)
+    if queued_count > max(len(ends), SIMULATED_REQUESTS_MAX):
+        queued_count -= _begin_early(ends, queued_count, typical_ms)
+    for _ in range(queued_count):
+        heapq.heapreplace(ends, ends[0] + typical_ms)
     return ends[0]
+
+
+def _begin_early(ends: list[float], queued_count: int, work_ms: float) -> int:
+    """Begin equal requests up to the time at which all slots would end together.
+
+    Fewer requests than slots remain, so that the time that an estimate takes does not
+    depend on the length of the queue.
+
+    Args:
+        ends: When each slot is free, as a heap; changed in place.
+        queued_count: Requests that wait.
+        work_ms: Work of each of them.
+
+    Returns:
+        The number of requests that were begun.
+    """
+    if work_ms <= 0:
+        return queued_count
+    level_ms = _level_ms(ends, queued_count * work_ms)
+    begun_count = 0
+    for index, end_ms in enumerate(ends):
+        count = max(0, int((level_ms - end_ms) // work_ms))
+        ends[index] += count * work_ms
+        begun_count += count
+    heapq.heapify(ends)
+    return begun_count
+
+
+def _level_ms(ends: Sequence[float], volume_ms: float) -> float:
+    """Return when all slots would end together if work could be divided freely."""
+    ended_ms = 0.0
+    for count, end_ms in enumerate(sorted(ends)):
+        if count and count * end_ms - ended_ms >= volume_ms:
+            return (volume_ms + ended_ms) / count
+        ended_ms += end_ms
+    return (volume_ms + ended_ms) / len(ends)
--- a/sequoiahook/decisions/direct/target_selection.py
+++ b/sequoiahook/decisions/direct/target_selection.py
@@ -121,14 +121,31 @@
         self._candidates.region_instance_rank = rank
 
     def states_pace(self, service: str) -> bool:
-        """Return whether an answer of one of a service's targets stated its pace."""
+        """Return whether the targets of a service are known to state their pace."""
         return service in self._paced_services
 
     def record_load(self, state: TargetState, report: LoadReport, now: int) -> None:
         """Record the load that a target reports."""
         state.record_load(report, now)
-        if report.pace is not None:
-            self._paced_services.add(state.record.service)
+        service = state.record.service
+        if report.pace is not None and service not in self._paced_services:
+            self._update_paced(service)
+
+    def _update_paced(self, service: str) -> None:
+        """Find out whether at least half of a service's targets state their pace.
+
+        Targets that have reported no load yet do not count.
+        """
+        reporting = [
+            state
+            for region in self.owners.regions
+            for state in self._targets.group(service, region)
+            if state.has_reported
+        ]
+        if 2 * sum(state.states_pace for state in reporting) >= len(reporting) > 0:
+            self._paced_services.add(service)
+        elif reporting:
+            self._paced_services.discard(service)
 
     def choose(self, query: TargetQuery, now: int) -> Placement:
         """Return the target of a request, or the cause of a refusal."""
@@ -264,6 +281,8 @@
         if now - self._checked_at < self._settings.check_interval_ms:
             return
         self._checked_at = now
+        for service in tuple(self._paced_services):
+            self._update_paced(service)
         usable_by_id = {
             state.record.id: TargetSlots(state.record.region, state.record.slots)
             for state in self._targets.accepting()
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -41,6 +41,8 @@
         load_valid_ms: Time for which a target's own report of its load is used.
         pace_decay_ms: Time over which the effect of a reported pace ends. It changes
             many times a second.
+        reported_percent_max: Most requests that a target's own report counts for, as a
+            percentage of its slots. Instances stop far below it to send further ones.
     """
 
     suspension: SuspensionSettings = SuspensionSettings(
@@ -52,6 +54,7 @@
     peer_count_valid_ms: int = 1_000
     load_valid_ms: int = 300
     pace_decay_ms: int = 600
+    reported_percent_max: int = 3_000
 
 
 class _ReportedCount(NamedTuple):
@@ -85,6 +88,8 @@
         connected_at: When a connection to it was last opened; NEVER if none was.
         connect_failed_at: When opening a connection to it last failed; NEVER if none
             has.
+        has_reported: Whether it has reported its load.
+        states_pace: Whether its last report contained its pace.
 
     Args:
         record: Record that the target registered.
@@ -122,7 +127,8 @@
         self._peer_counts_by_name: dict[str, _ReportedCount] = {}
         self._peer_open_count = 0
         self._load = _ReportedCount(0, now - settings.load_valid_ms - 1)
-        self._has_reported = False
+        self.has_reported = False
+        self.states_pace = False
         self._pace_factor = 1.0
         self._paced_at = now
 
@@ -218,15 +224,17 @@
 
     def record_load(self, report: LoadReport, now: int) -> None:
         """Record the load that the target itself reports."""
-        self._load = _ReportedCount(report.open_count, now)
-        self._has_reported = True
+        most = self.record.slots * self._settings.reported_percent_max // PERCENT
+        self._load = _ReportedCount(min(report.open_count, most), now)
+        self.has_reported = True
+        self.states_pace = report.pace is not None
         if report.pace is not None:
             self._pace_factor = max(PACE_FACTOR_MIN, report.pace / PERCENT)
             self._paced_at = now
 
     def report_age_ms(self, now: int) -> int:
         """Return the age of the target's last report of its load; -1 without one."""
-        return now - self._load.reported_at if self._has_reported else -1
+        return now - self._load.reported_at if self.has_reported else -1
 
     def pace_factor(self, now: int) -> float:
         """Return how long work takes at present, relative to the usual time."""
@@ -252,7 +260,10 @@
         return self.open_count + self._peer_open_count
 
     def in_flight(self, now: int) -> int:
-        """Return the number of requests known to be queued or running at the target."""
+        """Return the number of requests known to be queued or running at the target.
+
+        A report counts up to a maximum, since its figures may be wrong.
+        """
         open_total = self.instances_open_count(now)
         if now - self._load.reported_at <= self._settings.load_valid_ms:
             return max(open_total, self._load.open_count)
--- a/sequoiahook/decisions/placement/holder.py
+++ b/sequoiahook/decisions/placement/holder.py
@@ -106,6 +106,7 @@
         expires_at = request.requested_at + message.lease_ms
         if expires_at <= now:
             return False
+        count = min(message.count, self._settings.credit_request_max_units)
         units = [
             Credit(
                 *pool,
@@ -114,7 +115,7 @@
                 message.grant_id,
                 unit,
             )
-            for unit in range(message.count)
+            for unit in range(count)
         ]
         self._grants_by_pool.setdefault(pool, []).append(_HeldGrant(units, expires_at))
         return True
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -213,7 +213,7 @@
         for part in (_first_value(headers, KEEP_ALIVE) or b"").split(b","):
             name, _, value = part.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
-                return int(value) * MS_PER_S
+                return _figure(value) * MS_PER_S
         return DEFAULT_IDLE_MS
 
 
--- a/sequoiahook/wire/datagrams.py
+++ b/sequoiahook/wire/datagrams.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from collections.abc import Iterable
 from typing import Any
 
 import cbor2
@@ -44,6 +45,12 @@
 _STR_TYPE = frozenset({str})
 _INT_TYPE = frozenset({int})
 _STATE_TYPES = (bool, bool, int)
+INTEGER_MAX = 1 << 63
+"""Bound of all integers; CBOR can encode ones of any length."""
+
+COUNT_MAX = 1 << 53
+"""Bound of counts, loads in thousandths of a slot, and ages in milliseconds."""
+
 PERMITS_MAX = 1_000
 TOKENS_MAX = 1_000_000
 """Exclusive limit above any burst; it also rules out infinity and NaN."""
@@ -114,10 +121,10 @@
         return _DECODERS_BY_TYPE[body_type](body)
     _require(type(body.organisation) is str)
     if body_type is TokenDenial:
-        _require(type(body.retry_after_ms) is int)
+        _require(_is_int(body.retry_after_ms))
         return body
     _require(type(body.tokens) in (int, float) and 0 < body.tokens < TOKENS_MAX)
-    _require(body_type is TokenGrant or type(body.max_wait_ms) is int)
+    _require(body_type is TokenGrant or _is_int(body.max_wait_ms))
     return body
 
 
@@ -137,7 +144,7 @@
         _require(isinstance(table, dict) and all(type(name) is str for name in table))
         statements = {name: _decode_statement(f) for name, f in table.items()}
         return body._replace(statement_by_target=statements)
-    _require(type(body.target) is str and type(body[1]) is int)
+    _require(type(body.target) is str and _is_int(body[1]))
     _require(0 < body[1] <= PERMITS_MAX or type(body) is PermitDenial)
     if isinstance(body, PermitRequest):
         return body._replace(statement=_decode_statement(body.statement))
@@ -146,12 +153,12 @@
 
 def _decode_run(fields: Any) -> tuple[str, int]:
     target, started_at = fields
-    _require(type(target) is str and type(started_at) is int)
+    _require(type(target) is str and _is_int(started_at))
     return target, started_at
 
 
 def _decode_reach(body: ReachQuery | ReachReply) -> ReachQuery | ReachReply:
-    _require(type(body.number) is int and len(body[-1]) <= TARGETS_MAX)
+    _require(_is_int(body.number) and len(body[-1]) <= TARGETS_MAX)
     if isinstance(body, ReachReply):
         _require(type(body.is_available) is bool)
         _require_counts(body.age_ms_by_target)
@@ -197,6 +204,7 @@
 def _decode_state(fields: Any) -> PeerState:
     state = PeerState(*fields)
     _require(tuple(map(type, state)) == _STATE_TYPES)
+    _require(_is_int(state.configuration_age_ms))
     return state
 
 
@@ -208,8 +216,8 @@
 def _decode_quota(fields: Any) -> QuotaTable:
     digest, *columns = fields
     quota = QuotaTable(digest, *map(tuple, columns))
-    _require(type(quota.digest) is int)
-    _require(all(_are_ints(values) for values in quota[1:]))
+    _require(_is_int(quota.digest))
+    _require(all(_are_counts(values) for values in quota[1:]))
     return quota
 
 
@@ -217,11 +225,22 @@
     for table in tables:
         _require(isinstance(table, dict))
         _require(_STR_TYPE.issuperset(map(type, table)))
-        _require(_INT_TYPE.issuperset(map(type, table.values())))
+        _require(_are_counts(table.values()))
+
+
+def _are_counts(values: Iterable[Any]) -> bool:
+    values = tuple(values)
+    if not _INT_TYPE.issuperset(map(type, values)):
+        return False
+    return not values or (min(values) >= 0 and max(values) <= COUNT_MAX)
+
+
+def _are_ints(values: Iterable[Any]) -> bool:
+    return all(map(_is_int, values))
 
 
-def _are_ints(values: Any) -> bool:
-    return _INT_TYPE.issuperset(map(type, values))
+def _is_int(value: Any) -> bool:
+    return type(value) is int and -INTEGER_MAX <= value <= INTEGER_MAX
 
 
 def _require(is_valid: bool) -> None:
