--- a/sequoiahook/daemons/direct/core_settings.py
+++ b/sequoiahook/daemons/direct/core_settings.py
@@ -3,6 +3,7 @@
 from sequoiahook.daemons.direct.settings import Bounds, DirectSettings
 from sequoiahook.decisions.direct.attempts import AttemptsSettings
 from sequoiahook.decisions.direct.core import DirectCoreSettings
+from sequoiahook.decisions.direct.entry_expiry import ExpirySettings
 from sequoiahook.decisions.direct.estimates import EstimateSettings
 from sequoiahook.decisions.direct.fleet_settings import FleetSettings
 from sequoiahook.decisions.direct.freshness import FreshnessSettings
@@ -47,6 +48,10 @@
 """Objects that are stored for each MB of memory. An object with the longest name takes
 about 2 KB in all tables together."""
 
+ANSWER_FRACTION = 2 / 3
+"""Fraction of the time until the entry of a silent instance is deleted in which it may
+show that it lives."""
+
 EXTENSION_END_FRACTION = 0.1
 """Fraction of the allowed shift by which an extension of that part ends each second."""
 
@@ -70,12 +75,22 @@
         ),
         freshness=freshness_settings(bounds),
         fleet=FleetSettings(
-            PeerSettings(durations.unresponsive_after_ms, durations.expire_after_ms)
+            PeerSettings(durations.unresponsive_after_ms),
+            expiry=_expiry_settings(durations.expire_after_ms),
         ),
         selection=_selection_settings(settings),
     )
 
 
+def _expiry_settings(expire_after_ms: int) -> ExpirySettings:
+    answer_ms = int(expire_after_ms * ANSWER_FRACTION)
+    return ExpirySettings(
+        doubt_after_ms=expire_after_ms - answer_ms,
+        answer_ms=answer_ms,
+        pause_ms=expire_after_ms,
+    )
+
+
 def _selection_settings(settings: DirectSettings) -> TargetSelectionSettings:
     bounds = settings.bounds
     objects_max = min(OBJECTS_MAX, settings.machine.memory_mb * OBJECTS_PER_MB)
--- a/sequoiahook/daemons/direct/following.py
+++ b/sequoiahook/daemons/direct/following.py
@@ -1,7 +1,7 @@
 """Following the objects of one kind in the platform's store."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import logbook
@@ -65,6 +65,8 @@
         source: Source of the objects.
         clock: The clock.
         observers: Receivers of listings and changes, called in this order.
+        is_urgent: Returns whether the state of the store is awaited. A watch then does
+            not wait for a change.
     """
 
     def __init__(
@@ -73,11 +75,13 @@
         source: ObjectSource,
         clock: Clock,
         observers: Sequence[Observer],
+        is_urgent: Callable[[], bool] = lambda: False,
     ):
         self._settings = settings
         self._source = source
         self._clock = clock
         self._observers = observers
+        self._is_urgent = is_urgent
         self._revision: Revision | None = None
         self._requested_at = 0
         self._is_lost = False
@@ -108,14 +112,14 @@
             for observer in self._observers:
                 observer.on_listed(listing, as_of)
             return
-        wait_ms = self._settings.wait_ms
+        wait_ms = 0 if self._is_urgent() else self._settings.wait_ms
         changes = await self._source.watch(kind, self._revision, wait_ms)
         self._notify_regained()
         self._revision = changes.revision
         as_of = self._as_of(changes.age_ms)
         for observer in self._observers:
             observer.on_changed(changes, as_of)
-        if changes.changes:
+        if changes.changes or not wait_ms:
             await asyncio.sleep(self._settings.batch_ms / MS_PER_S)
 
     def _as_of(self, age_ms: int | None) -> int:
--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -24,6 +24,7 @@
     freshness_settings,
     stopping_settings,
 )
+from sequoiahook.daemons.direct.entry_expirer import EntryExpirer
 from sequoiahook.daemons.direct.explain import explain_answer, is_explain_call
 from sequoiahook.daemons.direct.following import Follower, FollowerSettings, Observer
 from sequoiahook.daemons.direct.handovers import Handovers
@@ -53,7 +54,6 @@
     Stage,
     Stopping,
 )
-from sequoiahook.errors import PlatformError
 from sequoiahook.metrics import Metrics
 from sequoiahook.world.instance import Address, LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
@@ -68,7 +68,6 @@
 LAST_WRITE_MS = 200
 """Longest time for which callers may read answers between the exit and the kill."""
 
-EXPIRY_CHECK_MS = 5_000
 """Interval between checks for entries of expired instances."""
 
 LINGER_MS = 150
@@ -285,6 +284,7 @@
                 self._relay,
                 clock,
                 (observer, self._relay.cache_observer(kind)),
+                self._awaits_entry if kind is Kind.INSTANCES else lambda: False,
             ).run()
             for kind, wait_ms, observer in observers
         ]
@@ -294,7 +294,9 @@
             self._join_fleet(),
             self._reporter.run(),
             self._tick_stop(),
-            self._delete_expired_entries(),
+            EntryExpirer(
+                self.core, self._components.store, clock, self._instance_observer
+            ).run(),
         ]
 
     async def _join_fleet(self) -> None:
@@ -316,20 +318,9 @@
             await self._handovers.run(secret)
         await asyncio.Event().wait()
 
-    async def _delete_expired_entries(self) -> None:
-        """Delete the entries of instances that no longer report, until cancelled."""
-        kind = Kind.INSTANCES
-        while True:
-            await asyncio.sleep(EXPIRY_CHECK_MS / MS_PER_S)
-            for name in self.core.expired_peers(self._clock.now()):
-                revision = self._instance_observer.revision_by_name.get(name)
-                if revision is None:
-                    continue
-                try:
-                    await self._components.store.delete(kind, name, revision)
-                    log.info("entry deleted", extra={"name": name})
-                except PlatformError as error:
-                    log.info("entry not deleted", extra={"error": str(error)})
+    def _awaits_entry(self) -> bool:
+        """Return whether shares are unused until the store confirms the own entry."""
+        return not self.core.fleet.lease.is_valid
 
     async def _tick_stop(self) -> None:
         await self._stop_called.wait()
--- a/sequoiahook/daemons/direct/object_store.py
+++ b/sequoiahook/daemons/direct/object_store.py
@@ -133,8 +133,20 @@
             VersionConflictError: If an object with that name exists.
         """
 
-    async def replace(self, kind: Kind, name: str, value: Any) -> StoredObject:
-        """Replace the content of an object, whatever its revision."""
+    async def replace(
+        self, kind: Kind, name: str, value: Any, revision: int | None = None
+    ) -> StoredObject:
+        """Replace the content of an object.
+
+        Args:
+            kind: The kind of the object.
+            name: Its name.
+            value: The content.
+            revision: Revision that the object must still have; None for any.
+
+        Raises:
+            VersionConflictError: If it has another revision, or does not exist.
+        """
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Delete an object if it still has the given revision.
--- a/sequoiahook/daemons/direct/observers.py
+++ b/sequoiahook/daemons/direct/observers.py
@@ -9,6 +9,7 @@
 from sequoiahook.daemons.direct.object_store import Change, Changes, Kind, Listing
 from sequoiahook.decisions.direct.core import DirectCore
 from sequoiahook.decisions.direct.revisions import Revision
+from sequoiahook.world.instance import LiveInstance
 from sequoiahook.world.routing import RoutingConfiguration
 
 __all__ = [
@@ -236,8 +237,8 @@
     Args:
         core: The decisions.
         clock: The clock.
-        check_entry: Called with whether the entry of this instance is present, and the
-            revision of the store at which that is so.
+        check_entry: Called with whether the entry of this instance is present and not
+            doubted, and the revision of the store at which that is so.
     """
 
     kind = Kind.INSTANCES
@@ -255,19 +256,30 @@
     def apply_all(self, as_of: int) -> None:
         """Apply the list of instances."""
         self.core.set_instances(self.values_by_name, self.clock.now())
+        own = self._own_entry()
+        is_current = own is not None and not own.is_doubted
+        self._check_entry(is_current, self._revision)
+
+    def _own_entry(self) -> LiveInstance | None:
         own = self.values_by_name.get(self.core.me.name)
-        is_present = own is not None and own.incarnation == self.core.me.incarnation
-        self._check_entry(is_present, self._revision)
+        is_of_this_run = own is not None and own.incarnation == self.core.me.incarnation
+        return own if is_of_this_run else None
+
+    def _confirm(self, as_of: int) -> None:
+        is_present = self._own_entry() is not None
+        self.core.confirm_entry(is_present, as_of, self.clock.now())
 
     def on_listed(self, listing: Listing, as_of: int) -> None:
         """Replace all objects."""
         self._revision = listing.revision
         super().on_listed(listing, as_of)
+        self._confirm(as_of)
 
     def on_changed(self, changes: Changes, as_of: int) -> None:
         """Apply changes."""
         self._revision = changes.revision
         super().on_changed(changes, as_of)
+        self._confirm(as_of)
 
     def apply_changes(self, as_of: int) -> None:
         """Apply the list of instances."""
--- a/sequoiahook/daemons/direct/registering.py
+++ b/sequoiahook/daemons/direct/registering.py
@@ -52,10 +52,11 @@
         self._check: asyncio.TimerHandle | None = None
 
     def check_entry(self, is_present: bool, revision: Revision) -> None:
-        """Write the entry again if it is missing.
+        """Write the entry again if it is missing or doubted.
 
         Args:
-            is_present: Whether the store has the entry, of this incarnation.
+            is_present: Whether the store has the entry, of this incarnation and without
+                a doubt.
             revision: Revision of the store at which that is so. A list from before the
                 last write does not show the entry; only if it stays missing, the store
                 has lost it.
--- a/sequoiahook/daemons/direct/reporting.py
+++ b/sequoiahook/daemons/direct/reporting.py
@@ -84,6 +84,7 @@
         self._is_refusal_logged = False
         self._is_serving_scheduled = False
         self._role = ("", False)
+        self._are_shares_unused = False
         self._decision_log = DecisionLog(core, clock.now())
         self._futures_by_subject: dict[_Subject, set[asyncio.Future]] = {}
 
@@ -129,6 +130,7 @@
         for target_id in self._core.tick(now):
             log.info("target expired", extra={"target": target_id})
         self._log_role(now)
+        self._log_lease()
         self._decision_log.write(now)
         self.send_token_requests()
         self._send_all(self._core.reports(now, includes_far=includes_far))
@@ -181,6 +183,12 @@
             fields = {"group": groups.own_name, "vote": role[0], "is_keeper": role[1]}
             log.info("keeper", extra=fields)
 
+    def _log_lease(self) -> None:
+        is_unused = not self._core.fleet.lease.is_valid
+        if is_unused != self._are_shares_unused:
+            self._are_shares_unused = is_unused
+            log.info("shares unused", extra={"is_unused": is_unused})
+
     def _send_all(self, outgoing: Sequence[OutgoingDatagram]) -> None:
         if not self.secret:
             return
--- a/sequoiahook/decisions/direct/core.py
+++ b/sequoiahook/decisions/direct/core.py
@@ -10,6 +10,7 @@
     CapacityControl,
     CapacitySettings,
 )
+from sequoiahook.decisions.direct.entry_expiry import EntryStep
 from sequoiahook.decisions.direct.exit_limit import ExitLimit
 from sequoiahook.decisions.direct.fleet import Fleet
 from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
@@ -215,7 +216,7 @@
 
     def tick(self, now: int) -> list[str]:
         """Run periodic updates; return the ids of targets removed from the registry."""
-        self.fleet.tick(now)
+        self.fleet.tick(now, self.freshness.age_ms(now))
         self.rates.update(now)
         self.connectivity.update(now)
         if not self.connectivity.is_suspected(now):
@@ -245,13 +246,19 @@
         """Process a datagram of a peer; return the datagrams to send in response."""
         return self.fleet.receive(datagram, now)
 
-    def expired_peers(self, now: int) -> list[str]:
-        """Return the expired peers of the region whose entries to delete."""
-        if not self.fleet.is_region_leader(now):
-            return []
-        instances = self.peers.instances_by_name
-        names = self.peers.expired(now)
-        return [name for name in names if instances[name].region == self.me.region]
+    def entry_steps(self, now: int) -> list[EntryStep]:
+        """Return the entries of silent instances to doubt or to delete."""
+        return self.fleet.entries.steps(now)
+
+    def confirm_entry(self, is_present: bool, as_of: int, now: int) -> None:
+        """Record whether the store has the entry of this instance.
+
+        Args:
+            is_present: Whether it has.
+            as_of: When that was so, in milliseconds.
+            now: The time in milliseconds.
+        """
+        self.fleet.lease.record_entry(is_present, as_of, now)
 
     def relay_peer(self, now: int) -> LiveInstance | None:
         """Return the peer that relays the platform's store to this instance.
--- a/sequoiahook/decisions/direct/fleet.py
+++ b/sequoiahook/decisions/direct/fleet.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from sequoiahook.decisions.direct.entry_decider import EntryDecider
+from sequoiahook.decisions.direct.entry_lease import EntryLease
 from sequoiahook.decisions.direct.fleet_settings import FleetComponents, FleetSettings
 from sequoiahook.decisions.direct.group_views import (
     GroupView,
@@ -79,6 +81,10 @@
         self._share_exchange = ShareExchange(
             me.name, self.shares, self.groups, self._views
         )
+        self.entries = EntryDecider(
+            settings.expiry, me, self.peers, self.groups, self._views
+        )
+        self.lease = EntryLease(settings.lease)
 
     def set_instances(
         self, instances_by_name: Mapping[str, LiveInstance], now: int
@@ -87,6 +93,7 @@
         self.is_listed = True
         self.peers.set_instances(instances_by_name, now)
         others = self.peers.instances_by_name
+        self.entries.set_entries(others.values(), now)
         if self.groups.set_instances(others, now):
             self._views.clear()
         members = set(self.groups.members)
@@ -104,10 +111,20 @@
         self._views.clear()
         self._update_role(now)
 
-    def tick(self, now: int) -> None:
-        """Update the election and the role of this instance."""
+    def tick(self, now: int, store_age_ms: int | None = None) -> None:
+        """Update the election, the role and the lease of this instance.
+
+        Args:
+            now: The time in milliseconds.
+            store_age_ms: Time since the store was last read; None if unknown.
+        """
+        self.groups.unanswered = self.entries.unanswered(now)
         self.groups.tick(now)
         self._update_role(now)
+        others = self.groups.names - {self.groups.own_name}
+        has_all = others <= self._views.current(now).keys()
+        self.lease.update(store_age_ms, now, has_all_reports=has_all)
+        self._components.rates.apply_lease(self.lease)
 
     def renew_role(self, now: int) -> None:
         """Update the role before the next tick if this instance was suspended."""
@@ -190,11 +207,7 @@
 
     def is_region_leader(self, now: int) -> bool:
         """Return whether this instance makes the decisions for its region."""
-        if not self.groups.is_leader(now):
-            return False
-        return self.groups.own_name == min(
-            [self.groups.own_name, *self._near_views(now)]
-        )
+        return self.entries.is_region_leader(now)
 
     def region_loads(self, now: int) -> Counter[str]:
         """Return the region's load by service, in thousandths of a target's slot."""
@@ -217,15 +230,21 @@
             group=groups.own_name,
             groups=groups.names,
             near=groups.near_names,
+            ended=self._ended_groups(),
             now=now,
         )
         report = self._reports_by_member.get(groups.vote)
         is_responsive = groups.is_responsive(groups.vote, now)
         rates.has_leader = is_responsive and report is not None and report.is_leader
 
+    def _ended_groups(self) -> frozenset[str]:
+        """Return the groups whose end is known, in a fleet that is not divided."""
+        if self.groups.is_divided:
+            return frozenset()
+        return self.peers.announced_ends()
+
     def _near_views(self, now: int) -> dict[str, GroupView]:
-        near, views = self.groups.near_names, self._views.current(now)
-        return {group: view for group, view in views.items() if group in near}
+        return self._views.current_of(self.groups.near_names, now)
 
     def _member_report(self, own: PeerState) -> MemberReport:
         rates = self._components.rates
--- a/sequoiahook/decisions/direct/fleet_settings.py
+++ b/sequoiahook/decisions/direct/fleet_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.entry_expiry import ExpirySettings
+from sequoiahook.decisions.direct.entry_lease import LeaseSettings
 from sequoiahook.decisions.direct.groups import GroupSettings
 from sequoiahook.decisions.direct.organisation_shares import ShareSettings
 from sequoiahook.decisions.direct.peer_exchanges import PeerExchangeSettings
@@ -21,12 +23,16 @@
         groups: Division of the fleet and election of leaders.
         exchanges: Permits, suspect requests and lost connectivity to targets.
         shares: Shares of capacity between organisations.
+        expiry: When entries of silent instances are deleted.
+        lease: When this instance stops using shares that may have been given to others.
     """
 
     peers: PeerSettings = PeerSettings()
     groups: GroupSettings = GroupSettings()
     exchanges: PeerExchangeSettings = PeerExchangeSettings()
     shares: ShareSettings = ShareSettings()
+    expiry: ExpirySettings = ExpirySettings()
+    lease: LeaseSettings = LeaseSettings()
 
 
 class FleetComponents(NamedTuple):
--- a/sequoiahook/decisions/direct/group_views.py
+++ b/sequoiahook/decisions/direct/group_views.py
@@ -87,6 +87,11 @@
         views = self._views_by_group.items()
         return {group: view for group, view in views if view.received_at >= oldest}
 
+    def current_of(self, groups: Collection[str], now: int) -> dict[str, GroupView]:
+        """Return the views of some groups that are not outdated, by group."""
+        views = self.current(now).items()
+        return {group: view for group, view in views if group in groups}
+
     def leader(self, group: str, now: int) -> str | None:
         """Return the accepted leader of a group; None if there is none."""
         view = self._views_by_group.get(group)
--- a/sequoiahook/decisions/direct/groups.py
+++ b/sequoiahook/decisions/direct/groups.py
@@ -11,9 +11,11 @@
 Each member votes for a responsive leader, or for the first responsive member if there
 is no leader. A member leads while it and a majority of the group have voted for it
 recently, and only after the votes for its predecessor have expired, or if all members
-vote for it. With two members there is no majority without the other: one of them leads
-alone while leaders of other groups report to it, which accept one leader of a group at
-a time. A member that was suspended until another one may lead starts anew.
+vote for it. A silent member counts until it fails to answer a doubt of its entry in the
+platform's store: it may run, and be cut off. With two members there is no majority
+without the other: one of them leads alone while leaders of other groups report to it,
+which accept one leader of a group at a time. A member that was suspended until another
+one may lead starts anew.
 
 Designed for fleets of tens to hundreds of instances: the cost of reports and the
 accuracy of rates do not depend on the number of instances, but some requests are
@@ -46,7 +48,7 @@
             voted for; several reporting intervals long.
         vote_lifetime_ms: Time for which a vote counts.
         absent_after_ms: Time without a report after which a member no longer counts
-            towards the majority.
+            towards the majority, if it has not answered a doubt of its entry either.
     """
 
     divided_size_min: int = 24
@@ -61,6 +63,7 @@
     Attributes:
         is_divided: Whether there is one group for each data centre.
         vote: Name of the member that this instance votes for.
+        unanswered: Instances that have not answered a doubt of their entries.
 
     Args:
         settings: The settings.
@@ -70,6 +73,7 @@
     def __init__(self, settings: GroupSettings, me: LiveInstance):
         self.is_divided = False
         self.vote = me.name
+        self.unanswered: frozenset[str] = frozenset()
         self._settings = settings
         self._me = me
         self._instances_by_name: dict[str, LiveInstance] = {}
@@ -278,11 +282,24 @@
         contact_at, lifetime_ms = self._contact_at, self._settings.unresponsive_after_ms
         return contact_at is not None and now - contact_at <= lifetime_ms
 
+    def lacks_majority(self, now: int) -> bool:
+        """Return whether this instance is the first of too few members for a leader."""
+        if not self.is_divided or self.vote != self._me.name:
+            return False
+        responsive = sum(self.is_responsive(name, now) for name in self._members)
+        return responsive * 2 <= self._present_count(now)
+
     def _present_count(self, now: int) -> int:
+        """Return the number of members that may be running.
+
+        A member that is only cut off from this one answers a doubt of its entry.
+        """
         oldest = now - self._settings.absent_after_ms
         seen = self._seen_at_by_name
         return sum(
-            name == self._me.name or seen.get(name, now) >= oldest
+            name == self._me.name
+            or seen.get(name, now) >= oldest
+            or name not in self.unanswered
             for name in self._members
         )
 
--- a/sequoiahook/decisions/direct/peers.py
+++ b/sequoiahook/decisions/direct/peers.py
@@ -44,12 +44,9 @@
     Attributes:
         unresponsive_after_ms: Time without a report after which callers no longer get
             the address of a peer.
-        expire_after_ms: Time without a report after which the entry of a peer should be
-            deleted.
     """
 
     unresponsive_after_ms: int = 2_500
-    expire_after_ms: int = 30_000
 
 
 class _DatagramPosition(NamedTuple):
@@ -211,13 +208,14 @@
         near = [i for i in others if i.region == self._me.region]
         return sum(instance.name < self._me.name for instance in near)
 
-    def expired(self, now: int) -> list[str]:
-        """Return the names of the peers whose entries should be deleted."""
-        return [
-            name
-            for name in self.instances_by_name
-            if now - self._last_seen_at(name) > self._settings.expire_after_ms
-        ]
+    def silent_ms(self, name: str, now: int) -> int:
+        """Return the time without a report on a listed peer, in milliseconds."""
+        return now - self._last_seen_at(name)
+
+    def announced_ends(self) -> frozenset[str]:
+        """Return the peers whose last report was that they are about to stop."""
+        reports = self._reports_by_name.items()
+        return frozenset(name for name, report in reports if report.state.is_leaving)
 
     def addresses(
         self,
--- a/sequoiahook/decisions/direct/quota.py
+++ b/sequoiahook/decisions/direct/quota.py
@@ -25,6 +25,7 @@
 
 from sequoiahook.clock import MS_PER_S
 from sequoiahook.decisions.direct.bucket import Bucket, Demand
+from sequoiahook.decisions.direct.quota_settings import QuotaSettings
 from sequoiahook.messages.reports import QuotaTable, TokenGrant, TokenRequest
 from sequoiahook.world.contract import Contract
 
@@ -42,45 +43,6 @@
 """Smallest loan, in tokens, that is worth a datagram."""
 
 
-class QuotaSettings(NamedTuple):
-    """Settings of the shares.
-
-    Attributes:
-        demand_window_ms: Time over which demand is averaged.
-        demand_arrivals_min: Requests over which demand is averaged at least, for up to
-            three times that time. Over fewer, chance moves the shares more than the
-            demand does.
-        floor_permille: Minimum demand that each instance is counted with, in
-            thousandths of an equal share of the rate.
-        settling_ms: Time after the start for which refused requests may retry at once,
-            since shares grow with the first reports of the other members.
-        initial_tokens_total: Tokens of an organisation that all members together start
-            with. It is part of what the platform tolerates above the rate, so that a
-            small rate does not yield its first token seconds after a restart.
-        borrow_below_tokens: Tokens below which an instance requests more from peers.
-        borrow_tokens_max: Tokens that it requests at most where several requests wait.
-        reserve_ms: Time for which an instance reserves the tokens of its own demand.
-        borrow_retry_ms: Time between two token requests for the same organisation.
-        lenders_max: Members that get token requests at the same time.
-        grant_timeout_ms: Time within which a grant arrives; the longest round trip
-            takes 110 ms.
-        spare_lifetime_ms: Time for which a peer's report of spare tokens is used.
-    """
-
-    demand_window_ms: int = 4_000
-    demand_arrivals_min: int = 24
-    floor_permille: int = 500
-    settling_ms: int = 600
-    initial_tokens_total: int = 8
-    borrow_below_tokens: float = 1.0
-    borrow_tokens_max: int = 8
-    reserve_ms: int = 200
-    borrow_retry_ms: int = 20
-    lenders_max: int = 2
-    grant_timeout_ms: int = 130
-    spare_lifetime_ms: int = 1_500
-
-
 class _SpareTokens(NamedTuple):
     tokens_by_name: dict[str, float]
     received_at: int
@@ -92,6 +54,7 @@
     Attributes:
         name: Name of this instance or group among the members.
         is_settled: Whether all members have granted shares or the time for it is over.
+        is_suspended: Whether this instance uses no shares, since others may.
 
     Args:
         settings: The settings.
@@ -103,10 +66,13 @@
         self._settings = settings
         self.name = name
         self.is_settled = False
+        self.is_suspended = False
         self._started_at = now
         self._members: frozenset[str] = frozenset({name})
         self._has_members = False
         self._newcomers: set[str] = set()
+        self._departed_at_by_name: dict[str, int] = {}
+        self._withheld: set[str] = set()
         self._near: frozenset[str] = frozenset()
         self._contracts_by_name: dict[str, Contract] = {}
         self._organisations: tuple[str, ...] = ()
@@ -139,7 +105,11 @@
                 bucket.tokens = self._initial_tokens()
 
     def set_members(
-        self, names: Iterable[str], now: int, near: Iterable[str] = ()
+        self,
+        names: Iterable[str],
+        now: int,
+        near: Iterable[str] = (),
+        ended: Iterable[str] = (),
     ) -> None:
         """Replace the members; this one is always among them.
 
@@ -147,13 +117,16 @@
             names: Names of all members.
             now: The time in milliseconds.
             near: Names of the members in the same region, preferred as lenders.
+            ended: Names of members that are known to have ended.
         """
-        members = frozenset(names) | {self.name}
+        listed = frozenset(names) | {self.name}
+        members = listed | self._held_members(listed, frozenset(ended), now)
         if members == self._members and self._has_members:
             return
         if now - self._started_at >= self._settings.settling_ms:
             self._newcomers |= members - self._members
         self._members = members
+        self._withheld &= members
         self._near = frozenset(near)
         for table in (
             self._demands_by_member,
@@ -168,6 +141,27 @@
                 bucket.tokens = self._initial_tokens()
         self.update(now)
 
+    def _held_members(
+        self, listed: frozenset[str], ended: frozenset[str], now: int
+    ) -> set[str]:
+        """Return the members that are no longer listed, and still count."""
+        departed = self._departed_at_by_name
+        for name in departed.keys() & (listed | ended):
+            del departed[name]
+        for name in self._members - listed - ended:
+            departed.setdefault(name, now)
+        hold_ms = self._settings.departed_hold_ms
+        for name in [n for n, at in departed.items() if now - at >= hold_ms]:
+            del departed[name]
+        return set(departed)
+
+    def forget_grants(self) -> None:
+        """Use no shares but those that the other members grant from now on."""
+        self._grants_by_member.clear()
+        self._withheld = set(self._members - {self.name})
+        for bucket in self._buckets_by_name.values():
+            bucket.tokens = 0.0
+
     def _initial_tokens(self) -> float:
         if not self._has_members:
             return 0.0
@@ -294,6 +288,7 @@
         if any(len(column) != len(self._organisations) for column in table[1:]):
             return
         is_first = peer not in self._grants_by_member
+        self._withheld.discard(peer)
         self._demands_by_member[peer] = self._fractions(table.demands)
         self._grants_by_member[peer] = self._fractions(table.grants)
         self._spares_by_member[peer] = _SpareTokens(self._fractions(table.spares), now)
@@ -369,6 +364,8 @@
         return min(1.0, demand / total) if total > 0 else 0.0
 
     def _granted_share(self, organisation: str, now: int) -> float:
+        if self.is_suspended or self._withheld:
+            return 0.0
         share = self._demand_share(self.name, organisation)
         for member in self._members - {self.name}:
             granted = self._grants_by_member.get(member, {}).get(organisation)
--- a/sequoiahook/decisions/direct/rates.py
+++ b/sequoiahook/decisions/direct/rates.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from sequoiahook.decisions.direct.entry_lease import EntryLease
 from sequoiahook.decisions.direct.quota import Quota, QuotaSettings
 from sequoiahook.decisions.direct.token_client import (
     NEVER_MS,
@@ -74,7 +75,14 @@
         self.quota.configure(contracts_by_name)
 
     def set_role(
-        self, *, is_leader: bool, group: str, groups: Iterable[str], near, now: int
+        self,
+        *,
+        is_leader: bool,
+        group: str,
+        groups: Iterable[str],
+        near: Iterable[str],
+        now: int,
+        ended: Iterable[str] = (),
     ) -> None:
         """Set whether this instance is the leader; a new leader starts without tokens.
 
@@ -84,6 +92,7 @@
             groups: Names of all groups.
             near: Names of the other groups of the region.
             now: The time in milliseconds.
+            ended: Names of groups that are known to have ended.
         """
         is_new = is_leader and (not self.is_leader or group != self.quota.name)
         if is_new:
@@ -93,7 +102,14 @@
             self._server.clear()
         self.is_leader = is_leader
         if is_leader:
-            self.quota.set_members(groups, now, near)
+            self.quota.set_members(groups, now, near, ended)
+
+    def apply_lease(self, lease: EntryLease) -> None:
+        """Use the shares of this leader only while it has a lease on them."""
+        self.quota.is_suspended = not lease.is_valid
+        if lease.is_lost and lease.is_valid:
+            lease.is_lost = False
+            self.quota.forget_grants()
 
     def update(self, now: int) -> None:
         """Update the shares of the rates; only a leader has any."""
--- a/sequoiahook/platform/entries.py
+++ b/sequoiahook/platform/entries.py
@@ -77,6 +77,8 @@
     }
     if instance.handover_address is not None:
         document["handover_address"] = str(instance.handover_address)
+    if instance.is_doubted:
+        document["doubted"] = True
     return document
 
 
@@ -100,6 +102,7 @@
         if spec.has("handover_address")
         else None,
         spec.integer("protocol", low=1, high=PROTOCOL_MAX, default=1),
+        spec.boolean("doubted", default=False),
     )
     root.raise_for_findings()
     return entry
--- a/sequoiahook/platform/store.py
+++ b/sequoiahook/platform/store.py
@@ -141,9 +141,14 @@
         document, era = await self._call("POST", _object_path(kind), body)
         return self.decode_object(kind, document)._replace(era=era)
 
-    async def replace(self, kind: Kind, name: str, value: Any) -> StoredObject:
-        """Replace the content of an object."""
-        body = {"metadata": {"name": name}, "spec": _encode_value(kind, value)}
+    async def replace(
+        self, kind: Kind, name: str, value: Any, revision: int | None = None
+    ) -> StoredObject:
+        """Replace the content of an object, if it has the revision, if one is given."""
+        metadata = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": _encode_value(kind, value)}
         document, era = await self._call("PUT", _object_path(kind, name), body)
         return self.decode_object(kind, document)._replace(era=era)
 
@@ -263,7 +268,9 @@
         raise HistoryExpiredError(call)
     if status in _NOT_EXECUTED_STATUSES:
         raise PlatformUnavailableError(f"{call}: status {status}")
-    if status not in (*_SUCCESS_STATUSES, _CONFLICT_STATUS, _NOT_FOUND_STATUS):
+    if status == _NOT_FOUND_STATUS:
+        raise VersionConflictError(call, 0)
+    if status not in (*_SUCCESS_STATUSES, _CONFLICT_STATUS):
         raise PlatformOutcomeUnknownError(f"{call}: status {status}")
     try:
         document = _parse_body(response.body)
@@ -276,8 +283,6 @@
     if status == _CONFLICT_STATUS:
         metadata = document.get("metadata") or {}
         raise VersionConflictError(call, int(metadata.get("revision", 0)))
-    if status == _NOT_FOUND_STATUS:
-        raise VersionConflictError(call, 0)
     return document
 
 
--- a/sequoiahook/world/instance.py
+++ b/sequoiahook/world/instance.py
@@ -53,6 +53,8 @@
             requests of other instances.
         protocol: Version of the messages that it understands; instances of earlier
             versions state none.
+        is_doubted: Whether another instance that misses its reports has marked its
+            entry; one that lives writes it anew.
     """
 
     name: str
@@ -64,6 +66,7 @@
     link_mbps: int = 0
     handover_address: Address | None = None
     protocol: int = 1
+    is_doubted: bool = False
 
 
 def read_address(section: Section) -> Address:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -213,17 +213,7 @@
     async def _write(self, request: HttpRequest, kind: str, name: str) -> HttpResponse:
         objects = self._objects_by_kind.setdefault(kind, {})
         if request.method == "DELETE":
-            if name not in objects:
-                return HttpResponse(404)
-            expected_revision = request.query.get("revision")
-            stored = objects[name]
-            if (
-                expected_revision
-                and int(expected_revision) != stored["metadata"]["revision"]
-            ):
-                return HttpResponse(409, stored)
-            await self.delete(kind, name)
-            return HttpResponse(200, stored)
+            return await self._delete(request, kind, name)
         document = request.json()
         if request.method == "POST":
             name = document["metadata"]["name"]
@@ -232,8 +222,25 @@
             return HttpResponse(200, await self.put(kind, name, document["spec"]))
         if name not in objects:
             return HttpResponse(404)
+        revision = document.get("metadata", {}).get("revision")
+        if revision not in (None, objects[name]["metadata"]["revision"]):
+            return HttpResponse(409, objects[name])
         return HttpResponse(200, await self.put(kind, name, document["spec"]))
 
+    async def _delete(self, request: HttpRequest, kind: str, name: str) -> HttpResponse:
+        objects = self._objects_by_kind[kind]
+        if name not in objects:
+            return HttpResponse(404)
+        stored = objects[name]
+        expected_revision = request.query.get("revision")
+        if (
+            expected_revision
+            and int(expected_revision) != stored["metadata"]["revision"]
+        ):
+            return HttpResponse(409, stored)
+        await self.delete(kind, name)
+        return HttpResponse(200, stored)
+
     async def _store_object(
         self, kind: str, name: str, spec: Any, created: int
     ) -> dict:
--- a/tests/test_group_orders.py
+++ b/tests/test_group_orders.py
@@ -72,6 +72,21 @@
     assert_holds(order)
 
 
+@pytest.mark.parametrize("cut_off", (("n-a",), ("n-a", "n-b"), ("w-a", "w-b")))
+def test_groups_that_are_cut_off_for_long_share_one_rate(cut_off):
+    names = tuple(f"{data_centre}-{n}" for data_centre in cut_off for n in range(3))
+    fault = GroupFault(1_000, "partition", names, 60_000)
+    order = GroupOrder(1, faults=[fault], busy="n-a s-a w-a", length_ms=75_000)
+    assert_holds(order)
+
+
+@pytest.mark.parametrize("names", (("n-a-0",), ("n-a-0", "n-a-1"), ("n-a-0", "n-b-0")))
+def test_members_that_are_cut_off_from_their_group_do_not_lead_it(names):
+    fault = GroupFault(1_000, "partition", names, 20_000)
+    order = GroupOrder(1, faults=[fault], busy="n-a", length_ms=35_000)
+    assert_holds(order)
+
+
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_faults_of_all_kinds_leave_one_fleet_with_one_leader_each(seed):
     assert_holds(GroupOrder(seed))
