Peers renew what they reach before it lapses at an instance that hands requests over

Callers saw: 503 "no connectivity to targets, and no other instance took the request", not run, from an instance that was cut off from targets while its peers reached them.

Cause: a peer states the age of its last connection to the targets that failed, and opens new ones only once the age exceeds 2 s, which is also the time for which the statement counts. Without requests for just these targets it lapsed until the query after the next probe; after 3 s the verdict ended, too. Now targets are probed from an age of 400 ms on.

--- a/sequoiahook/decisions/direct/connectivity.py
+++ b/sequoiahook/decisions/direct/connectivity.py
@@ -226,6 +226,10 @@
         return since is not None and now - since >= self._settings.quiet_ms
 
     def _reply(self, query: ReachQuery, now: int) -> ReachReply:
+        """Return the reply to a query.
+
+        Targets are probed before what is known of them lapses at the sender.
+        """
         age_ms_by_target = {}
         for target_id in query.targets:
             state = self._targets.states_by_id.get(target_id)
@@ -234,7 +238,11 @@
             age_ms = now - max(state.reached_at, state.connected_at)
             if age_ms <= self._settings.reach.valid_ms:
                 age_ms_by_target[target_id] = age_ms
-        if len(age_ms_by_target) < self._settings.confirmed_targets:
+        fresh_count = sum(
+            age_ms <= self._settings.reach.renewed_after_ms
+            for age_ms in age_ms_by_target.values()
+        )
+        if fresh_count < self._settings.confirmed_targets:
             self._probes.ask(query.targets)
         return ReachReply(query.number, self.is_available(now), age_ms_by_target)
 
--- a/sequoiahook/decisions/direct/peer_reach.py
+++ b/sequoiahook/decisions/direct/peer_reach.py
@@ -22,6 +22,8 @@
         far_max: Most peers of other regions in one round.
         open_max: Most queries whose replies are awaited.
         valid_ms: Time for which a reached target shows that a peer reaches targets.
+        renewed_after_ms: Age from which it is reached anew for a query, so that two
+            further queries arrive before it is no longer valid.
         avoid_ms: Time for which a peer that refused a request gets no others.
         near_links: Most peers of the own region to which links are kept.
         far_links: Most peers of other regions to which links are kept.
@@ -34,6 +36,7 @@
     far_max: int = 4
     open_max: int = 16
     valid_ms: int = 2_000
+    renewed_after_ms: int = 400
     avoid_ms: int = 200
     near_links: int = 4
     far_links: int = 2
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -152,6 +152,25 @@
     assert not any(is_lost(net, name) for name in ("n2", "n3", "n4"))
 
 
+@pytest.mark.parametrize("rounds", [1, 20])
+@pytest.mark.parametrize("loaded", [{"n1"}, {"n1", "n2"}, set()])
+def test_peers_that_take_requests_stay_known_in_a_quiet_fleet(loaded, rounds):
+    # Guards against evidence of peers that lapses before it is renewed.
+    net = network()
+    net.run(1_000, loaded={"n1"})
+    net.cut = {"n1"}
+    net.run(VERDICT_MS, loaded={"n1"})
+    assert is_lost(net)
+    unknown = []
+    for _ in range(rounds * 500 // STEP_MS):
+        net.run(STEP_MS, loaded=loaded)
+        reach = net.cores["n1"].connectivity.reach
+        if not reach.candidates((), net.now):
+            unknown.append(net.now)
+    assert is_lost(net)
+    assert unknown == []
+
+
 def test_no_connectivity_is_lost_while_all_targets_are_down():
     net = network()
     net.run(1_000)
