Bounded integers, stages of answers and use of slots: each computed in one place

`bounded_integer` reads the integers of header fields in place of two implementations; `AnswerReader` classifies a head once; the requests at a target are counted once for the use of its slots; the choice of the first group is one function; names of faults are listed once.

--- a/sequoiahook/daemons/answer_reader.py
+++ b/sequoiahook/daemons/answer_reader.py
@@ -17,6 +17,7 @@
     is_final_status,
 )
 from sequoiahook.messages.requests import fields_bytes
+from sequoiahook.wire.fields import bounded_integer
 from sequoiahook.wire.target_dialect import TargetDialect
 
 __all__ = ["READ_BYTES", "AnswerReader", "ReaderSettings"]
@@ -109,6 +110,7 @@
         self._turns = turns
         self._drain_request = drain_request
         self._on_stream_ended = on_stream_ended
+        self._stage: Stage | None = None
         self._body = bytearray()
         self._unused_bytes = 0
         self._head_bytes = 0
@@ -132,7 +134,7 @@
                 if not await self._receive():
                     return Stage.ANSWERED
             elif isinstance(event, h11.EndOfMessage):
-                return self._classify()
+                return self._stage
             elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("connection ended within the answer")
             else:
@@ -170,9 +172,10 @@
             self._held.add(fields_bytes(event.headers) - self._head_bytes)
             if not is_final_status(event.status_code):
                 raise ValueError(f"invalid status {event.status_code}")
+            self._stage = self._classify()
         elif isinstance(event, h11.Data):
             self._event_count += 1
-            if self._is_used():
+            if self._stage is Stage.ANSWERED:
                 self._body += event.data
                 self._held.add(len(event.data))
             else:
@@ -180,10 +183,6 @@
                 if self._unused_bytes > UNUSED_BYTES_MAX:
                     raise ValueError("refusal too large")
 
-    def _is_used(self) -> bool:
-        """Return whether the body is delivered; that of a refusal is not."""
-        return self._classify() is Stage.ANSWERED
-
     def _is_large(self) -> bool:
         """Return whether the body is too large to be held back.
 
@@ -230,10 +229,10 @@
         await self._take_turn()
         is_head = self.head is None
         data = await self._reader.read(HEAD_READ_BYTES if is_head else self._turn_bytes)
-        if not data and self.head is not None and self._is_close_delimited():
-            await self._drain_request()
-        if self.head is None:
+        if is_head:
             self._count_head(len(data))
+        elif not data and self._is_close_delimited():
+            await self._drain_request()
         self._http.receive_data(data)
 
     async def _take_turn(self) -> None:
@@ -268,7 +267,7 @@
             return False
         is_success = self.head.status_code < FAILURE_STATUS_MIN
         is_deliverable = is_success or self._is_too_large_to_hold()
-        return is_deliverable and self._classify() is Stage.ANSWERED
+        return is_deliverable and self._stage is Stage.ANSWERED
 
     def _pass_on(self) -> bool:
         """Turn the rest of the body into a stream if that is allowed."""
@@ -306,6 +305,7 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def _classify(self) -> Stage:
+        """Return the stage of a complete answer with this head."""
         status, headers = self.head.status_code, self.head.headers
         is_truncated = (
             self._is_close_delimited() and not self._dialect.allows_close_delimited
@@ -351,6 +351,5 @@
     def _retry_after_ms(self) -> int:
         for name, value in self.head.headers:
             if name == b"retry-after" and value.isdigit():
-                digits = value.lstrip(b"0")[: len(str(RETRY_AFTER_S_MAX)) + 1]
-                return min(int(digits or b"0"), RETRY_AFTER_S_MAX) * MS_PER_S
+                return bounded_integer(value, RETRY_AFTER_S_MAX) * MS_PER_S
         return 0
--- a/sequoiahook/daemons/direct/handovers.py
+++ b/sequoiahook/daemons/direct/handovers.py
@@ -323,7 +323,7 @@
         if len(result.body) > HELD_BYTES_MIN and waiting.held.is_over_limit:
             # The other answers are complete, and wait for their callers.
             waiting.held.add(-len(result.body))
-            result = HandoverOutcome(waiting.peer, UNKNOWN, 0, (), b"", Cause.FAILED, 0)
+            result = HandoverOutcome(waiting.peer, UNKNOWN, cause=Cause.FAILED)
         waiting.outcome.set_result(result)
 
     def _reserve(self, number: int) -> None:
--- a/sequoiahook/decisions/direct/entry_decider.py
+++ b/sequoiahook/decisions/direct/entry_decider.py
@@ -70,9 +70,7 @@
         """Return whether this instance makes the decisions for its region."""
         if not self._groups.is_leader(now):
             return False
-        own_name = self._groups.own_name
-        near = self._views.current_of(self._groups.near_names, now)
-        return own_name == min([own_name, *near])
+        return self._is_first_of(self._views.current_of(self._groups.near_names, now))
 
     def _decides_on(self, region: str, now: int) -> bool:
         if region == self._me.region:
@@ -81,8 +79,11 @@
         names = [i.name for i in instances if i.region == region]
         if any(self._peers.is_responsive(name, now) for name in names):
             return False
+        return self._is_first_of(self._views.current(now))
+
+    def _is_first_of(self, groups: Iterable[str]) -> bool:
         own_name = self._groups.own_name
-        return own_name == min([own_name, *self._views.current(now)])
+        return own_name == min([own_name, *groups])
 
     def _member_doubts(self, now: int) -> list[EntryStep]:
         """Return the doubts of members without which the group has no majority."""
--- a/sequoiahook/decisions/direct/region_owners.py
+++ b/sequoiahook/decisions/direct/region_owners.py
@@ -111,13 +111,17 @@
 
     def target_use(self, service: str, now: int) -> TargetUse:
         """Return the use of a service's targets, in this region and overall."""
-        states_by_region = {
-            region: self._targets.group(service, region) for region in self._regions
+        in_flight_by_region = {
+            region: [
+                (state, state.in_flight(now))
+                for state in self._targets.group(service, region)
+            ]
+            for region in self._regions
         }
-        use_max = _use_max(states_by_region.values(), now)
+        use_max = _use_max(in_flight_by_region.values())
         used_by_region = {
-            region: sum(_used_slots(state, use_max, now) for state in states)
-            for region, states in states_by_region.items()
+            region: sum(_used_slots(*target, use_max, now) for target in targets)
+            for region, targets in in_flight_by_region.items()
         }
         slots = sum(self.slots_by_region(service).values())
         utilisation = sum(used_by_region.values()) / max(1, slots)
@@ -159,13 +163,15 @@
         return weighted / weights if weights else float(PERMILLE)
 
 
-def _use_max(groups: Iterable[Sequence[TargetState]], now: int) -> float:
+def _use_max(groups: Iterable[Sequence[tuple[TargetState, int]]]) -> float:
     """Return the highest use of a target's slots that its own report can show."""
-    uses = [s.in_flight(now) / s.record.slots for states in groups for s in states]
+    uses = [count / state.record.slots for group in groups for state, count in group]
     return max(1.0, USE_MAX_RATIO * median(uses)) if uses else 1.0
 
 
-def _used_slots(state: TargetState, use_max: float, now: int) -> float:
+def _used_slots(state: TargetState, in_flight: int, use_max: float, now: int) -> float:
     """Return the requests at a target that count as the use of its slots."""
-    reported = min(state.in_flight(now), use_max * state.record.slots)
-    return max(state.instances_open_count(now), reported)
+    reported_max = use_max * state.record.slots
+    if in_flight <= reported_max:
+        return in_flight
+    return max(state.instances_open_count(now), reported_max)
--- a/sequoiahook/platform/dialect.py
+++ b/sequoiahook/platform/dialect.py
@@ -12,7 +12,7 @@
 from sequoiahook.decisions.direct.requests import Attempt, IncomingRequest, Refuse
 from sequoiahook.messages.requests import Fields
 from sequoiahook.names import bounded_name
-from sequoiahook.wire.fields import connection_fields
+from sequoiahook.wire.fields import bounded_integer, connection_fields
 from sequoiahook.world.instance import Address
 from sequoiahook.world.target import LoadReport, StatedLimit, StatedRest
 
@@ -39,7 +39,7 @@
 LOAD_FIGURES_MIN = 3
 PACE_MAX = 10_000
 FIGURE_MAX = 10**9
-"""Larger figures are read as this one: `int` rejects texts of thousands of digits."""
+"""Larger figures are read as this one."""
 
 LIMIT = b"server-limit"
 """Header with the requests a second that the target accepts from all instances."""
@@ -176,7 +176,9 @@
             return None
         if not all(part.strip().isdigit() for part in parts):
             return None
-        running, waiting, slots, *others = [_figure(part.strip()) for part in parts]
+        running, waiting, slots, *others = [
+            bounded_integer(part.strip(), FIGURE_MAX) for part in parts
+        ]
         pace = others[0] if others and status != WRONG_TARGET_STATUS else 0
         is_valid = 0 < pace <= PACE_MAX
         return LoadReport(running + waiting, slots, pace if is_valid else None)
@@ -213,17 +215,10 @@
         for part in (_first_value(headers, KEEP_ALIVE) or b"").split(b","):
             name, _, value = part.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
-                return _figure(value) * MS_PER_S
+                return bounded_integer(value, FIGURE_MAX) * MS_PER_S
         return DEFAULT_IDLE_MS
 
 
-def _figure(digits: bytes) -> int:
-    digits = digits.lstrip(b"0")
-    if len(digits) >= len(str(FIGURE_MAX)):
-        return FIGURE_MAX
-    return int(digits or b"0")
-
-
 def _single_decimal(values: Sequence[bytes], maximum: float) -> float | None:
     """Return the only value of a field; None if it is repeated, invalid or larger."""
     if len(values) != 1 or _DECIMAL.fullmatch(values[0]) is None:
@@ -273,4 +268,4 @@
 
 def _parse_integer(value: bytes | None) -> int | None:
     text = (value or b"").strip()
-    return _figure(text) if text.isdigit() else None
+    return bounded_integer(text, FIGURE_MAX) if text.isdigit() else None
--- a/sequoiahook/wire/fields.py
+++ b/sequoiahook/wire/fields.py
@@ -1,4 +1,4 @@
-"""HTTP fields: removal of callers' keys, and the fields added for targets.
+"""HTTP fields: removal of callers' keys, the fields added for targets, and integers.
 
 A caller may send its key in the ``Authorization`` field, in ``X-Api-Key`` or in the
 query parameter ``key``. Other occurrences of the key in a request are removed as well.
@@ -18,6 +18,7 @@
     "KEY_LENGTH_MIN",
     "CleanRequest",
     "PresentedKeys",
+    "bounded_integer",
     "clean_request",
     "connection_fields",
     "loggable_path",
@@ -159,6 +160,17 @@
     return (*headers, *added)
 
 
+def bounded_integer(digits: bytes, maximum: int) -> int:
+    """Return a decimal integer, or the maximum if it is larger.
+
+    `int` rejects texts of thousands of digits.
+    """
+    digits = digits.lstrip(b"0")
+    if len(digits) > len(str(maximum)):
+        return maximum
+    return min(int(digits or b"0"), maximum)
+
+
 def connection_fields(headers: Iterable[tuple]) -> frozenset[bytes]:
     """Return the names of the hop-by-hop fields of a message, in lower case."""
     return _HOP_BY_HOP | _connection_options(headers)
--- a/standins/endless_target.py
+++ b/standins/endless_target.py
@@ -19,6 +19,7 @@
 """Stands for the id of the request."""
 
 _OK = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n"
+_WHOLE = _OK + b"Content-Length: 2\r\n\r\nok"
 _FAILURE = b"HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n"
 _REFUSAL = b"HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
 _FOREIGN = b"HTTP/1.1 200 OK\r\nRequest-Id: foreign\r\n"
@@ -58,11 +59,8 @@
     "refusal in small chunks": (_REFUSAL + _CHUNKED, _SMALL_CHUNKS),
     "foreign": (_FOREIGN + _END, _BYTES),
     "foreign in small chunks": (_FOREIGN + _CHUNKED, _SMALL_CHUNKS),
-    "after the answer": (_OK + b"Content-Length: 2\r\n\r\nok", _BYTES),
-    "more answers": (
-        b"",
-        (_OK + b"Content-Length: 2\r\n\r\nok") * 100,
-    ),
+    "after the answer": (_WHOLE, _BYTES),
+    "more answers": (b"", _WHOLE * 100),
 }
 """First bytes of each kind of answer, and those that are repeated."""
 
@@ -74,8 +72,7 @@
             path = head.split(b" ")[1]
             request_id = _field(head, ID_FIELD)
             if path.startswith(b"/open/"):
-                answer = _OK + b"Content-Length: 2\r\n\r\nok"
-                writer.write(answer.replace(OWN_ID, request_id))
+                writer.write(_WHOLE.replace(OWN_ID, request_id))
                 continue
             await _discard_body(reader, head)
             first, repeated = KINDS[kind]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -26,15 +26,8 @@
 VALUE_BYTES_MAX = 1_000_000
 WAIT_MS_MAX = 60_000
 OBJECTS_PATH = "/objects/"
-CONTROL_NAMES = (
-    "outage",
-    "slow_ms",
-    "lose_answers",
-    "stale_reads",
-    "cut",
-    "list_lag_ms",
-    "end_watches",
-)
+FAULT_NAMES = ("outage", "slow_ms", "lose_answers", "stale_reads")
+CONTROL_NAMES = (*FAULT_NAMES, "cut", "list_lag_ms", "end_watches")
 
 
 class Faults:
@@ -129,7 +122,7 @@
     def _control(self, changes: dict[str, Any]) -> HttpResponse:
         check_control(changes, CONTROL_NAMES)
         faults = self._faults
-        for name in ("outage", "slow_ms", "lose_answers", "stale_reads"):
+        for name in FAULT_NAMES:
             setattr(faults, name, changes.get(name, getattr(faults, name)))
         faults.cut = frozenset(changes.get("cut", faults.cut))
         self._instances.lag_ms = changes.get("list_lag_ms", self._instances.lag_ms)
