Callers that leave early no longer suspend targets

Cause: an attempt whose caller left counted as a failure of its target. Two of them half a second apart suspended the target; each trial went to a leaving caller, too, and lengthened the suspension. A trace showed no other failures, and abandoned attempts of 19 to 40 ms.

Change: an abandoned attempt counts only if its answer was late by the grace period; an earlier one only ends a trial.

--- a/sequoiahook/decisions/direct/attempts.py
+++ b/sequoiahook/decisions/direct/attempts.py
@@ -261,10 +261,9 @@
         stage = result.stage
         record = attempt.request.records[-1]
         attempt.request.records[-1] = record._replace(stage=stage.value)
-        if stage in CONNECT_FAILED_STAGES:
-            stage = Stage.NOTHING_WRITTEN  # The connection might have been opened.
         self._selector.record_ended(attempt)
-        attempt.state.on_ended(stage, now)
+        late_ms = now - attempt.request.last_sent_at - record.expected_ms
+        attempt.state.on_abandoned(stage, late_ms, now)
         if result.stage.ran == NOT_RUN and not attempt.request.may_have_run:
             self._admission.return_token(attempt.request, now)
 
--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -190,6 +190,21 @@
             self._was_unreachable = False
         return has_recovered
 
+    def on_abandoned(self, stage: Stage, late_ms: int, now: int) -> None:
+        """Count the end of a request whose caller has left.
+
+        Callers that leave early show nothing about the target.
+
+        Args:
+            stage: Stage that the request had reached.
+            late_ms: Time since the answer was expected, in milliseconds.
+            now: The time in milliseconds.
+        """
+        might_answer = late_ms < self._settings.suspension.grace_ms
+        if might_answer or stage in CONNECT_FAILED_STAGES:
+            stage = Stage.NOTHING_WRITTEN
+        self.on_ended(stage, now)
+
     def record_rest(self, rest: StatedRest, now: int) -> None:
         """Record that the target asks for rest, or that its field is invalid.
 
