Cuts into three parts in the generated orders

A third of the seeds cuts the fleet into three parts; three data centres that are cut off from each other, with and without the store, and instances that restart or end meanwhile are cases of their own.

--- a/tests/cut_orders.py
+++ b/tests/cut_orders.py
@@ -27,6 +27,9 @@
 TARGETS = tuple(f"i-{number + 1}" for number in range(6))
 ZONES = ("north-a", "north-b", "south-a")
 LENGTHS_S = (5.0, 20.0, 45.0, 60.0, 120.0)
+THREE_PARTS_EVERY = 3
+"""Of the seeds, this part cuts the fleet into three."""
+
 STORE_REACH = ("both", "both", "first", "second", "none")
 
 
@@ -39,12 +42,22 @@
         is_one_way: Whether only the messages from the side are lost.
         store: Which side reaches the store: ``both``, ``first`` (the others),
             ``second`` (the side), or ``none``.
+        third: Instances that are cut off from the side and from all others, and
+            reach the store as the others do.
     """
 
     side: tuple[str, ...]
     for_s: float
     is_one_way: bool = False
     store: str = "both"
+    third: tuple[str, ...] = ()
+
+    def separates(self, name: str, other: str) -> bool:
+        """Return whether messages between two instances are lost."""
+        return (name in self.side, name in self.third) != (
+            other in self.side,
+            other in self.third,
+        )
 
 
 class Event(NamedTuple):
@@ -75,6 +88,7 @@
     """
 
     def __init__(self, seed, zone_by_name=None, cut=None, events=None):
+        self._seed = seed
         self._rng = random.Random(seed)
         random.seed(seed)
         self._zone_by_name = zone_by_name or self._draw_fleet()
@@ -101,12 +115,16 @@
         side = [name for name in names if self._zone_by_name[name] == zone]
         if rng.random() < 0.25:
             side = [rng.choice(names)]
-        return Cut(
+        cut = Cut(
             tuple(side),
             rng.choice(LENGTHS_S),
             rng.random() < 0.2,
             rng.choice(STORE_REACH),
         )
+        others = [name for name in names if name not in side]
+        if len(others) < 2 or self._seed % THREE_PARTS_EVERY:
+            return cut
+        return cut._replace(third=tuple(others[: len(others) // 2]))
 
     def _draw_events(self):
         rng, events = self._rng, []
@@ -165,7 +183,7 @@
             if cut.store == "none" or cut.store == ("first" if is_side else "second"):
                 platform.network.cut(platform.host(name), platform.store_host(name))
             for other in self._zone_by_name:
-                if is_side and other not in cut.side:
+                if (is_side or name in cut.third) and cut.separates(name, other):
                     pair = platform.host(name), platform.host(other)
                     platform.network.cut(*pair, is_one_way=cut.is_one_way)
         for event in self._events:
--- a/tests/test_cut_orders.py
+++ b/tests/test_cut_orders.py
@@ -11,6 +11,13 @@
 FOUR = {"a-0": "north-a", "a-1": "north-a", "b-0": "north-b", "b-1": "north-b"}
 B = ("b-0", "b-1")
 REGIONS = {"a-0": "north-a", "a-1": "north-b", "s-0": "south-a", "s-1": "south-a"}
+THREE = {
+    "a-0": "north-a",
+    "a-1": "north-a",
+    "b-0": "north-b",
+    "b-1": "north-b",
+    "s-0": "south-a",
+}
 SEEDS = range(1, 13)
 
 
@@ -33,6 +40,19 @@
     assert_holds(CutOrder(3, REGIONS, Cut(("s-0", "s-1"), 60.0), ()))
 
 
+@pytest.mark.parametrize("store", ["both", "first", "second", "none"])
+def test_three_data_centres_share_the_rate_during_a_cut(store):
+    cut = Cut(("b-0", "b-1"), 60.0, store=store, third=("s-0",))
+    assert_holds(CutOrder(6, THREE, cut, ()))
+
+
+@pytest.mark.parametrize("how", ["restart", "kill"])
+def test_instances_end_while_the_fleet_is_cut_into_three(how):
+    cut = Cut(("b-0", "b-1"), 60.0, third=("s-0",))
+    events = (Event(10.0, how, ("a-0",)), Event(25.0, how, ("s-0",)))
+    assert_holds(CutOrder(7, THREE, cut, events))
+
+
 @pytest.mark.parametrize("how", ["restart", "kill"])
 def test_instances_that_restart_or_end_during_a_cut(how):
     events = (Event(20.0, how, ("b-0",)), Event(35.0, how, ("a-1",)))
