--- a/tests/test_platform_connectivity.py
+++ b/tests/test_platform_connectivity.py
@@ -117,9 +117,19 @@
     return [status for status in statuses if status != 200]
 
 
+def longest(load):
+    """Return the number of a caller's requests, and those that took longest."""
+    results = [*load.results, (time.monotonic(), "the end")]
+    durations = [
+        (round(after - sent_at, 3), round(sent_at, 3), status)
+        for (sent_at, status), (after, _) in itertools.pairwise(results)
+    ]
+    return load.name_, len(durations), sorted(durations)[-3:]
+
+
 def assert_served(loads, names, begin, end):
     statuses = results_at(loads, names, begin, end)
-    assert len(statuses) > 100
+    assert len(statuses) > 100, [longest(load) for load in loads if load.name_ in names]
     allowed = FAILURES_FREE + len(statuses) / FAILURES_PART
     assert len(failures(statuses)) <= allowed, failures(statuses)[:5]
 
