--- a/sequoiahook/decisions/direct/target_state.py
+++ b/sequoiahook/decisions/direct/target_state.py
@@ -193,7 +193,8 @@
     def on_abandoned(self, stage: Stage, late_ms: int, now: int) -> None:
         """Count the end of a request whose caller has left.
 
-        Callers that leave early show nothing about the target.
+        Callers that leave early show nothing about the target, nor does a connection
+        that was still being opened.
 
         Args:
             stage: Stage that the request had reached.
