Tests of handovers: a poll that the cut itself interrupts is repeated

Cause: the cut can begin between the head and the body of an answer, which the stand-in writes apart. After 100 ms the instance passes on what it has; the rest never arrives, and at the deadline the connection is reset, so that the part doesn't look complete. That is how answers that are passed on must end. The polls check nothing of these answers.

Change: the poll counts such an answer as not handed over.

--- a/tests/test_platform_handovers.py
+++ b/tests/test_platform_handovers.py
@@ -1,5 +1,7 @@
 """Handed-over requests run at most once, through stops, kills, freezes and keys."""
 
+import concurrent.futures
+import http.client
 import itertools
 import signal
 import time
@@ -162,9 +164,33 @@
     wait_for(lambda: send(fleet)[1].status == 200, "targets are reached")
     if is_cut:
         fleet.cut("n1", "refuse")
+        wait_for(lambda: is_handed_over(fleet), "requests are handed over")
+
+
+def is_handed_over(fleet):
+    """Send a request; return whether another instance ran it."""
+    try:
+        request_id, _ = send(fleet)
+    except (OSError, http.client.HTTPException):
+        return False  # See `test_answer_that_a_cut_interrupts_is_broken_off`.
+    return execution_lines(fleet, request_id)
+
+
+def test_answer_that_a_cut_interrupts_is_broken_off(fleet):
+    """A part that was passed on before the cut must not look complete."""
+    reach_targets(fleet, is_cut=False)
+    for target_id in TARGETS:
+        fleet.control_target(target_id, faults={"how": "slow", "pause_ms": 1_000})
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        answer = pool.submit(send, fleet, "/write/interrupted")
         wait_for(
-            lambda: execution_lines(fleet, send(fleet)[0]), "requests are handed over"
+            lambda: any(run["path"] == "/write/interrupted" for run in fleet.runs()),
+            "the target has begun",
         )
+        time.sleep(0.3)
+        fleet.cut("n1", "refuse")
+        with pytest.raises((OSError, http.client.HTTPException)):
+            answer.result()
 
 
 @pytest.mark.parametrize("is_cut", [False, True])
