Stand-ins: a fleet ends the processes whose names others have taken

Cause: these tests replace the ordinary targets by endless ones of the same name; the fleet ended only the last process of each name.

test_standin_fleet.py failed before, passes now; 46 further tests of stand-ins, review cases and processes passed.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -120,6 +120,7 @@
         self._directory = tempfile.TemporaryDirectory(prefix="sequoiahook-")
         self.path = Path(self._directory.name)
         self.processes_by_name: dict[str, subprocess.Popen] = {}
+        self._replaced_processes: list[subprocess.Popen] = []
         self.store_port = 0
         self.is_first_start = False
         self.target_ports_by_id: dict[str, int] = {}
@@ -131,7 +132,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for process in self.processes_by_name.values():
+        for process in (*self._replaced_processes, *self.processes_by_name.values()):
             end_process(process)
         self._directory.cleanup()
 
@@ -192,7 +193,7 @@
         self.write_settings(name)
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path(name))}
         with (self.path / f"{name}.log").open("ab") as log:
-            self.processes_by_name[name] = subprocess.Popen(
+            process = subprocess.Popen(
                 [sys.executable, "-m", self.instance_module],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
@@ -200,6 +201,7 @@
                 stderr=log,
                 env=environment,
             )
+        self._add_process(name, process)
         return self.caller_address(name)
 
     def write_settings(self, name: str, text: str | None = None) -> None:
@@ -332,5 +334,11 @@
     def _start(self, name: str, *arguments: str) -> int:
         log_path = self.path / f"{name}.log"
         process, ready = start_process(list(arguments), log_path)
-        self.processes_by_name[name] = process
+        self._add_process(name, process)
         return ready["port"]
+
+    def _add_process(self, name: str, process: subprocess.Popen) -> None:
+        """Add a process; an earlier one with its name may run until the exit."""
+        if name in self.processes_by_name:
+            self._replaced_processes.append(self.processes_by_name[name])
+        self.processes_by_name[name] = process
