--- a/sequoiahook/daemons/direct/instance.py
+++ b/sequoiahook/daemons/direct/instance.py
@@ -68,8 +68,6 @@
 LAST_WRITE_MS = 200
 """Longest time for which callers may read answers between the exit and the kill."""
 
-"""Interval between checks for entries of expired instances."""
-
 LINGER_MS = 150
 """Time for requests on connections that were opened just before listening stopped."""
 
--- a/sequoiahook/decisions/direct/entry_decider.py
+++ b/sequoiahook/decisions/direct/entry_decider.py
@@ -75,11 +75,13 @@
     def _decides_on(self, region: str, now: int) -> bool:
         if region == self._me.region:
             return self.is_region_leader(now)
-        instances = self._peers.instances_by_name.values()
-        names = [i.name for i in instances if i.region == region]
-        if any(self._peers.is_responsive(name, now) for name in names):
+        if not self._is_first_of(self._views.current(now)):
             return False
-        return self._is_first_of(self._views.current(now))
+        return not any(
+            self._peers.is_responsive(name, now)
+            for name, instance in self._peers.instances_by_name.items()
+            if instance.region == region
+        )
 
     def _is_first_of(self, groups: Iterable[str]) -> bool:
         own_name = self._groups.own_name
--- a/tests/test_review_cases.py
+++ b/tests/test_review_cases.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-ROOT = Path(__file__).resolve().parent.parent
+from standins.processes import ROOT
+
 CASES = sorted(int(path.parent.name) for path in ROOT.glob("review/*/case.py"))
 FIRST_OF_SECOND_REVIEW = 6
 
--- a/tests/test_standin_controls.py
+++ b/tests/test_standin_controls.py
@@ -3,13 +3,12 @@
 import os
 import subprocess
 import sys
-from pathlib import Path
 
 import pytest
 
 from standins.platform_fleet import PlatformFleet
+from standins.processes import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 TARGET = "i-1"
 
 
